Skeleton: build, base slice, interfaces of the object API and HTTP client

Cause: nothing stood; slices are to be built side by side, so the seams come first. Ruled out: one big first commit of a whole process, since nobody could work beside it. Change: CMake with a slice list, formatter and linter settings, errors with stable numbers, step and peer, structured log lines, clocks, the ObjectStore and HttpClient interfaces, an in-memory store with faults, and the first wire formats in docs/INTERFACES.md. Conclusion: the seams compile; nothing is served yet.

--- /dev/null
+++ b/src/base/json_fields.cc
@@ -0,0 +1,87 @@
+#include "base/json_fields.h"
+
+#include "absl/strings/str_cat.h"
+#include "base/error.h"
+
+namespace meadowthread {
+namespace {
+
+using nlohmann::json;
+
+const json* Find(const json& object, std::string_view field) {
+  if (!object.is_object()) {
+    return nullptr;
+  }
+  const auto found = object.find(std::string(field));
+  return found == object.end() ? nullptr : &*found;
+}
+
+absl::Status FieldError(ErrorId id, std::string_view field,
+                        std::string_view what) {
+  ErrorDetail detail;
+  detail.id = id;
+  detail.outcome = Outcome::kNotRun;
+  detail.step = "parse";
+  detail.field = std::string(field);
+  return MakeError(
+      absl::StatusCode::kInvalidArgument, detail,
+      absl::StrCat("field '", std::string(field), "' ", std::string(what)));
+}
+
+}  // namespace
+
+absl::StatusOr<json> ParseObject(std::string_view text, std::string_view step,
+                                 std::string_view peer) {
+  json value = json::parse(text, nullptr, false);
+  if (value.is_object()) {
+    return value;
+  }
+  ErrorDetail detail;
+  detail.id = ErrorId::kMalformedRequest;
+  detail.outcome = Outcome::kNotRun;
+  detail.step = std::string(step);
+  detail.peer = std::string(peer);
+  return MakeError(absl::StatusCode::kInvalidArgument, detail,
+                   "the body is not a JSON object");
+}
+
+absl::StatusOr<std::string> StringField(const json& object,
+                                        std::string_view field) {
+  const json* value = Find(object, field);
+  if (value == nullptr) {
+    return FieldError(ErrorId::kFieldMissing, field, "is missing");
+  }
+  if (!value->is_string()) {
+    return FieldError(ErrorId::kFieldInvalid, field, "is not a string");
+  }
+  return value->get<std::string>();
+}
+
+absl::StatusOr<std::int64_t> IntField(const json& object,
+                                      std::string_view field) {
+  const json* value = Find(object, field);
+  if (value == nullptr) {
+    return FieldError(ErrorId::kFieldMissing, field, "is missing");
+  }
+  if (!value->is_number_integer()) {
+    return FieldError(ErrorId::kFieldInvalid, field, "is not an integer");
+  }
+  return value->get<std::int64_t>();
+}
+
+std::string StringOr(const json& object, std::string_view field,
+                     std::string_view fallback) {
+  const json* value = Find(object, field);
+  return value != nullptr && value->is_string() ? value->get<std::string>()
+                                                : std::string(fallback);
+}
+
+std::int64_t IntOr(const json& object, std::string_view field,
+                   std::int64_t fallback) {
+  const json* value = Find(object, field);
+  return value != nullptr && value->is_number_integer()
+             ? value->get<std::int64_t>()
+             : fallback;
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/base/log_line.cc
@@ -0,0 +1,40 @@
+#include "base/log_line.h"
+
+#include <glog/logging.h>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+
+namespace meadowthread {
+namespace {
+
+bool NeedsQuotes(std::string_view value) {
+  return value.empty() ||
+         value.find_first_of(" \t\r\n\"=\\") != std::string_view::npos;
+}
+
+}  // namespace
+
+LogLine::LogLine(std::string_view event) : text("event=") {
+  this->text.append(event);
+}
+
+LogLine& LogLine::Add(std::string_view key, std::string_view value) {
+  this->text.append(" ").append(key).append("=");
+  if (!NeedsQuotes(value)) {
+    this->text.append(value);
+    return *this;
+  }
+  absl::StrAppend(&this->text, "\"",
+                  absl::CEscape({value.data(), value.size()}), "\"");
+  return *this;
+}
+
+LogLine& LogLine::Add(std::string_view key, double value) {
+  return this->Add(key, std::string_view(absl::StrFormat("%.4g", value)));
+}
+
+void LogLine::Write() const { LOG(INFO) << this->text; }
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/store/store_errors.cc
@@ -0,0 +1,43 @@
+#include "store/store_errors.h"
+
+#include <string>
+
+namespace meadowthread {
+namespace {
+
+struct Named {
+  absl::StatusCode code;
+  std::string_view message;
+};
+
+Named NameOf(ErrorId id) {
+  switch (id) {
+    case ErrorId::kNotFound:
+      return {absl::StatusCode::kNotFound, "no such object"};
+    case ErrorId::kStoreConflict:
+      return {absl::StatusCode::kFailedPrecondition,
+              "another version of the object stands"};
+    case ErrorId::kStoreUnavailable:
+      return {absl::StatusCode::kUnavailable, "the object API is unavailable"};
+    case ErrorId::kStoreMalformed:
+      return {absl::StatusCode::kDataLoss,
+              "the object API's answer cannot be read"};
+    default:
+      return {absl::StatusCode::kUnknown,
+              "the object API did not say whether the write took effect"};
+  }
+}
+
+}  // namespace
+
+absl::Status StoreError(ErrorId id, std::string_view step,
+                        std::string_view peer) {
+  ErrorDetail detail;
+  detail.id = id;
+  detail.step = "object-api." + std::string(step);
+  detail.peer = std::string(peer);
+  const Named named = NameOf(id);
+  return MakeError(named.code, detail, named.message);
+}
+
+}  // namespace meadowthread
