Net and engine slices: curl on Qt's loop, Qt's server, engine streams

Cause: nothing could be sent or served yet. Change: CurlClient tells whether a byte may have left, HttpServer with bounds on head, body and time, EngineStream for a generation's events.

--- /dev/null
+++ b/src/engine/engine_client.h
@@ -0,0 +1,52 @@
+#ifndef MEADOWTHREAD_ENGINE_ENGINE_CLIENT_H_
+#define MEADOWTHREAD_ENGINE_ENGINE_CLIENT_H_
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "engine/engine_stream.h"
+
+namespace meadowthread {
+
+/// @brief Time limits towards engines, in milliseconds.
+struct EngineLimits {
+  std::int64_t connect_timeout_ms = 1000;
+  std::int64_t silence_ms = 10'000;  ///< longest gap in a stream
+  std::int64_t control_timeout_ms = 2000;
+};
+
+/// @brief Speaks to model engines (docs/INTERFACES.md, section 1).
+class EngineClient {
+ public:
+  using LoadDone = std::function<void(const absl::StatusOr<LoadReport>&)>;
+
+  /// @param[in] client outlives this object and every stream it opens
+  EngineClient(HttpClient& client, const EngineLimits& limits)
+      : client(client), limits(limits) {}
+
+  /// @brief Sends a generation; the library sends it once at most.
+  std::unique_ptr<EngineStream> Start(const EngineAddress& engine,
+                                      const GenerationRequest& request,
+                                      GenerationSink& sink);
+
+  /// @brief Streams a generation on from an index.
+  std::unique_ptr<EngineStream> Resume(const EngineAddress& engine,
+                                       std::string_view generation,
+                                       std::int64_t from, GenerationSink& sink);
+
+  /// @brief Cancels a generation; best effort, since the engine's orphan
+  /// timeout ends it in any case.
+  void Cancel(const EngineAddress& engine, std::string_view generation);
+
+  /// @brief Reads the engine's load report.
+  void ReadLoad(const EngineAddress& engine, const LoadDone& done);
+
+ private:
+  HttpClient& client;
+  EngineLimits limits;
+};
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_ENGINE_ENGINE_CLIENT_H_
--- /dev/null
+++ b/src/engine/engine_messages.h
@@ -0,0 +1,78 @@
+#ifndef MEADOWTHREAD_ENGINE_ENGINE_MESSAGES_H_
+#define MEADOWTHREAD_ENGINE_ENGINE_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+
+namespace meadowthread {
+
+/// @brief Where an engine is reached.
+struct EngineAddress {
+  std::string engine;
+  std::string base_url;  ///< e.g. "http://10.0.0.7:9100"
+};
+
+/// @brief A model with its adapter and version.
+struct ModelVersion {
+  std::string model;
+  std::string adapter;
+  std::string version;
+
+  friend auto operator<=>(const ModelVersion&, const ModelVersion&) = default;
+};
+
+/// @brief What an engine is asked to generate.
+struct GenerationRequest {
+  std::string attempt;  ///< unique for each attempt
+  std::string workspace;
+  ModelVersion model;
+  std::string prompt;
+  std::int64_t max_tokens = 0;
+  int priority = 1;  ///< 0 is most urgent
+  std::int64_t deadline_unix_ms = 0;
+  std::int64_t orphan_timeout_ms = 0;
+};
+
+/// @brief One token of a generation.
+struct TokenEvent {
+  std::string generation;
+  std::int64_t index = 0;
+  std::string text;
+};
+
+/// @brief A generation's regular end.
+struct GenerationFinish {
+  std::string generation;
+  std::int64_t count = 0;  ///< tokens in the whole generation
+  std::string reason;      ///< "stop" or "length"
+};
+
+/// @brief An engine's lagging report of its load; kv in tokens.
+struct LoadReport {
+  std::string engine;
+  std::string incarnation;
+  std::int64_t as_of_unix_ms = 0;
+  std::int64_t kv_used = 0;
+  std::int64_t kv_capacity = 0;
+  std::int64_t preemptions = 0;
+  int running = 0;
+  int waiting = 0;
+  bool leaving = false;
+  std::string role;
+  std::vector<ModelVersion> models;
+};
+
+/// @brief The request's body on the wire (docs/INTERFACES.md, section 1).
+std::string EncodeGenerationRequest(const GenerationRequest& request);
+
+/// @brief Reads a load report; an error names the field and the engine.
+absl::StatusOr<LoadReport> DecodeLoadReport(std::string_view body,
+                                            std::string_view engine);
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_ENGINE_ENGINE_MESSAGES_H_
--- /dev/null
+++ b/src/net/curl_multi.cc
@@ -0,0 +1,187 @@
+#include "net/curl_multi.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace meadowthread::detail {
+namespace {
+
+// Idle connections kept for reuse; streams in progress don't count here.
+constexpr long kIdleConnections = 256;
+
+}  // namespace
+
+CurlMulti::CurlMulti() : multi(curl_multi_init()) {
+  curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &CurlMulti::OnSocket);
+  curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &CurlMulti::OnTimer);
+  curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
+  curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kIdleConnections);
+  this->timer.setSingleShot(true);
+  this->timer.setTimerType(Qt::PreciseTimer);
+  QObject::connect(&this->timer, &QTimer::timeout, this,
+                   [this] { this->Act(CURL_SOCKET_TIMEOUT, 0); });
+}
+
+CurlMulti::~CurlMulti() {
+  for (const auto& [id, call] : this->calls) {
+    call->Silence();
+    curl_multi_remove_handle(this->multi, call->Easy());
+  }
+  this->calls.clear();
+  curl_multi_cleanup(this->multi);
+}
+
+HttpCallId CurlMulti::Start(const HttpRequest& request, HttpHandler* handler) {
+  const HttpCallId id = ++this->last_id;
+  auto call = std::make_unique<CurlCall>(id, request, handler);
+  CURL* easy = call->Easy();
+  this->calls.emplace(id, std::move(call));
+  if (this->depth == 0) {
+    curl_multi_add_handle(this->multi, easy);
+    return id;
+  }
+  // libcurl refuses to be called from within one of its own callbacks.
+  QTimer::singleShot(0, this, [this, id] {
+    const auto found = this->calls.find(id);
+    if (found != this->calls.end()) {
+      curl_multi_add_handle(this->multi, found->second->Easy());
+    }
+  });
+  return id;
+}
+
+void CurlMulti::Cancel(HttpCallId id) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end()) {
+    return;
+  }
+  found->second->Silence();
+  if (this->depth == 0) {
+    this->Remove(id);
+  } else {
+    this->silenced.push_back(id);
+  }
+}
+
+void CurlMulti::SetPaused(HttpCallId id, bool paused) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end() || found->second->IsSilenced()) {
+    return;
+  }
+  // Going on may hand over kept data at once, from within this call.
+  ++this->depth;
+  found->second->SetPaused(paused);
+  --this->depth;
+  if (this->depth == 0) {
+    this->RemoveSilenced();
+  }
+}
+
+void CurlMulti::Act(curl_socket_t socket, int events) {
+  int running = 0;
+  ++this->depth;
+  curl_multi_socket_action(this->multi, socket, events, &running);
+  --this->depth;
+  if (this->depth == 0) {
+    this->FinishCalls();
+    this->RemoveSilenced();
+  }
+}
+
+void CurlMulti::FinishCalls() {
+  int left = 0;
+  while (CURLMsg* message = curl_multi_info_read(this->multi, &left)) {
+    if (message->msg != CURLMSG_DONE) {
+      continue;
+    }
+    char* self = nullptr;
+    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &self);
+    const HttpCallId id = reinterpret_cast<CurlCall*>(self)->Id();
+    const CURLcode code = message->data.result;
+    const auto found = this->calls.find(id);
+    const std::unique_ptr<CurlCall> call = std::move(found->second);
+    this->calls.erase(found);
+    curl_multi_remove_handle(this->multi, call->Easy());
+    call->End(code);
+  }
+}
+
+void CurlMulti::RemoveSilenced() {
+  const std::vector<HttpCallId> doomed = std::exchange(this->silenced, {});
+  for (const HttpCallId id : doomed) {
+    this->Remove(id);
+  }
+}
+
+void CurlMulti::Remove(HttpCallId id) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end()) {
+    return;
+  }
+  const std::unique_ptr<CurlCall> call = std::move(found->second);
+  this->calls.erase(found);
+  curl_multi_remove_handle(this->multi, call->Easy());
+}
+
+std::unique_ptr<QSocketNotifier> CurlMulti::MakeNotifier(
+    curl_socket_t socket, QSocketNotifier::Type type, int event) {
+  auto notifier = std::make_unique<QSocketNotifier>(socket, type);
+  QObject::connect(notifier.get(), &QSocketNotifier::activated, this,
+                   [this, socket, event] { this->Act(socket, event); });
+  return notifier;
+}
+
+void CurlMulti::Watch(curl_socket_t socket, int what) {
+  SocketWatch& watch = this->watches[socket];
+  const bool reads = what == CURL_POLL_IN || what == CURL_POLL_INOUT;
+  const bool writes = what == CURL_POLL_OUT || what == CURL_POLL_INOUT;
+  if (reads && watch.read == nullptr) {
+    watch.read =
+        this->MakeNotifier(socket, QSocketNotifier::Read, CURL_CSELECT_IN);
+  }
+  if (writes && watch.write == nullptr) {
+    watch.write =
+        this->MakeNotifier(socket, QSocketNotifier::Write, CURL_CSELECT_OUT);
+  }
+  if (watch.read != nullptr) {
+    watch.read->setEnabled(reads);
+  }
+  if (watch.write != nullptr) {
+    watch.write->setEnabled(writes);
+  }
+}
+
+int CurlMulti::OnSocket(CURL* /*easy*/, curl_socket_t socket, int what,
+                        void* self, void* /*socket_data*/) {
+  auto* multi = static_cast<CurlMulti*>(self);
+  if (what != CURL_POLL_REMOVE) {
+    multi->Watch(socket, what);
+    return 0;
+  }
+  const auto found = multi->watches.find(socket);
+  if (found == multi->watches.end()) {
+    return 0;
+  }
+  // We may be inside this notifier's own signal: it must outlive the call.
+  for (auto* notifier : {&found->second.read, &found->second.write}) {
+    if (*notifier != nullptr) {
+      (*notifier)->setEnabled(false);
+      notifier->release()->deleteLater();
+    }
+  }
+  multi->watches.erase(found);
+  return 0;
+}
+
+int CurlMulti::OnTimer(CURLM* /*multi*/, long timeout_ms, void* self) {
+  auto* multi = static_cast<CurlMulti*>(self);
+  if (timeout_ms < 0) {
+    multi->timer.stop();
+  } else {
+    multi->timer.start(static_cast<int>(timeout_ms));
+  }
+  return 0;
+}
+
+}  // namespace meadowthread::detail
--- /dev/null
+++ b/src/net/fetch.cc
@@ -0,0 +1,82 @@
+#include <memory>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "base/error.h"
+#include "net/http_client.h"
+
+namespace meadowthread {
+namespace {
+
+// Deletes itself once the call has ended: nobody else holds it.
+class FetchHandler final : public HttpHandler {
+ public:
+  FetchHandler(HttpClient& client, std::size_t limit_bytes,
+               std::function<void(const HttpFetched&)> done)
+      : client(client), limit_bytes(limit_bytes), done(std::move(done)) {}
+
+  void Start(const HttpRequest& request) {
+    this->url = request.url;
+    this->call = this->client.Start(request, this);
+  }
+
+  void OnHead(int http_status, std::span<const HttpHeader> headers) override {
+    this->fetched.response.http_status = http_status;
+    this->fetched.response.headers.assign(headers.begin(), headers.end());
+  }
+
+  void OnData(std::string_view data) override {
+    std::string& body = this->fetched.response.body;
+    if (body.size() + data.size() <= this->limit_bytes) {
+      body.append(data);
+      return;
+    }
+    this->client.Cancel(this->call);
+    HttpEnd end;
+    end.http_status = this->fetched.response.http_status;
+    end.request_may_have_left = true;
+    ErrorDetail detail;
+    detail.id = ErrorId::kPeerMalformed;
+    detail.step = "read-answer";
+    detail.peer = this->url;
+    end.status = MakeError(absl::StatusCode::kResourceExhausted, detail,
+                           "the answer is longer than its limit");
+    this->OnEnd(end);
+  }
+
+  void OnEnd(const HttpEnd& end) override {
+    const std::unique_ptr<FetchHandler> owner(this);
+    this->fetched.end = end;
+    this->done(this->fetched);
+  }
+
+ private:
+  HttpClient& client;
+  std::size_t limit_bytes;
+  std::function<void(const HttpFetched&)> done;
+  std::string url;
+  HttpCallId call = 0;
+  HttpFetched fetched;
+};
+
+}  // namespace
+
+void Fetch(HttpClient& client, const HttpRequest& request,
+           std::size_t limit_bytes,
+           const std::function<void(const HttpFetched&)>& done) {
+  auto handler = std::make_unique<FetchHandler>(client, limit_bytes, done);
+  handler.release()->Start(request);
+}
+
+std::string_view FindHeader(std::span<const HttpHeader> headers,
+                            std::string_view name) {
+  for (const HttpHeader& header : headers) {
+    if (absl::EqualsIgnoreCase(header.name,
+                               absl::string_view(name.data(), name.size()))) {
+      return header.value;
+    }
+  }
+  return {};
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,75 @@
+#ifndef MEADOWTHREAD_NET_HTTP_SERVER_H_
+#define MEADOWTHREAD_NET_HTTP_SERVER_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "net/http_client.h"
+#include "net/response_writer.h"
+
+namespace meadowthread {
+
+/// @brief A request as it came in.
+struct ServerRequest {
+  std::string method;
+  std::string path;
+  std::string query;
+  std::vector<HttpHeader> headers;
+  std::string body;
+  std::string peer;  ///< the caller's address
+};
+
+/// @brief What answers requests.
+class HttpService {
+ public:
+  virtual ~HttpService() = default;
+
+  /// @brief Answers `request` through `writer`, now or later.
+  virtual void Serve(const ServerRequest& request,
+                     std::unique_ptr<ResponseWriter> writer) = 0;
+};
+
+/// @brief Bounds on what a caller may send.
+struct ServerLimits {
+  std::int64_t max_header_bytes = 32 * 1024;
+  std::int64_t max_body_bytes = 1024 * 1024;
+  std::int64_t body_timeout_ms = 10'000;
+};
+
+/// @brief Where certificate and key lie; empty: no TLS.
+struct TlsFiles {
+  std::string certificate_file;
+  std::string key_file;
+};
+
+namespace detail {
+class QtHttpServer;
+}  // namespace detail
+
+/// @brief An HTTP/1.1 server on Qt's event loop.
+class HttpServer {
+ public:
+  /// @param[in] service outlives the server
+  HttpServer(HttpService* service, const ServerLimits& limits);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// @brief Starts to listen.
+  /// @param[in] address an IP number
+  /// @param[in] port 0: any free one
+  /// @return the port, or an error naming the address or the TLS file
+  absl::StatusOr<std::uint16_t> Listen(std::string_view address,
+                                       std::uint16_t port, const TlsFiles& tls);
+
+ private:
+  std::unique_ptr<detail::QtHttpServer> server;
+};
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_NET_HTTP_SERVER_H_
