--- /dev/null
+++ b/src/answer/resume_token.cc
@@ -0,0 +1,115 @@
+#include "answer/resume_token.h"
+
+#include <QCryptographicHash>
+#include <QMessageAuthenticationCode>
+#include <utility>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
+#include "base/error.h"
+#include "base/json_fields.h"
+#include "nlohmann/json.hpp"
+
+namespace meadowthread {
+namespace {
+
+using nlohmann::json;
+
+std::string Mac(std::string_view payload, const std::string& key) {
+  const QByteArray mac = QMessageAuthenticationCode::hash(
+      QByteArray(payload.data(), static_cast<qsizetype>(payload.size())),
+      QByteArray::fromStdString(key), QCryptographicHash::Sha256);
+  std::string text;
+  absl::WebSafeBase64Escape(mac.toStdString(), &text);
+  return text;
+}
+
+// Takes as long for a wrong signature as for a right one.
+bool ConstantTimeEqual(std::string_view a, std::string_view b) {
+  if (a.size() != b.size()) {
+    return false;
+  }
+  unsigned char difference = 0;
+  for (std::size_t i = 0; i < a.size(); ++i) {
+    difference |= static_cast<unsigned char>(a[i] ^ b[i]);
+  }
+  return difference == 0;
+}
+
+absl::Status TokenError(ErrorId id, std::string_view what) {
+  ErrorDetail detail;
+  detail.id = id;
+  detail.step = "resume";
+  detail.field = "Meadowthread-Resume-Token";
+  return MakeError(absl::StatusCode::kPermissionDenied, detail, what);
+}
+
+json ToJson(const ResumeClaims& claims) {
+  return {{"r", claims.request},         {"w", claims.workspace},
+          {"c", claims.caller},          {"e", claims.engine.engine},
+          {"u", claims.engine.base_url}, {"g", claims.generation},
+          {"m", claims.model},           {"f", static_cast<int>(claims.form)},
+          {"t", claims.created_unix_s},  {"x", claims.expires_unix_ms}};
+}
+
+ResumeClaims FromJson(const json& value) {
+  ResumeClaims claims;
+  claims.request = StringOr(value, "r", "");
+  claims.workspace = StringOr(value, "w", "");
+  claims.caller = StringOr(value, "c", "");
+  claims.engine.engine = StringOr(value, "e", "");
+  claims.engine.base_url = StringOr(value, "u", "");
+  claims.generation = StringOr(value, "g", "");
+  claims.model = StringOr(value, "m", "");
+  claims.form =
+      IntOr(value, "f", 0) == 0 ? AnswerForm::kChat : AnswerForm::kCompletion;
+  claims.created_unix_s = IntOr(value, "t", 0);
+  claims.expires_unix_ms = IntOr(value, "x", 0);
+  return claims;
+}
+
+}  // namespace
+
+ResumeTokenCodec::ResumeTokenCodec(std::vector<std::string> keys)
+    : keys(std::move(keys)) {}
+
+std::string ResumeTokenCodec::Sign(const ResumeClaims& claims) const {
+  std::string payload;
+  absl::WebSafeBase64Escape(ToJson(claims).dump(), &payload);
+  return absl::StrCat(payload, ".", Mac(payload, this->keys.front()));
+}
+
+bool ResumeTokenCodec::IsSigned(std::string_view payload,
+                                std::string_view signature) const {
+  for (const std::string& key : this->keys) {
+    if (ConstantTimeEqual(Mac(payload, key), signature)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+absl::StatusOr<ResumeClaims> ResumeTokenCodec::Verify(
+    std::string_view token, std::string_view workspace, std::string_view caller,
+    std::int64_t now_unix_ms) const {
+  const std::size_t dot = token.find('.');
+  if (dot == std::string_view::npos ||
+      !this->IsSigned(token.substr(0, dot), token.substr(dot + 1))) {
+    return TokenError(ErrorId::kResumeTokenInvalid,
+                      "the resume token is not one of this system's");
+  }
+  std::string text;
+  absl::WebSafeBase64Unescape(absl::string_view(token.data(), dot), &text);
+  const ResumeClaims claims = FromJson(json::parse(text, nullptr, false));
+  if (claims.workspace != workspace || claims.caller != caller) {
+    return TokenError(ErrorId::kResumeTokenInvalid,
+                      "the resume token belongs to another caller");
+  }
+  if (claims.expires_unix_ms <= now_unix_ms) {
+    return TokenError(ErrorId::kResumeTokenExpired,
+                      "the resume token has expired");
+  }
+  return claims;
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/answer/resume_token.h
@@ -0,0 +1,64 @@
+#ifndef MEADOWTHREAD_ANSWER_RESUME_TOKEN_H_
+#define MEADOWTHREAD_ANSWER_RESUME_TOKEN_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "engine/engine_messages.h"
+
+namespace meadowthread {
+
+/// @brief The form in which an answer is given to the caller.
+enum class AnswerForm { kChat, kCompletion };
+
+/// @brief What a caller holds so that any host can go on with its answer.
+struct ResumeClaims {
+  std::string request;
+  std::string workspace;
+  std::string caller;  ///< a digest of the caller's key
+  EngineAddress engine;
+  std::string generation;
+  std::string model;
+  AnswerForm form = AnswerForm::kChat;
+  std::int64_t created_unix_s = 0;
+  std::int64_t expires_unix_ms = 0;
+
+  friend bool operator==(const ResumeClaims& a, const ResumeClaims& b) {
+    return a.request == b.request && a.workspace == b.workspace &&
+           a.caller == b.caller && a.engine.engine == b.engine.engine &&
+           a.engine.base_url == b.engine.base_url &&
+           a.generation == b.generation && a.model == b.model &&
+           a.form == b.form && a.created_unix_s == b.created_unix_s &&
+           a.expires_unix_ms == b.expires_unix_ms;
+  }
+};
+
+/// @brief Makes and checks resume tokens (HMAC-SHA256).
+class ResumeTokenCodec {
+ public:
+  /// @param[in] keys the first signs; all of them are accepted, so that a key
+  /// can be replaced host by host
+  explicit ResumeTokenCodec(std::vector<std::string> keys);
+
+  /// @brief The token for `claims`, safe in a header.
+  std::string Sign(const ResumeClaims& claims) const;
+
+  /// @brief Checks signature, workspace, caller and expiry.
+  /// @return the claims, or kResumeTokenInvalid / kResumeTokenExpired
+  absl::StatusOr<ResumeClaims> Verify(std::string_view token,
+                                      std::string_view workspace,
+                                      std::string_view caller,
+                                      std::int64_t now_unix_ms) const;
+
+ private:
+  bool IsSigned(std::string_view payload, std::string_view signature) const;
+
+  std::vector<std::string> keys;
+};
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_ANSWER_RESUME_TOKEN_H_
--- /dev/null
+++ b/src/answer/tests/resume_token_test.cc
@@ -0,0 +1,76 @@
+#include "answer/resume_token.h"
+
+#include <criterion/criterion.h>
+
+#include "base/error.h"
+
+namespace meadowthread {
+namespace {
+
+constexpr std::int64_t kNow = 1'000'000;
+
+ResumeClaims Claims() {
+  ResumeClaims claims;
+  claims.request = "r-1";
+  claims.workspace = "makati";
+  claims.caller = "c0ffee";
+  claims.engine = {"engine-3", "http://127.0.0.1:9103"};
+  claims.generation = "e3-1-42";
+  claims.model = "reconcile";
+  claims.form = AnswerForm::kCompletion;
+  claims.created_unix_s = 7;
+  claims.expires_unix_ms = kNow + 1;
+  return claims;
+}
+
+ErrorId IdOf(const absl::StatusOr<ResumeClaims>& result) {
+  return DetailOf(result.status()).id;
+}
+
+Test(a_resume_token, reads_back_as_signed) {
+  const ResumeTokenCodec codec({"key-a"});
+  const auto result =
+      codec.Verify(codec.Sign(Claims()), "makati", "c0ffee", kNow);
+  cr_assert(result.ok());
+  cr_assert(*result == Claims());
+}
+
+Test(a_resume_token, of_another_workspace_or_caller_is_refused) {
+  const ResumeTokenCodec codec({"key-a"});
+  const std::string token = codec.Sign(Claims());
+  cr_assert(IdOf(codec.Verify(token, "pasig", "c0ffee", kNow)) ==
+            ErrorId::kResumeTokenInvalid);
+  cr_assert(IdOf(codec.Verify(token, "makati", "other", kNow)) ==
+            ErrorId::kResumeTokenInvalid);
+}
+
+Test(a_resume_token, that_was_altered_anywhere_is_refused) {
+  const ResumeTokenCodec codec({"key-a"});
+  const std::string token = codec.Sign(Claims());
+  for (std::size_t i = 0; i < token.size(); ++i) {
+    std::string altered = token;
+    altered[i] = altered[i] == 'A' ? 'B' : 'A';
+    cr_assert(!codec.Verify(altered, "makati", "c0ffee", kNow).ok(),
+              "position %zu", i);
+  }
+  cr_assert(!codec.Verify("", "makati", "c0ffee", kNow).ok());
+  cr_assert(!codec.Verify("a.b", "makati", "c0ffee", kNow).ok());
+}
+
+Test(a_resume_token, that_has_expired_is_refused) {
+  const ResumeTokenCodec codec({"key-a"});
+  cr_assert(IdOf(codec.Verify(codec.Sign(Claims()), "makati", "c0ffee",
+                              kNow + 1)) == ErrorId::kResumeTokenExpired);
+}
+
+Test(a_resume_token, outlives_the_replacing_of_keys) {
+  const ResumeTokenCodec before({"key-a"});
+  const ResumeTokenCodec during({"key-b", "key-a"});
+  const ResumeTokenCodec after({"key-b"});
+  const std::string token = before.Sign(Claims());
+  cr_assert(during.Verify(token, "makati", "c0ffee", kNow).ok());
+  cr_assert(!after.Verify(token, "makati", "c0ffee", kNow).ok());
+}
+
+}  // namespace
+}  // namespace meadowthread
--- a/src/engine/engine_stream.cc
+++ b/src/engine/engine_stream.cc
@@ -27,11 +27,15 @@
 
 EngineStream::EngineStream(HttpClient& client, std::string_view engine,
                            GenerationSink& sink)
-    : client(client), engine(engine), sink(sink), parser(kMaxEventBytes) {}
+    : client(client), engine(engine), sink(&sink), parser(kMaxEventBytes) {}
 
-EngineStream::~EngineStream() {
+EngineStream::~EngineStream() { this->Close(); }
+
+void EngineStream::Close() {
+  this->sink = nullptr;
   if (this->call != 0) {
     this->client.Cancel(this->call);
+    this->call = 0;
   }
 }
 
@@ -55,7 +59,7 @@
 }
 
 void EngineStream::OnData(std::string_view data) {
-  if (this->malformed) {
+  if (this->sink == nullptr) {
     return;
   }
   if (this->http_status != kOk) {
@@ -64,13 +68,13 @@
     }
     return;
   }
-  if (!this->parser.Feed(data, *this)) {
+  if (!this->parser.Feed(data, *this) && this->sink != nullptr) {
     this->CloseMalformed("an event is longer than its limit");
   }
 }
 
 void EngineStream::OnSseEvent(const SseEvent& event) {
-  if (this->malformed) {
+  if (this->sink == nullptr) {
     return;
   }
   const json data = json::parse(event.data, nullptr, false);
@@ -79,27 +83,24 @@
     return;
   }
   if (event.name == "start") {
-    this->sink.OnGenerationStarted(StringOr(data, "generation", ""));
+    this->sink->OnGenerationStarted(StringOr(data, "generation", ""));
   } else if (event.name == "end") {
-    this->sink.OnFinished({StringOr(data, "g", ""), IntOr(data, "count", -1),
-                           StringOr(data, "finish", "stop")});
+    this->sink->OnFinished({StringOr(data, "g", ""), IntOr(data, "count", -1),
+                            StringOr(data, "finish", "stop")});
   } else if (event.name == "lost") {
-    this->sink.OnLost(StringOr(data, "g", ""), StringOr(data, "reason", ""));
+    this->sink->OnLost(StringOr(data, "g", ""), StringOr(data, "reason", ""));
   } else if (IsToken(data)) {
-    this->sink.OnToken({data["g"].get<std::string>(),
-                        data["i"].get<std::int64_t>(),
-                        data["t"].get<std::string>()});
+    this->sink->OnToken({data["g"].get<std::string>(),
+                         data["i"].get<std::int64_t>(),
+                         data["t"].get<std::string>()});
   } else if (event.name.empty()) {
     this->CloseMalformed("an event is no token");
   }
 }
 
-// The rest of the piece in hand is passed over; the close is told once the
-// event loop has left the client.
 void EngineStream::CloseMalformed(std::string_view what) {
-  this->malformed = true;
-  this->client.Cancel(this->call);
-  this->call = 0;
+  GenerationSink* told = this->sink;
+  this->Close();
   ErrorDetail detail;
   detail.id = ErrorId::kPeerMalformed;
   detail.step = "read-stream";
@@ -108,12 +109,14 @@
   close.status = MakeError(absl::StatusCode::kDataLoss, detail, what);
   close.http_status = this->http_status;
   close.may_have_left = true;
-  this->sink.OnStreamClosed(close);
+  told->OnStreamClosed(close);
 }
 
 void EngineStream::OnEnd(const HttpEnd& end) {
   this->call = 0;
-  this->sink.OnStreamClosed(this->CloseOf(end));
+  if (this->sink != nullptr) {
+    this->sink->OnStreamClosed(this->CloseOf(end));
+  }
 }
 
 StreamClose EngineStream::CloseOf(const HttpEnd& end) const {
--- a/src/engine/engine_stream.h
+++ b/src/engine/engine_stream.h
@@ -41,7 +41,8 @@
 class EngineStream final : public HttpHandler, public SseSink {
  public:
   /// @param[in] client outlives the stream
-  /// @param[in] sink outlives the stream; may destroy it from OnStreamClosed
+  /// @param[in] sink outlives the stream, or the stream is closed before; it
+  /// must not destroy the stream from within a call, but may close it
   EngineStream(HttpClient& client, std::string_view engine,
                GenerationSink& sink);
   ~EngineStream() override;
@@ -51,6 +52,9 @@
   /// @brief Sends the request; called once.
   void Open(const HttpRequest& request);
 
+  /// @brief Closes the connection; the sink hears nothing more.
+  void Close();
+
   /// @brief Stops or goes on reading.
   void SetPaused(bool paused);
 
@@ -65,13 +69,12 @@
 
   HttpClient& client;
   std::string engine;
-  GenerationSink& sink;
+  GenerationSink* sink;  ///< null once closed
   SseParser parser;
   HttpCallId call = 0;
   int http_status = 0;
   std::int64_t retry_after_ms = -1;
   std::string error_body;
-  bool malformed = false;
 };
 
 }  // namespace meadowthread
