--- a/src/engine/engine_stream.cc
+++ b/src/engine/engine_stream.cc
@@ -89,6 +89,8 @@
                             StringOr(data, "finish", "stop")});
   } else if (event.name == "lost") {
     this->sink->OnLost(StringOr(data, "g", ""), StringOr(data, "reason", ""));
+  } else if (event.name == "replaced") {
+    this->sink->OnReplaced(StringOr(data, "g", ""));
   } else if (IsToken(data)) {
     this->sink->OnToken({data["g"].get<std::string>(),
                          data["i"].get<std::int64_t>(),
--- a/src/engine/engine_stream.h
+++ b/src/engine/engine_stream.h
@@ -30,6 +30,8 @@
   /// @brief The engine says that the generation ended before its end.
   virtual void OnLost(const std::string& generation,
                       const std::string& reason) = 0;
+  /// @brief Another reader took this one's place.
+  virtual void OnReplaced(const std::string& generation) = 0;
   /// @brief The connection ended; nothing follows.
   virtual void OnStreamClosed(const StreamClose& close) = 0;
 };
