Policy slice: lengths, fleet state, choosers, queues, limits, retries

Ruled out: deficit round robin (needs a quantum and a refresh on each turn; start-time fair queueing gives the same shares with one number a workspace); nine sparse memory horizons (a 4,000-token output fell between 2,048 and 4,096 and 24 were sent where 8 fit). Change: src/policy, pure logic with time as an argument.

--- /dev/null
+++ b/src/policy/baseline_choosers.cc
@@ -0,0 +1,89 @@
+#include "policy/baseline_choosers.h"
+
+#include <random>
+#include <span>
+
+namespace meadowthread {
+namespace {
+
+constexpr int kDraws = 8;
+
+Decision Chosen(const WorkItem& work, const EngineView& view,
+                DecisionReason reason) {
+  Decision decision;
+  decision.engine = view.engine;
+  decision.reason = reason;
+  decision.priority = detail::PlainPriority(work.urgency);
+  decision.considered.push_back(
+      Candidate{view.engine, 0.0, 0.0, view.own_in_flight, false});
+  return decision;
+}
+
+double ReportedLoad(const EngineView& view) {
+  const auto capacity = static_cast<double>(view.kv_capacity);
+  const double used = capacity > 0 ? view.kv_used / capacity : 0.0;
+  // Work that waits at the engine counts beyond any memory in use.
+  return used + view.waiting;
+}
+
+}  // namespace
+
+Decision RoundRobinChooser::Choose(const WorkItem& work,
+                                   const FleetState& fleet, std::int64_t,
+                                   std::uint64_t) {
+  const std::span<const EngineIndex> serving = fleet.Serving(work);
+  for (std::size_t tries = 0; tries < serving.size(); ++tries) {
+    const EngineView& view = fleet.View(serving[this->next % serving.size()]);
+    ++this->next;
+    if (view.Usable()) {
+      return Chosen(work, view, DecisionReason::kTurn);
+    }
+  }
+  return detail::NothingUsable(work, fleet);
+}
+
+Decision LeastLoadChooser::Choose(const WorkItem& work, const FleetState& fleet,
+                                  std::int64_t, std::uint64_t random) {
+  const std::span<const EngineIndex> serving = fleet.Serving(work);
+  const EngineView* best = nullptr;
+  for (std::size_t i = 0; i < serving.size(); ++i) {
+    // Starting anywhere keeps equal engines from being taken in list order.
+    const std::size_t at = (i + random) % serving.size();
+    const EngineView& view = fleet.View(serving[at]);
+    if (!view.Usable()) {
+      continue;
+    }
+    if (best == nullptr || ReportedLoad(view) < ReportedLoad(*best)) {
+      best = &view;
+    }
+  }
+  if (best == nullptr) {
+    return detail::NothingUsable(work, fleet);
+  }
+  return Chosen(work, *best, DecisionReason::kLeastLoad);
+}
+
+Decision PowerOfTwoChooser::Choose(const WorkItem& work,
+                                   const FleetState& fleet, std::int64_t,
+                                   std::uint64_t random) {
+  const std::span<const EngineIndex> serving = fleet.Serving(work);
+  std::minstd_rand draws(static_cast<std::uint32_t>(random >> 33U));
+  const EngineView* best = nullptr;
+  int found = 0;
+  for (int i = 0; i < kDraws && found < 2 && !serving.empty(); ++i) {
+    const EngineView& view = fleet.View(serving[draws() % serving.size()]);
+    if (!view.Usable() || &view == best) {
+      continue;
+    }
+    ++found;
+    if (best == nullptr || view.own_in_flight < best->own_in_flight) {
+      best = &view;
+    }
+  }
+  if (best == nullptr) {
+    return detail::NothingUsable(work, fleet);
+  }
+  return Chosen(work, *best, DecisionReason::kLeastLoad);
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/policy/chooser.h
@@ -0,0 +1,75 @@
+#ifndef MEADOWTHREAD_POLICY_CHOOSER_H_
+#define MEADOWTHREAD_POLICY_CHOOSER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "policy/fleet_state.h"
+#include "policy/work.h"
+
+namespace meadowthread {
+
+/// @brief Why an engine was chosen, or none.
+enum class DecisionReason {
+  kTurn,         ///< its turn came
+  kLeastLoad,    ///< least loaded of those looked at
+  kMemoryFits,   ///< cheapest of those whose memory should hold
+  kPrefixHint,   ///< as above, and its cache may hold the prompt's prefix
+  kNotServed,    ///< no engine has the model loaded
+  kNoneUsable,   ///< every engine that has it is dead, leaving or stalled
+  kNoneHasRoom,  ///< sending now would likely overfill an engine's memory
+};
+
+/// @brief The reason's name in log lines.
+std::string_view DecisionReasonName(DecisionReason reason);
+
+/// @brief One engine that was looked at.
+struct Candidate {
+  std::string engine;
+  double cost = 0.0;             ///< less is better
+  double overfill_chance = 0.0;  ///< of its memory, with this work added
+  int in_flight = 0;
+  bool prefix_hint = false;
+};
+
+/// @brief A choice and its grounds.
+struct Decision {
+  std::optional<std::string> engine;
+  DecisionReason reason = DecisionReason::kNotServed;
+  std::vector<Candidate> considered;  ///< the best few, best first
+  std::int64_t retry_after_ms = 0;    ///< where no engine was chosen
+  int priority = 0;                   ///< for the engine; 0 is most urgent
+};
+
+/// @brief Chooses an engine for one piece of work; changes nothing.
+class EngineChooser {
+ public:
+  virtual ~EngineChooser() = default;
+
+  /// @param[in] random a fresh random number; same inputs, same choice
+  virtual Decision Choose(const WorkItem& work, const FleetState& fleet,
+                          std::int64_t now_ms, std::uint64_t random) = 0;
+
+  /// @brief The name in tables and log lines.
+  virtual std::string_view Name() const = 0;
+};
+
+namespace detail {
+
+/// @brief The priority that tells engines only how urgent work is.
+int PlainPriority(Urgency urgency);
+
+/// @brief A decision without an engine.
+Decision NoEngine(DecisionReason reason, std::int64_t retry_after_ms);
+
+/// @brief Sets NotServed or NoneUsable by what serves the work.
+Decision NothingUsable(const WorkItem& work, const FleetState& fleet);
+
+}  // namespace detail
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_POLICY_CHOOSER_H_
--- /dev/null
+++ b/src/policy/engine_view.h
@@ -0,0 +1,71 @@
+#ifndef MEADOWTHREAD_POLICY_ENGINE_VIEW_H_
+#define MEADOWTHREAD_POLICY_ENGINE_VIEW_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace meadowthread {
+
+/// @brief A model with its adapter and version, as an engine has it loaded.
+struct ServedModel {
+  std::string model;
+  std::string adapter;  ///< empty: the bare model
+  std::string version;
+
+  friend bool operator==(const ServedModel&, const ServedModel&) = default;
+};
+
+/// @brief What the host list says of one engine.
+struct EngineListing {
+  std::string engine;
+  std::string zone;
+  bool live = true;
+  bool leaving = false;
+};
+
+/// @brief One load report of an engine; it describes the past.
+struct LoadReport {
+  std::string engine;
+  std::string incarnation;
+  std::int64_t as_of_unix_ms = 0;
+  int running = 0;
+  int waiting = 0;
+  std::int64_t kv_used = 0;      ///< tokens
+  std::int64_t kv_capacity = 0;  ///< tokens
+  std::int64_t preemptions = 0;  ///< since the engine's start
+  bool leaving = false;
+  std::vector<ServedModel> models;
+};
+
+/// @brief Everything this host believes about one engine.
+struct EngineView {
+  std::string engine;
+  std::string zone;
+  bool live = true;
+  bool leaving = false;
+  bool stalled = false;  ///< ejected until it answers again
+  std::string incarnation;
+  std::vector<ServedModel> models;
+
+  // As reported, true at `reported_unix_ms`.
+  std::int64_t reported_unix_ms = 0;
+  std::int64_t kv_used = 0;
+  std::int64_t kv_capacity = 0;
+  std::int64_t preemptions = 0;
+  int running = 0;
+  int waiting = 0;
+
+  // This host's own work, exact.
+  int own_in_flight = 0;
+  int own_since_report = 0;           ///< sent after the report's time
+  std::int64_t own_kv = 0;            ///< tokens held by own streams now
+  std::int64_t slow_start_since = 0;  ///< unix ms; 0: in full service
+
+  /// @brief Whether new work may be sent to it.
+  bool Usable() const { return this->live && !this->leaving && !this->stalled; }
+};
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_POLICY_ENGINE_VIEW_H_
--- /dev/null
+++ b/src/policy/fleet_state.cc
@@ -0,0 +1,412 @@
+#include "policy/fleet_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace meadowthread {
+namespace {
+
+// A forecast is good for this long unless own work on the engine changes.
+constexpr std::int64_t kForecastAgeMs = 100;
+// Ended streams are kept for as long as reports may lag.
+constexpr std::int64_t kEndedKeptMs = 5'000;
+// What a peer said longer ago than this is passed over.
+constexpr std::int64_t kPeerAgeMs = 3'000;
+// Engines that join a fleet older than this come into service slowly.
+constexpr std::int64_t kFleetStartMs = 10'000;
+constexpr std::int64_t kSlowStartMs = 10'000;
+constexpr double kSlowStartFloor = 0.1;
+// Decoding speed assumed where only the time passed is known.
+constexpr double kTokensPerMs = 0.03;
+// Of the tokens another host's stream holds, about this part is generated.
+constexpr double kGeneratedPart = 0.5;
+
+std::string ModelKey(std::string_view model, std::string_view adapter,
+                     std::string_view version) {
+  std::string key(model);
+  key += '\0';
+  key += adapter;
+  key += '\0';
+  key += version;
+  return key;
+}
+
+// Each model is found by its exact version and by any version.
+std::vector<std::string> KeysOf(const std::vector<ServedModel>& models) {
+  std::vector<std::string> keys;
+  for (const ServedModel& served : models) {
+    keys.push_back(ModelKey(served.model, served.adapter, ""));
+    keys.push_back(ModelKey(served.model, served.adapter, served.version));
+  }
+  std::sort(keys.begin(), keys.end());
+  keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
+  return keys;
+}
+
+std::int64_t TokensIn(std::int64_t span_ms) {
+  const auto span = static_cast<double>(std::max<std::int64_t>(span_ms, 0));
+  return static_cast<std::int64_t>(span * kTokensPerMs);
+}
+
+}  // namespace
+
+FleetState::FleetState(LengthModel& lengths) : lengths(lengths) {}
+
+// ------------------------------------------------------------------ engines
+
+void FleetState::SetEngine(const EngineListing& listing, std::int64_t now_ms) {
+  Engine* engine = this->FindEngine(listing.engine);
+  if (engine == nullptr) {
+    engine = &this->AddEngine(listing.engine, now_ms);
+  }
+  EngineView& view = engine->view;
+  if (!view.live && listing.live) {
+    view.slow_start_since = now_ms;
+  }
+  view.zone = listing.zone;
+  view.live = listing.live;
+  view.leaving = listing.leaving;
+}
+
+void FleetState::RemoveEngine(std::string_view engine) {
+  Engine* const found = this->FindEngine(engine);
+  if (found != nullptr) {
+    // Indexes stay valid; an engine that is not live is never chosen.
+    found->view.live = false;
+  }
+}
+
+void FleetState::ApplyReport(const LoadReport& report, std::int64_t now_ms) {
+  Engine* const engine = this->FindEngine(report.engine);
+  if (engine == nullptr) {
+    return;
+  }
+  EngineView& view = engine->view;
+  const bool restarted =
+      !view.incarnation.empty() && view.incarnation != report.incarnation;
+  if (!restarted && report.as_of_unix_ms < view.reported_unix_ms) {
+    return;
+  }
+  if (restarted) {
+    view.slow_start_since = now_ms;
+  }
+  view.incarnation = report.incarnation;
+  view.reported_unix_ms = std::min(report.as_of_unix_ms, now_ms);
+  view.running = report.running;
+  view.waiting = report.waiting;
+  view.kv_used = report.kv_used;
+  view.kv_capacity = report.kv_capacity;
+  view.preemptions = report.preemptions;
+  view.leaving = view.leaving || report.leaving;
+  this->TakeOwnOut(*engine, now_ms);
+  engine->cached_ms = -1;
+  if (view.models != report.models) {
+    this->IndexModels(this->by_name[report.engine], report.models);
+    view.models = report.models;
+  }
+}
+
+void FleetState::EngineStalled(std::string_view engine, std::int64_t) {
+  Engine* const found = this->FindEngine(engine);
+  if (found != nullptr) {
+    found->view.stalled = true;
+  }
+}
+
+void FleetState::EngineBack(std::string_view engine, std::int64_t now_ms) {
+  Engine* const found = this->FindEngine(engine);
+  if (found != nullptr && found->view.stalled) {
+    found->view.stalled = false;
+    found->view.slow_start_since = now_ms;
+  }
+}
+
+// -------------------------------------------------------------- own streams
+
+void FleetState::NoteSent(const WorkItem& work, std::string_view engine,
+                          std::int64_t now_ms) {
+  const auto found = this->by_name.find(engine);
+  if (found == this->by_name.end()) {
+    return;
+  }
+  Engine& target = *this->engines[found->second];
+  auto stream = std::make_unique<Stream>();
+  stream->request = work.request;
+  stream->key = LengthKeyOf(work);
+  stream->curve = this->lengths.CurveOf(stream->key);
+  stream->outlook = {work.prompt_tokens, 0, work.max_output_tokens};
+  stream->sent_ms = now_ms;
+  stream->noted_ms = now_ms;
+  const auto position = static_cast<std::uint32_t>(target.streams.size());
+  this->streams[work.request] = StreamPlace{found->second, position};
+  target.view.own_kv += work.prompt_tokens;
+  ++target.view.own_in_flight;
+  ++target.view.own_since_report;
+  if (target.cached_ms >= 0) {
+    target.cached.AddStream(stream->outlook, *stream->curve);
+  }
+  target.streams.push_back(std::move(stream));
+  this->prefixes.Stored(work.prefix_hash, found->second);
+}
+
+void FleetState::NoteTokens(std::string_view request, std::int64_t generated,
+                            std::int64_t now_ms) {
+  const auto found = this->streams.find(request);
+  if (found == this->streams.end()) {
+    return;
+  }
+  Engine& engine = *this->engines[found->second.engine];
+  Stream& stream = *engine.streams[found->second.position];
+  engine.view.own_kv += generated - stream.outlook.generated;
+  stream.outlook.generated = generated;
+  stream.noted_ms = now_ms;
+}
+
+void FleetState::NoteEnded(std::string_view request, StreamEnd end,
+                           std::int64_t now_ms) {
+  const auto found = this->streams.find(request);
+  if (found == this->streams.end()) {
+    return;
+  }
+  const StreamPlace place = found->second;
+  this->streams.erase(found);
+  Engine& engine = *this->engines[place.engine];
+  const Stream& stream = *engine.streams[place.position];
+  const std::int64_t held =
+      stream.outlook.prompt_tokens + stream.outlook.generated;
+  if (end == StreamEnd::kComplete) {
+    this->lengths.Observe(stream.key, stream.outlook.generated);
+  }
+  engine.ended.push_back({now_ms, held});
+  engine.view.own_kv -= held;
+  --engine.view.own_in_flight;
+  engine.cached_ms = -1;
+  this->RemoveStream(engine, place.position);
+}
+
+void FleetState::RemoveStream(Engine& engine, std::uint32_t position) {
+  auto& list = engine.streams;
+  if (position + 1 < list.size()) {
+    list[position] = std::move(list.back());
+    this->streams[list[position]->request].position = position;
+  }
+  list.pop_back();
+}
+
+// ---------------------------------------------------------- hints and peers
+
+void FleetState::NoteCached(std::string_view engine, std::uint64_t prefix,
+                            bool stored) {
+  const auto found = this->by_name.find(engine);
+  if (found == this->by_name.end()) {
+    return;
+  }
+  if (stored) {
+    this->prefixes.Stored(prefix, found->second);
+  } else {
+    this->prefixes.Evicted(prefix, found->second);
+  }
+}
+
+void FleetState::NotePeerLoad(const PeerLoad& load, std::int64_t now_ms) {
+  Engine* const engine = this->FindEngine(load.engine);
+  if (engine == nullptr) {
+    return;
+  }
+  std::erase_if(engine->peers, [&](const PeerLoad& known) {
+    return known.as_of_unix_ms + kPeerAgeMs < now_ms;
+  });
+  engine->cached_ms = -1;
+  for (PeerLoad& known : engine->peers) {
+    if (known.peer == load.peer) {
+      if (known.as_of_unix_ms <= load.as_of_unix_ms) {
+        known = load;
+      }
+      return;
+    }
+  }
+  engine->peers.push_back(load);
+}
+
+std::vector<PeerLoad> FleetState::OwnLoad(std::string_view self,
+                                          std::int64_t now_ms) {
+  std::vector<PeerLoad> loads;
+  for (const auto& engine : this->engines) {
+    const bool busy = !engine->streams.empty();
+    if (!busy && !engine->told_peers) {
+      continue;
+    }
+    engine->told_peers = busy;
+    PeerLoad load;
+    load.peer = std::string(self);
+    load.engine = engine->view.engine;
+    load.as_of_unix_ms = now_ms;
+    load.in_flight = engine->view.own_in_flight;
+    load.kv_held = engine->view.own_kv;
+    for (const auto& stream : engine->streams) {
+      load.forecast.AddStream(stream->outlook, *stream->curve);
+    }
+    loads.push_back(std::move(load));
+  }
+  return loads;
+}
+
+// ------------------------------------------------------------------ reading
+
+std::span<const EngineIndex> FleetState::Serving(const WorkItem& work) const {
+  const auto found =
+      this->by_model.find(ModelKey(work.model, work.adapter, work.version));
+  if (found == this->by_model.end()) {
+    return {};
+  }
+  return found->second;
+}
+
+std::span<const EngineIndex> FleetState::PrefixEngines(
+    const WorkItem& work) const {
+  return this->prefixes.EnginesOf(work.prefix_hash);
+}
+
+const EngineView& FleetState::View(EngineIndex index) const {
+  return this->engines[index]->view;
+}
+
+const EngineView* FleetState::Find(std::string_view engine) const {
+  const auto found = this->by_name.find(engine);
+  if (found == this->by_name.end()) {
+    return nullptr;
+  }
+  return &this->engines[found->second]->view;
+}
+
+MemoryForecast FleetState::Forecast(EngineIndex index,
+                                    std::int64_t now_ms) const {
+  const Engine& engine = *this->engines[index];
+  const bool fresh =
+      engine.cached_ms >= 0 && now_ms - engine.cached_ms < kForecastAgeMs;
+  if (fresh) {
+    return engine.cached;
+  }
+  MemoryForecast forecast;
+  for (const auto& stream : engine.streams) {
+    forecast.AddStream(stream->outlook, *stream->curve);
+  }
+  this->AddOthers(engine, now_ms, forecast);
+  engine.cached = forecast;
+  engine.cached_ms = now_ms;
+  return forecast;
+}
+
+void FleetState::AddOthers(const Engine& engine, std::int64_t now_ms,
+                           MemoryForecast& forecast) const {
+  int unexplained = engine.others_running;
+  std::int64_t unexplained_kv = engine.others_kv;
+  for (const PeerLoad& peer : engine.peers) {
+    if (peer.as_of_unix_ms + kPeerAgeMs < now_ms) {
+      continue;
+    }
+    forecast.AddScaled(peer.forecast, 1.0F);
+    unexplained -= peer.in_flight;
+    unexplained_kv -= peer.kv_held;
+  }
+  if (unexplained <= 0 || unexplained_kv <= 0) {
+    return;
+  }
+  // Streams that nobody told of: all alike, as long as the report implies.
+  const std::int64_t each = unexplained_kv / unexplained +
+                            TokensIn(now_ms - engine.view.reported_unix_ms);
+  const auto generated =
+      static_cast<std::int64_t>(static_cast<double>(each) * kGeneratedPart);
+  MemoryForecast one;
+  one.AddStream({each - generated, generated, 0},
+                *this->lengths.OverallCurve());
+  forecast.AddScaled(one, static_cast<float>(unexplained));
+}
+
+int FleetState::InFlight(EngineIndex index, std::int64_t now_ms) const {
+  const Engine& engine = *this->engines[index];
+  int told = 0;
+  for (const PeerLoad& peer : engine.peers) {
+    if (peer.as_of_unix_ms + kPeerAgeMs >= now_ms) {
+      told += peer.in_flight;
+    }
+  }
+  return engine.view.own_in_flight + std::max(told, engine.others_running);
+}
+
+double FleetState::ServiceShare(EngineIndex index, std::int64_t now_ms) const {
+  const EngineView& view = this->engines[index]->view;
+  if (view.slow_start_since == 0) {
+    return 1.0;
+  }
+  const auto since = static_cast<double>(now_ms - view.slow_start_since);
+  return std::clamp(since / kSlowStartMs, kSlowStartFloor, 1.0);
+}
+
+// ------------------------------------------------------------------ details
+
+FleetState::Engine* FleetState::FindEngine(std::string_view name) {
+  const auto found = this->by_name.find(name);
+  if (found == this->by_name.end()) {
+    return nullptr;
+  }
+  return this->engines[found->second].get();
+}
+
+FleetState::Engine& FleetState::AddEngine(std::string_view name,
+                                          std::int64_t now_ms) {
+  if (this->first_engine_ms < 0) {
+    this->first_engine_ms = now_ms;
+  }
+  auto engine = std::make_unique<Engine>();
+  engine->view.engine = std::string(name);
+  if (now_ms - this->first_engine_ms > kFleetStartMs) {
+    engine->view.slow_start_since = now_ms;
+  }
+  this->by_name[std::string(name)] =
+      static_cast<EngineIndex>(this->engines.size());
+  this->engines.push_back(std::move(engine));
+  return *this->engines.back();
+}
+
+void FleetState::TakeOwnOut(Engine& engine, std::int64_t now_ms) const {
+  const std::int64_t as_of = engine.view.reported_unix_ms;
+  std::erase_if(engine.ended, [&](const EndedStream& ended) {
+    return ended.ended_ms + kEndedKeptMs < now_ms;
+  });
+  int own = 0;
+  std::int64_t own_kv = 0;
+  int since = 0;
+  for (const auto& stream : engine.streams) {
+    if (stream->sent_ms > as_of) {
+      ++since;
+      continue;
+    }
+    ++own;
+    const std::int64_t grown =
+        std::min(stream->outlook.generated, TokensIn(stream->noted_ms - as_of));
+    own_kv += stream->outlook.prompt_tokens + stream->outlook.generated - grown;
+  }
+  for (const EndedStream& ended : engine.ended) {
+    if (ended.ended_ms > as_of) {
+      ++own;
+      own_kv += ended.held;
+    }
+  }
+  const EngineView& view = engine.view;
+  engine.view.own_since_report = since;
+  engine.others_running = std::max(0, view.running + view.waiting - own);
+  engine.others_kv = std::max<std::int64_t>(0, view.kv_used - own_kv);
+}
+
+void FleetState::IndexModels(EngineIndex index,
+                             const std::vector<ServedModel>& models) {
+  for (const std::string& key : KeysOf(this->engines[index]->view.models)) {
+    std::erase(this->by_model[key], index);
+  }
+  for (const std::string& key : KeysOf(models)) {
+    this->by_model[key].push_back(index);
+  }
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/policy/fleet_state.h
@@ -0,0 +1,160 @@
+#ifndef MEADOWTHREAD_POLICY_FLEET_STATE_H_
+#define MEADOWTHREAD_POLICY_FLEET_STATE_H_
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "policy/engine_view.h"
+#include "policy/length_model.h"
+#include "policy/memory_forecast.h"
+#include "policy/prefix_hints.h"
+#include "policy/shared_work.h"
+#include "policy/string_map.h"
+#include "policy/work.h"
+
+namespace meadowthread {
+
+/// @brief A dense number for an engine, valid within one FleetState.
+using EngineIndex = std::uint32_t;
+
+/// @brief How a stream ended.
+enum class StreamEnd {
+  kComplete,  ///< by itself: its length is learnt from
+  kCut,       ///< cancelled, lost or refused: nothing is learnt
+};
+
+/// @brief What this host knows of the engines and of its own work on them.
+///
+/// All times are milliseconds on one scale (Unix time). No clock, no I/O.
+class FleetState {
+ public:
+  /// @param[in] lengths outlives the state
+  explicit FleetState(LengthModel& lengths);
+
+  // ---------------------------------------------------------------- engines
+
+  /// @brief Takes over one line of the host list.
+  void SetEngine(const EngineListing& listing, std::int64_t now_ms);
+
+  /// @brief An engine left the host list.
+  void RemoveEngine(std::string_view engine);
+
+  /// @brief Takes a load report; one older than the last is passed over.
+  void ApplyReport(const LoadReport& report, std::int64_t now_ms);
+
+  /// @brief The engine does not answer or makes no progress: no new work.
+  void EngineStalled(std::string_view engine, std::int64_t now_ms);
+
+  /// @brief It answers again: work comes back slowly.
+  void EngineBack(std::string_view engine, std::int64_t now_ms);
+
+  // ------------------------------------------------------------ own streams
+
+  /// @brief A request was sent to an engine.
+  void NoteSent(const WorkItem& work, std::string_view engine,
+                std::int64_t now_ms);
+
+  /// @brief A stream has got this far.
+  /// @param[in] generated tokens in all, not since the last note
+  void NoteTokens(std::string_view request, std::int64_t generated,
+                  std::int64_t now_ms);
+
+  /// @brief A stream is over.
+  void NoteEnded(std::string_view request, StreamEnd end, std::int64_t now_ms);
+
+  // ------------------------------------------------------- hints and peers
+
+  /// @brief An engine's cache event.
+  void NoteCached(std::string_view engine, std::uint64_t prefix, bool stored);
+
+  /// @brief What another entry host says of its work on one engine.
+  void NotePeerLoad(const PeerLoad& load, std::int64_t now_ms);
+
+  /// @brief What to tell the other entry hosts: engines with own work, and
+  /// those whose work ended since the last call.
+  std::vector<PeerLoad> OwnLoad(std::string_view self, std::int64_t now_ms);
+
+  // ---------------------------------------------------------------- reading
+
+  /// @brief Engines that have the work's model, adapter and version loaded.
+  std::span<const EngineIndex> Serving(const WorkItem& work) const;
+
+  /// @brief Engines whose cache may hold the work's prefix.
+  std::span<const EngineIndex> PrefixEngines(const WorkItem& work) const;
+
+  const EngineView& View(EngineIndex index) const;
+
+  /// @brief Null where the engine is not known.
+  const EngineView* Find(std::string_view engine) const;
+
+  std::size_t EngineCount() const { return this->engines.size(); }
+
+  /// @brief Memory the engine will hold: own streams, peers', and the rest.
+  MemoryForecast Forecast(EngineIndex index, std::int64_t now_ms) const;
+
+  /// @brief Requests believed to be on the engine now.
+  int InFlight(EngineIndex index, std::int64_t now_ms) const;
+
+  /// @brief The part of the engine's room to be used now, in (0, 1]: less
+  /// while it comes back into service.
+  double ServiceShare(EngineIndex index, std::int64_t now_ms) const;
+
+  LengthModel& Lengths() const { return this->lengths; }
+
+ private:
+  struct Stream {
+    std::string request;
+    LengthKey key;
+    std::shared_ptr<const LengthCurve> curve;
+    StreamOutlook outlook;
+    std::int64_t sent_ms = 0;
+    std::int64_t noted_ms = 0;
+  };
+
+  struct EndedStream {
+    std::int64_t ended_ms = 0;
+    std::int64_t held = 0;
+  };
+
+  struct Engine {
+    EngineView view;
+    std::vector<std::unique_ptr<Stream>> streams;
+    std::vector<EndedStream> ended;  ///< lately, to read reports with
+    std::vector<PeerLoad> peers;
+    int others_running = 0;  ///< of the last report, own work taken out
+    std::int64_t others_kv = 0;
+    bool told_peers = false;
+    mutable MemoryForecast cached;
+    mutable std::int64_t cached_ms = -1;
+  };
+
+  struct StreamPlace {
+    EngineIndex engine = 0;
+    std::uint32_t position = 0;
+  };
+
+  Engine* FindEngine(std::string_view name);
+  Engine& AddEngine(std::string_view name, std::int64_t now_ms);
+  void TakeOwnOut(Engine& engine, std::int64_t now_ms) const;
+  void IndexModels(EngineIndex index, const std::vector<ServedModel>& models);
+  void RemoveStream(Engine& engine, std::uint32_t position);
+  void AddOthers(const Engine& engine, std::int64_t now_ms,
+                 MemoryForecast& forecast) const;
+
+  LengthModel& lengths;
+  std::vector<std::unique_ptr<Engine>> engines;
+  StringMap<EngineIndex> by_name;
+  StringMap<std::vector<EngineIndex>> by_model;
+  StringMap<StreamPlace> streams;
+  PrefixHints prefixes;
+  std::int64_t first_engine_ms = -1;
+};
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_POLICY_FLEET_STATE_H_
--- /dev/null
+++ b/src/policy/length_curve.cc
@@ -0,0 +1,113 @@
+#include "policy/length_curve.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace meadowthread {
+namespace {
+
+// Below this the curve has nothing to say about what comes next.
+constexpr double kNoEvidence = 1e-6;
+
+double PositionOf(double tokens) {
+  return std::log2(std::max(tokens, 0.0) + 1.0) * kLengthBucketsPerOctave;
+}
+
+}  // namespace
+
+std::size_t LengthBucketOf(std::int64_t tokens) {
+  const double position = PositionOf(static_cast<double>(tokens));
+  const auto bucket = static_cast<std::size_t>(position);
+  return std::min(bucket, kLengthBuckets - 1);
+}
+
+double LengthBucketStart(std::size_t bucket) {
+  const double octaves = static_cast<double>(bucket) / kLengthBucketsPerOctave;
+  return std::exp2(octaves) - 1.0;
+}
+
+LengthCurve::LengthCurve(std::span<const float, kLengthBuckets> weights) {
+  double above = 0.0;
+  for (std::size_t i = kLengthBuckets; i-- > 0;) {
+    above += weights[i];
+    this->survival[i] = static_cast<float>(above);
+  }
+  if (above <= 0.0) {
+    return;
+  }
+  for (float& value : this->survival) {
+    value = static_cast<float>(value / above);
+  }
+}
+
+double LengthCurve::Survival(double tokens) const {
+  const double position = PositionOf(tokens);
+  if (position >= static_cast<double>(kLengthBuckets)) {
+    return 0.0;
+  }
+  const auto bucket = static_cast<std::size_t>(position);
+  const double part = position - static_cast<double>(bucket);
+  const double low = this->survival[bucket];
+  const double high = this->survival[bucket + 1];
+  return low + (high - low) * part;
+}
+
+LengthCurve::Tail::Tail(const LengthCurve& curve, std::int64_t generated)
+    : curve(curve),
+      from(static_cast<double>(generated)),
+      base(curve.Survival(this->from)) {}
+
+double LengthCurve::Tail::Survival(std::int64_t further) const {
+  const double to = this->from + static_cast<double>(further);
+  if (this->base < kNoEvidence) {
+    // Longer than anything seen: assume a heavy tail, which is the error that
+    // costs memory rather than a preemption.
+    return (this->from + 1.0) / (to + 1.0);
+  }
+  return std::min(1.0, this->curve.Survival(to) / this->base);
+}
+
+double LengthCurve::SurvivalAfter(std::int64_t generated,
+                                  std::int64_t further) const {
+  return this->After(generated).Survival(further);
+}
+
+std::int64_t LengthCurve::TailQuantile(std::int64_t generated,
+                                       double probability) const {
+  std::int64_t low = 0;
+  auto high = static_cast<std::int64_t>(LengthBucketStart(kLengthBuckets));
+  while (low < high) {
+    const std::int64_t middle = low + (high - low) / 2;
+    if (this->SurvivalAfter(generated, middle) <= probability) {
+      high = middle;
+    } else {
+      low = middle + 1;
+    }
+  }
+  return low;
+}
+
+double LengthCurve::ExpectedRemaining(std::int64_t generated,
+                                      std::int64_t max_output) const {
+  const double limit = max_output > 0
+                           ? static_cast<double>(max_output - generated)
+                           : LengthBucketStart(kLengthBuckets);
+  double sum = 0.0;
+  double at = 0.0;
+  double chance = 1.0;
+  for (std::size_t i = LengthBucketOf(generated); i < kLengthBuckets; ++i) {
+    const double next = std::min(
+        limit, LengthBucketStart(i + 1) - static_cast<double>(generated));
+    if (next <= at) {
+      continue;
+    }
+    const double next_chance =
+        this->SurvivalAfter(generated, static_cast<std::int64_t>(next));
+    sum += (next - at) * (chance + next_chance) / 2.0;
+    at = next;
+    chance = next_chance;
+  }
+  return sum;
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/policy/shared_work.h
@@ -0,0 +1,34 @@
+#ifndef MEADOWTHREAD_POLICY_SHARED_WORK_H_
+#define MEADOWTHREAD_POLICY_SHARED_WORK_H_
+
+#include <cstdint>
+#include <string>
+
+#include "policy/memory_forecast.h"
+
+namespace meadowthread {
+
+/// @brief What one entry host tells the others of its work on one engine.
+/// Late, lost or doubled, it makes choices worse but never wrong.
+struct PeerLoad {
+  std::string peer;
+  std::string engine;
+  std::int64_t as_of_unix_ms = 0;
+  int in_flight = 0;
+  std::int64_t kv_held = 0;  ///< tokens
+  MemoryForecast forecast;
+};
+
+/// @brief What one entry host tells the others of a workspace's use.
+struct PeerUse {
+  std::string peer;
+  std::string workspace;
+  std::int64_t as_of_unix_ms = 0;
+  double requests_per_second = 0.0;  ///< offered, before limits
+  double tokens_per_second = 0.0;    ///< offered, before limits
+  int in_flight = 0;
+};
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_POLICY_SHARED_WORK_H_
--- /dev/null
+++ b/src/policy/tests/fleet_state_test.cc
@@ -0,0 +1,131 @@
+#include "policy/fleet_state.h"
+
+#include <criterion/criterion.h>
+
+#include "policy/prefix_hints.h"
+#include "policy/tests/fleet_fixture.h"
+
+namespace meadowthread {
+namespace {
+
+using testing::EngineName;
+using testing::Fleet;
+using testing::ReportOf;
+using testing::Work;
+
+Test(a_fleet_state, finds_engines_by_model_and_version) {
+  Fleet fleet(2);
+  WorkItem work = Work("r");
+  cr_assert(fleet.state.Serving(work).size() == 2);
+  work.version = "";
+  cr_assert(fleet.state.Serving(work).size() == 2);
+  work.version = "2";
+  cr_assert(fleet.state.Serving(work).empty());
+  // when one engine loads another version in place of the first
+  LoadReport report = ReportOf(0, 1);
+  report.models = {{"m", "", "2"}};
+  fleet.state.ApplyReport(report, 1);
+  cr_assert(fleet.state.Serving(work).size() == 1);
+  work.version = "1";
+  cr_assert(fleet.state.Serving(work).size() == 1);
+}
+
+Test(a_fleet_state, counts_its_own_streams_exactly) {
+  Fleet fleet(1);
+  fleet.state.NoteSent(Work("a"), "e0", 10);
+  fleet.state.NoteSent(Work("b"), "e0", 11);
+  fleet.state.NoteTokens("a", 40, 20);
+  cr_assert(fleet.state.View(0).own_in_flight == 2);
+  cr_assert(fleet.state.View(0).own_kv == 240);
+  fleet.state.NoteEnded("a", StreamEnd::kComplete, 30);
+  cr_assert(fleet.state.View(0).own_kv == 100);
+  fleet.state.NoteTokens("b", 7, 31);
+  fleet.state.NoteEnded("b", StreamEnd::kCut, 32);
+  fleet.state.NoteEnded("b", StreamEnd::kCut, 33);
+  cr_assert(fleet.state.View(0).own_kv == 0);
+  cr_assert(fleet.state.View(0).own_in_flight == 0);
+}
+
+Test(a_fleet_state, passes_over_a_report_older_than_the_last) {
+  Fleet fleet(1);
+  LoadReport report = ReportOf(0, 100);
+  report.running = 5;
+  fleet.state.ApplyReport(report, 110);
+  report.as_of_unix_ms = 50;
+  report.running = 1;
+  fleet.state.ApplyReport(report, 120);
+  cr_assert(fleet.state.View(0).running == 5);
+}
+
+Test(a_fleet_state, does_not_count_own_work_twice) {
+  Fleet fleet(1);
+  fleet.state.NoteSent(Work("a"), "e0", 10);
+  LoadReport report = ReportOf(0, 50);
+  report.running = 1;
+  report.kv_used = 100;
+  fleet.state.ApplyReport(report, 60);
+  cr_assert(fleet.state.InFlight(0, 60) == 1);
+}
+
+Test(a_fleet_state, adds_work_sent_since_the_report) {
+  Fleet fleet(1);
+  LoadReport report = ReportOf(0, 50);
+  report.running = 2;
+  report.kv_used = 2'000;
+  fleet.state.ApplyReport(report, 60);
+  const double before = fleet.state.Forecast(0, 60).PeakMean();
+  fleet.state.NoteSent(Work("a"), "e0", 70);
+  cr_assert(fleet.state.InFlight(0, 70) == 3);
+  cr_assert(fleet.state.Forecast(0, 70).PeakMean() > before);
+}
+
+Test(a_fleet_state, takes_what_peers_tell_and_forgets_it_when_old) {
+  Fleet theirs(1);
+  Fleet fleet(1);
+  theirs.state.NoteSent(Work("a"), "e0", 10);
+  const std::vector<PeerLoad> told = theirs.state.OwnLoad("peer", 20);
+  cr_assert(told.size() == 1);
+  fleet.state.NotePeerLoad(told[0], 25);
+  cr_assert(fleet.state.InFlight(0, 30) == 1);
+  cr_assert(fleet.state.Forecast(0, 30).PeakMean() > 100);
+  cr_assert(fleet.state.InFlight(0, 60'000) == 0);
+  cr_assert(fleet.state.Forecast(0, 60'000).PeakMean() < 1);
+}
+
+Test(a_fleet_state, tells_peers_once_that_its_work_ended) {
+  Fleet fleet(1);
+  fleet.state.NoteSent(Work("a"), "e0", 10);
+  cr_assert(fleet.state.OwnLoad("me", 20).size() == 1);
+  fleet.state.NoteEnded("a", StreamEnd::kCut, 30);
+  const std::vector<PeerLoad> last = fleet.state.OwnLoad("me", 40);
+  cr_assert(last.size() == 1 && last[0].in_flight == 0);
+  cr_assert(fleet.state.OwnLoad("me", 50).empty());
+}
+
+Test(a_fleet_state, brings_a_returning_engine_back_slowly) {
+  Fleet fleet(1);
+  fleet.state.EngineStalled("e0", 100);
+  cr_assert(!fleet.state.View(0).Usable());
+  fleet.state.EngineBack("e0", 5'000);
+  cr_assert(fleet.state.View(0).Usable());
+  cr_assert(fleet.state.ServiceShare(0, 5'000) < 0.2);
+  cr_assert(fleet.state.ServiceShare(0, 60'000) == 1.0);
+}
+
+Test(a_prefix_hint, names_the_newest_engines_and_stays_bounded) {
+  PrefixHints hints(2);
+  for (std::uint32_t engine = 0; engine < 6; ++engine) {
+    hints.Stored(11, engine);
+  }
+  cr_assert(hints.EnginesOf(11).size() == PrefixHints::kEnginesEach);
+  cr_assert(hints.EnginesOf(11)[0] == 5);
+  hints.Evicted(11, 5);
+  cr_assert(hints.EnginesOf(11)[0] == 4);
+  hints.Stored(12, 0);
+  hints.Stored(13, 0);
+  cr_assert(hints.Size() == 2);
+  cr_assert(hints.EnginesOf(11).empty());
+}
+
+}  // namespace
+}  // namespace meadowthread
--- /dev/null
+++ b/src/policy/work.h
@@ -0,0 +1,37 @@
+#ifndef MEADOWTHREAD_POLICY_WORK_H_
+#define MEADOWTHREAD_POLICY_WORK_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace meadowthread {
+
+/// @brief How urgent a template's work is; lower values go first.
+enum class Urgency : int { kUrgent = 0, kNormal = 1, kBatch = 2 };
+
+inline constexpr int kUrgencies = 3;
+
+/// @brief "urgent", "normal" or "batch".
+std::string_view UrgencyName(Urgency urgency);
+
+/// @brief One generation to be placed, as the policy sees it.
+struct WorkItem {
+  std::string request;
+  std::string workspace;
+  std::string template_name;
+  std::string model;
+  std::string adapter;
+  std::string version;  ///< empty: any version
+  std::int64_t prompt_tokens = 0;
+  std::int64_t max_output_tokens = 0;  ///< 0: no limit known
+  std::int64_t arrived_ms = 0;
+  std::int64_t deadline_ms = 0;  ///< for the first byte sent; 0: none
+  Urgency urgency = Urgency::kNormal;
+  std::int64_t expected_tokens = 0;  ///< prompt and output; by Dispatcher
+  std::uint64_t prefix_hash = 0;     ///< 0: no prefix to look for
+};
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_POLICY_WORK_H_
