Settings: typed, read from YAML and checked whole at the start

A host learns its name, place, platform and bounds from one YAML document; a wrong one has to be told before anything starts. Ruled out: stopping at yaml-cpp's first exception; passing over unknown keys; secrets inline or by environment (docs/design/settings.md).

--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,197 @@
+#ifndef MEADOWTHREAD_SETTINGS_SETTINGS_H_
+#define MEADOWTHREAD_SETTINGS_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/status.h"
+
+namespace meadowthread {
+
+/// @brief This host: its name, place and listeners.
+struct HostSettings {
+  std::string name;
+  std::string zone;  ///< its availability zone
+  std::string region;
+  std::string address;   ///< the IP number it listens on
+  int port = 0;          ///< towards callers
+  int control_port = 0;  ///< towards other entry hosts and operators
+
+  friend bool operator==(const HostSettings&, const HostSettings&) = default;
+};
+
+/// @brief Where the platform is and how it is asked.
+struct PlatformSettings {
+  std::string object_api;  ///< URL, without a slash at its end
+  std::string host_list;   ///< URL
+  std::int64_t request_timeout_ms = 1000;
+  std::int64_t host_list_period_ms = 1000;
+  int watchers = 8;  ///< how many hosts watch, over the fleet
+
+  friend bool operator==(const PlatformSettings&,
+                         const PlatformSettings&) = default;
+};
+
+/// @brief Where callers of a half of the migration are sent.
+struct HalfAddress {
+  std::string half;
+  std::string url;
+
+  friend bool operator==(const HalfAddress&, const HalfAddress&) = default;
+};
+
+/// @brief Which half of the migration this host belongs to.
+struct HalfSettings {
+  std::string name = "main";
+  /// Owner of what has no ownership object; the own half where not given.
+  std::string default_owner = "main";
+  std::vector<HalfAddress> addresses;  ///< of the other halves
+
+  friend bool operator==(const HalfSettings&, const HalfSettings&) = default;
+};
+
+/// @brief Bounds towards callers.
+struct CallerSettings {
+  std::int64_t max_body_bytes = 1048576;
+  std::int64_t max_header_bytes = 32768;
+  std::int64_t body_timeout_ms = 10000;
+  int max_streams = 4000;
+  std::int64_t keepalive_ms = 15000;         ///< between comments in a stream
+  std::int64_t slow_caller_bytes = 1048576;  ///< unread before back pressure
+  std::int64_t whole_answer_bytes = 8388608;
+
+  friend bool operator==(const CallerSettings&,
+                         const CallerSettings&) = default;
+};
+
+/// @brief Resuming and giving up answers.
+struct AnswerSettings {
+  /// File of the secret under resume tokens; the same on every host. Empty: a
+  /// key of this process, so that no other host can resume its answers.
+  std::string resume_key_file;
+  std::int64_t resume_expiry_ms = 600000;
+  std::int64_t orphan_timeout_ms = 30000;
+  std::int64_t engine_silence_ms = 10000;
+
+  friend bool operator==(const AnswerSettings&,
+                         const AnswerSettings&) = default;
+};
+
+/// @brief How engines are chosen.
+enum class ChooserKind { kMemoryAware, kRoundRobin, kLeastLoad, kPowerOfTwo };
+
+/// @brief The chooser's name in settings ("memory_aware", ...).
+std::string_view ChooserName(ChooserKind chooser);
+
+/// @brief Weights and bounds of the policy.
+struct PolicySettings {
+  double stall_weight = 1.0;
+  double preemption_weight = 1.0;
+  double token_gap_weight = 1.0;
+  ChooserKind chooser = ChooserKind::kMemoryAware;
+  int queue_limit = 2000;
+  double retry_budget_ratio = 0.1;  ///< retries per first attempt
+
+  friend bool operator==(const PolicySettings&,
+                         const PolicySettings&) = default;
+};
+
+/// @brief Exchange between entry hosts.
+struct ExchangeSettings {
+  std::int64_t period_ms = 500;
+  int fanout = 3;
+  std::int64_t bytes_per_second = 29000;
+
+  friend bool operator==(const ExchangeSettings&,
+                         const ExchangeSettings&) = default;
+};
+
+/// @brief Claims of requests that may not be repeated.
+struct ClaimSettings {
+  int shards = 8;
+  std::int64_t retention_ms = 86400000;
+  std::int64_t segment_bytes = 65536;
+
+  friend bool operator==(const ClaimSettings&, const ClaimSettings&) = default;
+};
+
+/// @brief Placement of models on engines.
+struct PlacementSettings {
+  bool enabled = true;
+  int groups = 1;
+  std::int64_t lease_ms = 10000;
+  std::int64_t order_deadline_ms = 3000;
+  double loads_per_second = 2;
+
+  friend bool operator==(const PlacementSettings&,
+                         const PlacementSettings&) = default;
+};
+
+/// @brief Freshness of the configuration in force.
+struct ConfigurationSettings {
+  std::int64_t stale_limit_ms = 5000;
+
+  friend bool operator==(const ConfigurationSettings&,
+                         const ConfigurationSettings&) = default;
+};
+
+/// @brief TLS towards callers; off where no certificate is named.
+struct TlsSettings {
+  std::string certificate_file;
+  std::string key_file;
+
+  friend bool operator==(const TlsSettings&, const TlsSettings&) = default;
+};
+
+/// @brief Everything that a host is told at its start.
+///
+/// Secrets stand in files that are only named here.
+struct Settings {
+  HostSettings host;
+  PlatformSettings platform;
+  HalfSettings half;
+  CallerSettings callers;
+  AnswerSettings answers;
+  PolicySettings policy;
+  ExchangeSettings exchange;
+  ClaimSettings claims;
+  PlacementSettings placement;
+  ConfigurationSettings configuration;
+  TlsSettings tls;
+
+  friend bool operator==(const Settings&, const Settings&) = default;
+};
+
+/// @brief One fault of a document. Messages never carry a document's values.
+struct SettingsProblem {
+  int line = 0;       ///< from 1; 0: the document as a whole
+  std::string field;  ///< dotted path, e.g. "host.port"
+  std::string message;
+
+  friend bool operator==(const SettingsProblem&,
+                         const SettingsProblem&) = default;
+};
+
+/// @brief Settings, or every problem that they have.
+struct ParsedSettings {
+  Settings settings;                      ///< usable only where IsValid()
+  std::vector<SettingsProblem> problems;  ///< by line
+
+  bool IsValid() const { return this->problems.empty(); }
+
+  /// @brief OK, or one kSettingsInvalid error that lists all problems.
+  absl::Status Status() const;
+};
+
+/// @brief Parses and checks settings whole.
+/// @param[in] text a YAML document
+ParsedSettings ParseSettings(std::string_view text);
+
+/// @brief As ParseSettings, from a file.
+ParsedSettings LoadSettings(std::string_view path);
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_SETTINGS_SETTINGS_H_
