Object API over HTTP with exact outcomes of writes

Cause: hosts need the object API as an HTTP client that never turns an undecided write into a definite one. Ruled out: sending again inside the client (only a caller knows whether that is safe); trusting the status line of an answer cut off in the middle (it costs nothing to read back); a 413 as definite refusal (INTERFACES section 2 names only 429, 503 and 412). Change: HttpObjectStore over the abstract HttpClient; answers are read in object_answers. New error 410 kStoreRevisionGone (watch from too old a revision).

--- a/src/base/error.h
+++ b/src/base/error.h
@@ -49,6 +49,7 @@
   kStoreUnknown = 403,
   kStoreMalformed = 404,
   kLeaseLost = 405,
+  kStoreRevisionGone = 410,
   // 5xx: configuration and settings.
   kSettingsInvalid = 501,
   kTemplateInvalid = 502,
--- /dev/null
+++ b/src/store/http_object_store.cc
@@ -0,0 +1,126 @@
+#include "store/http_object_store.h"
+
+#include <QtCore/QByteArray>
+#include <QtCore/QUrl>
+#include <utility>
+
+#include "store/object_answers.h"
+
+namespace meadowthread {
+namespace {
+
+std::string Encoded(std::string_view text) {
+  const QString decoded =
+      QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
+  return QUrl::toPercentEncoding(decoded).toStdString();
+}
+
+std::string ObjectPath(std::string_view kind, std::string_view name) {
+  return "/objects/" + Encoded(kind) + "/" + Encoded(name);
+}
+
+std::string PeerOf(std::string_view kind, std::string_view name) {
+  return std::string(kind) + "/" + std::string(name);
+}
+
+HttpHeader Condition(std::int64_t expected_version) {
+  if (expected_version == 0) {
+    return {"If-None-Match", "*"};
+  }
+  return {"If-Match", "\"" + std::to_string(expected_version) + "\""};
+}
+
+}  // namespace
+
+HttpObjectStore::HttpObjectStore(HttpClient& client,
+                                 HttpObjectStoreOptions options)
+    : client(client), options(std::move(options)) {}
+
+void HttpObjectStore::Get(std::string_view kind, std::string_view name,
+                          const GetDone& done) {
+  const HttpRequest request =
+      this->ReadRequest(ObjectPath(kind, name), this->options.read_timeout_ms);
+  Fetch(this->client, request, kMaxObjectBytes,
+        [kind = std::string(kind), name = std::string(name),
+         done](const HttpFetched& fetched) {
+          done(ReadGetAnswer(fetched, kind, name));
+        });
+}
+
+void HttpObjectStore::Put(std::string_view kind, std::string_view name,
+                          std::string_view value, std::int64_t expected_version,
+                          const PutDone& done) {
+  HttpRequest request =
+      this->WriteRequest("PUT", ObjectPath(kind, name), expected_version);
+  request.headers.push_back({"Content-Type", "application/octet-stream"});
+  request.body = std::string(value);
+  this->FetchWrite(request, "put", PeerOf(kind, name), done);
+}
+
+void HttpObjectStore::Delete(std::string_view kind, std::string_view name,
+                             std::int64_t expected_version,
+                             const PutDone& done) {
+  const HttpRequest request =
+      this->WriteRequest("DELETE", ObjectPath(kind, name), expected_version);
+  this->FetchWrite(request, "delete", PeerOf(kind, name), done);
+}
+
+void HttpObjectStore::List(std::string_view kind, std::int64_t since,
+                           const ListDone& done) {
+  const std::string path =
+      "/objects/" + Encoded(kind) + "?since=" + std::to_string(since);
+  this->FetchList(this->ReadRequest(path, this->options.read_timeout_ms),
+                  "list", kind, done);
+}
+
+void HttpObjectStore::Watch(std::string_view kind, std::int64_t since,
+                            std::int64_t wait_ms, const ListDone& done) {
+  const std::string path = "/watch/" + Encoded(kind) +
+                           "?since=" + std::to_string(since) +
+                           "&wait_ms=" + std::to_string(wait_ms);
+  const std::int64_t timeout_ms = wait_ms + this->options.watch_margin_ms;
+  this->FetchList(this->ReadRequest(path, timeout_ms), "watch", kind, done);
+}
+
+HttpRequest HttpObjectStore::ReadRequest(std::string_view path,
+                                         std::int64_t timeout_ms) const {
+  HttpRequest request;
+  request.url = this->options.base_url + std::string(path);
+  request.connect_timeout_ms = this->options.connect_timeout_ms;
+  request.total_timeout_ms = timeout_ms;
+  return request;
+}
+
+HttpRequest HttpObjectStore::WriteRequest(std::string_view method,
+                                          std::string_view path,
+                                          std::int64_t expected_version) const {
+  HttpRequest request = this->ReadRequest(path, this->options.write_timeout_ms);
+  request.method = std::string(method);
+  request.headers.push_back(Condition(expected_version));
+  // A second sending by the library could meet the first one's version and
+  // report a conflict for a write that took effect.
+  request.send_once = true;
+  return request;
+}
+
+void HttpObjectStore::FetchList(const HttpRequest& request,
+                                std::string_view step, std::string_view kind,
+                                const ListDone& done) {
+  Fetch(this->client, request, this->options.list_limit_bytes,
+        [step = std::string(step), kind = std::string(kind),
+         done](const HttpFetched& fetched) {
+          done(ReadListAnswer(fetched, step, kind));
+        });
+}
+
+void HttpObjectStore::FetchWrite(const HttpRequest& request,
+                                 std::string_view step, std::string_view peer,
+                                 const PutDone& done) {
+  Fetch(this->client, request, kMaxObjectBytes,
+        [step = std::string(step), peer = std::string(peer),
+         done](const HttpFetched& fetched) {
+          done(ReadWriteAnswer(fetched, step, peer));
+        });
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/store/object_answers.cc
@@ -0,0 +1,199 @@
+#include "store/object_answers.h"
+
+#include <charconv>
+#include <optional>
+#include <string>
+
+#include "base/json_fields.h"
+#include "store/store_errors.h"
+
+namespace meadowthread {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpNotFound = 404;
+constexpr int kHttpGone = 410;
+constexpr int kHttpPreconditionFailed = 412;
+constexpr int kHttpTooManyRequests = 429;
+constexpr int kHttpServiceUnavailable = 503;
+
+// The object API promises for these two that nothing was applied.
+bool IsDefiniteRefusal(int http_status) {
+  return http_status == kHttpTooManyRequests ||
+         http_status == kHttpServiceUnavailable;
+}
+
+std::optional<std::int64_t> ParseVersion(std::string_view etag) {
+  const bool is_quoted =
+      etag.size() > 2 && etag.front() == '"' && etag.back() == '"';
+  if (!is_quoted) {
+    return std::nullopt;
+  }
+  const std::string_view digits = etag.substr(1, etag.size() - 2);
+  std::int64_t version = 0;
+  const char* end = digits.data() + digits.size();
+  const auto parsed = std::from_chars(digits.data(), end, version);
+  if (parsed.ec != std::errc() || parsed.ptr != end || version <= 0) {
+    return std::nullopt;
+  }
+  return version;
+}
+
+std::string PeerOf(std::string_view kind, std::string_view name) {
+  return std::string(kind) + "/" + std::string(name);
+}
+
+// A failed read has changed nothing, so that only whether asking again may
+// help has to be told apart.
+absl::Status ReadFailure(const HttpFetched& fetched, std::string_view step,
+                         std::string_view peer) {
+  if (DetailOf(fetched.end.status).id == ErrorId::kPeerMalformed) {
+    return StoreError(ErrorId::kStoreMalformed, step, peer);
+  }
+  return StoreError(ErrorId::kStoreUnavailable, step, peer);
+}
+
+bool IsWhole(const HttpFetched& fetched, int http_status) {
+  return fetched.end.status.ok() && fetched.end.http_status == http_status;
+}
+
+absl::StatusOr<ObjectList> ParseList(std::string_view body) {
+  absl::StatusOr<json> parsed = ParseObject(body, "list", "object-api");
+  if (!parsed.ok()) {
+    return parsed.status();
+  }
+  const absl::StatusOr<std::int64_t> revision = IntField(*parsed, "revision");
+  if (!revision.ok()) {
+    return revision.status();
+  }
+  const auto items = parsed->find("items");
+  if (items == parsed->end() || !items->is_array()) {
+    return absl::DataLossError("no items");
+  }
+  ObjectList list;
+  list.revision = *revision;
+  for (const json& item : *items) {
+    absl::StatusOr<StoredObject> object = ObjectFromJson(item);
+    if (!object.ok()) {
+      return object.status();
+    }
+    list.items.push_back(*std::move(object));
+  }
+  return list;
+}
+
+// An answer that names another kind, or an item newer than the list itself,
+// would corrupt every view built on it.
+bool IsConsistent(const ObjectList& list, std::string_view kind) {
+  for (const StoredObject& item : list.items) {
+    if (item.kind != kind || item.version > list.revision) {
+      return false;
+    }
+  }
+  return list.revision >= 0;
+}
+
+}  // namespace
+
+absl::StatusOr<StoredObject> ReadGetAnswer(const HttpFetched& fetched,
+                                           std::string_view kind,
+                                           std::string_view name) {
+  const std::string peer = PeerOf(kind, name);
+  if (IsWhole(fetched, kHttpNotFound)) {
+    return StoreError(ErrorId::kNotFound, "get", peer);
+  }
+  if (!IsWhole(fetched, kHttpOk)) {
+    return ReadFailure(fetched, "get", peer);
+  }
+  const std::optional<std::int64_t> version =
+      ParseVersion(FindHeader(fetched.response.headers, "ETag"));
+  if (!version.has_value()) {
+    return StoreError(ErrorId::kStoreMalformed, "get", peer);
+  }
+  StoredObject object;
+  object.kind = std::string(kind);
+  object.name = std::string(name);
+  object.version = *version;
+  object.value = fetched.response.body;
+  return object;
+}
+
+absl::StatusOr<ObjectList> ReadListAnswer(const HttpFetched& fetched,
+                                          std::string_view step,
+                                          std::string_view kind) {
+  if (IsWhole(fetched, kHttpGone)) {
+    return StoreError(ErrorId::kStoreRevisionGone, step, kind);
+  }
+  if (!IsWhole(fetched, kHttpOk)) {
+    return ReadFailure(fetched, step, kind);
+  }
+  absl::StatusOr<ObjectList> list = ParseList(fetched.response.body);
+  if (!list.ok() || !IsConsistent(*list, kind)) {
+    return StoreError(ErrorId::kStoreMalformed, step, kind);
+  }
+  return list;
+}
+
+absl::StatusOr<std::int64_t> ReadWriteAnswer(const HttpFetched& fetched,
+                                             std::string_view step,
+                                             std::string_view peer) {
+  if (!fetched.end.request_may_have_left) {
+    return StoreError(ErrorId::kStoreUnavailable, step, peer);
+  }
+  if (!fetched.end.status.ok()) {
+    return StoreError(ErrorId::kStoreUnknown, step, peer);
+  }
+  const int http_status = fetched.end.http_status;
+  if (IsDefiniteRefusal(http_status)) {
+    return StoreError(ErrorId::kStoreUnavailable, step, peer);
+  }
+  if (http_status == kHttpPreconditionFailed) {
+    return StoreError(ErrorId::kStoreConflict, step, peer);
+  }
+  const std::optional<std::int64_t> version =
+      ParseVersion(FindHeader(fetched.response.headers, "ETag"));
+  if (http_status != kHttpOk || !version.has_value()) {
+    return StoreError(ErrorId::kStoreUnknown, step, peer);
+  }
+  return *version;
+}
+
+json ObjectToJson(const StoredObject& object) {
+  return {{"kind", object.kind},
+          {"name", object.name},
+          {"version", object.version},
+          {"value", object.value},
+          {"deleted", object.deleted}};
+}
+
+absl::StatusOr<StoredObject> ObjectFromJson(const json& value) {
+  const absl::StatusOr<std::string> kind = StringField(value, "kind");
+  const absl::StatusOr<std::string> name = StringField(value, "name");
+  const absl::StatusOr<std::int64_t> version = IntField(value, "version");
+  for (const absl::Status& status :
+       {kind.status(), name.status(), version.status()}) {
+    if (!status.ok()) {
+      return status;
+    }
+  }
+  StoredObject object;
+  object.kind = *kind;
+  object.name = *name;
+  object.version = *version;
+  const auto deleted = value.find("deleted");
+  object.deleted =
+      deleted != value.end() && deleted->is_boolean() && deleted->get<bool>();
+  if (object.deleted) {
+    return object;
+  }
+  absl::StatusOr<std::string> text = StringField(value, "value");
+  if (!text.ok()) {
+    return text.status();
+  }
+  object.value = *std::move(text);
+  return object;
+}
+
+}  // namespace meadowthread
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -64,7 +64,8 @@
   virtual void List(std::string_view kind, std::int64_t since,
                     const ListDone& done) = 0;
 
-  /// @brief As List, but waits up to `wait_ms` for a first change.
+  /// @brief As List, but waits up to `wait_ms` for a first change;
+  /// kStoreRevisionGone where `since` is too old: list anew.
   virtual void Watch(std::string_view kind, std::int64_t since,
                      std::int64_t wait_ms, const ListDone& done) = 0;
 };
--- a/src/store/store_errors.cc
+++ b/src/store/store_errors.cc
@@ -22,6 +22,9 @@
     case ErrorId::kStoreMalformed:
       return {absl::StatusCode::kDataLoss,
               "the object API's answer cannot be read"};
+    case ErrorId::kStoreRevisionGone:
+      return {absl::StatusCode::kOutOfRange,
+              "the revision to watch from is too old: list anew"};
     default:
       return {absl::StatusCode::kUnknown,
               "the object API did not say whether the write took effect"};
