Placement: who owns a workspace or an engine, and the hand-over in steps

Cause: the two halves of the migration must not both act on one workspace. Ruled out: confirmation by epoch (a move called off and begun again has the same epoch; the version of the draining object is told instead); keeping to an older document when the newest cannot be read (both halves could act). Change: ownership documents, a host's view with its freshness bound, counting of work in flight, and a mover whose every step begins by reading.

--- /dev/null
+++ b/src/placement/ownership_mover.cc
@@ -0,0 +1,207 @@
+#include "placement/ownership_mover.h"
+
+#include <algorithm>
+
+#include "base/error.h"
+#include "base/log_line.h"
+#include "placement/drain_tracker.h"
+
+namespace meadowthread {
+namespace {
+
+constexpr std::string_view kStatusKind = "status";
+
+}  // namespace
+
+OwnershipMover::OwnershipMover(const MoveRequest& what,
+                               const MoverSettings& with, ObjectStore& over,
+                               const Clock& by)
+    : request(what),
+      settings(with),
+      store(over),
+      clock(by),
+      object_name(OwnershipObjectName(what.id)) {}
+
+void OwnershipMover::Tick() {
+  const bool over = this->progress.phase == MovePhase::kDone ||
+                    this->progress.phase == MovePhase::kConflict;
+  if (this->busy || over) {
+    return;
+  }
+  this->busy = true;
+  const std::weak_ptr<bool> guard = this->alive;
+  this->store.Get(kOwnershipKind, this->object_name,
+                  [this, guard](const absl::StatusOr<StoredObject>& answer) {
+                    if (!guard.expired()) {
+                      this->busy = false;
+                      this->OnObject(answer);
+                    }
+                  });
+}
+
+void OwnershipMover::OnObject(const absl::StatusOr<StoredObject>& answer) {
+  if (answer.ok()) {
+    const absl::StatusOr<OwnershipDocument> document =
+        ParseOwnership(answer->value);
+    if (document.ok()) {
+      this->OnDocument(*document, answer->version);
+    } else {
+      this->Conflict("the ownership object cannot be read");
+    }
+    return;
+  }
+  if (DetailOf(answer.status()).id != ErrorId::kNotFound) {
+    this->progress.last_error = answer.status();
+    return;
+  }
+  OwnershipDocument absent;
+  absent.owner = this->settings.default_owner;
+  absent.address = this->settings.default_address;
+  this->OnDocument(absent, 0);
+}
+
+void OwnershipMover::OnDocument(const OwnershipDocument& document,
+                                std::int64_t version) {
+  this->progress.epoch = document.epoch;
+  if (document.state == OwnershipState::kDraining) {
+    if (document.next_owner != this->request.next_owner) {
+      this->Conflict("it is being handed to another half");
+      return;
+    }
+    this->OnDraining(document, version);
+    return;
+  }
+  if (document.owner == this->request.next_owner) {
+    this->progress.phase = MovePhase::kDone;
+    this->progress.waiting_for.clear();
+    return;
+  }
+  if (this->progress.phase == MovePhase::kDraining) {
+    this->Conflict("the move was called off");
+    return;
+  }
+  this->Mark(document, version);
+}
+
+void OwnershipMover::Mark(const OwnershipDocument& from, std::int64_t version) {
+  OwnershipDocument next = from;
+  next.state = OwnershipState::kDraining;
+  next.next_owner = this->request.next_owner;
+  next.next_address = this->request.next_address;
+  next.operation = this->request.operation;
+  this->Put(next, version);
+}
+
+void OwnershipMover::OnDraining(const OwnershipDocument& document,
+                                std::int64_t version) {
+  this->progress.phase = MovePhase::kDraining;
+  const std::int64_t now_ms = this->clock.MonotonicMs();
+  if (version != this->draining_version) {
+    this->draining_version = version;
+    this->draining_seen_ms = now_ms;
+  }
+  // Before this has passed, a host that has not seen the mark may still start
+  // work, and one that is starting up may not be among the statuses.
+  const std::int64_t bound_ms =
+      this->settings.freshness_ms + this->settings.drift_margin_ms;
+  if (now_ms - this->draining_seen_ms < bound_ms) {
+    return;
+  }
+  this->busy = true;
+  const std::weak_ptr<bool> guard = this->alive;
+  this->store.List(
+      kStatusKind, 0,
+      [this, guard, document, version](const absl::StatusOr<ObjectList>& list) {
+        if (!guard.expired()) {
+          this->busy = false;
+          this->OnStatuses(document, version, list);
+        }
+      });
+}
+
+void OwnershipMover::OnStatuses(const OwnershipDocument& document,
+                                std::int64_t version,
+                                const absl::StatusOr<ObjectList>& list) {
+  if (!list.ok()) {
+    this->progress.last_error = list.status();
+    return;
+  }
+  this->progress.waiting_for.clear();
+  for (const StoredObject& status : list->items) {
+    if (!this->IsDrained(status, document.owner, version) &&
+        !this->IsGone(status)) {
+      this->progress.waiting_for.push_back(status.name);
+    }
+  }
+  if (this->progress.waiting_for.empty()) {
+    this->Flip(document, version);
+  }
+}
+
+bool OwnershipMover::IsDrained(const StoredObject& status,
+                               std::string_view half, std::int64_t version) {
+  const absl::StatusOr<DrainReport> report = ParseDrainReport(status.value);
+  if (!report.ok()) {
+    return false;  // it may be a host of that half with work in flight
+  }
+  if (report->half != half) {
+    return true;
+  }
+  const DrainConfirmation wanted{this->object_name, version};
+  return std::find(report->drained.begin(), report->drained.end(), wanted) !=
+         report->drained.end();
+}
+
+bool OwnershipMover::IsGone(const StoredObject& status) {
+  const std::vector<std::string>& named = this->request.gone;
+  if (std::find(named.begin(), named.end(), status.name) != named.end()) {
+    return true;
+  }
+  const std::int64_t now_ms = this->clock.MonotonicMs();
+  StatusSight& sight = this->sights[status.name];
+  if (sight.version != status.version) {
+    sight = {status.version, now_ms};
+  }
+  return now_ms - sight.since_ms >= this->settings.gone_after_ms;
+}
+
+void OwnershipMover::Flip(const OwnershipDocument& from, std::int64_t version) {
+  OwnershipDocument next;
+  next.owner = from.next_owner;
+  next.address = from.next_address;
+  next.epoch = from.epoch + 1;
+  next.operation = this->request.operation;
+  this->Put(next, version);
+}
+
+void OwnershipMover::Put(const OwnershipDocument& document,
+                         std::int64_t version) {
+  LogLine line("placement");
+  line.Add("object", this->object_name).Add("epoch", document.epoch);
+  line.Add("owner", document.owner).Add("next_owner", document.next_owner);
+  line.Add("why",
+           document.state == OwnershipState::kDraining ? "drain" : "hand_over");
+  line.Write();
+  this->busy = true;
+  const std::weak_ptr<bool> guard = this->alive;
+  this->store.Put(kOwnershipKind, this->object_name, EncodeOwnership(document),
+                  version,
+                  [this, guard](const absl::StatusOr<std::int64_t>& answer) {
+                    if (!guard.expired()) {
+                      this->busy = false;
+                      this->progress.last_error = answer.status();
+                    }
+                  });
+}
+
+void OwnershipMover::Conflict(std::string_view why) {
+  ErrorDetail error;
+  error.id = ErrorId::kStoreConflict;
+  error.step = "ownership.move";
+  error.peer = this->object_name;
+  this->progress.phase = MovePhase::kConflict;
+  this->progress.last_error =
+      MakeError(absl::StatusCode::kFailedPrecondition, error, why);
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/placement/ownership_view.cc
@@ -0,0 +1,160 @@
+#include "placement/ownership_view.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "absl/strings/str_cat.h"
+#include "base/error.h"
+#include "base/log_line.h"
+
+namespace meadowthread {
+namespace {
+
+constexpr std::string_view kStep = "ownership";
+
+absl::Status NotRun(ErrorId id, std::string_view peer,
+                    std::string_view message) {
+  ErrorDetail error;
+  error.id = id;
+  error.outcome = Outcome::kNotRun;
+  error.step = std::string(kStep);
+  error.peer = std::string(peer);
+  return MakeError(absl::StatusCode::kUnavailable, error, message);
+}
+
+void LogUnreadable(const StoredObject& object, const absl::Status& status) {
+  LogLine line("ownership");
+  line.Add("object", object.name).Add("version", object.version);
+  line.Add("field", DetailOf(status).field).Add("why", "unreadable");
+  line.Write();
+}
+
+}  // namespace
+
+std::string_view OwnershipVerdictName(OwnershipVerdict verdict) {
+  switch (verdict) {
+    case OwnershipVerdict::kOurs:
+      return "ours";
+    case OwnershipVerdict::kDraining:
+      return "draining";
+    case OwnershipVerdict::kElsewhere:
+      return "elsewhere";
+    case OwnershipVerdict::kUnreadable:
+      return "unreadable";
+    case OwnershipVerdict::kViewStale:
+      return "view_stale";
+    case OwnershipVerdict::kUnregistered:
+      return "unregistered";
+  }
+  return "view_stale";
+}
+
+void OwnershipView::Apply(const StoredObject& object) {
+  const std::optional<OwnedId> id = ParseOwnershipObjectName(object.name);
+  if (!id.has_value()) {
+    return;
+  }
+  Entry& entry = this->entries[*id];
+  if (object.version <= entry.version) {
+    return;
+  }
+  entry.version = object.version;
+  entry.deleted = object.deleted;
+  const absl::StatusOr<OwnershipDocument> document =
+      ParseOwnership(object.value);
+  // What cannot be read may have given the thing away: keeping to the older
+  // document could have both halves act, so neither does.
+  entry.readable = document.ok();
+  if (document.ok()) {
+    entry.document = *document;
+  } else if (!object.deleted) {
+    LogUnreadable(object, document.status());
+  }
+}
+
+void OwnershipView::Confirm(std::int64_t since_ms) {
+  this->confirmed_ms =
+      this->confirmed ? std::max(this->confirmed_ms, since_ms) : since_ms;
+  this->confirmed = true;
+}
+
+std::int64_t OwnershipView::AgeMs() const {
+  return this->confirmed ? this->clock.MonotonicMs() - this->confirmed_ms : -1;
+}
+
+OwnershipVerdict OwnershipView::Judge(const OwnershipDocument& document) const {
+  if (document.owner != this->settings.half) {
+    return OwnershipVerdict::kElsewhere;
+  }
+  return document.state == OwnershipState::kDraining
+             ? OwnershipVerdict::kDraining
+             : OwnershipVerdict::kOurs;
+}
+
+OwnershipAnswer OwnershipView::Look(const OwnedId& id) const {
+  OwnershipAnswer answer;
+  OwnershipDocument document;
+  document.owner = this->settings.default_owner;
+  document.address = this->settings.default_address;
+  const auto found = this->entries.find(id);
+  const bool present = found != this->entries.end() && !found->second.deleted;
+  bool readable = true;
+  if (present) {
+    readable = found->second.readable;
+    document = found->second.document;
+    answer.epoch = document.epoch;
+    answer.version = found->second.version;
+  }
+  answer.owner = document.owner;
+  const bool draining = document.state == OwnershipState::kDraining;
+  answer.address = draining ? document.next_address : document.address;
+  answer.verdict =
+      readable ? this->Judge(document) : OwnershipVerdict::kUnreadable;
+  const std::int64_t age_ms = this->AgeMs();
+  if (age_ms < 0 || age_ms > this->settings.freshness_ms) {
+    // A stale 'elsewhere' would send callers in circles; a stale 'ours' would
+    // start work that a mover no longer waits for.
+    answer.verdict = OwnershipVerdict::kViewStale;
+  } else if (!this->registered && answer.verdict == OwnershipVerdict::kOurs) {
+    answer.verdict = OwnershipVerdict::kUnregistered;
+  }
+  return answer;
+}
+
+absl::Status OwnershipView::MayStart(const OwnedId& id) const {
+  const OwnershipAnswer answer = this->Look(id);
+  const std::string name = OwnershipObjectName(id);
+  switch (answer.verdict) {
+    case OwnershipVerdict::kOurs:
+      return absl::OkStatus();
+    case OwnershipVerdict::kDraining:
+    case OwnershipVerdict::kElsewhere:
+      return NotRun(ErrorId::kOwnedElsewhere, answer.address,
+                    absl::StrCat(name, " is served by the other half"));
+    case OwnershipVerdict::kUnreadable:
+      return NotRun(ErrorId::kHostNotReady, name,
+                    "the ownership object cannot be read");
+    case OwnershipVerdict::kUnregistered:
+      return NotRun(ErrorId::kHostNotReady, name,
+                    "this host's status is not at the platform yet");
+    case OwnershipVerdict::kViewStale:
+      break;
+  }
+  return NotRun(ErrorId::kHostNotReady, name,
+                "ownership has not been confirmed lately");
+}
+
+std::vector<DrainingObject> OwnershipView::Draining() const {
+  std::vector<DrainingObject> draining;
+  for (const auto& [id, entry] : this->entries) {
+    const bool ours =
+        !entry.deleted && entry.readable &&
+        this->Judge(entry.document) == OwnershipVerdict::kDraining;
+    if (ours) {
+      draining.push_back({id, entry.version});
+    }
+  }
+  return draining;
+}
+
+}  // namespace meadowthread
