--- a/src/engine/engine_messages.cc
+++ b/src/engine/engine_messages.cc
@@ -44,7 +44,6 @@
   report.running = static_cast<int>(IntOr(*parsed, "running", 0));
   report.waiting = static_cast<int>(IntOr(*parsed, "waiting", 0));
   report.leaving = StringOr(*parsed, "state", "live") != "live";
-  report.role = StringOr(*parsed, "role", "");
   const auto models = parsed->find("models");
   if (models == parsed->end() || !models->is_array()) {
     return report;
--- a/src/engine/engine_messages.h
+++ b/src/engine/engine_messages.h
@@ -4,9 +4,9 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "absl/status/statusor.h"
+#include "policy/engine_view.h"
 
 namespace meadowthread {
 
@@ -16,20 +16,11 @@
   std::string base_url;  ///< e.g. "http://10.0.0.7:9100"
 };
 
-/// @brief A model with its adapter and version.
-struct ModelVersion {
-  std::string model;
-  std::string adapter;
-  std::string version;
-
-  friend auto operator<=>(const ModelVersion&, const ModelVersion&) = default;
-};
-
 /// @brief What an engine is asked to generate.
 struct GenerationRequest {
   std::string attempt;  ///< unique for each attempt
   std::string workspace;
-  ModelVersion model;
+  ServedModel model;
   std::string prompt;
   std::int64_t max_tokens = 0;
   int priority = 1;  ///< 0 is most urgent
@@ -51,21 +42,6 @@
   std::string reason;      ///< "stop" or "length"
 };
 
-/// @brief An engine's lagging report of its load; kv in tokens.
-struct LoadReport {
-  std::string engine;
-  std::string incarnation;
-  std::int64_t as_of_unix_ms = 0;
-  std::int64_t kv_used = 0;
-  std::int64_t kv_capacity = 0;
-  std::int64_t preemptions = 0;
-  int running = 0;
-  int waiting = 0;
-  bool leaving = false;
-  std::string role;
-  std::vector<ModelVersion> models;
-};
-
 /// @brief The request's body on the wire (docs/INTERFACES.md, section 1).
 std::string EncodeGenerationRequest(const GenerationRequest& request);
 
--- a/src/gateway/generation_session.cc
+++ b/src/gateway/generation_session.cc
@@ -121,8 +121,9 @@
     return;
   }
   this->grant = std::get<ClaimGrant>(*answer);
-  if (this->phase == SessionPhase::kEnded || this->caller_gone) {
+  if (this->caller_gone) {
     this->ReleaseClaim();
+    this->Finish(Outcome::kNotRun, ErrorId::kConnectionLost);
     return;
   }
   this->Offer();
--- a/src/gateway/generation_session_stream.cc
+++ b/src/gateway/generation_session_stream.cc
@@ -241,8 +241,8 @@
         if (decision.engine.has_value()) {
           this->SendNow(decision);
         } else {
-          this->SendAgain(cause, outcome);
           ++this->attempts;
+          this->SendAgain(cause, outcome);
         }
       });
 }
--- a/src/gateway/session_parts.h
+++ b/src/gateway/session_parts.h
@@ -86,7 +86,7 @@
   std::string workspace;
   std::string template_name;
   std::int64_t template_version = 0;
-  ModelVersion model;
+  ServedModel model;
   Urgency urgency = Urgency::kNormal;
   std::int64_t max_output_tokens = 0;
   std::int64_t deadline_ms = 0;  ///< for the first byte sent to an engine
