--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -126,7 +126,7 @@
   section.Finish();
 }
 
-void Read(YamlSection section, ClaimSettings* claims) {
+void Read(YamlSection section, ClaimsSettings* claims) {
   section.Integer("shards", 1, 4096, &claims->shards);
   section.Integer("retention_ms", kSecondMs, 30 * kDayMs,
                   &claims->retention_ms);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -109,12 +109,12 @@
 };
 
 /// @brief Claims of requests that may not be repeated.
-struct ClaimSettings {
+struct ClaimsSettings {
   int shards = 8;
   std::int64_t retention_ms = 86400000;
   std::int64_t segment_bytes = 65536;
 
-  friend bool operator==(const ClaimSettings&, const ClaimSettings&) = default;
+  friend bool operator==(const ClaimsSettings&, const ClaimsSettings&) = default;
 };
 
 /// @brief Placement of models on engines.
@@ -156,7 +156,7 @@
   AnswerSettings answers;
   PolicySettings policy;
   ExchangeSettings exchange;
-  ClaimSettings claims;
+  ClaimsSettings claims;
   PlacementSettings placement;
   ConfigurationSettings configuration;
   TlsSettings tls;
