Claims: at most one run of a request marked not repeatable

Cause: a request that may not be repeated needs one holder over all hosts, with lost answers, delayed writes, frozen hosts and outages. Ruled out: an object per claim (a write each), and a new head object per segment made by conditional create (a delayed create could bring back the number of a segment dropped long ago and fork the log).

--- /dev/null
+++ b/src/claims/claim_key.cc
@@ -0,0 +1,84 @@
+#include "claims/claim_key.h"
+
+#include <QCryptographicHash>
+#include <QRandomGenerator>
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+#include <string>
+
+#include "base/error.h"
+#include "xxhash.h"
+
+namespace meadowthread {
+namespace {
+
+// Ten digits reach the year 2286; a bound keeps the product from overflowing.
+constexpr std::size_t kMaxTimeDigits = 11;
+constexpr std::int64_t kMsPerSecond = 1000;
+
+std::string Joined(std::string_view workspace, std::string_view key) {
+  std::string joined = std::to_string(workspace.size());
+  joined += ':';
+  joined += workspace;
+  joined += key;
+  return joined;
+}
+
+absl::Status NoTime() {
+  ErrorDetail detail;
+  detail.id = ErrorId::kFieldInvalid;
+  detail.outcome = Outcome::kNotRun;
+  detail.step = "claim.key";
+  detail.field = "Idempotency-Key";
+  return MakeError(absl::StatusCode::kInvalidArgument, detail,
+                   "the key must begin with the unix time in seconds and '-'");
+}
+
+}  // namespace
+
+Hash256 BodyDigest(std::string_view body) {
+  const QByteArray digest = QCryptographicHash::hash(
+      QByteArray::fromRawData(body.data(), static_cast<int>(body.size())),
+      QCryptographicHash::Sha256);
+  Hash256 hash{};
+  std::memcpy(hash.data(), digest.constData(), hash.size());
+  return hash;
+}
+
+Hash256 KeyHash(std::string_view workspace, std::string_view key) {
+  return BodyDigest(Joined(workspace, key));
+}
+
+std::uint32_t ShardOf(std::string_view workspace, std::string_view key,
+                      int shards) {
+  const std::string joined = Joined(workspace, key);
+  const XXH128_hash_t hash = XXH3_128bits(joined.data(), joined.size());
+  return static_cast<std::uint32_t>(hash.low64 %
+                                    static_cast<std::uint64_t>(shards));
+}
+
+absl::StatusOr<std::int64_t> KeyTimeMs(std::string_view key) {
+  const std::size_t dash = key.find('-');
+  if (dash == std::string_view::npos || dash == 0 || dash > kMaxTimeDigits) {
+    return NoTime();
+  }
+  std::int64_t seconds = 0;
+  const char* end = key.data() + dash;
+  const auto [stop, error] = std::from_chars(key.data(), end, seconds);
+  if (error != std::errc() || stop != end || seconds < 0) {
+    return NoTime();
+  }
+  return seconds * kMsPerSecond;
+}
+
+ClaimNonce NewNonce() {
+  std::array<quint32, sizeof(ClaimNonce) / sizeof(quint32)> words{};
+  QRandomGenerator::system()->fillRange(words.data(),
+                                        static_cast<qsizetype>(words.size()));
+  ClaimNonce nonce{};
+  std::memcpy(nonce.data(), words.data(), nonce.size());
+  return nonce;
+}
+
+}  // namespace meadowthread
