Claims: log rolling, retention, stale views and a seeded randomized run tested

Cause: the log's rolling and dropping, and claims under mixed faults, had no test yet. Change: tests; a conflict leaves a claim undecided until it was read back, as a write may meet its own earlier copy.

--- a/src/claims/shard_log_io.cc
+++ b/src/claims/shard_log_io.cc
@@ -184,7 +184,10 @@
                          const ClaimSegment& segment, std::uint64_t call) {
   const ErrorId id =
       answer.ok() ? ErrorId::kInternal : DetailOf(answer.status()).id;
-  const bool undecided = id == ErrorId::kStoreUnknown;
+  // A conflict too is settled only by reading: the write may have met its own
+  // earlier copy, where something on the way sent it twice.
+  const bool undecided =
+      id == ErrorId::kStoreUnknown || id == ErrorId::kStoreConflict;
   for (const Op& op : batch) {
     if (op->in_flight && undecided) {
       op->undecided_at = this->view.Version();
--- a/src/claims/tests/claim_fixture.h
+++ b/src/claims/tests/claim_fixture.h
@@ -36,9 +36,18 @@
   ClaimGrant Grant() const { return std::get<ClaimGrant>(*this->answer); }
 };
 
+/// @brief Segments that are full after four claims.
+inline ClaimSettings SmallSegments() {
+  ClaimSettings settings;
+  settings.segment_bytes = 900;
+  return settings;
+}
+
 /// @brief One object store, one virtual clock, and hosts that share them.
 struct ClaimFixture {
-  explicit ClaimFixture(int hosts = 2) {
+  explicit ClaimFixture(int hosts = 2,
+                        const ClaimSettings& changed = ClaimSettings{})
+      : settings(changed) {
     this->settings.shards = 1;
     this->settings.host = "host";
     for (int i = 0; i < hosts; ++i) {
@@ -46,6 +55,10 @@
     }
   }
 
+  // The parts point at each other.
+  ClaimFixture(const ClaimFixture&) = delete;
+  ClaimFixture& operator=(const ClaimFixture&) = delete;
+
   std::unique_ptr<StoreClaimService> NewHost() {
     ClaimTools tools;
     tools.store = &this->store;
--- /dev/null
+++ b/src/claims/tests/claim_log_test.cc
@@ -0,0 +1,229 @@
+#include <criterion/criterion.h>
+
+#include "claims/tests/claim_fixture.h"
+
+namespace meadowthread {
+namespace {
+
+constexpr std::int64_t kHourMs = 3'600'000;
+
+// Claims `count` keys on host 0 and gives the last one's.
+std::string Fill(ClaimFixture* fixture, int count, std::string_view name) {
+  std::string key;
+  for (int i = 0; i < count; ++i) {
+    key = fixture->Key(std::string(name) + std::to_string(i));
+    const auto told = fixture->Claim(0, key);
+    fixture->Run(20);
+    cr_assert(told->Granted());
+  }
+  return key;
+}
+
+std::shared_ptr<StoredObject> Read(ClaimFixture* fixture,
+                                   std::string_view name) {
+  auto object = std::make_shared<StoredObject>();
+  fixture->store.Get("claims", name,
+                     [object](const absl::StatusOr<StoredObject>& answer) {
+                       *object = answer.value_or(StoredObject{});
+                     });
+  fixture->store.Settle();
+  return object;
+}
+
+Test(group_commit, puts_all_that_waits_into_one_write) {
+  ClaimFixture fixture(1);
+  std::vector<std::shared_ptr<Told>> told;
+  for (int i = 0; i < 100; ++i) {
+    told.push_back(fixture.Claim(0, fixture.Key(std::to_string(i))));
+  }
+  fixture.Run(100);
+  for (const std::shared_ptr<Told>& one : told) {
+    cr_assert(one->Granted());
+  }
+  cr_assert(fixture.store.WriteCalls() == 1);
+  cr_assert(fixture.store.ReadCalls() == 1);
+}
+
+Test(group_commit, has_one_write_in_flight) {
+  ClaimFixture fixture(1);
+  const auto first = fixture.Claim(0, fixture.Key("a"));
+  fixture.RunUnanswered(5);
+  fixture.store.Step();
+  std::vector<std::shared_ptr<Told>> told;
+  for (int i = 0; i < 50; ++i) {
+    told.push_back(fixture.Claim(0, fixture.Key(std::to_string(i))));
+    fixture.RunUnanswered(5);
+  }
+  cr_assert(fixture.store.WriteCalls() == 1);
+  fixture.Run(50);
+  cr_assert(fixture.store.WriteCalls() == 2);
+  cr_assert(told.back()->Granted() && first->Granted());
+}
+
+Test(a_stale_view, cannot_append) {
+  ClaimFixture fixture;
+  const std::string key = fixture.Key("note");
+  Fill(&fixture, 1, "a");
+  const auto warm = fixture.Claim(1, fixture.Key("b"));
+  fixture.Run(20);
+  // given: host 1's view is as of now; host 0 goes on
+  const auto mine = fixture.Claim(0, key);
+  fixture.Run(20);
+  const int reads = fixture.store.ReadCalls();
+  const int writes = fixture.store.WriteCalls();
+  const auto other = fixture.Claim(1, key);
+  fixture.Run(20);
+  cr_assert(warm->Granted() && mine->Granted());
+  cr_assert(other->Refused(ErrorId::kClaimHeld, Outcome::kUnknown));
+  {  // then: it wrote on the old version, in vain, and read the new one
+    cr_assert(fixture.store.WriteCalls() == writes + 1);
+    cr_assert(fixture.store.ReadCalls() == reads + 1);
+  }
+}
+
+Test(a_full_segment, is_sealed_archived_and_followed) {
+  ClaimFixture fixture(1, SmallSegments());
+  Fill(&fixture, 20, "a");
+  const auto head = DecodeSegment(Read(&fixture, "0.head")->value, "head");
+  cr_assert(head.ok() && head->number >= 4);
+  std::size_t entries = head->entries.size();
+  std::int64_t last_ms = -1;
+  for (std::int64_t i = 0; i < head->number; ++i) {
+    const std::string name = "0." + std::to_string(i);
+    const auto segment = DecodeSegment(Read(&fixture, name)->value, name);
+    cr_assert(segment.ok() && segment->sealed && segment->number == i);
+    cr_assert(segment->prior_ms == last_ms);
+    last_ms = segment->LastMs();
+    entries += segment->entries.size();
+  }
+  cr_assert(entries == 20);
+}
+
+Test(a_full_segment, is_rolled_by_two_hosts_at_once_without_loss) {
+  ClaimFixture fixture(2, SmallSegments());
+  for (int i = 0; i < 40; ++i) {
+    const std::string key = fixture.Key(std::to_string(i));
+    const auto first = fixture.Claim(i % 2, key);
+    const auto other = fixture.Claim(1 - i % 2, key);
+    fixture.Run(300);
+    cr_assert(first->Granted() != other->Granted());
+  }
+}
+
+Test(a_full_segment, takes_nothing_from_a_delayed_append) {
+  ClaimFixture fixture(2, SmallSegments());
+  const std::string key = fixture.Key("late");
+  fixture.store.FailWrites({WriteFault::kDelayed});
+  const auto late = fixture.Claim(1, key);
+  fixture.Run(10);
+  Fill(&fixture, 8, "a");  // the head rolls meanwhile
+  fixture.store.ReleaseDelayed();
+  fixture.Run(200);
+  const auto other = fixture.Claim(0, key);
+  fixture.Run(50);
+  cr_assert(late->Granted());
+  cr_assert(other->Refused(ErrorId::kClaimHeld, Outcome::kUnknown));
+}
+
+Test(a_restarted_host, finds_a_claim_in_an_archived_segment) {
+  for (const KeyForm form : {KeyForm::kTimed, KeyForm::kOpaque}) {
+    ClaimFixture fixture(2, SmallSegments());
+    fixture.form = form;
+    const std::string key = Fill(&fixture, 1, "first");
+    Fill(&fixture, 20, "a");
+    fixture.hosts[1] = fixture.NewHost();
+    const auto again = fixture.Claim(1, key);
+    fixture.Run(50);
+    cr_assert(again->Refused(ErrorId::kClaimHeld, Outcome::kUnknown));
+  }
+}
+
+Test(a_restarted_host, reads_no_further_back_than_a_timed_key_reaches) {
+  ClaimFixture fixture(1, SmallSegments());
+  Fill(&fixture, 20, "a");
+  fixture.clock.Advance(kHourMs);
+  Fill(&fixture, 4, "b");
+  fixture.hosts[0] = fixture.NewHost();
+  const int reads = fixture.store.ReadCalls();
+  Fill(&fixture, 1, "c");
+  cr_assert(fixture.store.ReadCalls() - reads <= 3);
+}
+
+Test(an_index_over_its_bound, is_read_again_where_it_is_needed) {
+  ClaimSettings settings = SmallSegments();
+  settings.max_index_entries = 10;
+  ClaimFixture fixture(1, settings);
+  const std::string key = Fill(&fixture, 1, "first");
+  Fill(&fixture, 40, "a");
+  const auto again = fixture.Claim(0, key);
+  fixture.Run(50);
+  cr_assert(again->Refused(ErrorId::kClaimHeld, Outcome::kUnknown));
+}
+
+Test(retention, drops_old_segments_and_their_results) {
+  ClaimSettings settings = SmallSegments();
+  settings.inline_result_bytes = 0;
+  ClaimFixture fixture(1, settings);
+  const auto first = fixture.Claim(0, fixture.Key("first"));
+  fixture.Run(20);
+  cr_assert(fixture.Record(0, first->Grant(), {200, "", "x"}).ok());
+  Fill(&fixture, 10, "a");
+  const std::string result = NonceText(first->Grant().nonce);
+  cr_assert(!Read(&fixture, "0.0")->value.empty());
+  fixture.clock.Advance(25 * kHourMs);
+  Fill(&fixture, 10, "b");
+  cr_assert(Read(&fixture, "0.0")->value.empty());
+  const auto head = DecodeSegment(Read(&fixture, "0.head")->value, "head");
+  cr_assert(head->oldest > 0 && head->dropped_ms >= kStartMs);
+  fixture.store.Get("results", result,
+                    [](const absl::StatusOr<StoredObject>& answer) {
+                      cr_assert(!answer.ok());
+                    });
+  fixture.store.Settle();
+}
+
+Test(retention, never_runs_a_timed_key_again_whatever_a_clock_says) {
+  ClaimFixture fixture(1, SmallSegments());
+  const std::string key = Fill(&fixture, 1, "first");
+  Fill(&fixture, 10, "a");
+  // given: a host whose clock runs a day ahead drops what is minutes old
+  ManualClock fast(kStartMs + 25 * kHourMs);
+  ClaimTools tools;
+  tools.store = &fixture.store;
+  tools.scheduler = &fixture.scheduler;
+  tools.clock = &fast;
+  tools.settings = fixture.settings;
+  StoreClaimService ahead(tools);
+  for (int i = 0; i < 10; ++i) {
+    ClaimRequest request;
+    request.key = std::to_string(fast.WallMs() / 1000) + "-" + char('a' + i);
+    request.deadline_unix_ms = fast.WallMs() + 10'000;
+    ahead.Claim(request, [](const absl::StatusOr<ClaimAnswer>& answer) {
+      cr_assert(answer.ok());
+    });
+    fixture.Run(20);
+  }
+  cr_assert(Read(&fixture, "0.0")->value.empty());
+  fixture.hosts[0] = fixture.NewHost();
+  const auto again = fixture.Claim(0, key);
+  fixture.Run(50);
+  cr_assert(again->Refused(ErrorId::kIdempotencyKeyExpired, Outcome::kUnknown));
+}
+
+Test(a_malformed_log, refuses_claims_and_harms_nothing) {
+  for (const std::string_view text :
+       {"", "[]", "{\"entries\":[7],\"sealed\":false}",
+        "{\"segment\":-1,\"sealed\":false,\"entries\":[]}",
+        "{\"segment\":0,\"oldest\":9,\"sealed\":true,\"entries\":[]}"}) {
+    ClaimFixture fixture(1);
+    fixture.store.Put("claims", "0.head", text, 0,
+                      [](const absl::StatusOr<std::int64_t>&) {});
+    const auto told = fixture.Claim(0, fixture.Key("note"));
+    fixture.Run(50);
+    cr_assert(told->Refused(ErrorId::kStoreMalformed, Outcome::kNotRun));
+    cr_assert(fixture.store.WriteCalls() == 1);
+  }
+}
+
+}  // namespace
+}  // namespace meadowthread
--- /dev/null
+++ b/src/claims/tests/claim_random_test.cc
@@ -0,0 +1,232 @@
+#include <criterion/criterion.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <random>
+
+#include "claims/tests/claim_fixture.h"
+
+namespace meadowthread {
+namespace {
+
+constexpr int kHosts = 3;
+constexpr int kKeys = 4;
+constexpr int kSteps = 250;
+constexpr unsigned kDefaultSeeds = 2'000;
+
+/// @brief A host's own clock, some way off the others'.
+class SkewedClock final : public Clock {
+ public:
+  SkewedClock(const Clock* base, std::int64_t skew_ms)
+      : base(base), skew_ms(skew_ms) {}
+  std::int64_t MonotonicMs() const override {
+    return this->base->MonotonicMs();
+  }
+  std::int64_t WallMs() const override {
+    return this->base->WallMs() + this->skew_ms;
+  }
+
+ private:
+  const Clock* base;
+  std::int64_t skew_ms;
+};
+
+struct KeyRecord {
+  std::string text;
+  int holders = 0;  ///< grants that were sent, or may still be
+  bool stuck = false;
+  std::optional<ClaimResult> result;
+};
+
+/// @brief Hosts, keys and faults drawn from one seed.
+class RandomRun {
+ public:
+  explicit RandomRun(unsigned seed) : random(seed), seed(seed) {
+    this->fixture.settings.retention_ms = 20'000;
+    this->fixture.settings.key_margin_ms = 2'000;
+    this->fixture.settings.record_limit_ms = 3'000;
+    this->fixture.settings.inline_result_bytes = 20;
+    this->fixture.settings.max_index_entries = 25;
+    this->restarts = this->Below(2) == 0;
+    for (int i = 0; i < kHosts; ++i) {
+      this->clocks.push_back(std::make_unique<SkewedClock>(
+          &this->fixture.clock, this->Below(3'000) - 1'500));
+      this->fixture.hosts.push_back(nullptr);
+      this->Restart(i);
+    }
+    for (int i = 0; i < kKeys; ++i) {
+      this->keys.push_back(
+          {this->fixture.Key(std::to_string(i)), 0, false, std::nullopt});
+    }
+  }
+
+  void Run() {
+    for (int i = 0; i < kSteps; ++i) {
+      this->Act(this->Below(16));
+    }
+    this->Recover();
+    for (std::size_t key = 0; key < this->keys.size(); ++key) {
+      this->CheckNotBlocked(key);
+    }
+  }
+
+  int grants = 0;
+
+ private:
+  int Below(int bound) {
+    return static_cast<int>(this->random() % static_cast<unsigned>(bound));
+  }
+
+  void Check(bool holds, const char* what) const {
+    if (!holds) {
+      std::fprintf(stderr, "seed %u: %s\n", this->seed, what);
+    }
+    cr_assert(holds);
+  }
+
+  void Restart(int host) {
+    ClaimTools tools;
+    tools.store = &this->fixture.store;
+    tools.scheduler = &this->fixture.scheduler;
+    tools.clock = this->clocks[static_cast<std::size_t>(host)].get();
+    tools.settings = this->fixture.settings;
+    this->fixture.hosts[static_cast<std::size_t>(host)] =
+        std::make_unique<StoreClaimService>(tools);
+  }
+
+  void Act(int action) {
+    if (action < 4) {
+      this->Submit(this->Below(kHosts),
+                   static_cast<std::size_t>(this->Below(kKeys)));
+    } else if (action < 9) {
+      this->fixture.store.Step();
+    } else if (action < 12) {
+      this->fixture.clock.Advance(this->Below(40));
+      this->fixture.scheduler.RunDue();
+    } else if (action == 12) {
+      this->fixture.store.FailWrites({static_cast<WriteFault>(this->Below(4))});
+    } else if (action == 13) {
+      this->fixture.store.ReleaseDelayed();
+    } else if (action == 14) {
+      this->fixture.store.SetDown(this->Below(4) == 0);
+    } else if (this->Below(8) == 0) {
+      this->fixture.clock.Advance(this->Below(9'000));
+    } else if (this->restarts && this->Below(4) == 0) {
+      this->Restart(this->Below(kHosts));
+      this->restarted = true;
+    }
+  }
+
+  void Submit(int host, std::size_t key) {
+    const auto told = std::make_shared<int>(0);
+    ClaimRequest request;
+    request.key = this->keys[key].text;
+    request.deadline_unix_ms =
+        this->clocks[static_cast<std::size_t>(host)]->WallMs() + 1 +
+        this->Below(1'000);
+    this->fixture.hosts[static_cast<std::size_t>(host)]->Claim(
+        request,
+        [this, host, key, told](const absl::StatusOr<ClaimAnswer>& answer) {
+          this->Check(++*told == 1, "answered once");
+          this->OnAnswer(host, key, answer);
+        });
+  }
+
+  void OnAnswer(int host, std::size_t key,
+                const absl::StatusOr<ClaimAnswer>& answer) {
+    KeyRecord& record = this->keys[key];
+    if (!answer.ok()) {
+      return;
+    }
+    if (std::holds_alternative<ClaimResult>(*answer)) {
+      this->Check(record.result == std::get<ClaimResult>(*answer),
+                  "a replay is the result");
+      return;
+    }
+    this->Check(record.holders == 0, "one holder at a time");
+    this->Check(!record.result.has_value(), "none after a result");
+    ++this->grants;
+    const ClaimGrant grant = std::get<ClaimGrant>(*answer);
+    const int fate = this->Below(3);
+    ClaimService* const service =
+        this->fixture.hosts[static_cast<std::size_t>(host)].get();
+    if (fate == 0) {
+      // Not sent: given back. The release may be lost and then it stays held.
+      record.stuck = true;
+      service->Release(grant, [&record](const absl::Status& status) {
+        record.stuck = !status.ok() && record.stuck;
+      });
+      return;
+    }
+    ++record.holders;
+    if (fate == 1) {
+      const std::string body(static_cast<std::size_t>(this->Below(40)), 'r');
+      record.result = ClaimResult{200, "text/plain", body};
+      service->RecordResult(grant, *record.result, [](const absl::Status&) {});
+    }
+  }
+
+  void Recover() {
+    this->fixture.store.SetDown(false);
+    for (int round = 0; round < 300; ++round) {
+      this->fixture.store.Settle();
+      this->fixture.clock.Advance(50);
+      this->fixture.scheduler.RunDue();
+    }
+    this->fixture.store.ReleaseDelayed();
+    this->fixture.store.Settle();
+  }
+
+  // Nobody was ever told that a key is held which no one holds.
+  void CheckNotBlocked(std::size_t key) {
+    const KeyRecord& record = this->keys[key];
+    const bool was_held = record.holders > 0 || record.stuck;
+    if (was_held || this->restarted) {
+      return;
+    }
+    absl::Status last;
+    this->fixture.hosts[0]->Claim(
+        {"",
+         record.text,
+         KeyForm::kTimed,
+         {},
+         this->clocks[0]->WallMs() + 1'000},
+        [&last](const absl::StatusOr<ClaimAnswer>& answer) {
+          last = answer.status();
+        });
+    this->fixture.Run(50);
+    this->Check(DetailOf(last).id != ErrorId::kClaimHeld, "not blocked");
+  }
+
+  ClaimFixture fixture{0, SmallSegments()};
+  std::vector<std::unique_ptr<SkewedClock>> clocks;
+  std::vector<KeyRecord> keys;
+  std::mt19937 random;
+  unsigned seed;
+  bool restarts = false;
+  bool restarted = false;
+};
+
+unsigned FromEnvironment(const char* name, unsigned fallback) {
+  const char* const text = std::getenv(name);
+  return text == nullptr
+             ? fallback
+             : static_cast<unsigned>(std::strtoul(text, nullptr, 10));
+}
+
+Test(under_random_faults, no_key_is_ever_granted_twice) {
+  const unsigned first = FromEnvironment("CLAIM_FIRST_SEED", 1);
+  const unsigned seeds = FromEnvironment("CLAIM_SEEDS", kDefaultSeeds);
+  int grants = 0;
+  for (unsigned seed = first; seed < first + seeds; ++seed) {
+    RandomRun run(seed);
+    run.Run();
+    grants += run.grants;
+  }
+  std::fprintf(stderr, "seeds %u..%u: %d grants\n", first, first + seeds - 1,
+               grants);
+  cr_assert(grants > 0);
+}
+
+}  // namespace
+}  // namespace meadowthread
--- a/src/claims/tests/claim_test.cc
+++ b/src/claims/tests/claim_test.cc
@@ -75,6 +75,21 @@
   cr_assert(second->Granted());
 }
 
+Test(a_claim, is_judged_on_a_view_younger_than_itself) {
+  ClaimFixture fixture;
+  const std::string key = fixture.Key("pickup");
+  const auto first = fixture.Claim(0, key);
+  fixture.Run(100);
+  // given: host 1 has seen it held, and since then it was given back
+  const auto held = fixture.Claim(1, key);
+  fixture.Run(100);
+  cr_assert(held->Refused(ErrorId::kClaimHeld, Outcome::kUnknown));
+  cr_assert(fixture.Release(0, first->Grant()).ok());
+  const auto second = fixture.Claim(1, key);
+  fixture.Run(100);
+  cr_assert(second->Granted());
+}
+
 Test(a_claim, is_refused_where_the_key_tells_no_time_or_a_future_one) {
   ClaimFixture fixture;
   const auto untimed = fixture.Claim(0, "pickup");
