--- a/src/gateway/answer_format.cc
+++ b/src/gateway/answer_format.cc
@@ -31,8 +31,7 @@
 json Choice(AnswerForm form, const json& text, const json& finish_reason) {
   json choice = {{"index", 0}, {"finish_reason", finish_reason}};
   if (form == AnswerForm::kChat) {
-    choice["delta"] =
-        text.is_null() ? json::object() : json{{"content", text}};
+    choice["delta"] = text.is_null() ? json::object() : json{{"content", text}};
   } else {
     choice["text"] = text.is_null() ? json("") : text;
   }
@@ -66,11 +65,10 @@
 }
 
 void AnswerFormat::AppendEnd(std::string_view finish_reason,
-                             const AnswerUsage& usage,
-                             std::string& out) const {
+                             const AnswerUsage& usage, std::string& out) const {
   json chunk = Base(this->head, ChunkObject(this->head.form));
-  chunk["choices"] = json::array({Choice(
-      this->head.form, json(nullptr), json(std::string(finish_reason)))});
+  chunk["choices"] = json::array({Choice(this->head.form, json(nullptr),
+                                         json(std::string(finish_reason)))});
   chunk["usage"] = Usage(usage);
   absl::StrAppend(&out, "data: ", Dump(chunk), "\n\ndata: [DONE]\n\n");
 }
--- a/src/gateway/caller_request.cc
+++ b/src/gateway/caller_request.cc
@@ -18,9 +18,9 @@
   detail.outcome = Outcome::kNotRun;
   detail.step = "parse";
   detail.field = std::string(field);
-  return MakeError(absl::StatusCode::kInvalidArgument, detail,
-                   absl::StrCat("field '", std::string(field), "' ",
-                                std::string(what)));
+  return MakeError(
+      absl::StatusCode::kInvalidArgument, detail,
+      absl::StrCat("field '", std::string(field), "' ", std::string(what)));
 }
 
 // Content is a string, or a list of parts of which the text ones count.
--- a/src/gateway/caller_request.h
+++ b/src/gateway/caller_request.h
@@ -14,7 +14,7 @@
 struct CallerRequest {
   AnswerForm form = AnswerForm::kChat;
   std::string model;
-  std::string prompt;  ///< messages of a chat are joined, one a line
+  std::string prompt;           ///< messages of a chat are joined, one a line
   std::int64_t max_tokens = 0;  ///< 0: not given
   bool stream = false;
 };
--- a/src/gateway/caller_stream.cc
+++ b/src/gateway/caller_stream.cc
@@ -138,8 +138,7 @@
   problem.request = this->head.request;
   problem.safe_to_repeat = safe_to_repeat;
   if (!this->head_sent) {
-    const bool interrupted =
-        DetailOf(status).outcome == Outcome::kInterrupted;
+    const bool interrupted = DetailOf(status).outcome == Outcome::kInterrupted;
     problem.tokens_delivered = interrupted ? this->delivered : -1;
     this->writer->SendWhole(ProblemResponse(problem));
     return;
--- a/src/gateway/generation_session.cc
+++ b/src/gateway/generation_session.cc
@@ -103,8 +103,8 @@
   request.deadline_unix_ms =
       this->start.arrived_ms + this->start.terms.deadline_ms;
   this->parts.claims.Claim(
-      request, [this, alive = this->alive](
-                   const absl::StatusOr<ClaimAnswer>& answer) {
+      request,
+      [this, alive = this->alive](const absl::StatusOr<ClaimAnswer>& answer) {
         if (*alive) {
           this->OnClaimed(answer);
         }
@@ -194,9 +194,10 @@
   work.prompt_tokens = EstimateTokens(this->start.asked.prompt);
   work.max_output_tokens = this->start.terms.max_output_tokens;
   work.arrived_ms = this->start.arrived_ms;
-  work.deadline_ms = this->start.terms.deadline_ms > 0
-                         ? this->start.arrived_ms + this->start.terms.deadline_ms
-                         : 0;
+  work.deadline_ms =
+      this->start.terms.deadline_ms > 0
+          ? this->start.arrived_ms + this->start.terms.deadline_ms
+          : 0;
   work.urgency = this->start.terms.urgency;
   work.prefix_hash = PrefixHash(this->start.asked.prompt);
   return work;
@@ -236,9 +237,9 @@
   detail.step = "admit";
   detail.retry_after_ms = retry_after_ms;
   this->ReleaseClaim();
-  this->Fail(MakeError(absl::StatusCode::kResourceExhausted, detail,
-                       absl::StrCat("not admitted: ",
-                                    std::string(RefusalReasonName(reason)))));
+  this->Fail(MakeError(
+      absl::StatusCode::kResourceExhausted, detail,
+      absl::StrCat("not admitted: ", std::string(RefusalReasonName(reason)))));
 }
 
 void GenerationSession::SendNow(const Decision& decision) {
--- a/src/gateway/generation_session.h
+++ b/src/gateway/generation_session.h
@@ -35,7 +35,7 @@
   Hash256 body_digest{};
   CallerRequest asked;
   ServiceTerms terms;
-  std::int64_t arrived_ms = 0;  ///< Unix time
+  std::int64_t arrived_ms = 0;       ///< Unix time
   std::int64_t expected_tokens = 0;  ///< as counted against the limits
 };
 
@@ -147,7 +147,7 @@
   std::int64_t first_token_ms = -1;
   std::int64_t last_token_ms = 0;
   std::int64_t longest_gap_ms = 0;
-  std::int64_t last_sign_ms = 0;   ///< of anything sent to the caller
+  std::int64_t last_sign_ms = 0;     ///< of anything sent to the caller
   std::int64_t paused_since_ms = 0;  ///< 0: not paused
   bool noted_in_fleet = false;
   bool resumed = false;  ///< begun elsewhere: the policy did not place it here
--- a/src/gateway/generation_session_stream.cc
+++ b/src/gateway/generation_session_stream.cc
@@ -120,9 +120,9 @@
                                      "tokens are missing"));
       return;
     case AssemblerVerdict::kForeign:
-      this->AfterGenerationLost(this->ErrorOf(
-          ErrorId::kGenerationLost, Outcome::kInterrupted, "stream",
-          "the engine streams another generation"));
+      this->AfterGenerationLost(
+          this->ErrorOf(ErrorId::kGenerationLost, Outcome::kInterrupted,
+                        "stream", "the engine streams another generation"));
       return;
     case AssemblerVerdict::kComplete:
       this->DeliverReady();
@@ -216,8 +216,8 @@
       this->start.terms.deadline_ms > 0
           ? this->start.arrived_ms + this->start.terms.deadline_ms
           : 0;
-  const RetryAnswer answer = this->parts.retries.Ask(
-      {this->attempts, deadline}, now, this->parts.random());
+  const RetryAnswer answer = this->parts.retries.Ask({this->attempts, deadline},
+                                                     now, this->parts.random());
   if (answer.verdict != RetryVerdict::kRetry || this->caller_gone) {
     LogLine line("retry-refused");
     line.Add("request", this->start.request)
@@ -236,8 +236,7 @@
           return;
         }
         const Decision decision = this->parts.dispatcher.Choose(
-            this->MakeWork(), this->parts.clock.WallMs(),
-            this->parts.random());
+            this->MakeWork(), this->parts.clock.WallMs(), this->parts.random());
         if (decision.engine.has_value()) {
           this->SendNow(decision);
         } else {
@@ -264,9 +263,9 @@
 
 void GenerationSession::ResumeStream() {
   this->paused_since_ms = 0;
-  this->stream = this->parts.engines.Resume(
-      this->engine, this->assembler.Generation(), this->assembler.NextIndex(),
-      *this);
+  this->stream =
+      this->parts.engines.Resume(this->engine, this->assembler.Generation(),
+                                 this->assembler.NextIndex(), *this);
 }
 
 // Nothing more will come of the pinned generation. A second one may take its
@@ -375,9 +374,9 @@
   this->RetireStream();
   const std::int64_t tokens = this->assembler.NextIndex();
   if (!this->resumed) {
-    this->parts.limits.Ended(
-        this->start.terms.workspace, this->start.expected_tokens,
-        EstimateTokens(this->start.asked.prompt) + tokens);
+    this->parts.limits.Ended(this->start.terms.workspace,
+                             this->start.expected_tokens,
+                             EstimateTokens(this->start.asked.prompt) + tokens);
   }
   SessionEnd end;
   end.request = this->start.request;
--- a/src/gateway/problem.cc
+++ b/src/gateway/problem.cc
@@ -83,21 +83,20 @@
   const ErrorDetail detail = DetailOf(problem.status);
   const int http_status = HttpStatusOf(detail.id);
   const std::string message(problem.status.message());
-  json body = {
-      {"type", absl::StrCat("urn:meadowthread:error:",
-                            static_cast<int>(detail.id))},
-      {"title", TitleOf(detail.id)},
-      {"status", http_status},
-      {"detail", message},
-      {"code", static_cast<int>(detail.id)},
-      {"outcome", std::string(OutcomeName(detail.outcome))},
-      {"step", detail.step},
-      {"peer", detail.peer},
-      {"request", problem.request},
-      {"error",
-       {{"message", message},
-        {"type", std::string(TypeOf(http_status))},
-        {"code", std::to_string(static_cast<int>(detail.id))}}}};
+  json body = {{"type", absl::StrCat("urn:meadowthread:error:",
+                                     static_cast<int>(detail.id))},
+               {"title", TitleOf(detail.id)},
+               {"status", http_status},
+               {"detail", message},
+               {"code", static_cast<int>(detail.id)},
+               {"outcome", std::string(OutcomeName(detail.outcome))},
+               {"step", detail.step},
+               {"peer", detail.peer},
+               {"request", problem.request},
+               {"error",
+                {{"message", message},
+                 {"type", std::string(TypeOf(http_status))},
+                 {"code", std::to_string(static_cast<int>(detail.id))}}}};
   if (!detail.field.empty()) {
     body["field"] = detail.field;
     body["error"]["param"] = detail.field;
--- /dev/null
+++ b/src/hosts/host_list_poller.cc
@@ -0,0 +1,60 @@
+#include "hosts/host_list_poller.h"
+
+#include "absl/strings/str_cat.h"
+#include "base/log_line.h"
+
+namespace meadowthread {
+namespace {
+
+constexpr std::size_t kMaxBytes = 16 * 1024 * 1024;
+constexpr std::int64_t kTimeoutMs = 2000;
+constexpr int kOk = 200;
+
+}  // namespace
+
+HostListPoller::HostListPoller(HttpClient& client, Scheduler& scheduler,
+                               HostDirectory& directory, std::string_view url,
+                               std::int64_t period_ms)
+    : client(client),
+      scheduler(scheduler),
+      directory(directory),
+      url(url),
+      period_ms(period_ms) {}
+
+void HostListPoller::Start() { this->Poll(); }
+
+void HostListPoller::Poll() {
+  HttpRequest request;
+  request.url = this->url;
+  request.total_timeout_ms = kTimeoutMs;
+  Fetch(this->client, request, kMaxBytes, [this](const HttpFetched& fetched) {
+    this->Take(fetched);
+    this->scheduler.After(this->period_ms, [this] { this->Poll(); });
+  });
+}
+
+// The last list stays in use while none can be read: the list is a hint, and
+// what it lacks is found out by asking hosts.
+void HostListPoller::Take(const HttpFetched& fetched) {
+  absl::Status status = fetched.end.status;
+  if (status.ok() && fetched.response.http_status != kOk) {
+    status = absl::UnavailableError(
+        absl::StrCat("answered ", fetched.response.http_status));
+  }
+  if (status.ok()) {
+    const absl::StatusOr<HostList> list = DecodeHostList(fetched.response.body);
+    status = list.status();
+    if (list.ok()) {
+      this->directory.Apply(*list);
+    }
+  }
+  if (status.ok() == this->failing) {
+    this->failing = !status.ok();
+    LogLine line("host-list");
+    line.Add("state", status.ok() ? "readable" : "unreadable")
+        .Add("why", std::string(status.message()))
+        .Write();
+  }
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/hosts/tests/host_directory_test.cc
@@ -0,0 +1,46 @@
+#include "hosts/host_directory.h"
+
+#include <criterion/criterion.h>
+
+#include "base/error.h"
+
+namespace meadowthread {
+namespace {
+
+constexpr char kList[] = R"({"as_of_unix_ms":5,"hosts":[
+  {"name":"e1","role":"engine","address":"127.0.0.1","port":9101,
+   "zone":"pasig-hall","state":"leaving","checks_fence":true},
+  {"name":"b1","role":"backend","address":"::1","port":9,"service":"rounds"},
+  {"name":"h1","role":"entry","address":"127.0.0.1","port":8080,
+   "control_port":8081}]})";
+
+Test(a_host_list, is_read_by_role_and_service) {
+  const auto list = DecodeHostList(kList);
+  cr_assert(list.ok());
+  HostDirectory directory;
+  cr_assert(directory.Apply(*list));
+  cr_assert(directory.Find("e1")->leaving);
+  cr_assert(directory.Find("e1")->checks_fence);
+  cr_assert(directory.OfService("rounds").size() == 1);
+  cr_assert(directory.Find("b1")->BaseUrl() == "http://[::1]:9");
+  cr_assert(directory.Find("h1")->ControlUrl() == "http://127.0.0.1:8081");
+}
+
+Test(a_host_list, that_is_older_than_the_one_in_hand_is_passed_over) {
+  HostDirectory directory;
+  cr_assert(directory.Apply(*DecodeHostList(kList)));
+  cr_assert(!directory.Apply({4, {}}));
+  cr_assert(directory.Find("e1") != nullptr);
+}
+
+Test(a_host_list, that_cannot_be_read_says_which_field) {
+  const auto list =
+      DecodeHostList(R"({"hosts":[{"name":"x","role":"engine"}]})");
+  cr_assert(list.status().message().find("address") != absl::string_view::npos);
+  for (const char* body : {"", "[]", "{}", "\xff", R"({"hosts":[3]})"}) {
+    cr_assert(!DecodeHostList(body).ok());
+  }
+}
+
+}  // namespace
+}  // namespace meadowthread
--- a/src/policy/engine_view.h
+++ b/src/policy/engine_view.h
@@ -5,16 +5,9 @@
 #include <string>
 #include <vector>
 
-namespace meadowthread {
-
-/// @brief A model with its adapter and version, as an engine has it loaded.
-struct ServedModel {
-  std::string model;
-  std::string adapter;  ///< empty: the bare model
-  std::string version;
+#include "base/served_model.h"
 
-  friend bool operator==(const ServedModel&, const ServedModel&) = default;
-};
+namespace meadowthread {
 
 /// @brief What the host list says of one engine.
 struct EngineListing {
