Stand-ins: model engines, object API and host list over HTTP

Cause: the whole path needs something to run against: engines that batch, preempt and resume, an object API with conditions and faults, a lagging list.

Ruled out: QHttpServerResponder for streams (a responder writes through Qt's buffer and its notifier for each token); one process an engine (14 processes for a demo); a cluster simulator.

Change: standins/ with one program, `meadowthread-standins ROLE`. State is in pure classes (EngineModel, ObjectTable, HostHistory) with time as an argument; HTTP adapters stand apart on QAbstractHttpServer. A chunk goes straight to the kernel while Qt holds nothing back.

--- /dev/null
+++ b/standins/engine/engine_service.cc
@@ -0,0 +1,304 @@
+#include "engine/engine_service.h"
+
+#include <random>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "engine/engine_wire.h"
+
+namespace meadowthread::standins {
+namespace {
+
+// The time and a random part: no two starts of an engine share it.
+std::string NewIncarnation(std::int64_t now_ms) {
+  std::random_device random;
+  return absl::StrCat(absl::Hex(now_ms),
+                      absl::Hex(random() & 0xFFFFU, absl::kZeroPad4));
+}
+
+int StatusOf(std::string_view reason) {
+  if (reason == "full") {
+    return 429;
+  }
+  return reason == "malformed" ? 400 : 503;
+}
+
+}  // namespace
+
+EngineService::EngineService(const EngineOptions& options,
+                             const std::string& name)
+    : options(options),
+      name(name),
+      model(options.limits, name, NewIncarnation(this->clock.NowMs())),
+      reports(options.report_lag_ms),
+      orders(options.checks_fence),
+      loader(
+          options.weights_url, name,
+          [this](const ModelRef& one) { return this->models.IsLoading(one); },
+          [this](const ModelRef& one) { this->models.MarkReady(one); }) {
+  for (const ModelRef& one : options.models) {
+    this->models.Add(one);
+  }
+}
+
+void EngineService::Handle(const Request& request,
+                           const ExchangePtr& exchange) {
+  if (!request.segments.empty() && request.segments[0] == "standin") {
+    this->HandleControl(request, exchange);
+    return;
+  }
+  if (this->faults.stall) {
+    this->Cork(exchange);
+  }
+  const bool of_one = request.segments.size() == 3 &&
+                      request.segments[0] == "v1" &&
+                      request.segments[1] == "generations";
+  if (request.PathIs({"v1", "generations"}) && request.method == "POST") {
+    this->Start(request, exchange);
+  } else if (of_one && request.method == "GET") {
+    this->Resume(request, exchange);
+  } else if (of_one && request.method == "DELETE") {
+    this->Cancel(request.segments[2], exchange);
+  } else if (request.PathIs({"v1", "load"})) {
+    this->SendLoad(exchange);
+  } else if (request.PathIs({"v1", "cache-events"})) {
+    this->SendCacheEvents(request, exchange);
+  } else if (request.PathIs({"v1", "orders"}) && request.method == "POST") {
+    this->TakeOrder(request, exchange);
+  } else {
+    exchange->Send(ErrorReply(404, "no_such_call", request.path));
+  }
+}
+
+void EngineService::Tick() {
+  if (this->faults.stall) {
+    return;
+  }
+  const std::int64_t now_ms = this->clock.NowMs();
+  this->model.Advance(now_ms);
+  this->reports.Note(this->model.Load(), now_ms);
+  std::vector<Generation*> over;
+  for (const auto& [generation, stream] : this->streams) {
+    if (stream->Pump(this->faults, now_ms, &this->token_events,
+                     &this->buffer)) {
+      over.push_back(generation);
+    }
+  }
+  for (Generation* generation : over) {
+    this->Detach(generation);
+  }
+}
+
+// 1. generations
+
+void EngineService::Start(const Request& request, const ExchangePtr& exchange) {
+  ++this->record.counts.starts;
+  const std::optional<GenerationSpec> spec = ParseStart(request.body);
+  if (!spec) {
+    this->Reject({}, "malformed", exchange);
+    return;
+  }
+  const bool refuses = this->faults.refuse_after_read > 0;
+  if (refuses) {
+    --this->faults.refuse_after_read;
+  }
+  if (refuses && !this->faults.run) {
+    this->Refuse(*spec, "refused_after_read");
+    exchange->Abort();
+    return;
+  }
+  const std::string reason = this->RejectionOf(*spec);
+  const std::int64_t now_ms = this->clock.NowMs();
+  Generation* generation =
+      reason.empty() ? this->model.Start(*spec, now_ms) : nullptr;
+  if (generation == nullptr) {
+    this->Reject(*spec, reason.empty() ? "full" : reason, exchange);
+  } else if (refuses) {
+    this->model.SetRead(generation, false, now_ms);
+    exchange->Abort();
+  } else {
+    this->Attach(generation, 0, exchange);
+  }
+}
+
+std::string EngineService::RejectionOf(const GenerationSpec& spec) const {
+  if (!this->faults.reject.empty()) {
+    return this->faults.reject;
+  }
+  if (this->state == "leaving") {
+    return "leaving";
+  }
+  return this->models.Has(spec.model) ? "" : "not_loaded";
+}
+
+void EngineService::Refuse(const GenerationSpec& spec,
+                           std::string_view reason) {
+  this->record.refused.push_back(
+      {spec.request, spec.workspace, std::string(reason), this->clock.NowMs()});
+}
+
+void EngineService::Reject(const GenerationSpec& spec, std::string_view reason,
+                           const ExchangePtr& exchange) {
+  ++this->record.counts.rejects;
+  this->Refuse(spec, reason);
+  exchange->Send(ErrorReply(StatusOf(reason), reason, "not run"));
+}
+
+void EngineService::Resume(const Request& request,
+                           const ExchangePtr& exchange) {
+  ++this->record.counts.resumes;
+  Generation* generation =
+      this->model.Find(request.segments[2], this->clock.NowMs());
+  const std::int64_t from = request.QueryNumber("from", 0);
+  if (generation == nullptr || from < 0) {
+    ++this->record.counts.unknown_resumes;
+    exchange->Send(ErrorReply(404, "unknown", "no such generation"));
+    return;
+  }
+  this->Attach(generation, from, exchange);
+}
+
+void EngineService::Cancel(const std::string& id, const ExchangePtr& exchange) {
+  ++this->record.counts.cancels;
+  if (!this->model.Cancel(id, this->clock.NowMs())) {
+    exchange->Send(ErrorReply(404, "unknown", "it is not running"));
+    return;
+  }
+  Reply reply;
+  reply.status = 204;
+  reply.content_type.clear();
+  exchange->Send(reply);
+}
+
+void EngineService::Attach(Generation* generation, std::int64_t from,
+                           const ExchangePtr& exchange) {
+  const auto standing = this->streams.find(generation);
+  if (standing != this->streams.end()) {
+    standing->second->Exchange()->Abort();
+    this->streams.erase(standing);
+  }
+  this->model.SetRead(generation, true, this->clock.NowMs());
+  auto stream = std::make_unique<TokenStream>(exchange, generation, from);
+  stream->Begin();
+  this->streams[generation] = std::move(stream);
+  exchange->OnClosed([this, generation] { this->Detach(generation); });
+}
+
+void EngineService::Detach(Generation* generation) {
+  this->streams.erase(generation);
+  this->model.SetRead(generation, false, this->clock.NowMs());
+}
+
+// 2. load, cache events and orders
+
+void EngineService::SendLoad(const ExchangePtr& exchange) {
+  ++this->record.counts.load_reads;
+  const LoadReport report = this->reports.At(this->clock.NowMs());
+  exchange->Send(
+      JsonReply(200, {{"engine", this->name},
+                      {"incarnation", this->model.Incarnation()},
+                      {"as_of_unix_ms", report.as_of_ms},
+                      {"running", report.load.running},
+                      {"waiting", report.load.waiting},
+                      {"kv_used", report.load.kv_used},
+                      {"kv_capacity", report.load.kv_capacity},
+                      {"preemptions", report.load.preemptions},
+                      {"role", this->options.role},
+                      {"state", this->state},
+                      {"models", ModelsJson(this->models.Loaded())}}));
+}
+
+void EngineService::SendCacheEvents(const Request& request,
+                                    const ExchangePtr& exchange) {
+  const std::int64_t as_of_ms =
+      this->clock.NowMs() - this->options.cache_lag_ms;
+  const std::vector<CacheEvent> events = this->model.Prefixes().EventsAfter(
+      request.QueryNumber("after", 0), as_of_ms, this->options.cache_gap_every);
+  exchange->Send(JsonReply(200, CacheEventsJson(events)));
+}
+
+void EngineService::TakeOrder(const Request& request,
+                              const ExchangePtr& exchange) {
+  const std::optional<Order> order = ParseOrder(request.body);
+  if (!order) {
+    exchange->Send(ErrorReply(400, "malformed", "not an order"));
+    return;
+  }
+  const OrderAnswer answer = this->orders.Take(*order, this->clock.NowMs());
+  if (answer == OrderAnswer::kDeadlinePassed) {
+    exchange->Send(ErrorReply(410, "deadline_passed", "too late"));
+    return;
+  }
+  if (answer == OrderAnswer::kStaleFence) {
+    exchange->Send(JsonReply(409, {{"reason", "stale_fence"},
+                                   {"fence", this->orders.HighestFence()}}));
+    return;
+  }
+  if (!order->role.empty()) {
+    this->options.role = order->role;
+  }
+  for (const ModelRef& one : this->models.SetDesired(order->models)) {
+    this->loader.Load(one);
+  }
+  exchange->Send(JsonReply(200, {{"applied", true}}));
+}
+
+// 3. control by tests
+
+void EngineService::HandleControl(const Request& request,
+                                  const ExchangePtr& exchange) {
+  if (request.PathIs({"standin", "record"})) {
+    exchange->Send(
+        JsonReply(200, this->record.ToJson(this->model, this->orders)));
+    return;
+  }
+  const nlohmann::json change =
+      nlohmann::json::parse(request.body, nullptr, false);
+  if (!request.PathIs({"standin", "faults"}) || !change.is_object()) {
+    exchange->Send(ErrorReply(400, "malformed", "not a control call"));
+    return;
+  }
+  try {
+    this->ApplyFaults(change);
+    exchange->Send(JsonReply(200, {{"applied", true}}));
+  } catch (const nlohmann::json::exception& error) {
+    exchange->Send(ErrorReply(400, "malformed", error.what()));
+  }
+}
+
+void EngineService::ApplyFaults(const nlohmann::json& change) {
+  this->faults.Merge(change);
+  this->state = change.value("state", this->state);
+  if (!this->faults.stall) {
+    this->Uncork();
+  }
+  if (change.value("lose_generations", false)) {
+    const std::int64_t now_ms = this->clock.NowMs();
+    this->CloseStreams();
+    this->model.Restart(NewIncarnation(now_ms), now_ms);
+  }
+  if (change.value("close_streams", false)) {
+    this->CloseStreams();
+  }
+}
+
+void EngineService::CloseStreams() {
+  while (!this->streams.empty()) {
+    Generation* generation = this->streams.begin()->first;
+    this->streams.begin()->second->Exchange()->Abort();
+    this->Detach(generation);
+  }
+}
+
+void EngineService::Cork(const ExchangePtr& exchange) {
+  exchange->SetCorked(true);
+  this->corked.push_back(exchange);
+}
+
+void EngineService::Uncork() {
+  for (const ExchangePtr& exchange : std::exchange(this->corked, {})) {
+    exchange->SetCorked(false);
+  }
+}
+
+}  // namespace meadowthread::standins
--- /dev/null
+++ b/standins/hostlist/host_list_service.cc
@@ -0,0 +1,36 @@
+#include "hostlist/host_list_service.h"
+
+#include <string>
+
+namespace meadowthread::standins {
+
+void HostListService::Handle(const Request& request,
+                             const ExchangePtr& exchange) {
+  if (request.PathIs({"hosts"}) && request.method == "GET") {
+    ++this->reads;
+    const std::int64_t as_of_ms = this->clock.NowMs() - this->lag_ms;
+    exchange->Send(
+        JsonReply(200, {{"as_of_unix_ms", as_of_ms},
+                        {"hosts", this->history.At(as_of_ms).hosts}}));
+  } else if (request.PathIs({"standin", "hosts"}) && request.method == "PUT") {
+    this->Change(request, exchange);
+  } else if (request.PathIs({"standin", "record"})) {
+    exchange->Send(JsonReply(200, {{"reads", this->reads}}));
+  } else {
+    exchange->Send(ErrorReply(404, "no_such_call", request.path));
+  }
+}
+
+void HostListService::Change(const Request& request,
+                             const ExchangePtr& exchange) {
+  const absl::StatusOr<nlohmann::json> hosts = ParseHosts(request.body);
+  if (!hosts.ok()) {
+    exchange->Send(
+        ErrorReply(400, "malformed", std::string(hosts.status().message())));
+    return;
+  }
+  this->history.Set(*hosts, this->clock.NowMs());
+  exchange->Send(JsonReply(200, {{"applied", true}}));
+}
+
+}  // namespace meadowthread::standins
--- /dev/null
+++ b/standins/hostlist/host_list_service.h
@@ -0,0 +1,32 @@
+#ifndef MEADOWTHREAD_STANDINS_HOSTLIST_HOST_LIST_SERVICE_H_
+#define MEADOWTHREAD_STANDINS_HOSTLIST_HOST_LIST_SERVICE_H_
+
+#include "hostlist/host_history.h"
+#include "http/http_listener.h"
+#include "http/standin_clock.h"
+
+namespace meadowthread::standins {
+
+/// @brief The platform's lagging host list over HTTP.
+class HostListService final : public HttpService {
+ public:
+  /// @param[in] lag_ms how late a change is shown
+  explicit HostListService(std::int64_t lag_ms) : lag_ms(lag_ms) {}
+
+  /// @brief The list at the start, shown at once.
+  void SetFirst(const nlohmann::json& hosts) { this->history.Set(hosts, 0); }
+
+  void Handle(const Request& request, const ExchangePtr& exchange) override;
+
+ private:
+  void Change(const Request& request, const ExchangePtr& exchange);
+
+  StandinClock clock;
+  HostHistory history;
+  std::int64_t lag_ms;
+  std::int64_t reads = 0;
+};
+
+}  // namespace meadowthread::standins
+
+#endif  // MEADOWTHREAD_STANDINS_HOSTLIST_HOST_LIST_SERVICE_H_
--- /dev/null
+++ b/standins/http/http_listener.cc
@@ -0,0 +1,82 @@
+#include "http/http_listener.h"
+
+#include <QHostAddress>
+#include <QHttpServerRequest>
+#include <QMetaEnum>
+#include <QUrlQuery>
+#include <iostream>
+
+namespace meadowthread::standins {
+namespace {
+
+std::string Decoded(const QByteArray& encoded) {
+  return QByteArray::fromPercentEncoding(encoded).toStdString();
+}
+
+std::string MethodName(QHttpServerRequest::Method method) {
+  const auto names = QMetaEnum::fromType<QHttpServerRequest::Method>();
+  return QByteArray(names.valueToKey(static_cast<int>(method)))
+      .toUpper()
+      .toStdString();
+}
+
+void ReadPath(const QUrl& url, Request* request) {
+  const QByteArray path = url.path(QUrl::FullyEncoded).toUtf8();
+  request->path = path.toStdString();
+  for (const QByteArray& part : path.split('/')) {
+    if (!part.isEmpty()) {
+      request->segments.push_back(Decoded(part));
+    }
+  }
+}
+
+void ReadQuery(const QUrl& url, Request* request) {
+  const auto items = QUrlQuery(url).queryItems(QUrl::FullyEncoded);
+  for (const auto& item : items) {
+    request->query.push_back(
+        {Decoded(item.first.toUtf8()), Decoded(item.second.toUtf8())});
+  }
+}
+
+Request ReadRequest(const QHttpServerRequest& source) {
+  Request request;
+  request.method = MethodName(source.method());
+  request.body = source.body().toStdString();
+  ReadPath(source.url(), &request);
+  ReadQuery(source.url(), &request);
+  const auto headers = source.headers();
+  for (const auto& header : headers) {
+    request.headers.push_back(
+        {header.first.toStdString(), header.second.toStdString()});
+  }
+  return request;
+}
+
+}  // namespace
+
+std::uint16_t HttpListener::Listen(const std::string& address,
+                                   std::uint16_t port, std::string_view role,
+                                   std::string_view name) {
+  const std::uint16_t actual =
+      this->listen(QHostAddress(QString::fromStdString(address)), port);
+  if (actual != 0) {
+    std::cout << "ready role=" << role << " name=" << name << " port=" << actual
+              << std::endl;
+  }
+  return actual;
+}
+
+bool HttpListener::handleRequest(const QHttpServerRequest& request,
+                                 QTcpSocket* socket) {
+  socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  this->service->Handle(ReadRequest(request),
+                        std::make_shared<HttpExchange>(socket));
+  return true;
+}
+
+void HttpListener::missingHandler(const QHttpServerRequest& /*request*/,
+                                  QTcpSocket* socket) {
+  socket->abort();
+}
+
+}  // namespace meadowthread::standins
--- /dev/null
+++ b/standins/http/standin_clock.h
@@ -0,0 +1,27 @@
+#ifndef MEADOWTHREAD_STANDINS_HTTP_STANDIN_CLOCK_H_
+#define MEADOWTHREAD_STANDINS_HTTP_STANDIN_CLOCK_H_
+
+#include "base/clock.h"
+
+namespace meadowthread::standins {
+
+/// @brief Unix time that never goes back: the wall clock as it stood at the
+/// start, moved on by the monotonic one.
+class StandinClock {
+ public:
+  StandinClock()
+      : offset_ms(this->clock.WallMs() - this->clock.MonotonicMs()) {}
+
+  /// @brief Milliseconds since the Unix epoch.
+  std::int64_t NowMs() const {
+    return this->clock.MonotonicMs() + this->offset_ms;
+  }
+
+ private:
+  SystemClock clock;
+  std::int64_t offset_ms;
+};
+
+}  // namespace meadowthread::standins
+
+#endif  // MEADOWTHREAD_STANDINS_HTTP_STANDIN_CLOCK_H_
--- /dev/null
+++ b/standins/http/stop_signal.h
@@ -0,0 +1,27 @@
+#ifndef MEADOWTHREAD_STANDINS_HTTP_STOP_SIGNAL_H_
+#define MEADOWTHREAD_STANDINS_HTTP_STOP_SIGNAL_H_
+
+#include <QSocketNotifier>
+#include <memory>
+
+namespace meadowthread::standins {
+
+/// @brief Ends the event loop on SIGTERM and SIGINT.
+///
+/// The signals are blocked and read from a descriptor, so that nothing runs in
+/// a signal handler.
+class StopSignal {
+ public:
+  StopSignal();
+  ~StopSignal();
+  StopSignal(const StopSignal&) = delete;
+  StopSignal& operator=(const StopSignal&) = delete;
+
+ private:
+  int descriptor;
+  std::unique_ptr<QSocketNotifier> notifier;
+};
+
+}  // namespace meadowthread::standins
+
+#endif  // MEADOWTHREAD_STANDINS_HTTP_STOP_SIGNAL_H_
--- /dev/null
+++ b/standins/objects/object_table.h
@@ -0,0 +1,101 @@
+#ifndef MEADOWTHREAD_STANDINS_OBJECTS_OBJECT_TABLE_H_
+#define MEADOWTHREAD_STANDINS_OBJECTS_OBJECT_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace meadowthread::standins {
+
+/// @brief The name of an object.
+struct ObjectKey {
+  std::string kind;
+  std::string name;
+  auto operator<=>(const ObjectKey&) const = default;
+};
+
+/// @brief One version of an object.
+struct ObjectVersion {
+  std::int64_t version = 0;  ///< the store's revision at the write
+  std::int64_t written_ms = 0;
+  std::string value;
+  bool deleted = false;  ///< a tombstone
+};
+
+/// @brief An object as a list shows it.
+struct ListedObject {
+  ObjectKey key;
+  ObjectVersion version;
+};
+
+/// @brief The objects of a kind that changed after a revision.
+struct ObjectListing {
+  std::int64_t revision = 0;  ///< the revision that the listing shows
+  std::vector<ListedObject> items;
+};
+
+/// @brief What must stand for a write to take effect.
+enum class ConditionKind { kAbsent, kVersion };
+struct Condition {
+  ConditionKind kind = ConditionKind::kAbsent;
+  std::int64_t version = 0;  ///< for kVersion
+};
+
+/// @brief A conditional write.
+struct ObjectWrite {
+  ObjectKey key;
+  std::string value;
+  Condition condition;
+  bool removes = false;
+};
+
+/// @brief Versioned objects with their history; pure, time is an argument.
+class ObjectTable {
+ public:
+  /// @param[in] history_revisions how far back a reader may ask from
+  explicit ObjectTable(std::int64_t history_revisions)
+      : history_revisions(history_revisions) {}
+
+  /// @brief Applies a write whose condition holds.
+  /// @return the new version; none where the condition fails
+  std::optional<std::int64_t> Apply(const ObjectWrite& write,
+                                    std::int64_t now_ms);
+
+  /// @brief An object as it stood at a time, none where absent or deleted.
+  std::optional<ObjectVersion> Get(const ObjectKey& key,
+                                   std::int64_t as_of_ms) const;
+
+  /// @brief Objects changed after `since`, as they stood at a time; tombstones
+  /// too where `since` is not 0.
+  ObjectListing List(std::string_view kind, std::int64_t since,
+                     std::int64_t as_of_ms) const;
+
+  /// @brief Whether changes after `since` can no longer be told apart.
+  bool TooOld(std::int64_t since) const;
+
+  /// @brief Forgets the history: every earlier revision is too old.
+  void Compact() { this->compacted_revision = this->revision; }
+
+  std::int64_t Revision() const { return this->revision; }
+
+ private:
+  using History = std::vector<ObjectVersion>;
+
+  static const ObjectVersion* VersionAt(const History& history,
+                                        std::int64_t as_of_ms);
+  std::int64_t RevisionAt(std::int64_t as_of_ms) const;
+  static void Prune(History* history, std::int64_t now_ms);
+
+  std::map<ObjectKey, History> objects;
+  std::vector<std::int64_t> write_times_ms;  ///< by revision, from 1
+  std::int64_t history_revisions;
+  std::int64_t compacted_revision = 0;
+  std::int64_t revision = 0;
+};
+
+}  // namespace meadowthread::standins
+
+#endif  // MEADOWTHREAD_STANDINS_OBJECTS_OBJECT_TABLE_H_
--- /dev/null
+++ b/standins/roles.h
@@ -0,0 +1,22 @@
+#ifndef MEADOWTHREAD_STANDINS_ROLES_H_
+#define MEADOWTHREAD_STANDINS_ROLES_H_
+
+#include <span>
+
+namespace meadowthread::standins {
+
+// Each serves one role until SIGTERM, given the arguments after the role, and
+// returns the process's exit code.
+
+/// @brief Model engines, one or many, each on its own port.
+int RunEngine(std::span<char* const> arguments);
+
+/// @brief The platform's object API.
+int RunObjects(std::span<char* const> arguments);
+
+/// @brief The platform's host list.
+int RunHostList(std::span<char* const> arguments);
+
+}  // namespace meadowthread::standins
+
+#endif  // MEADOWTHREAD_STANDINS_ROLES_H_
--- /dev/null
+++ b/standins/serve.h
@@ -0,0 +1,18 @@
+#ifndef MEADOWTHREAD_STANDINS_SERVE_H_
+#define MEADOWTHREAD_STANDINS_SERVE_H_
+
+#include <string_view>
+
+#include "command_line.h"
+#include "http/http_listener.h"
+
+namespace meadowthread::standins {
+
+/// @brief Serves one service on one port until SIGTERM.
+/// @return the process's exit code
+int ServeUntilStopped(HttpService* service, std::string_view role,
+                      const ListenOptions& listen);
+
+}  // namespace meadowthread::standins
+
+#endif  // MEADOWTHREAD_STANDINS_SERVE_H_
