--- /dev/null
+++ b/bench/main.cc
@@ -0,0 +1,179 @@
+// Runs the policies over both deployments and prints the table that
+// docs/BENCH.md explains.
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "policies.h"
+#include "report.h"
+#include "tclap/CmdLine.h"
+#include "workload.h"
+
+namespace meadowthread::bench {
+namespace {
+
+constexpr double kSaturating = 60'000.0;
+constexpr std::uint64_t kCapacitySeed = 1'000;
+
+struct Cell {
+  const Deployment* deployment = nullptr;
+  std::string variant;
+  double load = 1.0;
+  NamedPolicy policy;
+  Faults faults = Faults::kNone;
+};
+
+struct Plan {
+  std::vector<Deployment> deployments;
+  std::vector<double> capacities;
+  std::vector<Cell> cells;
+  int seeds = 1;
+  int threads = 1;
+};
+
+// What the oracle completes when work never runs out.
+double CapacityOf(const Deployment& deployment) {
+  RunSettings settings;
+  settings.tokens_per_second = kSaturating;
+  settings.seed = kCapacitySeed;
+  return Run(deployment, *Oracle().factory, settings).tokens_per_s;
+}
+
+std::string LoadName(double load) { return std::to_string(load).substr(0, 3); }
+
+void PlanMain(Plan& plan, const std::vector<double>& loads, Faults faults) {
+  for (const Deployment& deployment : plan.deployments) {
+    MemoryAwareSetup setup;
+    setup.options.weights = deployment.weights;
+    for (const double load : loads) {
+      for (const NamedPolicy& policy :
+           {Baseline("round_robin"), Baseline("least_load"),
+            Baseline("power_of_two"), MemoryAwarePolicy("memory_aware", setup),
+            Oracle()}) {
+        plan.cells.push_back(
+            {&deployment, LoadName(load), load, policy, faults});
+      }
+    }
+  }
+}
+
+void PlanAblations(Plan& plan, double load) {
+  for (const Deployment& deployment : plan.deployments) {
+    for (const NamedPolicy& policy : Ablations(deployment.weights)) {
+      plan.cells.push_back(
+          {&deployment, LoadName(load), load, policy, Faults::kNone});
+    }
+  }
+}
+
+void PlanWeights(Plan& plan, double load) {
+  for (const Deployment& deployment : plan.deployments) {
+    for (const double part : {0.0, 0.25, 0.5, 0.75, 1.0}) {
+      MemoryAwareSetup setup;
+      setup.options.weights = {4.0 * part, 4.0 * (1.0 - part), 1.0};
+      const std::string name = "stall=" + std::to_string(part).substr(0, 4);
+      plan.cells.push_back({&deployment, LoadName(load), load,
+                            MemoryAwarePolicy(name, setup), Faults::kNone});
+    }
+  }
+}
+
+Row RunCell(const Cell& cell, double capacity, int seeds) {
+  std::vector<RunResult> results;
+  for (int seed = 1; seed <= seeds; ++seed) {
+    RunSettings settings;
+    settings.tokens_per_second = capacity * cell.load;
+    settings.seed = static_cast<std::uint64_t>(seed);
+    settings.faults = cell.faults;
+    results.push_back(Run(*cell.deployment, *cell.policy.factory, settings));
+  }
+  Row row = RowOf(results);
+  row.deployment = cell.deployment->name;
+  row.variant = cell.variant;
+  row.policy = cell.policy.name;
+  return row;
+}
+
+std::vector<Row> RunPlan(const Plan& plan) {
+  std::vector<Row> rows;
+  std::vector<std::future<Row>> running;
+  const auto batch = static_cast<std::size_t>(plan.threads);
+  for (std::size_t from = 0; from < plan.cells.size(); from += batch) {
+    running.clear();
+    const std::size_t to = std::min(from + batch, plan.cells.size());
+    for (std::size_t i = from; i < to; ++i) {
+      const Cell& cell = plan.cells[i];
+      const auto index =
+          static_cast<std::size_t>(cell.deployment - plan.deployments.data());
+      running.push_back(std::async(std::launch::async, RunCell, std::cref(cell),
+                                   plan.capacities[index], plan.seeds));
+    }
+    for (std::future<Row>& one : running) {
+      rows.push_back(one.get());
+    }
+  }
+  return rows;
+}
+
+int Main(int argc, char** argv) {
+  TCLAP::CmdLine command("The policy bench in virtual time", ' ', "1");
+  TCLAP::ValueArg<int> seeds("", "seeds", "seeds of each cell", false, 5,
+                             "count", command);
+  TCLAP::ValueArg<int> threads("", "threads", "cells run at once", false, 3,
+                               "count", command);
+  TCLAP::ValueArg<std::string> table("", "table",
+                                     "loads, faults, ablations or weights",
+                                     false, "loads", "table", command);
+  TCLAP::ValueArg<double> load("", "load", "one load in place of all four",
+                               false, 0.0, "load", command);
+  TCLAP::ValueArg<std::string> csv("", "csv", "file for the values", false, "",
+                                   "path", command);
+  command.parse(argc, argv);
+  Plan plan;
+  plan.deployments = {Lukot(), LacteaNorte()};
+  plan.seeds = seeds.getValue();
+  plan.threads = threads.getValue();
+  for (const Deployment& deployment : plan.deployments) {
+    plan.capacities.push_back(CapacityOf(deployment));
+    std::cout << "capacity of " << deployment.name << ": "
+              << static_cast<std::int64_t>(plan.capacities.back())
+              << " tokens/s\n";
+  }
+  const double one_load = load.getValue();
+  std::vector<double> loads = {0.6, 0.9, 1.1, 1.5};
+  if (one_load > 0.0) {
+    loads = {one_load};
+  }
+  const double other_load = one_load > 0.0 ? one_load : 1.1;
+  if (table.getValue() == "loads") {
+    PlanMain(plan, loads, Faults::kNone);
+  } else if (table.getValue() == "faults") {
+    PlanMain(plan, {one_load > 0.0 ? one_load : 0.9},
+             Faults::kDeathStallReclaim);
+  } else if (table.getValue() == "ablations") {
+    PlanAblations(plan, other_load);
+  } else {
+    PlanWeights(plan, other_load);
+  }
+  const std::vector<Row> rows = RunPlan(plan);
+  PrintTable(std::cout, rows);
+  if (!csv.getValue().empty()) {
+    std::ofstream file(csv.getValue());
+    PrintCsv(file, rows);
+  }
+  return 0;
+}
+
+}  // namespace
+}  // namespace meadowthread::bench
+
+int main(int argc, char** argv) {
+  return meadowthread::bench::Main(argc, argv);
+}
