--- /dev/null
+++ b/src/exchange/rpc_server.h
@@ -0,0 +1,55 @@
+#ifndef MEADOWTHREAD_EXCHANGE_RPC_SERVER_H_
+#define MEADOWTHREAD_EXCHANGE_RPC_SERVER_H_
+
+#include <QAbstractHttpServer>
+#include <QHostAddress>
+#include <cstdint>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include "exchange/rpc_dispatcher.h"
+
+namespace meadowthread {
+
+/// @brief Bounds of what a control connection may do.
+struct RpcServerSettings {
+  std::int64_t max_body_bytes = std::int64_t{1} << 20;
+  std::int64_t max_header_bytes = std::int64_t{16} << 10;
+  int idle_limit_ms = 30000;  ///< longest wait for a next whole request
+  int max_connections = 1024;
+};
+
+/// @brief Answers JSON-RPC on the control port: `POST /rpc`.
+class RpcServer final : public QAbstractHttpServer {
+  Q_OBJECT
+
+ public:
+  explicit RpcServer(const RpcServerSettings& settings);
+
+  /// @brief Adds a method answered at once.
+  void Register(std::string_view method, const RpcHandler& handler);
+
+  /// @brief Adds a method answered later.
+  void RegisterDeferred(std::string_view method,
+                        const RpcDeferredHandler& handler);
+
+  /// @brief Listens.
+  /// @param[in] port 0: any free one
+  /// @return the port, or kSettingsInvalid
+  absl::StatusOr<std::uint16_t> Listen(const QHostAddress& address,
+                                       std::uint16_t port);
+
+ protected:
+  bool handleRequest(const QHttpServerRequest& request,
+                     QTcpSocket* socket) override;
+  void missingHandler(const QHttpServerRequest& request,
+                      QTcpSocket* socket) override;
+
+ private:
+  RpcServerSettings settings;
+  RpcDispatcher dispatcher;
+};
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_EXCHANGE_RPC_SERVER_H_
