--- a/src/placement/tests/ownership_mover_test.cc
+++ b/src/placement/tests/ownership_mover_test.cc
@@ -284,7 +284,7 @@
 
   void Step() {
     const bool moving = ++this->steps > 300;
-    moving && this->random() % 4 == 0 ? this->ActMover() : this->ActHost();
+    moving&& this->random() % 4 == 0 ? this->ActMover() : this->ActHost();
     while (this->random() % 3 != 0) {
       this->store.Step();
     }
--- /dev/null
+++ b/src/placement/tests/planner_test.cc
@@ -0,0 +1,204 @@
+#include "placement/planner.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <functional>
+
+namespace meadowthread {
+namespace {
+
+ModelKey Key(std::string_view name) { return {std::string(name), "", "1"}; }
+
+EngineView Engine(std::string_view name, std::string_view zone,
+                  const std::vector<ModelKey>& loaded) {
+  EngineView engine;
+  engine.name = std::string(name);
+  engine.zone = std::string(zone);
+  engine.reported.role = "mixed";
+  engine.reported.models = loaded;
+  return engine;
+}
+
+/// Six engines over three zones, with one slot each.
+std::vector<EngineView> SixEngines(const std::vector<std::string>& loaded) {
+  std::vector<EngineView> engines;
+  for (int index = 0; index < 6; ++index) {
+    const std::string& model = loaded[index % loaded.size()];
+    engines.push_back(Engine(
+        "e" + std::to_string(index), "z" + std::to_string(index % 3),
+        model.empty() ? std::vector<ModelKey>{} : std::vector{Key(model)}));
+  }
+  return engines;
+}
+
+PlannerInput Input(const std::vector<NeededModel>& needed,
+                   const std::vector<EngineView>& engines) {
+  PlannerInput input;
+  input.needed = needed;
+  input.engines = engines;
+  input.loads = 100;
+  input.urgent_loads = 100;
+  return input;
+}
+
+PlannerSettings Free() {
+  PlannerSettings settings;
+  settings.max_changing_share = 1;
+  return settings;
+}
+
+int Loads(const Plan& plan, std::string_view model) {
+  return static_cast<int>(std::count_if(
+      plan.changes.begin(), plan.changes.end(), [&](const EngineChange& one) {
+        return one.load.has_value() && *one.load == Key(model);
+      }));
+}
+
+Test(a_plan, fills_empty_engines_by_share_of_the_demand) {
+  const std::vector<NeededModel> needed = {{Key("a"), 2}, {Key("b"), 1}};
+  const auto engines = SixEngines({""});
+  const Plan plan = MakePlan(Free(), Input(needed, engines));
+  cr_assert(Loads(plan, "a") == 4 && Loads(plan, "b") == 2);
+}
+
+Test(a_plan, puts_the_copies_of_a_model_into_different_zones) {
+  const std::vector<NeededModel> needed = {{Key("a")}, {Key("b")}, {Key("c")}};
+  const auto engines = SixEngines({""});
+  const Plan plan = MakePlan(Free(), Input(needed, engines));
+  std::vector<std::string> of_a;
+  for (const EngineChange& change : plan.changes) {
+    if (*change.load == Key("a")) {
+      of_a.push_back(change.engine);
+    }
+  }
+  cr_assert(of_a == (std::vector<std::string>{"e0", "e4"}));  // z0 and z1
+}
+
+Test(a_plan, is_empty_where_nothing_is_short) {
+  const auto engines = SixEngines({"a", "b"});
+  for (const double weight : {0.8, 1.0, 1.25}) {  // demand that wavers
+    const std::vector<NeededModel> needed = {{Key("a"), weight}, {Key("b")}};
+    cr_assert(MakePlan(Free(), Input(needed, engines)).changes.empty());
+  }
+}
+
+Test(a_plan, follows_a_demand_that_has_clearly_moved) {
+  const auto engines = SixEngines({"a", "b"});
+  const std::vector<NeededModel> needed = {{Key("a"), 5}, {Key("b"), 1}};
+  const Plan plan = MakePlan(Free(), Input(needed, engines));
+  cr_assert(plan.changes.size() == 1);
+  cr_assert(plan.changes[0].load == Key("a"));
+  cr_assert(plan.changes[0].unload == Key("b"));
+}
+
+Test(a_plan, counts_what_is_ordered_as_held) {
+  const std::vector<NeededModel> needed = {{Key("a")}};
+  auto engines = SixEngines({""});
+  for (EngineView& engine : engines) {
+    engine.ordered = DesiredState{"mixed", {Key("a")}};
+  }
+  cr_assert(MakePlan(Free(), Input(needed, engines)).changes.empty());
+}
+
+Test(a_plan, gives_models_without_a_copy_the_budget_first) {
+  auto engines = SixEngines({"a", "", "a", ""});
+  const std::vector<NeededModel> needed = {
+      {Key("a"), 9}, {Key("b"), 1}, {Key("c"), 1, true}};
+  PlannerInput input = Input(needed, engines);
+  input.urgent_loads = 1;
+  input.loads = 0;
+  const Plan plan = MakePlan(Free(), input);
+  cr_assert(plan.changes.size() == 1);
+  cr_assert(plan.changes[0].load == Key("c"));
+  cr_assert(plan.changes[0].reason == ChangeReason::kNoCopy);
+}
+
+Test(a_plan, orders_nothing_of_engines_that_are_not_ours_or_not_live) {
+  const std::vector<NeededModel> needed = {{Key("a")}};
+  auto engines = SixEngines({""});
+  engines[0].owned = false;
+  engines[1].state = EngineState::kLeaving;
+  engines[2].state = EngineState::kSilent;
+  engines[3].state = EngineState::kGone;
+  engines[4].ordered = DesiredState{"mixed", {}};
+  const Plan plan = MakePlan(Free(), Input(needed, engines));
+  cr_assert(plan.changes.size() == 1 && plan.changes[0].engine == "e5");
+}
+
+Test(a_plan, says_which_models_are_short) {
+  const std::vector<NeededModel> needed = {{Key("a")}, {Key("b")}};
+  const std::vector<EngineView> engines = {Engine("e0", "z0", {Key("a")})};
+  const Plan plan = MakePlan(Free(), Input(needed, engines));
+  cr_assert(plan.changes.empty() && plan.shortages.size() == 1);
+  cr_assert(plan.shortages[0].key == Key("b"));
+}
+
+Test(a_plan, moves_one_engine_to_a_role_that_is_short) {
+  const auto engines = SixEngines({"a"});
+  PlannerSettings settings = Free();
+  settings.roles = {{"mixed", 0.5}, {"prefill", 0.5}};
+  const std::vector<NeededModel> needed = {{Key("a")}};
+  const Plan plan = MakePlan(settings, Input(needed, engines));
+  cr_assert(plan.changes.size() == 1);
+  cr_assert(plan.changes[0].desired.role == "prefill");
+  cr_assert(plan.changes[0].desired.models == std::vector{Key("a")});
+}
+
+namespace the_last_copy {
+
+// "b" is needed and has no slot; "a" is held by e0, and by e1 in some way.
+Plan PlanWith(const std::function<void(std::vector<EngineView>&)>& change) {
+  std::vector<EngineView> engines = {Engine("e0", "z0", {Key("a")}),
+                                     Engine("e1", "z1", {Key("a")})};
+  change(engines);
+  const std::vector<NeededModel> needed = {{Key("a")}, {Key("b")}};
+  return MakePlan(Free(), Input(needed, engines));
+}
+
+}  // namespace the_last_copy
+
+Test(the_last_copy_of_a_needed_model, is_kept_until_another_is_loaded) {
+  const auto unloads_nothing = [](const Plan& plan) {
+    return std::none_of(
+        plan.changes.begin(), plan.changes.end(),
+        [](const EngineChange& one) { return one.unload.has_value(); });
+  };
+  using the_last_copy::PlanWith;
+  cr_assert(!unloads_nothing(PlanWith([](auto&) {})));
+  cr_assert(unloads_nothing(PlanWith(
+      [](auto& engines) { engines[1].state = EngineState::kSilent; })));
+  cr_assert(unloads_nothing(PlanWith(
+      [](auto& engines) { engines[1].state = EngineState::kLeaving; })));
+  cr_assert(unloads_nothing(
+      PlanWith([](auto& engines) { engines[1].owned = false; })));
+  cr_assert(unloads_nothing(PlanWith([](auto& engines) {  // still loading
+    engines[1].reported.models.clear();
+    engines[1].ordered = DesiredState{"mixed", {Key("a")}};
+  })));
+  cr_assert(unloads_nothing(PlanWith([](auto& engines) {  // being unloaded
+    engines[1].ordered = DesiredState{"mixed", {}};
+  })));
+}
+
+Test(a_stale_view_of_the_templates, takes_no_model_away) {
+  const auto engines = SixEngines({"old"});
+  const std::vector<NeededModel> needed = {{Key("a")}};
+  PlannerInput input = Input(needed, engines);
+  input.may_unload = false;
+  cr_assert(MakePlan(Free(), input).changes.empty());
+  input.may_unload = true;
+  cr_assert(Loads(MakePlan(Free(), input), "a") == 6);
+}
+
+Test(a_new_version, replaces_the_old_a_share_of_the_engines_at_a_time) {
+  const auto engines = SixEngines({"old"});
+  const std::vector<NeededModel> needed = {{Key("a")}};
+  PlannerSettings settings;
+  settings.max_changing_share = 0.34;
+  const Plan plan = MakePlan(settings, Input(needed, engines));
+  cr_assert(plan.changes.size() == 3);
+}
+
+}  // namespace
+}  // namespace meadowthread
