--- a/src/base/scheduler.h
+++ b/src/base/scheduler.h
@@ -6,12 +6,12 @@
 
 namespace meadowthread {
 
-/// @brief Runs tasks later, on the event loop's thread; tests give their own.
+/// @brief Runs tasks later, on the event loop's thread.
 class Scheduler {
  public:
   virtual ~Scheduler() = default;
 
-  /// @brief Runs `task` once, `delay_ms` from now, never from within After.
+  /// @brief Runs `task` once, after `delay_ms`.
   virtual void After(std::int64_t delay_ms, std::function<void()> task) = 0;
 };
 
