Metrics: counters, gauges and summaries with bounded label sets

Ruled out: lifetime quantiles (an hour of calm hides a bad minute; two estimators of staggered windows instead); the library's heights before all P-square markers are placed (they are not quantiles yet; the first samples are sorted instead); unbounded label sets (8,300 workspaces). Change: src/metrics: MetricRegistry, MetricFamily, Counter, Gauge, Summary, the usual text format.

--- /dev/null
+++ b/src/metrics/exposition.h
@@ -0,0 +1,50 @@
+#ifndef MEADOWTHREAD_METRICS_EXPOSITION_H_
+#define MEADOWTHREAD_METRICS_EXPOSITION_H_
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "metrics/counter.h"
+#include "metrics/summary.h"
+
+namespace meadowthread {
+
+/// @brief The content type of the text that MetricRegistry::Text gives.
+inline constexpr std::string_view kMetricsContentType =
+    "text/plain; version=0.0.4; charset=utf-8";
+
+/// @brief One label of a series.
+struct MetricLabel {
+  std::string name;
+  std::string value;
+};
+
+namespace detail {
+
+/// @brief The head of a family: its help and type.
+void AppendHead(std::string_view name, std::string_view help,
+                std::string_view type, std::string* out);
+
+/// @name one metric's lines
+///@{
+void AppendMetric(std::string_view name, std::span<const MetricLabel> labels,
+                  const Counter& counter, std::string* out);
+void AppendMetric(std::string_view name, std::span<const MetricLabel> labels,
+                  const Gauge& gauge, std::string* out);
+void AppendMetric(std::string_view name, std::span<const MetricLabel> labels,
+                  const Summary& summary, std::string* out);
+///@}
+
+/// @name the type's name in the text
+///@{
+constexpr std::string_view TypeOf(const Counter*) { return "counter"; }
+constexpr std::string_view TypeOf(const Gauge*) { return "gauge"; }
+constexpr std::string_view TypeOf(const Summary*) { return "summary"; }
+///@}
+
+}  // namespace detail
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_METRICS_EXPOSITION_H_
