--- /dev/null
+++ b/src/gateway/caller_identity.cc
@@ -0,0 +1,51 @@
+#include "gateway/caller_identity.h"
+
+#include <QCryptographicHash>
+
+#include "absl/strings/match.h"
+#include "base/error.h"
+
+namespace meadowthread {
+namespace {
+
+constexpr std::string_view kScheme = "bearer ";
+constexpr std::size_t kCallerDigits = 16;
+
+absl::Status UnknownKey(std::string_view what) {
+  ErrorDetail detail;
+  detail.id = ErrorId::kUnknownKey;
+  detail.outcome = Outcome::kNotRun;
+  detail.step = "identify";
+  detail.peer = "caller";
+  detail.field = "Authorization";
+  return MakeError(absl::StatusCode::kUnauthenticated, detail, what);
+}
+
+std::string Sha256Hex(std::string_view text) {
+  return QCryptographicHash::hash(
+             QByteArray(text.data(), static_cast<qsizetype>(text.size())),
+             QCryptographicHash::Sha256)
+      .toHex()
+      .toStdString();
+}
+
+}  // namespace
+
+absl::StatusOr<CallerIdentity> Identify(const ServerRequest& request,
+                                        const ServiceDirectory& directory) {
+  const std::string_view header =
+      FindHeader(request.headers, "Authorization");
+  if (!absl::StartsWithIgnoreCase(
+          absl::string_view(header.data(), header.size()),
+          absl::string_view(kScheme.data(), kScheme.size()))) {
+    return UnknownKey("the request carries no 'Authorization: Bearer KEY'");
+  }
+  const std::string digest = Sha256Hex(header.substr(kScheme.size()));
+  const std::optional<std::string> workspace = directory.WorkspaceOf(digest);
+  if (!workspace.has_value()) {
+    return UnknownKey("the key belongs to no workspace");
+  }
+  return CallerIdentity{*workspace, digest.substr(0, kCallerDigits)};
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,474 @@
+#include "gateway/gateway.h"
+
+#include <QUuid>
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "base/log_line.h"
+#include "claims/claim_key.h"
+#include "gateway/work_estimate.h"
+#include "nlohmann/json.hpp"
+
+namespace meadowthread {
+namespace {
+
+constexpr std::string_view kServicesPrefix = "/services/";
+constexpr std::int64_t kDefaultMaxOutputTokens = 65'536;
+constexpr std::int64_t kDefaultDeadlineMs = 120'000;
+constexpr std::int64_t kFullHostRetryMs = 1000;
+constexpr int kUnavailable = 503;
+
+std::string NewRequestId() {
+  return absl::StrCat(
+      "r-", QUuid::createUuid().toString(QUuid::WithoutBraces).toStdString());
+}
+
+absl::Status Refuse(ErrorId id, std::string_view step, std::string_view field,
+                    std::string_view what) {
+  ErrorDetail detail;
+  detail.id = id;
+  detail.outcome = Outcome::kNotRun;
+  detail.step = std::string(step);
+  detail.field = std::string(field);
+  return MakeError(absl::StatusCode::kInvalidArgument, detail, what);
+}
+
+void SendProblem(ResponseWriter& writer, const absl::Status& status,
+                 const std::string& request) {
+  Problem problem;
+  problem.status = status;
+  problem.request = request;
+  writer.SendWhole(ProblemResponse(problem));
+  const ErrorDetail detail = DetailOf(status);
+  LogLine line("refuse");
+  line.Add("request", request)
+      .Add("code", static_cast<int>(detail.id))
+      .Add("step", detail.step)
+      .Add("outcome", OutcomeName(detail.outcome))
+      .Add("why", std::string(status.message()))
+      .Write();
+}
+
+void SendText(ResponseWriter& writer, int status, std::string_view type,
+              std::string body) {
+  WholeResponse response;
+  response.http_status = status;
+  response.content_type = std::string(type);
+  response.body = std::move(body);
+  writer.SendWhole(response);
+}
+
+bool NeedsClaim(const WorkspaceService& service, std::string_view key) {
+  switch (service.not_repeatable.requests) {
+    case GenerationClaims::kNone:
+      return false;
+    case GenerationClaims::kKeyed:
+      return !key.empty();
+    case GenerationClaims::kAll:
+      return true;
+  }
+  return true;
+}
+
+ServedModel ModelOf(const WorkspaceService& service, std::string_view name) {
+  for (const ServedModel& model : service.models) {
+    if (model.model == name) {
+      return model;
+    }
+  }
+  return {};
+}
+
+std::int64_t MaxOutput(std::int64_t asked, std::int64_t allowed) {
+  const std::int64_t limit = allowed > 0 ? allowed : kDefaultMaxOutputTokens;
+  return asked > 0 ? std::min(asked, limit) : limit;
+}
+
+}  // namespace
+
+/// @brief A request on its way through the checks.
+struct Gateway::Arrival {
+  SessionStart start;
+  const WorkspaceService* service = nullptr;
+};
+
+Gateway::Gateway(const GatewayParts& parts)
+    : parts(parts), alive(std::make_shared<bool>(true)) {}
+
+Gateway::~Gateway() { *this->alive = false; }
+
+//////////
+// Paths
+//////////
+
+void Gateway::Serve(const ServerRequest& request,
+                    std::unique_ptr<ResponseWriter> writer) {
+  const std::string& path = request.path;
+  if (path == "/v1/chat/completions" && request.method == "POST") {
+    this->ServeGeneration(AnswerForm::kChat, request, std::move(writer));
+  } else if (path == "/v1/completions" && request.method == "POST") {
+    this->ServeGeneration(AnswerForm::kCompletion, request, std::move(writer));
+  } else if (path == "/v1/answers/resume" && request.method == "GET") {
+    this->ServeResume(request, std::move(writer));
+  } else if (path == "/v1/models" && request.method == "GET") {
+    this->ServeModels(request, std::move(writer));
+  } else if (absl::StartsWith(path, absl::string_view(kServicesPrefix.data(),
+                                                      kServicesPrefix.size()))) {
+    this->ServePlainService(request, std::move(writer));
+  } else if (path == "/healthz") {
+    SendText(*writer, 200, "text/plain", "ok\n");
+  } else if (path == "/readyz") {
+    const absl::Status ready = this->parts.gate.MayTakeWork();
+    SendText(*writer, ready.ok() ? 200 : kUnavailable, "text/plain",
+             ready.ok() ? "ready\n" : absl::StrCat(ready.message(), "\n"));
+  } else if (path == "/metrics") {
+    SendText(*writer, 200, "text/plain; version=0.0.4",
+             this->parts.metrics_text());
+  } else if (path == "/statusz") {
+    SendText(*writer, 200, "application/json", this->parts.status_json());
+  } else {
+    SendProblem(*writer,
+                Refuse(ErrorId::kNotFound, "route", "",
+                       absl::StrCat("nothing is served at ", request.method,
+                                    " ", path)),
+                "");
+  }
+}
+
+void Gateway::ServeModels(const ServerRequest& request,
+                          std::unique_ptr<ResponseWriter> writer) {
+  const absl::StatusOr<CallerIdentity> caller =
+      Identify(request, this->parts.services);
+  if (!caller.ok()) {
+    SendProblem(*writer, caller.status(), "");
+    return;
+  }
+  nlohmann::json models = nlohmann::json::array();
+  for (const WorkspaceService* service :
+       this->parts.services.ServicesOf(caller->workspace)) {
+    for (const ServedModel& model : service->models) {
+      models.push_back({{"id", model.model},
+                        {"object", "model"},
+                        {"created", 0},
+                        {"owned_by", caller->workspace},
+                        {"adapter", model.adapter},
+                        {"version", model.version}});
+    }
+  }
+  SendText(*writer, 200, "application/json",
+           nlohmann::json{{"object", "list"}, {"data", models}}.dump());
+}
+
+void Gateway::ServePlainService(const ServerRequest& request,
+                                std::unique_ptr<ResponseWriter> writer) {
+  const absl::StatusOr<CallerIdentity> caller =
+      Identify(request, this->parts.services);
+  absl::Status status = caller.status();
+  if (status.ok()) {
+    status = this->parts.gate.MayTakeWork();
+  }
+  if (status.ok()) {
+    status = this->parts.gate.MayServe(caller->workspace);
+  }
+  const std::string id = NewRequestId();
+  if (!status.ok()) {
+    SendProblem(*writer, status, id);
+    return;
+  }
+  const std::string_view rest =
+      std::string_view(request.path).substr(kServicesPrefix.size());
+  ServiceCall call;
+  call.request = id;
+  call.workspace = caller->workspace;
+  call.service = std::string(rest.substr(0, rest.find('/')));
+  call.path = rest.size() > call.service.size()
+                  ? std::string(rest.substr(call.service.size()))
+                  : "/";
+  call.query = request.query;
+  call.method = request.method;
+  call.content_type = std::string(FindHeader(request.headers, "Content-Type"));
+  call.idempotency_key =
+      std::string(FindHeader(request.headers, "Idempotency-Key"));
+  call.body = request.body;
+  this->parts.forwarder.Forward(
+      call, this->parts.services.ServicesOf(caller->workspace),
+      std::move(writer));
+}
+
+////////////////
+// Generations
+////////////////
+
+void Gateway::ServeGeneration(AnswerForm form, const ServerRequest& request,
+                              std::unique_ptr<ResponseWriter> writer) {
+  Arrival arrival;
+  arrival.start.request = NewRequestId();
+  arrival.start.arrived_ms = this->parts.session.clock.WallMs();
+  absl::Status status = this->Check(form, request, &arrival);
+  if (status.ok()) {
+    status = this->AdmitToLimits(&arrival.start);
+  }
+  if (!status.ok()) {
+    SendProblem(*writer, status, arrival.start.request);
+    return;
+  }
+  DeliveryMode mode = DeliveryMode::kJson;
+  if (arrival.start.asked.stream) {
+    mode = arrival.start.terms.whole_delivery ? DeliveryMode::kStreamedWhole
+                                              : DeliveryMode::kStreamed;
+  }
+  this->AddSession(arrival.start, std::move(writer), mode);
+  this->sessions.rbegin()->second->Begin();
+}
+
+absl::Status Gateway::Check(AnswerForm form, const ServerRequest& request,
+                            Arrival* arrival) const {
+  const absl::StatusOr<CallerIdentity> caller =
+      Identify(request, this->parts.services);
+  if (!caller.ok()) {
+    return caller.status();
+  }
+  const absl::Status ready = this->parts.gate.MayTakeWork();
+  if (!ready.ok()) {
+    return ready;
+  }
+  const absl::StatusOr<CallerRequest> asked =
+      ParseCallerRequest(form, request.body);
+  if (!asked.ok()) {
+    return asked.status();
+  }
+  arrival->start.asked = *asked;
+  arrival->start.caller = caller->caller;
+  arrival->service =
+      this->parts.services.Find(caller->workspace, asked->model);
+  if (arrival->service == nullptr) {
+    return Refuse(ErrorId::kUnknownModel, "route", "model",
+                  absl::StrCat("model '", asked->model,
+                               "' is not served to workspace '",
+                               caller->workspace, "'"));
+  }
+  const absl::Status owned = this->parts.gate.MayServe(caller->workspace);
+  return owned.ok() ? this->CheckTerms(request, arrival) : owned;
+}
+
+absl::Status Gateway::CheckTerms(const ServerRequest& request,
+                                 Arrival* arrival) const {
+  const WorkspaceService& service = *arrival->service;
+  SessionStart& start = arrival->start;
+  const std::string_view key = FindHeader(request.headers, "Idempotency-Key");
+  ServiceTerms& terms = start.terms;
+  terms.workspace = service.workspace;
+  terms.template_name = service.template_name;
+  terms.template_version = service.template_version;
+  terms.model = ModelOf(service, start.asked.model);
+  terms.urgency = service.urgency;
+  terms.max_output_tokens =
+      MaxOutput(start.asked.max_tokens, service.limits.max_output_tokens);
+  terms.deadline_ms = service.limits.deadline_ms > 0
+                          ? service.limits.deadline_ms
+                          : kDefaultDeadlineMs;
+  terms.whole_delivery = service.delivery == Delivery::kWhole;
+  terms.at_most_once = NeedsClaim(service, key);
+  terms.key_form = service.not_repeatable.key_form;
+  start.idempotency_key = std::string(key);
+  start.body_digest = BodyDigest(request.body);
+  if (terms.at_most_once && key.empty()) {
+    return Refuse(ErrorId::kIdempotencyKeyMissing, "route", "Idempotency-Key",
+                  "this workspace's requests may not be repeated: they need "
+                  "an Idempotency-Key");
+  }
+  const std::int64_t prompt_tokens = EstimateTokens(start.asked.prompt);
+  if (service.limits.max_prompt_tokens > 0 &&
+      prompt_tokens > service.limits.max_prompt_tokens) {
+    return Refuse(ErrorId::kFieldInvalid, "route",
+                  start.asked.form == AnswerForm::kChat ? "messages" : "prompt",
+                  absl::StrCat("the prompt has about ", prompt_tokens,
+                               " tokens; the workspace's limit is ",
+                               service.limits.max_prompt_tokens));
+  }
+  start.expected_tokens = prompt_tokens;
+  return absl::OkStatus();
+}
+
+absl::Status Gateway::AdmitToLimits(SessionStart* start) {
+  ErrorDetail detail;
+  detail.outcome = Outcome::kNotRun;
+  detail.step = "admit";
+  const std::uint64_t random = this->parts.session.random();
+  if (this->sessions.size() >= this->parts.max_streams) {
+    detail.id = ErrorId::kOverloaded;
+    detail.retry_after_ms =
+        kFullHostRetryMs + static_cast<std::int64_t>(random % kFullHostRetryMs);
+    return MakeError(absl::StatusCode::kResourceExhausted, detail,
+                     "this host holds as many streams as it may");
+  }
+  const LimitAnswer answer = this->parts.session.limits.Admit(
+      start->terms.workspace, start->expected_tokens, start->arrived_ms,
+      random);
+  if (answer.reached == LimitReached::kNone) {
+    return absl::OkStatus();
+  }
+  detail.id = ErrorId::kWorkspaceLimit;
+  detail.retry_after_ms = answer.retry_after_ms;
+  return MakeError(
+      absl::StatusCode::kResourceExhausted, detail,
+      absl::StrCat("the workspace's limit is reached: ",
+                   std::string(LimitReachedName(answer.reached))));
+}
+
+// The token says where the answer's engine is; whose it is has been checked.
+void Gateway::ServeResume(const ServerRequest& request,
+                          std::unique_ptr<ResponseWriter> writer) {
+  const absl::StatusOr<CallerIdentity> caller =
+      Identify(request, this->parts.services);
+  if (!caller.ok()) {
+    SendProblem(*writer, caller.status(), "");
+    return;
+  }
+  const absl::StatusOr<ResumeClaims> claims =
+      this->parts.session.tokens.Verify(
+          FindHeader(request.headers, "Meadowthread-Resume-Token"),
+          caller->workspace, caller->caller,
+          this->parts.session.clock.WallMs());
+  if (!claims.ok()) {
+    SendProblem(*writer, claims.status(), "");
+    return;
+  }
+  const std::string last(FindHeader(request.headers, "Last-Event-ID"));
+  std::int64_t last_index = -1;
+  if (!last.empty() &&
+      (!absl::SimpleAtoi(last, &last_index) || last_index < 0)) {
+    SendProblem(*writer,
+                Refuse(ErrorId::kFieldInvalid, "resume", "Last-Event-ID",
+                       "is not a token index"),
+                claims->request);
+    return;
+  }
+  SessionStart start;
+  start.request = claims->request;
+  start.caller = caller->caller;
+  start.arrived_ms = this->parts.session.clock.WallMs();
+  start.asked.form = claims->form;
+  start.asked.model = claims->model;
+  start.terms.workspace = caller->workspace;
+  this->AddSession(start, std::move(writer), DeliveryMode::kStreamed);
+  this->sessions.rbegin()->second->BeginResumed(*claims, last_index + 1);
+}
+
+/////////////
+// Sessions
+/////////////
+
+void Gateway::AddSession(const SessionStart& start,
+                         std::unique_ptr<ResponseWriter> writer,
+                         DeliveryMode mode) {
+  AnswerHead head;
+  head.form = start.asked.form;
+  head.request = start.request;
+  head.model = start.asked.model;
+  head.created_unix_s = start.arrived_ms / 1000;
+  SessionParts session_parts = this->parts.session;
+  const std::uint64_t id = ++this->last_session;
+  auto caller = std::make_unique<CallerStream>(
+      std::move(writer), head, mode, session_parts.options.bounds);
+  this->sessions.emplace(id, std::make_unique<GenerationSession>(
+                                 session_parts, start, std::move(caller)));
+  this->by_request[start.request] = id;
+}
+
+GenerationSession* Gateway::FindSession(std::string_view request) {
+  const auto found = this->by_request.find(request);
+  if (found == this->by_request.end()) {
+    return nullptr;
+  }
+  const auto session = this->sessions.find(found->second);
+  return session == this->sessions.end() ? nullptr : session->second.get();
+}
+
+// A session tells of its end from deep within its own calls; it is destroyed
+// once the event loop is back.
+void Gateway::OnSessionEnded(const SessionEnd& end) {
+  this->parts.observer.OnSessionEnded(end);
+  if (this->drop_planned) {
+    return;
+  }
+  this->drop_planned = true;
+  this->parts.session.scheduler.After(0, [this, alive = this->alive] {
+    if (*alive) {
+      this->DropEnded();
+      this->DrainQueue();
+    }
+  });
+}
+
+void Gateway::OnTokenGap(std::int64_t gap_ms) {
+  this->parts.observer.OnTokenGap(gap_ms);
+}
+
+void Gateway::DropEnded() {
+  this->drop_planned = false;
+  for (auto entry = this->sessions.begin(); entry != this->sessions.end();) {
+    if (entry->second->Phase() != SessionPhase::kEnded) {
+      ++entry;
+      continue;
+    }
+    const auto named = this->by_request.find(entry->second->Request());
+    if (named != this->by_request.end() && named->second == entry->first) {
+      this->by_request.erase(named);
+    }
+    entry = this->sessions.erase(entry);
+  }
+}
+
+void Gateway::DrainQueue() {
+  const std::int64_t now = this->parts.session.clock.WallMs();
+  Dispatcher& dispatcher = this->parts.session.dispatcher;
+  for (const SendOrder& order :
+       dispatcher.Drain(now, this->parts.session.random())) {
+    GenerationSession* session = this->FindSession(order.work.request);
+    if (session != nullptr) {
+      session->SendNow(order.decision);
+    } else {
+      this->parts.session.fleet.NoteEnded(order.work.request, StreamEnd::kCut,
+                                          now);
+    }
+  }
+  for (const GivenUp& given_up :
+       dispatcher.Expire(now, this->parts.session.random())) {
+    GenerationSession* session = this->FindSession(given_up.work.request);
+    if (session != nullptr) {
+      session->GiveUp(given_up.reason, given_up.retry_after_ms);
+    }
+  }
+}
+
+void Gateway::TickSessions() {
+  for (const auto& [id, session] : this->sessions) {
+    session->Tick();
+  }
+}
+
+std::vector<RunningRequest> Gateway::RunningRequests(std::size_t most) const {
+  std::vector<RunningRequest> running;
+  for (const auto& [id, session] : this->sessions) {
+    if (running.size() == most) {
+      break;
+    }
+    running.push_back({session->Request(), session->Phase(),
+                       session->TokensDelivered()});
+  }
+  return running;
+}
+
+int Gateway::HandOverStreams() {
+  int cut = 0;
+  for (const auto& [id, session] : this->sessions) {
+    cut += session->HandOver() ? 1 : 0;
+  }
+  return cut;
+}
+
+}  // namespace meadowthread
