Stand-ins: plain backend server, weight store, tests of all roles

Cause: the engines load through a weight store, plain services are routed to as well, and what other tests lean on has to be tested itself.

Ruled out: one fake for all roles (each keeps its own state and record); a coarse timer for Retry-After (seen: it fired 60 ms early and was refused a second time).

--- /dev/null
+++ b/standins/backend/backend_service.h
@@ -0,0 +1,55 @@
+#ifndef MEADOWTHREAD_STANDINS_BACKEND_BACKEND_SERVICE_H_
+#define MEADOWTHREAD_STANDINS_BACKEND_BACKEND_SERVICE_H_
+
+#include <QObject>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "http/http_listener.h"
+
+namespace meadowthread::standins {
+
+/// @brief The faults of a plain backend server, set by tests.
+struct BackendFaults {
+  std::int64_t refuse_after_read = 0;  ///< calls still to be closed unanswered
+  bool run = false;           ///< whether such a call runs all the same
+  int status = 0;             ///< answered instead of 200; 0: none
+  std::int64_t delay_ms = 0;  ///< answers come that much later
+
+  /// @brief Takes over the fields that `change` names; the others stay.
+  void Merge(const nlohmann::json& change);
+};
+
+/// @brief A call that ran.
+struct BackendCall {
+  std::string method;
+  std::string path;
+  std::string idempotency_key;
+  std::string body;
+};
+
+/// @brief A plain service that echoes its calls and counts them by key.
+class BackendService final : public QObject, public HttpService {
+ public:
+  explicit BackendService(std::string name) : name(std::move(name)) {}
+
+  void Handle(const Request& request, const ExchangePtr& exchange) override;
+
+ private:
+  void HandleControl(const Request& request, const ExchangePtr& exchange);
+  void Serve(const Request& request, const ExchangePtr& exchange);
+  Reply Run(const Request& request);
+  nlohmann::json RecordJson() const;
+
+  std::string name;
+  BackendFaults faults;
+  std::vector<BackendCall> calls;
+  std::map<std::string, std::int64_t> runs_by_key;
+  std::int64_t arrived = 0;
+};
+
+}  // namespace meadowthread::standins
+
+#endif  // MEADOWTHREAD_STANDINS_BACKEND_BACKEND_SERVICE_H_
--- a/standins/engine/model_loader.cc
+++ b/standins/engine/model_loader.cc
@@ -62,7 +62,8 @@
     return;
   }
   const std::chrono::seconds asked(reply->rawHeader("Retry-After").toInt());
-  QTimer::singleShot(std::max(asked, kShortestRetry), this,
+  // A coarse timer may fire early, before the store has anything to give.
+  QTimer::singleShot(std::max(asked, kShortestRetry), Qt::PreciseTimer, this,
                      [this, model] { this->Ask(model); });
 }
 
--- a/standins/http/http_listener.cc
+++ b/standins/http/http_listener.cc
@@ -31,6 +31,7 @@
 }
 
 void ReadQuery(const QUrl& url, Request* request) {
+  request->raw_query = url.query(QUrl::FullyEncoded).toStdString();
   const auto items = QUrlQuery(url).queryItems(QUrl::FullyEncoded);
   for (const auto& item : items) {
     request->query.push_back(
--- a/standins/http/http_message.h
+++ b/standins/http/http_message.h
@@ -27,6 +27,7 @@
   std::string path;                   ///< as sent, percent-encoded
   std::vector<std::string> segments;  ///< the path's parts, decoded
   std::vector<QueryParameter> query;
+  std::string raw_query;  ///< as sent, without the question mark
   std::vector<Header> headers;
   std::string body;
 
--- a/standins/main.cc
+++ b/standins/main.cc
@@ -17,9 +17,8 @@
 };
 
 constexpr Role kRoles[] = {
-    {"engine", RunEngine},
-    {"objects", RunObjects},
-    {"hostlist", RunHostList},
+    {"engine", RunEngine},   {"objects", RunObjects}, {"hostlist", RunHostList},
+    {"backend", RunBackend}, {"weights", RunWeights},
 };
 
 int PrintUsage() {
--- a/standins/roles.h
+++ b/standins/roles.h
@@ -17,6 +17,12 @@
 /// @brief The platform's host list.
 int RunHostList(std::span<char* const> arguments);
 
+/// @brief A plain backend server.
+int RunBackend(std::span<char* const> arguments);
+
+/// @brief The weight store.
+int RunWeights(std::span<char* const> arguments);
+
 }  // namespace meadowthread::standins
 
 #endif  // MEADOWTHREAD_STANDINS_ROLES_H_
--- /dev/null
+++ b/standins/tests/http_fixture.h
@@ -0,0 +1,60 @@
+#ifndef MEADOWTHREAD_STANDINS_TESTS_HTTP_FIXTURE_H_
+#define MEADOWTHREAD_STANDINS_TESTS_HTTP_FIXTURE_H_
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QHostAddress>
+#include <QTcpSocket>
+#include <functional>
+#include <string>
+
+#include "http/http_listener.h"
+
+namespace meadowthread::standins {
+
+/// @brief Runs the event loop until something holds; a generous limit ends a
+/// test that would never.
+inline bool WaitFor(const std::function<bool()>& holds) {
+  constexpr qint64 kLimitMs = 20'000;
+  QElapsedTimer timer;
+  timer.start();
+  while (!holds() && timer.elapsed() < kLimitMs) {
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
+  }
+  return holds();
+}
+
+/// @brief A caller that sends bytes and gathers what comes back.
+class RawCaller {
+ public:
+  explicit RawCaller(std::uint16_t port) {
+    this->socket.connectToHost(QHostAddress::LocalHost, port);
+    QObject::connect(
+        &this->socket, &QTcpSocket::readyRead, &this->socket,
+        [this] { this->text += this->socket.readAll().toStdString(); });
+  }
+
+  /// @brief Sends one request.
+  void Send(const std::string& method, const std::string& path,
+            const std::string& body = "", const std::string& header = "") {
+    const std::string request =
+        method + " " + path + " HTTP/1.1\r\nHost: x\r\n" + header +
+        "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    this->socket.write(request.data(), static_cast<qint64>(request.size()));
+  }
+
+  bool Got(const std::string& part) const {
+    return this->text.find(part) != std::string::npos;
+  }
+
+  bool IsClosed() const {
+    return this->socket.state() == QAbstractSocket::UnconnectedState;
+  }
+
+  std::string text;
+  QTcpSocket socket;
+};
+
+}  // namespace meadowthread::standins
+
+#endif  // MEADOWTHREAD_STANDINS_TESTS_HTTP_FIXTURE_H_
