--- a/src/engine/engine_messages.cc
+++ b/src/engine/engine_messages.cc
@@ -37,6 +37,7 @@
   LoadReport report;
   report.engine = std::string(engine);
   report.incarnation = StringOr(*parsed, "incarnation", "");
+  report.role = StringOr(*parsed, "role", "");
   report.as_of_unix_ms = *as_of;
   report.kv_capacity = *capacity;
   report.kv_used = IntOr(*parsed, "kv_used", 0);
--- /dev/null
+++ b/src/placement/controller.cc
@@ -0,0 +1,101 @@
+#include "placement/controller.h"
+
+#include <algorithm>
+
+namespace meadowthread {
+
+PlacementController::PlacementController(
+    std::string_view half, const PlacementControllerSettings& with,
+    const PlacementContext& in, Scheduler& by)
+    : settings(with), context(in), scheduler(by) {
+  for (int group = 0; group < with.groups; ++group) {
+    this->groups.push_back(
+        std::make_unique<GroupController>(half, group, with, in));
+  }
+}
+
+void PlacementController::Start() {
+  this->running = true;
+  this->Schedule();
+}
+
+void PlacementController::Schedule() {
+  const std::weak_ptr<bool> guard = this->alive;
+  this->scheduler.After(this->settings.tick_ms, [this, guard] {
+    if (!guard.expired() && this->running) {
+      this->Tick();
+      this->Schedule();
+    }
+  });
+}
+
+void PlacementController::Stop() {
+  this->running = false;
+  for (const auto& group : this->groups) {
+    group->TheLease().Release();
+  }
+}
+
+void PlacementController::Tick() {
+  const std::int64_t now_ms = this->context.clock.MonotonicMs();
+  const bool due = now_ms >= this->next_list_ms && !this->listing;
+  if (due && !this->HoldsAll()) {
+    this->next_list_ms = now_ms + this->settings.list_every_ms;
+    this->ListLeases();
+  }
+  for (const auto& group : this->groups) {
+    group->Tick();
+  }
+}
+
+bool PlacementController::HoldsAll() {
+  return std::all_of(
+      this->groups.begin(), this->groups.end(),
+      [](const auto& group) { return group->TheLease().Held(); });
+}
+
+void PlacementController::ListLeases() {
+  this->listing = true;
+  const std::weak_ptr<bool> guard = this->alive;
+  this->context.store.List(
+      kLeaseKind, this->revision,
+      [this, guard](const absl::StatusOr<ObjectList>& list) {
+        if (!guard.expired()) {
+          this->listing = false;
+          this->OnLeases(list);
+        }
+      });
+}
+
+void PlacementController::OnLeases(const absl::StatusOr<ObjectList>& list) {
+  if (!list.ok()) {
+    return;
+  }
+  const bool whole = this->revision == 0;
+  for (const auto& group : this->groups) {
+    Lease& lease = group->TheLease();
+    const auto found = std::find_if(list->items.begin(), list->items.end(),
+                                    [&lease](const StoredObject& object) {
+                                      return object.name == lease.Duty();
+                                    });
+    if (found != list->items.end()) {
+      lease.Observe(*found);
+    } else if (whole) {
+      lease.ObserveAbsent();
+    }
+  }
+  this->revision = std::max(this->revision, list->revision);
+}
+
+std::vector<HeldDuty> PlacementController::Held() {
+  std::vector<HeldDuty> held;
+  for (const auto& group : this->groups) {
+    const Lease& lease = group->TheLease();
+    if (lease.Held()) {
+      held.push_back({lease.Duty(), lease.Fence(), lease.RemainingMs()});
+    }
+  }
+  return held;
+}
+
+}  // namespace meadowthread
--- a/src/placement/holdings.cc
+++ b/src/placement/holdings.cc
@@ -5,18 +5,18 @@
 namespace meadowthread::detail {
 namespace {
 
-bool Contains(std::span<const ModelKey> keys, const ModelKey& key) {
+bool Contains(std::span<const ServedModel> keys, const ServedModel& key) {
   return std::find(keys.begin(), keys.end(), key) != keys.end();
 }
 
-int IndexOf(std::span<const NeededModel> needed, const ModelKey& key) {
+int IndexOf(std::span<const NeededModel> needed, const ServedModel& key) {
   const auto found =
       std::find_if(needed.begin(), needed.end(),
                    [&key](const NeededModel& one) { return one.key == key; });
   return found == needed.end() ? -1 : static_cast<int>(found - needed.begin());
 }
 
-bool Counts(const EngineView& engine) {
+bool Counts(const PlacedEngine& engine) {
   return engine.owned && (engine.state == EngineState::kLive ||
                           engine.state == EngineState::kSilent);
 }
@@ -42,7 +42,7 @@
 
 Holdings::Holdings(const PlannerSettings& settings, const PlannerInput& input) {
   this->models.resize(input.needed.size());
-  for (const EngineView& view : input.engines) {
+  for (const PlacedEngine& view : input.engines) {
     if (Counts(view)) {
       this->AddEngine(view, input.needed);
     }
@@ -63,7 +63,7 @@
   return static_cast<int>(this->zones.size()) - 1;
 }
 
-void Holdings::AddEngine(const EngineView& view,
+void Holdings::AddEngine(const PlacedEngine& view,
                          std::span<const NeededModel> needed) {
   EngineHoldings engine;
   engine.view = &view;
@@ -74,7 +74,7 @@
   // again elsewhere, and what it unloads is relied on no more.
   const DesiredState& will_be =
       view.ordered.has_value() ? *view.ordered : view.reported;
-  for (const ModelKey& key : will_be.models) {
+  for (const ServedModel& key : will_be.models) {
     const int model = IndexOf(needed, key);
     if (model < 0) {
       engine.unneeded.push_back(key);
--- a/src/placement/holdings.h
+++ b/src/placement/holdings.h
@@ -17,11 +17,11 @@
 
 /// @brief An engine that counts, as the plan changes it.
 struct EngineHoldings {
-  const EngineView* view = nullptr;
+  const PlacedEngine* view = nullptr;
   int zone = 0;
   std::vector<HeldModel> held;
-  std::vector<ModelKey> unneeded;  ///< loaded, but no template needs it
-  bool changed = false;            ///< by this plan
+  std::vector<ServedModel> unneeded;  ///< loaded, but no template needs it
+  bool changed = false;               ///< by this plan
 
   int FreeSlots() const;
   bool Holds(int model) const;
@@ -59,7 +59,7 @@
   void MarkChanged(EngineHoldings& engine);
 
  private:
-  void AddEngine(const EngineView& view, std::span<const NeededModel> needed);
+  void AddEngine(const PlacedEngine& view, std::span<const NeededModel> needed);
   int ZoneIndex(std::string_view zone);
   void SetQuotas(const PlannerSettings& settings, const PlannerInput& input);
 
--- a/src/placement/lease.cc
+++ b/src/placement/lease.cc
@@ -107,7 +107,8 @@
   const std::int64_t since_ms =
       this->clock.MonotonicMs() - this->tenure->last_sent_ms;
   const bool confirmed = this->tenure->version != 0;
-  if (!confirmed || since_ms >= this->settings.renew_every_ms) {
+  const bool due = since_ms >= this->settings.renew_every_ms;
+  if (!confirmed || due || this->tenure->renew_soon) {
     this->Write();
   }
 }
@@ -142,6 +143,7 @@
   now.last_sent_ms = this->clock.MonotonicMs();
   now.sent.push_back({sequence, now.last_sent_ms, this->clock.WallMs()});
   ++now.next_sequence;
+  now.renew_soon = false;
   this->busy = true;
   const std::int64_t expected =
       now.version != 0 ? now.version : now.base_version;
@@ -229,6 +231,12 @@
   }
 }
 
+void Lease::RenewSoon() {
+  if (this->tenure.has_value()) {
+    this->tenure->renew_soon = true;
+  }
+}
+
 void Lease::StepDown(std::string_view why) {
   if (!this->tenure.has_value()) {
     return;
--- a/src/placement/lease.h
+++ b/src/placement/lease.h
@@ -56,6 +56,9 @@
     this->takeover_delay_ms = delay_ms;
   }
 
+  /// @brief Renews at the next tick: the fence is to grow past something.
+  void RenewSoon();
+
   /// @brief Stops acting on the lease at once, without a word to the store.
   void StepDown(std::string_view why);
 
@@ -96,6 +99,7 @@
     std::int64_t expires_monotonic_ms = 0;
     std::int64_t expires_wall_ms = 0;
     std::int64_t last_sent_ms = 0;
+    bool renew_soon = false;
     bool unsettled = false;  ///< a write's fate is to be read back
     std::vector<SentWrite> sent;
   };
--- /dev/null
+++ b/src/placement/order_messages.cc
@@ -0,0 +1,130 @@
+#include "placement/order_messages.h"
+
+#include "absl/strings/numbers.h"
+#include "base/error.h"
+#include "base/json_fields.h"
+#include "nlohmann/json.hpp"
+
+namespace meadowthread {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kStep = "order";
+constexpr int kHttpOk = 200;
+constexpr int kHttpConflict = 409;
+constexpr int kHttpGone = 410;
+constexpr int kHttpTooMany = 429;
+constexpr int kHttpUnavailable = 503;
+constexpr int kHttpClientErrors = 400;
+constexpr int kHttpServerErrors = 500;
+constexpr std::int64_t kMsPerSecond = 1000;
+
+absl::Status OrderError(ErrorId id, std::string_view engine,
+                        std::string_view message) {
+  ErrorDetail error;
+  error.id = id;
+  error.step = std::string(kStep);
+  error.peer = std::string(engine);
+  return MakeError(absl::StatusCode::kFailedPrecondition, error, message);
+}
+
+OrderResult Unread(const HttpEnd& end) {
+  OrderResult result;
+  result.outcome = end.request_may_have_left ? OrderOutcome::kUnknown
+                                             : OrderOutcome::kNotSent;
+  result.status = end.status;
+  return result;
+}
+
+OrderResult ReadOk(const json& body, std::string_view engine) {
+  OrderResult result;
+  const auto applied = body.find("applied");
+  const bool is_applied =
+      applied != body.end() && applied->is_boolean() && applied->get<bool>();
+  if (is_applied) {
+    result.outcome = OrderOutcome::kApplied;
+    return result;
+  }
+  result.status = OrderError(ErrorId::kPeerMalformed, engine,
+                             "the answer does not say applied");
+  return result;
+}
+
+std::int64_t RetryAfterMs(const HttpResponse& response) {
+  const std::string_view text = FindHeader(response.headers, "Retry-After");
+  std::int64_t seconds = 0;
+  const bool is_number =
+      absl::SimpleAtoi(absl::string_view(text.data(), text.size()), &seconds);
+  return is_number && seconds >= 0 ? seconds * kMsPerSecond : -1;
+}
+
+}  // namespace
+
+std::string_view OrderOutcomeName(OrderOutcome outcome) {
+  switch (outcome) {
+    case OrderOutcome::kApplied:
+      return "applied";
+    case OrderOutcome::kStaleFence:
+      return "stale_fence";
+    case OrderOutcome::kSuperseded:
+      return "superseded";
+    case OrderOutcome::kDeadlinePassed:
+      return "deadline_passed";
+    case OrderOutcome::kThrottled:
+      return "throttled";
+    case OrderOutcome::kRejected:
+      return "rejected";
+    case OrderOutcome::kNotSent:
+      return "not_sent";
+    case OrderOutcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+std::string EncodeOrder(const OrderMessage& order) {
+  json models = json::array();
+  for (const ServedModel& model : order.desired.models) {
+    models.push_back({{"model", model.model},
+                      {"adapter", model.adapter},
+                      {"version", model.version}});
+  }
+  const json body = {
+      {"holder", order.holder},
+      {"fence", order.fence},
+      {"deadline_unix_ms", order.deadline_unix_ms},
+      {"desired", {{"role", order.desired.role}, {"models", models}}}};
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+OrderResult ReadOrderAnswer(const HttpFetched& fetched,
+                            std::string_view engine) {
+  if (!fetched.end.status.ok()) {
+    return Unread(fetched.end);
+  }
+  const HttpResponse& response = fetched.response;
+  const int status = response.http_status;
+  const json body = json::parse(response.body, nullptr, false);
+  if (status == kHttpOk) {
+    return ReadOk(body, engine);
+  }
+  OrderResult result;
+  result.status =
+      OrderError(ErrorId::kRejectedByPeer, engine, "the engine refused");
+  if (status == kHttpConflict) {
+    result.outcome = OrderOutcome::kStaleFence;
+    result.peer_fence = IntOr(body, "fence", 0);
+    result.status = OrderError(ErrorId::kOrderStale, engine, "stale fence");
+  } else if (status == kHttpGone) {
+    result.outcome = OrderOutcome::kDeadlinePassed;
+  } else if (status == kHttpTooMany || status == kHttpUnavailable) {
+    result.outcome = OrderOutcome::kThrottled;
+    result.retry_after_ms = RetryAfterMs(response);
+  } else if (status >= kHttpClientErrors && status < kHttpServerErrors) {
+    result.outcome = OrderOutcome::kRejected;
+  }
+  return result;
+}
+
+}  // namespace meadowthread
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -150,7 +150,7 @@
   }
 
   static bool MayChange(const EngineHoldings& engine, const Need& need) {
-    const EngineView& view = *engine.view;
+    const PlacedEngine& view = *engine.view;
     const bool rested = view.settled || need.reason == ChangeReason::kNoCopy;
     return view.state == EngineState::kLive && !view.ordered.has_value() &&
            !engine.changed && rested && !engine.Holds(need.model);
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -7,20 +7,13 @@
 #include <string_view>
 #include <vector>
 
-namespace meadowthread {
-
-/// @brief What an engine can have loaded.
-struct ModelKey {
-  std::string model;
-  std::string adapter;
-  std::string version;
+#include "policy/engine_view.h"
 
-  friend auto operator<=>(const ModelKey&, const ModelKey&) = default;
-};
+namespace meadowthread {
 
 /// @brief What an accepted template needs.
 struct NeededModel {
-  ModelKey key;
+  ServedModel key;
   double weight = 1;    ///< its share of the demand, relative to the others
   bool urgent = false;  ///< some workspace's urgent work waits on it
 };
@@ -36,13 +29,13 @@
 /// @brief The whole state wanted of an engine; sending it twice is harmless.
 struct DesiredState {
   std::string role;
-  std::vector<ModelKey> models;
+  std::vector<ServedModel> models;
 
   friend bool operator==(const DesiredState&, const DesiredState&) = default;
 };
 
 /// @brief An engine as the planner sees it.
-struct EngineView {
+struct PlacedEngine {
   std::string name;
   std::string zone;
   EngineState state = EngineState::kLive;
@@ -73,7 +66,7 @@
 /// @brief All that a plan depends on.
 struct PlannerInput {
   std::span<const NeededModel> needed;
-  std::span<const EngineView> engines;
+  std::span<const PlacedEngine> engines;
   int loads = 0;         ///< loads that may be ordered now
   int urgent_loads = 0;  ///< the same for models short of their least copies
   /// Whether the view of the accepted templates is fresh enough to take
@@ -98,13 +91,13 @@
   std::string engine;
   DesiredState desired;
   ChangeReason reason = ChangeReason::kDemand;
-  std::optional<ModelKey> load;
-  std::optional<ModelKey> unload;
+  std::optional<ServedModel> load;
+  std::optional<ServedModel> unload;
 };
 
 /// @brief A needed model that cannot be given its least copies now.
 struct Shortage {
-  ModelKey key;
+  ServedModel key;
   int copies = 0;
 };
 
--- a/src/placement/role_plan.cc
+++ b/src/placement/role_plan.cc
@@ -15,7 +15,7 @@
   double Excess() const { return this->engines - this->quota; }
 };
 
-std::string_view RoleOf(const EngineView& view) {
+std::string_view RoleOf(const PlacedEngine& view) {
   return view.ordered.has_value() ? view.ordered->role : view.reported.role;
 }
 
@@ -57,7 +57,7 @@
 }
 
 bool MayChange(const EngineHoldings& engine) {
-  const EngineView& view = *engine.view;
+  const PlacedEngine& view = *engine.view;
   return view.state == EngineState::kLive && view.settled &&
          !view.ordered.has_value() && !engine.changed;
 }
--- a/src/placement/tests/planner_property_test.cc
+++ b/src/placement/tests/planner_property_test.cc
@@ -19,7 +19,7 @@
   explicit Fleet(unsigned seed) : random(seed) {
     const int count = 8 + static_cast<int>(this->random() % 30);
     for (int index = 0; index < count; ++index) {
-      EngineView engine;
+      PlacedEngine engine;
       engine.name = "e" + std::to_string(index);
       engine.zone = "z" + std::to_string(index % 3);
       engine.capacity = 2 + static_cast<int>(this->random() % 2);
@@ -43,9 +43,10 @@
   }
 
   /// Live engines that report the model and will go on holding it.
-  int SureCopies(const ModelKey& key) const {
+  int SureCopies(const ServedModel& key) const {
     return static_cast<int>(std::count_if(
-        this->engines.begin(), this->engines.end(), [&](const EngineView& one) {
+        this->engines.begin(), this->engines.end(),
+        [&](const PlacedEngine& one) {
           const auto has = [&key](const DesiredState& state) {
             return std::find(state.models.begin(), state.models.end(), key) !=
                    state.models.end();
@@ -66,7 +67,7 @@
   void Pass() {
     ++this->round;
     for (std::size_t index = 0; index < this->engines.size(); ++index) {
-      EngineView& engine = this->engines[index];
+      PlacedEngine& engine = this->engines[index];
       if (engine.ordered.has_value() && this->round >= this->due[index]) {
         engine.reported = *engine.ordered;
         engine.ordered.reset();
@@ -77,7 +78,7 @@
   /// An engine falls silent, is reclaimed, or comes back empty; a template
   /// comes to need another version.
   void Disturb() {
-    EngineView& engine = this->engines[this->random() % this->engines.size()];
+    PlacedEngine& engine = this->engines[this->random() % this->engines.size()];
     switch (this->random() % 4) {
       case 0:
         engine.state = EngineState::kSilent;
@@ -96,7 +97,7 @@
   }
 
   std::mt19937 random;
-  std::vector<EngineView> engines;
+  std::vector<PlacedEngine> engines;
   std::vector<int> due;
   std::vector<NeededModel> needed;
   int round = 0;
@@ -113,7 +114,7 @@
     const int after = fleet.SureCopies(fleet.needed[model].key);
     cr_assert(before[model] == 0 || after > 0, "the last copy was dropped");
   }
-  for (const EngineView& engine : fleet.engines) {
+  for (const PlacedEngine& engine : fleet.engines) {
     if (engine.ordered.has_value()) {
       cr_assert(static_cast<int>(engine.ordered->models.size()) <=
                 engine.capacity);
@@ -164,7 +165,7 @@
       fleet.Order(fleet.Next());
       fleet.Pass();
     }
-    EngineView& lost = fleet.engines[fleet.random() % fleet.engines.size()];
+    PlacedEngine& lost = fleet.engines[fleet.random() % fleet.engines.size()];
     const std::size_t copies = lost.reported.models.size();
     lost.state = EngineState::kGone;
     std::size_t loads = 0;
--- a/src/placement/tests/planner_test.cc
+++ b/src/placement/tests/planner_test.cc
@@ -8,11 +8,11 @@
 namespace meadowthread {
 namespace {
 
-ModelKey Key(std::string_view name) { return {std::string(name), "", "1"}; }
+ServedModel Key(std::string_view name) { return {std::string(name), "", "1"}; }
 
-EngineView Engine(std::string_view name, std::string_view zone,
-                  const std::vector<ModelKey>& loaded) {
-  EngineView engine;
+PlacedEngine Engine(std::string_view name, std::string_view zone,
+                    const std::vector<ServedModel>& loaded) {
+  PlacedEngine engine;
   engine.name = std::string(name);
   engine.zone = std::string(zone);
   engine.reported.role = "mixed";
@@ -21,19 +21,19 @@
 }
 
 /// Six engines over three zones, with one slot each.
-std::vector<EngineView> SixEngines(const std::vector<std::string>& loaded) {
-  std::vector<EngineView> engines;
+std::vector<PlacedEngine> SixEngines(const std::vector<std::string>& loaded) {
+  std::vector<PlacedEngine> engines;
   for (int index = 0; index < 6; ++index) {
     const std::string& model = loaded[index % loaded.size()];
     engines.push_back(Engine(
         "e" + std::to_string(index), "z" + std::to_string(index % 3),
-        model.empty() ? std::vector<ModelKey>{} : std::vector{Key(model)}));
+        model.empty() ? std::vector<ServedModel>{} : std::vector{Key(model)}));
   }
   return engines;
 }
 
 PlannerInput Input(const std::vector<NeededModel>& needed,
-                   const std::vector<EngineView>& engines) {
+                   const std::vector<PlacedEngine>& engines) {
   PlannerInput input;
   input.needed = needed;
   input.engines = engines;
@@ -95,7 +95,7 @@
 Test(a_plan, counts_what_is_ordered_as_held) {
   const std::vector<NeededModel> needed = {{Key("a")}};
   auto engines = SixEngines({""});
-  for (EngineView& engine : engines) {
+  for (PlacedEngine& engine : engines) {
     engine.ordered = DesiredState{"mixed", {Key("a")}};
   }
   cr_assert(MakePlan(Free(), Input(needed, engines)).changes.empty());
@@ -128,7 +128,7 @@
 
 Test(a_plan, says_which_models_are_short) {
   const std::vector<NeededModel> needed = {{Key("a")}, {Key("b")}};
-  const std::vector<EngineView> engines = {Engine("e0", "z0", {Key("a")})};
+  const std::vector<PlacedEngine> engines = {Engine("e0", "z0", {Key("a")})};
   const Plan plan = MakePlan(Free(), Input(needed, engines));
   cr_assert(plan.changes.empty() && plan.shortages.size() == 1);
   cr_assert(plan.shortages[0].key == Key("b"));
@@ -148,9 +148,9 @@
 namespace the_last_copy {
 
 // "b" is needed and has no slot; "a" is held by e0, and by e1 in some way.
-Plan PlanWith(const std::function<void(std::vector<EngineView>&)>& change) {
-  std::vector<EngineView> engines = {Engine("e0", "z0", {Key("a")}),
-                                     Engine("e1", "z1", {Key("a")})};
+Plan PlanWith(const std::function<void(std::vector<PlacedEngine>&)>& change) {
+  std::vector<PlacedEngine> engines = {Engine("e0", "z0", {Key("a")}),
+                                       Engine("e1", "z1", {Key("a")})};
   change(engines);
   const std::vector<NeededModel> needed = {{Key("a")}, {Key("b")}};
   return MakePlan(Free(), Input(needed, engines));
--- a/src/policy/engine_view.h
+++ b/src/policy/engine_view.h
@@ -36,6 +36,7 @@
   std::int64_t preemptions = 0;  ///< since the engine's start
   bool leaving = false;
   std::vector<ServedModel> models;
+  std::string role;
 };
 
 /// @brief Everything this host believes about one engine.
