--- a/src/configuration/service_reader.cc
+++ b/src/configuration/service_reader.cc
@@ -27,8 +27,8 @@
 }  // namespace detail
 namespace {
 
-constexpr std::array<std::string_view, 3> kUrgencies = {"urgent", "normal",
-                                                        "batch"};
+constexpr std::array<std::string_view, 3> kUrgencyNames = {"urgent", "normal",
+                                                           "batch"};
 constexpr std::array<std::string_view, 2> kDeliveries = {"streamed", "whole"};
 constexpr std::array<std::string_view, 3> kClaims = {"none", "keyed", "all"};
 constexpr std::array<std::string_view, 2> kKeyForms = {"timed", "opaque"};
@@ -182,7 +182,7 @@
 WorkspaceService ReadService(YamlReader& reader, const YamlField& root) {
   WorkspaceService service;
   service.models = ReadModels(reader, root);
-  ReadEnum(reader, reader.Member(root, "urgency"), kUrgencies,
+  ReadEnum(reader, reader.Member(root, "urgency"), kUrgencyNames,
            &service.urgency);
   ReadEnum(reader, reader.Member(root, "delivery"), kDeliveries,
            &service.delivery);
--- a/src/configuration/workspace_service.h
+++ b/src/configuration/workspace_service.h
@@ -1,15 +1,15 @@
 #ifndef MEADOWTHREAD_CONFIGURATION_WORKSPACE_SERVICE_H_
 #define MEADOWTHREAD_CONFIGURATION_WORKSPACE_SERVICE_H_
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
 
-namespace meadowthread {
+#include "base/served_model.h"
+#include "claims/claim_types.h"
+#include "policy/work.h"
 
-/// @brief How urgent a workspace's work is.
-enum class Urgency { kUrgent, kNormal, kBatch };
+namespace meadowthread {
 
 /// @brief How answers reach the caller.
 enum class Delivery {
@@ -24,22 +24,8 @@
   kAll,    ///< all, and the key is required
 };
 
-/// @brief What an Idempotency-Key looks like.
-enum class KeyForm {
-  kTimed,   ///< `<unix seconds>-<any text>`
-  kOpaque,  ///< any text
-};
-
 /// @brief What an engine must have loaded to serve a workspace.
-struct ModelVersion {
-  std::string model;
-  std::string adapter;  ///< empty: the model itself
-  std::string version;
-
-  // The linter takes the defaulted comparison for a null pointer's.
-  // NOLINTNEXTLINE(modernize-use-nullptr)
-  auto operator<=>(const ModelVersion&) const = default;
-};
+using ModelVersion = ServedModel;
 
 /// @brief Calls of a plain service that may not be repeated.
 struct NotRepeatableCalls {
--- a/src/gateway/caller_identity.cc
+++ b/src/gateway/caller_identity.cc
@@ -32,20 +32,20 @@
 }  // namespace
 
 absl::StatusOr<CallerIdentity> Identify(const ServerRequest& request,
-                                        const ServiceDirectory& directory) {
-  const std::string_view header =
-      FindHeader(request.headers, "Authorization");
+                                        const ServiceCatalog& catalog) {
+  const std::string_view header = FindHeader(request.headers, "Authorization");
   if (!absl::StartsWithIgnoreCase(
           absl::string_view(header.data(), header.size()),
           absl::string_view(kScheme.data(), kScheme.size()))) {
     return UnknownKey("the request carries no 'Authorization: Bearer KEY'");
   }
   const std::string digest = Sha256Hex(header.substr(kScheme.size()));
-  const std::optional<std::string> workspace = directory.WorkspaceOf(digest);
-  if (!workspace.has_value()) {
+  const std::string_view workspace = catalog.WorkspaceOfKey(digest);
+  if (workspace.empty()) {
     return UnknownKey("the key belongs to no workspace");
   }
-  return CallerIdentity{*workspace, digest.substr(0, kCallerDigits)};
+  return CallerIdentity{std::string(workspace),
+                        digest.substr(0, kCallerDigits)};
 }
 
 }  // namespace meadowthread
--- a/src/gateway/caller_identity.h
+++ b/src/gateway/caller_identity.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "absl/status/statusor.h"
-#include "gateway/service_directory.h"
+#include "configuration/service_catalog.h"
 #include "net/http_server.h"
 
 namespace meadowthread {
@@ -18,7 +18,7 @@
 /// @brief Tells the workspace by `Authorization: Bearer KEY`.
 /// @return the identity, or kUnknownKey
 absl::StatusOr<CallerIdentity> Identify(const ServerRequest& request,
-                                        const ServiceDirectory& directory);
+                                        const ServiceCatalog& catalog);
 
 }  // namespace meadowthread
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -92,11 +92,13 @@
 /// @brief A request on its way through the checks.
 struct Gateway::Arrival {
   SessionStart start;
-  const WorkspaceService* service = nullptr;
+  ServiceCatalog::ServicePtr service;
 };
 
 Gateway::Gateway(const GatewayParts& parts)
-    : parts(parts), alive(std::make_shared<bool>(true)) {}
+    : parts(parts), alive(std::make_shared<bool>(true)) {
+  this->parts.session.observer = this;
+}
 
 Gateway::~Gateway() { *this->alive = false; }
 
@@ -115,8 +117,9 @@
     this->ServeResume(request, std::move(writer));
   } else if (path == "/v1/models" && request.method == "GET") {
     this->ServeModels(request, std::move(writer));
-  } else if (absl::StartsWith(path, absl::string_view(kServicesPrefix.data(),
-                                                      kServicesPrefix.size()))) {
+  } else if (absl::StartsWith(path,
+                              absl::string_view(kServicesPrefix.data(),
+                                                kServicesPrefix.size()))) {
     this->ServePlainService(request, std::move(writer));
   } else if (path == "/healthz") {
     SendText(*writer, 200, "text/plain", "ok\n");
@@ -141,14 +144,14 @@
 void Gateway::ServeModels(const ServerRequest& request,
                           std::unique_ptr<ResponseWriter> writer) {
   const absl::StatusOr<CallerIdentity> caller =
-      Identify(request, this->parts.services);
+      Identify(request, this->parts.catalog);
   if (!caller.ok()) {
     SendProblem(*writer, caller.status(), "");
     return;
   }
   nlohmann::json models = nlohmann::json::array();
-  for (const WorkspaceService* service :
-       this->parts.services.ServicesOf(caller->workspace)) {
+  for (const ServiceCatalog::ServicePtr& service :
+       this->parts.catalog.ServicesOf(caller->workspace)) {
     for (const ServedModel& model : service->models) {
       models.push_back({{"id", model.model},
                         {"object", "model"},
@@ -165,13 +168,13 @@
 void Gateway::ServePlainService(const ServerRequest& request,
                                 std::unique_ptr<ResponseWriter> writer) {
   const absl::StatusOr<CallerIdentity> caller =
-      Identify(request, this->parts.services);
+      Identify(request, this->parts.catalog);
   absl::Status status = caller.status();
   if (status.ok()) {
     status = this->parts.gate.MayTakeWork();
   }
   if (status.ok()) {
-    status = this->parts.gate.MayServe(caller->workspace);
+    status = this->parts.gate.BeginWork(caller->workspace);
   }
   const std::string id = NewRequestId();
   if (!status.ok()) {
@@ -193,9 +196,10 @@
   call.idempotency_key =
       std::string(FindHeader(request.headers, "Idempotency-Key"));
   call.body = request.body;
+  WorkGate* gate = &this->parts.gate;
   this->parts.forwarder.Forward(
-      call, this->parts.services.ServicesOf(caller->workspace),
-      std::move(writer));
+      call, std::move(writer),
+      [gate, workspace = call.workspace] { gate->EndWork(workspace); });
 }
 
 ////////////////
@@ -211,6 +215,9 @@
   if (status.ok()) {
     status = this->AdmitToLimits(&arrival.start);
   }
+  if (status.ok()) {
+    status = this->BeginWork(arrival.start);
+  }
   if (!status.ok()) {
     SendProblem(*writer, status, arrival.start.request);
     return;
@@ -227,7 +234,7 @@
 absl::Status Gateway::Check(AnswerForm form, const ServerRequest& request,
                             Arrival* arrival) const {
   const absl::StatusOr<CallerIdentity> caller =
-      Identify(request, this->parts.services);
+      Identify(request, this->parts.catalog);
   if (!caller.ok()) {
     return caller.status();
   }
@@ -242,16 +249,14 @@
   }
   arrival->start.asked = *asked;
   arrival->start.caller = caller->caller;
-  arrival->service =
-      this->parts.services.Find(caller->workspace, asked->model);
+  arrival->service = this->parts.catalog.Find(caller->workspace, asked->model);
   if (arrival->service == nullptr) {
-    return Refuse(ErrorId::kUnknownModel, "route", "model",
-                  absl::StrCat("model '", asked->model,
-                               "' is not served to workspace '",
-                               caller->workspace, "'"));
+    return Refuse(
+        ErrorId::kUnknownModel, "route", "model",
+        absl::StrCat("model '", asked->model, "' is not served to workspace '",
+                     caller->workspace, "'"));
   }
-  const absl::Status owned = this->parts.gate.MayServe(caller->workspace);
-  return owned.ok() ? this->CheckTerms(request, arrival) : owned;
+  return this->CheckTerms(request, arrival);
 }
 
 absl::Status Gateway::CheckTerms(const ServerRequest& request,
@@ -313,26 +318,32 @@
   }
   detail.id = ErrorId::kWorkspaceLimit;
   detail.retry_after_ms = answer.retry_after_ms;
-  return MakeError(
-      absl::StatusCode::kResourceExhausted, detail,
-      absl::StrCat("the workspace's limit is reached: ",
-                   std::string(LimitReachedName(answer.reached))));
+  return MakeError(absl::StatusCode::kResourceExhausted, detail,
+                   absl::StrCat("the workspace's limit is reached: ",
+                                std::string(LimitReachedName(answer.reached))));
+}
+
+absl::Status Gateway::BeginWork(const SessionStart& start) {
+  absl::Status status = this->parts.gate.BeginWork(start.terms.workspace);
+  if (!status.ok()) {
+    this->parts.session.limits.Ended(start.terms.workspace,
+                                     start.expected_tokens, 0);
+  }
+  return status;
 }
 
 // The token says where the answer's engine is; whose it is has been checked.
 void Gateway::ServeResume(const ServerRequest& request,
                           std::unique_ptr<ResponseWriter> writer) {
   const absl::StatusOr<CallerIdentity> caller =
-      Identify(request, this->parts.services);
+      Identify(request, this->parts.catalog);
   if (!caller.ok()) {
     SendProblem(*writer, caller.status(), "");
     return;
   }
-  const absl::StatusOr<ResumeClaims> claims =
-      this->parts.session.tokens.Verify(
-          FindHeader(request.headers, "Meadowthread-Resume-Token"),
-          caller->workspace, caller->caller,
-          this->parts.session.clock.WallMs());
+  const absl::StatusOr<ResumeClaims> claims = this->parts.session.tokens.Verify(
+      FindHeader(request.headers, "Meadowthread-Resume-Token"),
+      caller->workspace, caller->caller, this->parts.session.clock.WallMs());
   if (!claims.ok()) {
     SendProblem(*writer, claims.status(), "");
     return;
@@ -372,8 +383,8 @@
   head.created_unix_s = start.arrived_ms / 1000;
   SessionParts session_parts = this->parts.session;
   const std::uint64_t id = ++this->last_session;
-  auto caller = std::make_unique<CallerStream>(
-      std::move(writer), head, mode, session_parts.options.bounds);
+  auto caller = std::make_unique<CallerStream>(std::move(writer), head, mode,
+                                               session_parts.options.bounds);
   this->sessions.emplace(id, std::make_unique<GenerationSession>(
                                  session_parts, start, std::move(caller)));
   this->by_request[start.request] = id;
@@ -392,6 +403,9 @@
 // once the event loop is back.
 void Gateway::OnSessionEnded(const SessionEnd& end) {
   this->parts.observer.OnSessionEnded(end);
+  if (!end.resumed) {
+    this->parts.gate.EndWork(end.workspace);
+  }
   if (this->drop_planned) {
     return;
   }
@@ -457,8 +471,8 @@
     if (running.size() == most) {
       break;
     }
-    running.push_back({session->Request(), session->Phase(),
-                       session->TokensDelivered()});
+    running.push_back(
+        {session->Request(), session->Phase(), session->TokensDelivered()});
   }
   return running;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,9 +10,9 @@
 
 #include "gateway/caller_identity.h"
 #include "gateway/generation_session.h"
-#include "gateway/service_directory.h"
 #include "gateway/service_forwarder.h"
 #include "gateway/session_parts.h"
+#include "gateway/work_gate.h"
 #include "net/http_server.h"
 
 namespace meadowthread {
@@ -20,8 +20,8 @@
 /// @brief What the gateway needs besides what its sessions need.
 struct GatewayParts {
   SessionParts session;  ///< its observer is replaced by the gateway
-  const ServiceDirectory& services;
-  const WorkGate& gate;
+  const ServiceCatalog& catalog;
+  WorkGate& gate;
   ServiceForwarder& forwarder;
   SessionObserver& observer;  ///< told after the gateway's own bookkeeping
   std::function<std::string()> metrics_text;
@@ -89,6 +89,7 @@
                      Arrival* arrival) const;
   absl::Status CheckTerms(const ServerRequest& request, Arrival* arrival) const;
   absl::Status AdmitToLimits(SessionStart* start);
+  absl::Status BeginWork(const SessionStart& start);
   void AddSession(const SessionStart& start,
                   std::unique_ptr<ResponseWriter> writer, DeliveryMode mode);
   GenerationSession* FindSession(std::string_view request);
--- a/src/gateway/generation_session_stream.cc
+++ b/src/gateway/generation_session_stream.cc
@@ -167,7 +167,7 @@
   } else {
     const std::int64_t gap = now - this->last_token_ms;
     this->longest_gap_ms = std::max(this->longest_gap_ms, gap);
-    this->parts.observer.OnTokenGap(gap / static_cast<std::int64_t>(count));
+    this->parts.observer->OnTokenGap(gap / static_cast<std::int64_t>(count));
   }
   this->last_token_ms = now;
   this->last_sign_ms = now;
@@ -387,6 +387,7 @@
   end.first_token_ms = this->first_token_ms;
   end.total_ms = this->parts.clock.WallMs() - this->start.arrived_ms;
   end.longest_gap_ms = this->longest_gap_ms;
+  end.resumed = this->resumed;
   LogLine line("end");
   line.Add("request", end.request)
       .Add("workspace", end.workspace)
@@ -400,7 +401,7 @@
       .Add("total_ms", end.total_ms)
       .Add("caller", this->caller_gone ? "gone" : "there")
       .Write();
-  this->parts.observer.OnSessionEnded(end);
+  this->parts.observer->OnSessionEnded(end);
 }
 
 // The stream may be calling us right now: it is closed and destroyed with the
--- a/src/gateway/service_forwarder.cc
+++ b/src/gateway/service_forwarder.cc
@@ -22,29 +22,6 @@
 constexpr std::array<std::string_view, 5> kIdempotentMethods = {
     "GET", "HEAD", "OPTIONS", "PUT", "DELETE"};
 
-bool Matches(const NotRepeatableCalls& calls, const ServiceCall& call) {
-  const bool method =
-      calls.methods.empty() ||
-      std::find(calls.methods.begin(), calls.methods.end(), call.method) !=
-          calls.methods.end();
-  return calls.service == call.service && method &&
-         absl::StartsWith(call.path, calls.path_prefix);
-}
-
-/// @brief The key form of a call that may not be repeated; empty for others.
-std::optional<KeyForm> ClaimFormOf(
-    const ServiceCall& call,
-    std::span<const WorkspaceService* const> services) {
-  for (const WorkspaceService* service : services) {
-    for (const NotRepeatableCalls& calls : service->not_repeatable.services) {
-      if (Matches(calls, call)) {
-        return service->not_repeatable.key_form;
-      }
-    }
-  }
-  return std::nullopt;
-}
-
 absl::Status CallError(ErrorId id, Outcome outcome, std::string_view peer,
                        std::string_view what) {
   ErrorDetail detail;
@@ -60,19 +37,25 @@
 struct ServiceForwarder::Pending {
   ServiceCall call;
   std::unique_ptr<ResponseWriter> writer;
+  std::function<void()> ended;
   std::optional<KeyForm> key_form;
   std::optional<ClaimGrant> grant;
   std::vector<std::string> tried;
   std::int64_t deadline_unix_ms = 0;
 };
 
-void ServiceForwarder::Forward(
-    const ServiceCall& call, std::span<const WorkspaceService* const> services,
-    std::unique_ptr<ResponseWriter> writer) {
+void ServiceForwarder::Forward(const ServiceCall& call,
+                               std::unique_ptr<ResponseWriter> writer,
+                               std::function<void()> ended) {
   auto pending = std::make_shared<Pending>();
   pending->call = call;
   pending->writer = std::move(writer);
-  pending->key_form = ClaimFormOf(call, services);
+  pending->ended = std::move(ended);
+  const CallRule rule = this->parts.catalog.RuleOf(call.workspace, call.service,
+                                                   call.method, call.path);
+  if (rule.needs_key) {
+    pending->key_form = rule.key_form;
+  }
   pending->deadline_unix_ms =
       this->parts.clock.WallMs() + this->parts.timeout_ms;
   ++this->running;
@@ -87,10 +70,9 @@
     detail.outcome = Outcome::kNotRun;
     detail.step = "forward";
     detail.field = "Idempotency-Key";
-    this->Fail(*pending,
-               MakeError(absl::StatusCode::kInvalidArgument, detail,
-                         "this call may not be repeated: it needs an "
-                         "Idempotency-Key"));
+    this->Fail(*pending, MakeError(absl::StatusCode::kInvalidArgument, detail,
+                                   "this call may not be repeated: it needs an "
+                                   "Idempotency-Key"));
     return;
   }
   this->Claim(pending);
@@ -102,9 +84,9 @@
   request.workspace = call.workspace;
   request.key = call.idempotency_key;
   request.key_form = *pending->key_form;
-  request.body_digest = BodyDigest(absl::StrCat(
-      call.method, "\n", call.service, "\n", call.path, "\n", call.query, "\n",
-      call.body));
+  request.body_digest =
+      BodyDigest(absl::StrCat(call.method, "\n", call.service, "\n", call.path,
+                              "\n", call.query, "\n", call.body));
   request.deadline_unix_ms = pending->deadline_unix_ms;
   this->parts.claims.Claim(
       request, [this, pending](const absl::StatusOr<ClaimAnswer>& answer) {
@@ -134,8 +116,8 @@
   std::vector<const HostEntry*> left =
       this->parts.hosts.OfService(pending.call.service);
   std::erase_if(left, [&pending](const HostEntry* entry) {
-    return std::find(pending.tried.begin(), pending.tried.end(),
-                     entry->name) != pending.tried.end();
+    return std::find(pending.tried.begin(), pending.tried.end(), entry->name) !=
+           pending.tried.end();
   });
   if (left.empty()) {
     return nullptr;
@@ -143,7 +125,7 @@
   const HostEntry* first = left[this->parts.random() % left.size()];
   const HostEntry* second = left[this->parts.random() % left.size()];
   return this->in_flight[second->name] < this->in_flight[first->name] ? second
-                                                                       : first;
+                                                                      : first;
 }
 
 HttpRequest ServiceForwarder::MakeRequest(const Pending& pending,
@@ -210,9 +192,8 @@
     this->PassOn(*pending, fetched.response);
     return;
   }
-  const Outcome outcome = fetched.end.request_may_have_left
-                              ? Outcome::kUnknown
-                              : Outcome::kNotRun;
+  const Outcome outcome =
+      fetched.end.request_may_have_left ? Outcome::kUnknown : Outcome::kNotRun;
   ErrorDetail detail = DetailOf(fetched.end.status);
   detail.outcome = outcome;
   detail.peer = backend;
@@ -231,12 +212,12 @@
                 pending->call.method) != kIdempotentMethods.end();
   const bool allowed = outcome == Outcome::kNotRun || idempotent;
   const int attempts = static_cast<int>(pending->tried.size());
-  const bool may = allowed && attempts < kMaxAttempts &&
-                   this->parts.retries
-                           .Ask({attempts, pending->deadline_unix_ms},
-                                this->parts.clock.WallMs(),
-                                this->parts.random())
-                           .verdict == RetryVerdict::kRetry;
+  const bool may =
+      allowed && attempts < kMaxAttempts &&
+      this->parts.retries
+              .Ask({attempts, pending->deadline_unix_ms},
+                   this->parts.clock.WallMs(), this->parts.random())
+              .verdict == RetryVerdict::kRetry;
   if (may) {
     this->Send(pending);
     return;
@@ -249,6 +230,7 @@
 
 void ServiceForwarder::PassOn(Pending& pending, const HttpResponse& response) {
   --this->running;
+  pending.ended();
   WholeResponse answer;
   answer.http_status = response.http_status;
   answer.content_type =
@@ -273,6 +255,7 @@
 
 void ServiceForwarder::Fail(Pending& pending, const absl::Status& status) {
   --this->running;
+  pending.ended();
   Problem problem;
   problem.status = status;
   problem.request = pending.call.request;
--- a/src/gateway/service_forwarder.h
+++ b/src/gateway/service_forwarder.h
@@ -2,17 +2,18 @@
 #define MEADOWTHREAD_GATEWAY_SERVICE_FORWARDER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <random>
-#include <span>
 #include <string>
 #include <vector>
 
 #include "base/clock.h"
+#include "base/error.h"
 #include "claims/claim_service.h"
-#include "configuration/workspace_service.h"
+#include "configuration/service_catalog.h"
 #include "hosts/host_directory.h"
 #include "net/http_client.h"
 #include "net/response_writer.h"
@@ -37,6 +38,7 @@
 struct ForwarderParts {
   HttpClient& client;
   const HostDirectory& hosts;
+  const ServiceCatalog& catalog;  ///< says which calls may not be repeated
   ClaimService& claims;
   RetryBudget& retries;
   const Clock& clock;
@@ -50,11 +52,9 @@
   explicit ServiceForwarder(const ForwarderParts& parts) : parts(parts) {}
 
   /// @brief Forwards a call and answers it through `writer`.
-  /// @param[in] services what the workspace is served: says which calls may
-  /// not be repeated
-  void Forward(const ServiceCall& call,
-               std::span<const WorkspaceService* const> services,
-               std::unique_ptr<ResponseWriter> writer);
+  /// @param[in] ended called once the call is over
+  void Forward(const ServiceCall& call, std::unique_ptr<ResponseWriter> writer,
+               std::function<void()> ended);
 
   /// @brief Calls in progress.
   int Running() const { return this->running; }
--- a/src/gateway/session_parts.h
+++ b/src/gateway/session_parts.h
@@ -39,6 +39,7 @@
   std::int64_t first_token_ms = -1;  ///< since arrival; -1: none came
   std::int64_t total_ms = 0;
   std::int64_t longest_gap_ms = 0;  ///< between tokens
+  bool resumed = false;             ///< its work was begun by another session
 };
 
 /// @brief Told what happens to sessions.
@@ -76,7 +77,7 @@
   WorkspaceLimits& limits;
   ClaimService& claims;
   const ResumeTokenCodec& tokens;
-  SessionObserver& observer;
+  SessionObserver* observer;
   SessionOptions options;
   std::mt19937_64& random;
 };
--- /dev/null
+++ b/src/serve/host_gate.cc
@@ -0,0 +1,91 @@
+#include "serve/host_gate.h"
+
+#include <algorithm>
+
+#include "base/error.h"
+
+namespace meadowthread {
+namespace {
+
+// The balancer has taken this host out by then.
+constexpr std::int64_t kRetryAfterMs = 1000;
+
+absl::Status NotTaken(ErrorId id, std::string_view what) {
+  ErrorDetail detail;
+  detail.id = id;
+  detail.outcome = Outcome::kNotRun;
+  detail.step = "host";
+  detail.retry_after_ms = kRetryAfterMs;
+  return MakeError(absl::StatusCode::kUnavailable, detail, what);
+}
+
+}  // namespace
+
+HostGate::HostGate(const HostGateParts& parts)
+    : parts(parts), marks(parts.view) {}
+
+absl::Status HostGate::MayTakeWork() const {
+  if (this->closed) {
+    return NotTaken(ErrorId::kHostLeaving, "this host is stopping");
+  }
+  if (this->ViewAgeMs() < 0) {
+    return NotTaken(ErrorId::kHostNotReady,
+                    "this host has not learnt its configuration yet");
+  }
+  if (this->Mark().mark != HostMark::kLive) {
+    return NotTaken(ErrorId::kHostLeaving, "this host is marked to leave");
+  }
+  if (this->IsIsolated()) {
+    return NotTaken(ErrorId::kHostNotReady,
+                    "this host reaches neither the platform nor a peer");
+  }
+  return absl::OkStatus();
+}
+
+absl::Status HostGate::BeginWork(std::string_view workspace) {
+  return this->parts.begin_work(workspace);
+}
+
+void HostGate::EndWork(std::string_view workspace) {
+  this->parts.end_work(workspace);
+}
+
+MarkDocument HostGate::Mark() const {
+  MarkDocument mark = this->marks.MarkOf(this->parts.host);
+  const HostEntry* entry = this->parts.hosts.Find(this->parts.host);
+  if (mark.mark == HostMark::kLive && entry != nullptr && entry->leaving) {
+    mark.mark = HostMark::kLeaving;
+    mark.set_by = "host-list";
+  }
+  return mark;
+}
+
+std::int64_t HostGate::ViewAgeMs() const {
+  std::int64_t oldest = 0;
+  for (const ViewDigest& digest : this->parts.view.Digests()) {
+    if (digest.confirmed.by.empty()) {
+      return -1;
+    }
+    oldest =
+        std::max(oldest, this->parts.clock.WallMs() - digest.confirmed.unix_ms);
+  }
+  return oldest;
+}
+
+// With peers answering, a change accepted anywhere reaches this host: while
+// the platform is down none is accepted, and one accepted just before it went
+// down is told on by the host or command line that saw it. A host that hears
+// neither can know nothing of what it should have learnt, and others can serve.
+bool HostGate::IsIsolated() const {
+  if (this->ViewAgeMs() <= this->parts.stale_limit_ms) {
+    return false;
+  }
+  const bool alone = this->parts.hosts.OfRole(HostRole::kEntry).size() <= 1;
+  if (alone) {
+    return false;
+  }
+  const std::int64_t silence = this->parts.peer_silence_ms();
+  return silence < 0 || silence > this->parts.stale_limit_ms;
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/serve/host_process.cc
@@ -0,0 +1,348 @@
+#include "serve/host_process.h"
+
+#include <glog/logging.h>
+
+#include <QCoreApplication>
+#include <QUuid>
+#include <array>
+#include <functional>
+
+#include "absl/strings/str_cat.h"
+#include "base/log_line.h"
+#include "claims/store_claim_service.h"
+#include "configuration/service_catalog.h"
+#include "gateway/gateway.h"
+#include "hosts/host_list_poller.h"
+#include "net/curl_client.h"
+#include "net/http_server.h"
+#include "net/qt_scheduler.h"
+#include "nlohmann/json.hpp"
+#include "policy/length_model.h"
+#include "serve/engine_watch.h"
+#include "serve/host_gate.h"
+#include "serve/host_metrics.h"
+#include "serve/policy_parts.h"
+#include "settings/secret_file.h"
+#include "store/http_object_store.h"
+
+namespace meadowthread {
+namespace {
+
+constexpr std::int64_t kDrainPeriodMs = 20;
+constexpr std::int64_t kTickPeriodMs = 1000;
+constexpr std::int64_t kRotatePeriodMs = 60'000;
+constexpr std::size_t kShownRunning = 20;
+constexpr std::array<std::string_view, 2> kViewKinds = {kTemplatesKind,
+                                                        kMarksKind};
+
+SessionOptions MakeSessionOptions(const Settings& settings) {
+  SessionOptions options;
+  options.bounds.slow_caller_bytes = settings.callers.slow_caller_bytes;
+  options.bounds.whole_answer_bytes = settings.callers.whole_answer_bytes;
+  options.keepalive_ms = settings.callers.keepalive_ms;
+  options.resume_expiry_ms = settings.answers.resume_expiry_ms;
+  options.orphan_timeout_ms = settings.answers.orphan_timeout_ms;
+  return options;
+}
+
+ServerLimits MakeServerLimits(const Settings& settings) {
+  ServerLimits limits;
+  limits.max_body_bytes = settings.callers.max_body_bytes;
+  limits.max_header_bytes = settings.callers.max_header_bytes;
+  limits.body_timeout_ms = settings.callers.body_timeout_ms;
+  return limits;
+}
+
+ClaimSettings MakeClaimSettings(const Settings& settings) {
+  ClaimSettings claims;
+  claims.shards = settings.claims.shards;
+  claims.host = settings.host.name;
+  claims.segment_bytes =
+      static_cast<std::size_t>(settings.claims.segment_bytes);
+  claims.retention_ms = settings.claims.retention_ms;
+  return claims;
+}
+
+}  // namespace
+
+absl::StatusOr<SecretKeys> ReadSecretKeys(const Settings& settings) {
+  SecretKeys keys;
+  if (settings.answers.resume_key_file.empty()) {
+    keys.resume_keys.push_back(QUuid::createUuid().toByteArray().toStdString());
+    return keys;
+  }
+  const absl::StatusOr<std::string> key = ReadSecretFile(
+      "answers.resume_key_file", settings.answers.resume_key_file);
+  if (!key.ok()) {
+    return key.status();
+  }
+  keys.resume_keys.push_back(*key);
+  return keys;
+}
+
+/// @brief The slices of one host, in the order in which they depend on each
+/// other.
+class HostProcess::Parts {
+ public:
+  Parts(const Settings& with, const SecretKeys& keys);
+
+  absl::Status Start();
+  void Stop(int times);
+
+ private:
+  void Every(std::int64_t period_ms, const std::function<void()>& task);
+  void FeedView();
+  void FollowMark();
+  void EndIfDrained();
+  std::string StatusJson() const;
+  void SetGauges();
+
+  Settings settings;
+  SystemClock clock;
+  std::mt19937_64 random{std::random_device{}()};
+  QtScheduler scheduler;
+  CurlClient client;
+  HttpObjectStore store;
+  ReplicatedView view;
+  ServiceCatalog catalog;
+  HostDirectory hosts;
+  HostListPoller host_list;
+  LearnedLengthModel lengths;
+  FleetState fleet;
+  std::unique_ptr<EngineChooser> chooser;
+  Dispatcher dispatcher;
+  RetryBudget retries;
+  WorkspaceLimits limits;
+  EngineClient engine_client;
+  EngineWatch engines;
+  StoreClaimService claims;
+  ResumeTokenCodec tokens;
+  HostMetrics metrics;
+  HostGate gate;
+  ServiceForwarder forwarder;
+  std::unique_ptr<Gateway> gateway;
+  std::unique_ptr<HttpServer> server;
+  std::int64_t incarnation;
+  bool stopping = false;
+};
+
+HostProcess::Parts::Parts(const Settings& with, const SecretKeys& keys)
+    : settings(with),
+      store(
+          this->client,
+          {with.platform.object_api, with.platform.request_timeout_ms,
+           with.platform.request_timeout_ms, with.platform.request_timeout_ms}),
+      view(this->clock, kViewKinds),
+      catalog(this->view),
+      host_list(this->client, this->scheduler, this->hosts,
+                with.platform.host_list, with.platform.host_list_period_ms),
+      fleet(this->lengths),
+      chooser(MakeChooser(with.policy)),
+      dispatcher(this->fleet, *this->chooser,
+                 MakeAdmissionOptions(with.policy)),
+      retries(RetryBudgetOptions{with.policy.retry_budget_ratio}),
+      engine_client(this->client,
+                    EngineLimits{1000, with.answers.engine_silence_ms, 2000}),
+      engines({this->clock, this->scheduler, this->hosts, this->engine_client,
+               this->fleet, this->random,
+               [](std::string_view) { return true; }}),
+      claims({&this->store, &this->scheduler, &this->clock,
+              MakeClaimSettings(with)}),
+      tokens(keys.resume_keys),
+      gate({with.host.name, this->clock, this->view, this->hosts,
+            with.configuration.stale_limit_ms, [] { return std::int64_t{-1}; },
+            [](std::string_view) { return absl::OkStatus(); },
+            [](std::string_view) {}}),
+      forwarder({this->client, this->hosts, this->catalog, this->claims,
+                 this->retries, this->clock, this->random}),
+      incarnation(this->clock.WallMs()) {
+  SessionParts session = {
+      this->clock,   this->scheduler,  this->engine_client,
+      this->engines, this->dispatcher, this->fleet,
+      this->retries, this->limits,     this->claims,
+      this->tokens,  nullptr,          MakeSessionOptions(with),
+      this->random};
+  GatewayParts gateway_parts = {
+      session,
+      this->catalog,
+      this->gate,
+      this->forwarder,
+      this->metrics,
+      [this] {
+        this->SetGauges();
+        return this->metrics.Text();
+      },
+      [this] { return this->StatusJson(); },
+      static_cast<std::size_t>(with.callers.max_streams)};
+  this->gateway = std::make_unique<Gateway>(gateway_parts);
+  this->server =
+      std::make_unique<HttpServer>(this->gateway.get(), MakeServerLimits(with));
+  this->catalog.AddListener(
+      [this] { ApplyLimits(this->catalog, &this->limits); });
+  this->engines.on_report = [this](const LoadReport& report) {
+    this->metrics.OnReport(report);
+  };
+}
+
+absl::Status HostProcess::Parts::Start() {
+  const HostSettings& host = this->settings.host;
+  const absl::StatusOr<std::uint16_t> port = this->server->Listen(
+      host.address, static_cast<std::uint16_t>(host.port),
+      {this->settings.tls.certificate_file, this->settings.tls.key_file});
+  if (!port.ok()) {
+    return port.status();
+  }
+  this->host_list.Start();
+  this->engines.Start();
+  this->FeedView();
+  this->Every(kDrainPeriodMs, [this] { this->gateway->DrainQueue(); });
+  this->Every(kTickPeriodMs, [this] {
+    this->gateway->TickSessions();
+    this->FollowMark();
+    this->EndIfDrained();
+  });
+  this->Every(kRotatePeriodMs, [this] { this->metrics.Rotate(); });
+  LogLine line("started");
+  line.Add("host", host.name)
+      .Add("address", host.address)
+      .Add("port", *port)
+      .Add("zone", host.zone)
+      .Add("incarnation", this->incarnation)
+      .Write();
+  return absl::OkStatus();
+}
+
+void HostProcess::Parts::Every(std::int64_t period_ms,
+                               const std::function<void()>& task) {
+  this->scheduler.After(period_ms, [this, period_ms, task] {
+    task();
+    this->Every(period_ms, task);
+  });
+}
+
+void HostProcess::Parts::FeedView() {
+  for (const std::string_view kind : kViewKinds) {
+    const std::int64_t asked = this->clock.WallMs();
+    this->store.List(
+        kind, 0, [this, kind, asked](const absl::StatusOr<ObjectList>& list) {
+          if (list.ok()) {
+            this->view.ApplyList(kind, 0, *list,
+                                 {asked, this->settings.host.name});
+          }
+        });
+  }
+  this->scheduler.After(1000, [this] { this->FeedView(); });
+}
+
+///////////////////
+// Planned stops
+///////////////////
+
+void HostProcess::Parts::Stop(int times) {
+  LogLine line("stop-asked");
+  line.Add("host", this->settings.host.name)
+      .Add("times", times)
+      .Add("running", this->gateway->Running())
+      .Write();
+  this->gate.Close();
+  this->stopping = true;
+  if (times > 1) {
+    const int cut = this->gateway->HandOverStreams();
+    LogLine("hand-over").Add("streams", cut).Write();
+  }
+  this->EndIfDrained();
+}
+
+// A mark "stopping" ends the process as SIGTERM does.
+void HostProcess::Parts::FollowMark() {
+  const MarkDocument mark = this->gate.Mark();
+  if (mark.mark != HostMark::kStopping || this->stopping) {
+    return;
+  }
+  this->Stop(mark.handover ? 2 : 1);
+}
+
+void HostProcess::Parts::EndIfDrained() {
+  if (!this->stopping) {
+    return;
+  }
+  const std::size_t left = this->gateway->Running() +
+                           static_cast<std::size_t>(this->forwarder.Running());
+  if (left > 0) {
+    LogLine line("stop-waits");
+    line.Add("host", this->settings.host.name).Add("running", left);
+    std::string requests;
+    for (const RunningRequest& running :
+         this->gateway->RunningRequests(kShownRunning)) {
+      absl::StrAppend(&requests, requests.empty() ? "" : ",", running.request);
+    }
+    line.Add("requests", requests).Write();
+    return;
+  }
+  LogLine("stopped").Add("host", this->settings.host.name).Write();
+  QCoreApplication::quit();
+}
+
+//////////////////////
+// What it tells
+//////////////////////
+
+std::string HostProcess::Parts::StatusJson() const {
+  const ViewDigest digest = this->view.Digest(kTemplatesKind);
+  const absl::Status ready = this->gate.MayTakeWork();
+  nlohmann::json waits = nlohmann::json::array();
+  if (this->stopping) {
+    for (const RunningRequest& running :
+         this->gateway->RunningRequests(kShownRunning)) {
+      waits.push_back({{"request", running.request},
+                       {"phase", std::string(SessionPhaseName(running.phase))},
+                       {"tokens_delivered", running.tokens_delivered}});
+    }
+  }
+  std::size_t queued = 0;
+  for (const Urgency urgency :
+       {Urgency::kUrgent, Urgency::kNormal, Urgency::kBatch}) {
+    queued += this->dispatcher.Queue().Queued(urgency);
+  }
+  nlohmann::json problems = nlohmann::json::array();
+  for (const CatalogProblem& problem : this->catalog.Problems()) {
+    problems.push_back({{"template", problem.template_name},
+                        {"version", problem.version},
+                        {"in_force_version", problem.in_force_version},
+                        {"message", problem.message}});
+  }
+  const nlohmann::json status = {
+      {"host", this->settings.host.name},
+      {"incarnation", this->incarnation},
+      {"ready", ready.ok()},
+      {"why_not_ready", std::string(ready.message())},
+      {"configuration_revision", digest.revision},
+      {"confirmed_unix_ms", digest.confirmed.unix_ms},
+      {"confirmed_by", digest.confirmed.by},
+      {"streams", this->gateway->Running()},
+      {"queued", queued},
+      {"mark", std::string(HostMarkName(this->gate.Mark().mark))},
+      {"stop_waits_for", waits},
+      {"engines", this->fleet.EngineCount()},
+      {"template_problems", problems}};
+  return status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void HostProcess::Parts::SetGauges() {
+  this->metrics.SetState("streams",
+                         static_cast<double>(this->gateway->Running()));
+  this->metrics.SetState("ready", this->gate.MayTakeWork().ok() ? 1.0 : 0.0);
+  this->metrics.SetState("view_age_ms",
+                         static_cast<double>(this->gate.ViewAgeMs()));
+}
+
+HostProcess::HostProcess(const Settings& settings, const SecretKeys& keys)
+    : parts(std::make_unique<Parts>(settings, keys)) {}
+
+HostProcess::~HostProcess() = default;
+
+absl::Status HostProcess::Start() { return this->parts->Start(); }
+
+void HostProcess::Stop(int times) { this->parts->Stop(times); }
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/serve/serve.h
@@ -0,0 +1,14 @@
+#ifndef MEADOWTHREAD_SERVE_SERVE_H_
+#define MEADOWTHREAD_SERVE_SERVE_H_
+
+#include "settings/settings.h"
+
+namespace meadowthread {
+
+/// @brief Runs an entry host until it is told to stop and its work is done.
+/// @return the process's exit code
+int RunServe(const Settings& settings);
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_SERVE_SERVE_H_
