--- a/src/configuration/service_catalog.cc
+++ b/src/configuration/service_catalog.cc
@@ -143,7 +143,7 @@
                                 std::string_view path) const {
   // Servers differ in how they read odd spellings; one that slipped past the
   // mark here and was understood there would run twice.
-  const std::string normal(path);
+  const std::string normal = detail::NormalPath(path);
   const std::string upper =
       absl::AsciiStrToUpper({method.data(), method.size()});
   for (const ServicePtr& each : this->ServicesOf(workspace)) {
@@ -228,10 +228,10 @@
     this->PutInForce(&entry, *read, object.name);
   } else {
     entry.faulty_version = object.version;
-    entry.fault = std::string(read.status().message());
+    entry.fault = absl::StrCat(read.status().message());
   }
-  LogLine("template")
-      .Add("name", object.name)
+  LogLine line("template");
+  line.Add("name", object.name)
       .Add("version", object.version)
       .Add("in_force", entry.in_force_version)
       .Add("fault", entry.fault)
