Exchange of versions between entry hosts, with news told at once

Cause: a configuration or a mark that the platform accepted has to be in force on every host within seconds, without a watch for each host.

Ruled out: a list of members agreed among hosts (the host list says who is there, calls find out who answers); telling all 350 hosts from one; sending whole state; digests by content hash (revisions of the object API suffice).

Change: Exchanger runs rounds with a few partners (digests out, deltas back, and what the partner lacks sent after) and tells changes on at once with a bounded fan-out. PeerDirectory draws partners by distance and leaves silent peers alone with backoff. Load notes ride along within the region.

Found by its own tests, then mended: bulk beyond its bucket cost nothing (6,508,902 bytes of 5,677,152 allowed in 120 s); frozen hosts of the fake network went on calling.

Conclusion: 30 passed, 0 failed (exchange_tests).

--- /dev/null
+++ b/src/exchange/byte_budget.h
@@ -0,0 +1,39 @@
+#ifndef MEADOWTHREAD_EXCHANGE_BYTE_BUDGET_H_
+#define MEADOWTHREAD_EXCHANGE_BYTE_BUDGET_H_
+
+#include <cstdint>
+
+#include "base/clock.h"
+
+namespace meadowthread {
+
+/// @brief A token bucket of bytes that may run into debt: what a peer sends
+/// is spent before it can be refused.
+class ByteBudget {
+ public:
+  /// @param[in] bytes_per_second refill
+  /// @param[in] burst_bytes most that is saved up; full at the start
+  /// @param[in] clock outlives this
+  ByteBudget(std::int64_t bytes_per_second, std::int64_t burst_bytes,
+             const Clock& clock);
+
+  void Spend(std::int64_t bytes);
+
+  /// @brief Bytes that may be spent now; negative while in debt.
+  std::int64_t Available();
+
+  std::int64_t Burst() const { return this->burst_bytes; }
+
+ private:
+  void Refill();
+
+  std::int64_t bytes_per_second;
+  std::int64_t burst_bytes;
+  const Clock& clock;
+  std::int64_t available;
+  std::int64_t refilled_ms;
+};
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_EXCHANGE_BYTE_BUDGET_H_
--- /dev/null
+++ b/src/exchange/exchange_budget.cc
@@ -0,0 +1,41 @@
+#include "exchange/exchange_budget.h"
+
+#include <algorithm>
+
+namespace meadowthread {
+
+ExchangeBudget::ExchangeBudget(const ExchangeSettings& exchange_settings,
+                               const Clock& clock)
+    : settings(exchange_settings),
+      news(this->settings.news_bytes_per_second,
+           this->settings.news_burst_bytes, clock),
+      bulk(this->settings.bulk_bytes_per_second,
+           this->settings.bulk_burst_bytes, clock) {}
+
+void ExchangeBudget::Spend(std::size_t body_bytes) {
+  const auto bytes =
+      static_cast<std::int64_t>(body_bytes) + kHttpBytesPerMessage;
+  // What bulk can't pay holds up the rounds: else it would be free.
+  const bool is_bulk =
+      bytes > this->settings.news_item_bytes && this->bulk.Available() > 0;
+  (is_bulk ? this->bulk : this->news).Spend(bytes);
+}
+
+bool ExchangeBudget::AllowsCall() { return this->news.Available() > 0; }
+
+bool ExchangeBudget::IsLow() {
+  return this->news.Available() < this->news.Burst() / 2;
+}
+
+std::size_t ExchangeBudget::ItemLimit() {
+  const std::int64_t bulk_bytes =
+      std::min(this->settings.bulk_item_bytes, this->bulk.Available());
+  if (bulk_bytes > this->settings.news_item_bytes) {
+    return static_cast<std::size_t>(bulk_bytes);
+  }
+  const std::int64_t news_bytes =
+      std::min(this->settings.news_item_bytes, this->news.Available());
+  return static_cast<std::size_t>(std::max<std::int64_t>(0, news_bytes));
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/exchange/exchanger.cc
@@ -0,0 +1,335 @@
+#include "exchange/exchanger.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/error.h"
+
+namespace meadowthread {
+namespace {
+
+constexpr std::int64_t kNextBulkMs = 10;
+constexpr int kNewsRetries = 1;
+
+ErrorDetail DetailFor(ErrorId id, std::string_view peer) {
+  ErrorDetail detail;
+  detail.id = id;
+  detail.step = "exchange";
+  detail.peer = std::string(peer);
+  return detail;
+}
+
+std::int64_t CountItems(std::span<const ViewPart> views) {
+  std::int64_t count = 0;
+  for (const ViewPart& view : views) {
+    count += view.delta.has_value() ? std::ssize(view.delta->items) : 0;
+  }
+  return count;
+}
+
+}  // namespace
+
+Exchanger::Exchanger(const HostIdentity& host_identity,
+                     const ExchangeSettings& exchange_settings,
+                     std::uint64_t seed, const ExchangeParts& exchange_parts)
+    : identity(host_identity),
+      settings(exchange_settings),
+      parts(exchange_parts),
+      sharer(exchange_parts.source),
+      budget(exchange_settings, exchange_parts.clock),
+      random(seed) {}
+
+void Exchanger::CarryLoads(LoadSource* source, LoadSink* sink) {
+  this->load_source = source;
+  this->load_sink = sink;
+}
+
+void Exchanger::Start() { this->ScheduleRound(); }
+
+void Exchanger::SetHosts(std::span<const PeerEntry> hosts) {
+  this->parts.directory.SetHosts(hosts);
+  this->knowledge.Retain([this](std::string_view name) {
+    return this->parts.directory.IsKnown(name);
+  });
+}
+
+ExchangeStats Exchanger::Stats() const {
+  ExchangeStats now = this->stats;
+  const PeerCounts counts = this->parts.directory.Counts();
+  now.peers_alive = counts.alive;
+  now.peers_suspected = counts.suspected;
+  return now;
+}
+
+///////////////
+// 1. rounds //
+///////////////
+
+// Jitter keeps hosts that were started together from asking together.
+void Exchanger::ScheduleRound() {
+  const double jitter = this->settings.round_jitter;
+  std::uniform_real_distribution<double> share(1.0 - jitter, 1.0 + jitter);
+  const double delay_ms =
+      static_cast<double>(this->settings.round_ms) * share(this->random);
+  this->Later(static_cast<std::int64_t>(delay_ms), [this] {
+    this->RunRound();
+    this->ScheduleRound();
+  });
+}
+
+void Exchanger::RunRound() {
+  ++this->stats.rounds;
+  if (!this->budget.AllowsCall()) {
+    ++this->stats.rounds_skipped;
+    return;
+  }
+  const int room = this->settings.max_calls - this->calls_in_progress;
+  const int count = std::min(this->settings.partners, room);
+  if (count <= 0) {
+    return;
+  }
+  for (const RpcPeer& peer : this->parts.directory.Choose(count)) {
+    this->Send({peer, CallKind::kRound}, this->sharer.Digests());
+  }
+}
+
+/////////////
+// 2. news //
+/////////////
+
+void Exchanger::NoteChange(std::string_view kind) {
+  this->sharer.NoteChange();
+  this->changed_kinds.emplace(kind);
+  this->ScheduleNews(this->settings.news_delay_ms);
+}
+
+void Exchanger::ScheduleNews(std::int64_t delay_ms) {
+  if (this->news_scheduled || this->settings.news_fanout == 0) {
+    return;
+  }
+  this->news_scheduled = true;
+  this->Later(delay_ms, [this] {
+    this->news_scheduled = false;
+    this->TellNews();
+  });
+}
+
+void Exchanger::TellNews() {
+  if (!this->budget.AllowsCall()) {
+    this->ScheduleNews(this->settings.retry_news_ms);
+    return;
+  }
+  // Rounds bring what a smaller fan-out leaves out.
+  const int fanout = this->budget.IsLow() ? 1 : this->settings.news_fanout;
+  this->TellNewsTo(fanout, kNewsRetries);
+  for (const KindDigest& digest : this->parts.source.Digests()) {
+    this->told_revisions[digest.kind] = digest.revision;
+  }
+  this->changed_kinds.clear();
+}
+
+void Exchanger::TellNewsTo(int partners, int retries) {
+  const int room = this->settings.max_calls - this->calls_in_progress;
+  const int count = std::min(partners, room);
+  if (count <= 0) {
+    return;
+  }
+  for (const RpcPeer& peer : this->parts.directory.Choose(count)) {
+    std::vector<ViewPart> views = this->NewsFor(peer.name);
+    // To a peer that never showed its revisions, digests alone are worth it.
+    const bool is_new = !this->knowledge.Knows(peer.name);
+    if (is_new || CountItems(views) > 0) {
+      this->Send({peer, CallKind::kNews, retries}, std::move(views));
+    }
+  }
+}
+
+// To a peer whose revision is known goes what it lacks; to another what
+// changed since the last telling, which joins what most hosts know. Before the
+// first telling that would be everything.
+std::vector<ViewPart> Exchanger::NewsFor(std::string_view peer) {
+  std::vector<ViewPart> known = this->sharer.Digests();
+  for (ViewPart& part : known) {
+    const KindDigest* const shown =
+        this->knowledge.Find(peer, part.digest.kind);
+    const auto told = this->told_revisions.find(part.digest.kind);
+    if (shown != nullptr) {
+      part.digest = *shown;
+    } else if (told != this->told_revisions.end() &&
+               this->changed_kinds.contains(part.digest.kind)) {
+      part.digest.revision = told->second;
+      part.digest.beyond = 0;
+    }
+  }
+  return this->sharer.PartsFor(known, this->budget.ItemLimit());
+}
+
+///////////////////////////
+// 3. calls and messages //
+///////////////////////////
+
+void Exchanger::Send(const OutgoingCall& call, std::vector<ViewPart> views) {
+  this->stats.items_sent += CountItems(views);
+  const std::string message = this->Encode(call.peer.name, std::move(views));
+  ++this->stats.calls;
+  ++this->calls_in_progress;
+  this->parts.directory.OnCallStarted(call.peer.name);
+  const std::weak_ptr<bool> guard = this->alive;
+  this->parts.channel.Call(call.peer, kExchangeMethod, message,
+                           this->settings.call_limit_ms,
+                           [this, guard, call](const auto& answer) {
+                             if (!guard.expired()) {
+                               this->OnAnswer(call, answer);
+                             }
+                           });
+}
+
+void Exchanger::OnAnswer(const OutgoingCall& call,
+                         const absl::StatusOr<std::string>& answer) {
+  --this->calls_in_progress;
+  if (!answer.ok()) {
+    this->OnFailure(call, DetailOf(answer.status()).id);
+    return;
+  }
+  this->stats.bytes_in += std::ssize(*answer);
+  this->budget.Spend(answer->size());
+  const absl::StatusOr<ExchangeMessage> message =
+      DecodeExchange(*answer, call.peer.name);
+  // Another name: the address went to another host.
+  if (!message.ok() || message->from != call.peer.name) {
+    ++this->stats.malformed;
+    this->OnFailure(call, ErrorId::kPeerMalformed);
+    return;
+  }
+  const bool restarted =
+      this->parts.directory.OnAnswered(call.peer.name, message->incarnation);
+  const ApplyResult result = this->Take(*message, restarted);
+  this->caught_up = this->caught_up || result.caught_up;
+  this->FollowUp(call, *message, result);
+}
+
+void Exchanger::OnFailure(const OutgoingCall& call, ErrorId error) {
+  ++this->stats.failures;
+  // A call that this host was too busy to make tells nothing of the peer.
+  if (error == ErrorId::kOverloaded) {
+    this->parts.directory.OnNotSent(call.peer.name);
+    return;
+  }
+  this->parts.directory.OnFailed(call.peer.name);
+  if (call.kind == CallKind::kNews && call.retries > 0 &&
+      this->budget.AllowsCall()) {
+    this->TellNewsTo(1, call.retries - 1);
+  }
+}
+
+void Exchanger::FollowUp(const OutgoingCall& call,
+                         const ExchangeMessage& answer,
+                         const ApplyResult& result) {
+  if (result.cut && result.taken > 0) {
+    const RpcPeer peer = call.peer;
+    this->Later(kNextBulkMs, [this, peer] {
+      if (this->budget.AllowsCall()) {
+        this->Send({peer, CallKind::kRound}, this->sharer.Digests());
+      }
+    });
+    return;
+  }
+  // A follow-up isn't followed up: what is still missing comes in a round.
+  if (!this->settings.push_to_behind || call.kind == CallKind::kFollowUp ||
+      !this->budget.AllowsCall()) {
+    return;
+  }
+  std::vector<ViewPart> lacked =
+      this->sharer.PartsFor(answer.views, this->budget.ItemLimit());
+  if (CountItems(lacked) > 0) {
+    this->Send({call.peer, CallKind::kFollowUp}, std::move(lacked));
+  }
+}
+
+absl::StatusOr<std::string> Exchanger::Exchange(std::string_view params) {
+  this->stats.bytes_in += std::ssize(params);
+  this->budget.Spend(params.size());
+  const absl::StatusOr<ExchangeMessage> message = DecodeExchange(params, "");
+  if (!message.ok()) {
+    ++this->stats.malformed;
+    return message.status();
+  }
+  if (message->from == this->identity.name) {
+    ++this->stats.malformed;
+    return MakeError(absl::StatusCode::kInvalidArgument,
+                     DetailFor(ErrorId::kRejectedByPeer, message->from),
+                     "a host of the same name calls");
+  }
+  const bool restarted =
+      this->parts.directory.OnHeard(message->from, message->incarnation);
+  this->Take(*message, restarted);
+  ++this->stats.served;
+  std::vector<ViewPart> views =
+      this->sharer.PartsFor(message->views, this->budget.ItemLimit());
+  this->stats.items_sent += CountItems(views);
+  return this->Encode(message->from, std::move(views));
+}
+
+absl::StatusOr<std::string> Exchanger::Offer(std::string_view params) {
+  this->stats.bytes_in += std::ssize(params);
+  this->budget.Spend(params.size());
+  const absl::StatusOr<std::vector<StoredObject>> items = DecodeOffer(params);
+  if (!items.ok()) {
+    ++this->stats.malformed;
+    return items.status();
+  }
+  const int taken = this->parts.source.Offer(*items);
+  this->stats.items_taken += taken;
+  for (const StoredObject& item : *items) {
+    if (taken > 0) {
+      this->NoteChange(item.kind);
+    }
+  }
+  return EncodeTaken(taken);
+}
+
+std::string Exchanger::Encode(std::string_view peer,
+                              std::vector<ViewPart> views) {
+  ExchangeMessage message;
+  message.from = this->identity.name;
+  message.incarnation = this->identity.incarnation;
+  message.views = std::move(views);
+  if (this->load_source != nullptr && this->parts.directory.IsInRegion(peer)) {
+    message.loads =
+        this->load_source->NotesFor(peer, this->settings.load_notes);
+  }
+  std::string text = EncodeExchange(message);
+  this->stats.bytes_out += std::ssize(text);
+  this->budget.Spend(text.size());
+  return text;
+}
+
+ApplyResult Exchanger::Take(const ExchangeMessage& message, bool restarted) {
+  if (restarted) {
+    this->knowledge.Forget(message.from);
+  }
+  ApplyResult result = this->sharer.Apply(message.from, message.views);
+  this->stats.items_taken += result.taken;
+  for (const std::string& kind : result.changed_kinds) {
+    this->NoteChange(kind);
+  }
+  if (this->parts.directory.IsKnown(message.from)) {
+    this->knowledge.Learn(message.from, message.views);
+  }
+  if (this->load_sink != nullptr && !message.loads.empty()) {
+    this->load_sink->OnNotes(message.from, message.loads);
+  }
+  return result;
+}
+
+void Exchanger::Later(std::int64_t delay_ms,
+                      const std::function<void()>& task) {
+  const std::weak_ptr<bool> guard = this->alive;
+  this->parts.scheduler.After(delay_ms, [guard, task] {
+    if (!guard.expired()) {
+      task();
+    }
+  });
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/exchange/peer_knowledge.cc
@@ -0,0 +1,46 @@
+#include "exchange/peer_knowledge.h"
+
+namespace meadowthread {
+
+void PeerKnowledge::Learn(std::string_view peer,
+                          std::span<const ViewPart> views) {
+  std::vector<KindDigest>& known = this->digests[std::string(peer)];
+  known.clear();
+  for (const ViewPart& view : views) {
+    known.push_back(view.digest);
+  }
+}
+
+void PeerKnowledge::Forget(std::string_view peer) {
+  const auto found = this->digests.find(peer);
+  if (found != this->digests.end()) {
+    this->digests.erase(found);
+  }
+}
+
+void PeerKnowledge::Retain(
+    const std::function<bool(std::string_view)>& is_kept) {
+  std::erase_if(this->digests, [&is_kept](const auto& entry) {
+    return !is_kept(entry.first);
+  });
+}
+
+bool PeerKnowledge::Knows(std::string_view peer) const {
+  return this->digests.contains(peer);
+}
+
+const KindDigest* PeerKnowledge::Find(std::string_view peer,
+                                      std::string_view kind) const {
+  const auto found = this->digests.find(peer);
+  if (found == this->digests.end()) {
+    return nullptr;
+  }
+  for (const KindDigest& digest : found->second) {
+    if (digest.kind == kind) {
+      return &digest;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/exchange/tests/exchange_budget_test.cc
@@ -0,0 +1,32 @@
+#include "exchange/exchange_budget.h"
+
+#include <criterion/criterion.h>
+
+namespace meadowthread {
+namespace {
+
+constexpr std::int64_t kSecondMs = 1000;
+
+Test(the_byte_budget, pays_bulk_apart_from_news) {
+  ManualClock clock(0);
+  const ExchangeSettings settings;
+  ExchangeBudget budget(settings, clock);
+  budget.Spend(static_cast<std::size_t>(settings.bulk_burst_bytes));
+  cr_assert(budget.AllowsCall() && !budget.IsLow());
+  cr_assert(budget.ItemLimit() ==
+            static_cast<std::size_t>(settings.news_item_bytes));
+}
+
+Test(the_byte_budget, makes_bulk_beyond_its_share_hold_up_the_rounds) {
+  ManualClock clock(0);
+  const ExchangeSettings settings;
+  ExchangeBudget budget(settings, clock);
+  budget.Spend(static_cast<std::size_t>(settings.bulk_burst_bytes));
+  budget.Spend(static_cast<std::size_t>(settings.news_burst_bytes));
+  cr_assert(!budget.AllowsCall() && budget.ItemLimit() == 0);
+  clock.Advance(kSecondMs);
+  cr_assert(budget.AllowsCall() && budget.IsLow());
+}
+
+}  // namespace
+}  // namespace meadowthread
--- /dev/null
+++ b/src/exchange/tests/fake_network.h
@@ -0,0 +1,164 @@
+#ifndef MEADOWTHREAD_EXCHANGE_TESTS_FAKE_NETWORK_H_
+#define MEADOWTHREAD_EXCHANGE_TESTS_FAKE_NETWORK_H_
+
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/scheduler.h"
+#include "exchange/rpc_channel.h"
+
+namespace meadowthread::fake {
+
+/// @brief Runs tasks in virtual time, in order.
+class ManualScheduler final : public Scheduler {
+ public:
+  explicit ManualScheduler(ManualClock& manual) : clock(manual) {}
+
+  void After(std::int64_t delay_ms, std::function<void()> task) override {
+    this->tasks.push(Task{this->clock.MonotonicMs() + delay_ms,
+                          this->next_number++, std::move(task)});
+  }
+
+  /// @brief Runs what is due within `for_ms`, and moves the clock.
+  void Run(std::int64_t for_ms) {
+    this->RunUntil([] { return false; }, for_ms);
+  }
+
+  /// @brief As Run, but ends as soon as `condition` holds.
+  /// @return whether it did
+  bool RunUntil(const std::function<bool()>& condition, std::int64_t most_ms) {
+    const std::int64_t end_ms = this->clock.MonotonicMs() + most_ms;
+    while (!condition()) {
+      if (this->tasks.empty() || this->tasks.top().at_ms > end_ms) {
+        this->clock.Advance(end_ms - this->clock.MonotonicMs());
+        return condition();
+      }
+      const Task task = this->tasks.top();
+      this->tasks.pop();
+      this->clock.Advance(task.at_ms - this->clock.MonotonicMs());
+      task.run();
+    }
+    return true;
+  }
+
+ private:
+  struct Task {
+    std::int64_t at_ms;
+    std::int64_t number;
+    std::function<void()> run;
+    bool operator<(const Task& other) const {
+      return std::tie(other.at_ms, other.number) <
+             std::tie(this->at_ms, this->number);
+    }
+  };
+
+  ManualClock& clock;
+  std::priority_queue<Task> tasks;
+  std::int64_t next_number = 0;
+};
+
+/// @brief What a host answers with.
+using Serve = std::function<absl::StatusOr<std::string>(
+    std::string_view method, std::string_view params)>;
+
+/// @brief Calls between hosts in one process: fixed delays, loss, frozen hosts
+/// and cuts on request.
+class FakeNetwork {
+ public:
+  /// @brief The delay one way between two hosts, in ms; negative: cut.
+  using Delay =
+      std::function<std::int64_t(const std::string&, const std::string&)>;
+
+  FakeNetwork(ManualScheduler& manual, std::uint64_t seed)
+      : scheduler(manual), random(seed) {}
+
+  void Attach(const std::string& host, const Serve& serve) {
+    this->hosts[host] = serve;
+  }
+  void SetDelay(const Delay& host_delay) { this->delay = host_delay; }
+  void SetLoss(double share) { this->loss = share; }
+  /// @brief A frozen host answers nothing and sends nothing.
+  void Freeze(const std::string& host) { this->frozen.insert(host); }
+  void Thaw(const std::string& host) { this->frozen.erase(host); }
+
+  int CallsTo(const std::string& host) { return this->calls_to[host]; }
+
+  void Call(const std::string& from, const RpcPeer& peer,
+            std::string_view method, std::string_view params,
+            std::int64_t limit_ms, const RpcDone& done) {
+    ++this->calls_to[peer.name];
+    const std::int64_t way_ms = this->delay(from, peer.name);
+    if (way_ms < 0 || this->frozen.contains(peer.name) ||
+        this->frozen.contains(from) || this->IsLost()) {
+      this->Silent(peer, limit_ms, done);
+      return;
+    }
+    const std::string name(method);
+    const std::string text(params);
+    this->scheduler.After(
+        way_ms, [this, peer, name, text, way_ms, limit_ms, done] {
+          const auto found = this->hosts.find(peer.name);
+          if (found == this->hosts.end() || this->frozen.contains(peer.name)) {
+            this->Silent(peer, limit_ms - way_ms, done);
+            return;
+          }
+          const absl::StatusOr<std::string> answer = found->second(name, text);
+          if (this->IsLost()) {
+            this->Silent(peer, limit_ms - way_ms, done);
+            return;
+          }
+          this->scheduler.After(way_ms, [done, answer] { done(answer); });
+        });
+  }
+
+ private:
+  bool IsLost() {
+    return std::bernoulli_distribution(this->loss)(this->random);
+  }
+
+  void Silent(const RpcPeer& peer, std::int64_t after_ms, const RpcDone& done) {
+    ErrorDetail detail;
+    detail.id = ErrorId::kPeerSilent;
+    detail.peer = peer.name;
+    const absl::Status status = MakeError(absl::StatusCode::kDeadlineExceeded,
+                                          detail, "no answer in time");
+    this->scheduler.After(after_ms, [done, status] { done(status); });
+  }
+
+  ManualScheduler& scheduler;
+  std::mt19937_64 random;
+  std::map<std::string, Serve> hosts;
+  std::map<std::string, int> calls_to;
+  std::set<std::string> frozen;
+  Delay delay = [](const std::string&, const std::string&) { return 1; };
+  double loss = 0;
+};
+
+/// @brief One host's end of the network.
+class FakeChannel final : public RpcChannel {
+ public:
+  FakeChannel(FakeNetwork& fake_network, std::string host)
+      : network(fake_network), from(std::move(host)) {}
+
+  void Call(const RpcPeer& peer, std::string_view method,
+            std::string_view params, std::int64_t limit_ms,
+            const RpcDone& done) override {
+    this->network.Call(this->from, peer, method, params, limit_ms, done);
+  }
+
+ private:
+  FakeNetwork& network;
+  std::string from;
+};
+
+}  // namespace meadowthread::fake
+
+#endif  // MEADOWTHREAD_EXCHANGE_TESTS_FAKE_NETWORK_H_
--- /dev/null
+++ b/src/exchange/view_sharer.cc
@@ -0,0 +1,113 @@
+#include "exchange/view_sharer.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace meadowthread {
+namespace {
+
+constexpr std::size_t kItemOverheadBytes = 48;
+constexpr std::size_t kBeyondLimitBytes = std::size_t{64} << 10;
+
+}  // namespace
+
+std::vector<ViewPart> ViewSharer::Digests() {
+  std::vector<ViewPart> parts;
+  for (KindDigest& digest : this->source.Digests()) {
+    digest.beyond = this->BeyondOf(digest);
+    parts.push_back(ViewPart{std::move(digest), std::nullopt});
+  }
+  return parts;
+}
+
+std::vector<ViewPart> ViewSharer::PartsFor(std::span<const ViewPart> peer,
+                                           std::size_t limit_bytes) {
+  std::vector<ViewPart> parts = this->Digests();
+  for (ViewPart& part : parts) {
+    const ViewPart* const theirs = detail::FindKind(peer, part.digest.kind);
+    const bool is_same = theirs != nullptr &&
+                         theirs->digest.revision == part.digest.revision &&
+                         theirs->digest.beyond == part.digest.beyond;
+    if (theirs == nullptr || is_same || limit_bytes == 0) {
+      continue;
+    }
+    KindDelta delta = this->source.DeltaSince(
+        part.digest.kind, theirs->digest.revision, limit_bytes);
+    if (delta.items.empty() && delta.revision <= theirs->digest.revision) {
+      continue;
+    }
+    limit_bytes -= std::min(limit_bytes, detail::SizeOf(delta.items));
+    part.delta = std::move(delta);
+  }
+  return parts;
+}
+
+KindDelta ViewSharer::DeltaSince(std::string_view kind, std::int64_t revision,
+                                 std::size_t limit_bytes) const {
+  return this->source.DeltaSince(kind, revision, limit_bytes);
+}
+
+ApplyResult ViewSharer::Apply(std::string_view from,
+                              std::span<const ViewPart> views) {
+  ApplyResult result;
+  for (const ViewPart& view : views) {
+    KindDelta nothing;
+    nothing.kind = view.digest.kind;
+    const KindDelta& delta = view.delta.has_value() ? *view.delta : nothing;
+    const int taken = this->source.Apply(from, view.digest, delta);
+    result.cut = result.cut || delta.cut;
+    result.taken += taken;
+    if (taken > 0) {
+      result.changed_kinds.push_back(view.digest.kind);
+    }
+  }
+  for (const KindDigest& digest : this->source.Digests()) {
+    const ViewPart* const theirs = detail::FindKind(views, digest.kind);
+    const std::int64_t known = theirs == nullptr ? 0 : theirs->digest.revision;
+    result.caught_up = result.caught_up && digest.revision >= known;
+  }
+  if (result.taken > 0) {
+    this->NoteChange();
+  }
+  return result;
+}
+
+// Objects known beyond the watermark came as news; without their fingerprint
+// two hosts with the same watermark would send them to and fro each round.
+std::uint64_t ViewSharer::BeyondOf(const KindDigest& digest) {
+  Beyond& beyond = this->beyonds[digest.kind];
+  if (beyond.revision == digest.revision && beyond.changes == this->changes) {
+    return beyond.fingerprint;
+  }
+  std::uint64_t fingerprint = 0;
+  const KindDelta delta =
+      this->source.DeltaSince(digest.kind, digest.revision, kBeyondLimitBytes);
+  for (const StoredObject& item : delta.items) {
+    fingerprint ^= XXH64(item.name.data(), item.name.size(),
+                         static_cast<XXH64_hash_t>(item.version));
+  }
+  beyond = Beyond{digest.revision, this->changes, fingerprint};
+  return fingerprint;
+}
+
+namespace detail {
+
+std::size_t SizeOf(std::span<const StoredObject> items) {
+  std::size_t bytes = 0;
+  for (const StoredObject& item : items) {
+    bytes += item.name.size() + item.value.size() + kItemOverheadBytes;
+  }
+  return bytes;
+}
+
+const ViewPart* FindKind(std::span<const ViewPart> views,
+                         std::string_view kind) {
+  const auto found = std::find_if(
+      views.begin(), views.end(),
+      [kind](const ViewPart& view) { return view.digest.kind == kind; });
+  return found == views.end() ? nullptr : &*found;
+}
+
+}  // namespace detail
+}  // namespace meadowthread
