--- a/src/base/scheduler.h
+++ b/src/base/scheduler.h
@@ -11,7 +11,7 @@
  public:
   virtual ~Scheduler() = default;
 
-  /// @brief Runs `task` once, after `delay_ms` milliseconds.
+  /// @brief Runs `task` once, after `delay_ms`.
   virtual void After(std::int64_t delay_ms, std::function<void()> task) = 0;
 };
 
