--- a/bench/oracle.cc
+++ b/bench/oracle.cc
@@ -4,6 +4,12 @@
 #include <limits>
 
 namespace meadowthread::bench {
+namespace {
+
+// Kept for urgent work, as any policy may.
+constexpr double kUrgentRoom = 0.02;
+
+}  // namespace
 
 std::int64_t OracleChooser::Peak(std::vector<Need>& needs) {
   // All decode in step: just before each end, those that are left hold what
@@ -45,8 +51,9 @@
     std::for_each(engine.Running().begin(), engine.Running().end(), add);
     std::for_each(engine.Waiting().begin(), engine.Waiting().end(), add);
     const std::int64_t peak = Peak(needs);
-    const std::int64_t room =
-        engine.Shape().kv_capacity - engine.Shape().kv_watermark;
+    const double kept = work.urgency == Urgency::kUrgent ? 0.0 : kUrgentRoom;
+    const auto room = static_cast<std::int64_t>(
+        static_cast<double>(engine.Shape().kv_capacity) * (1.0 - kept));
     if (peak <= room && peak < best_peak) {
       best_peak = peak;
       decision.engine = fleet.View(index).engine;
--- a/bench/policies.h
+++ b/bench/policies.h
@@ -35,7 +35,7 @@
                               const MemoryAwareSetup& setup);
 
 /// @brief The policy with one part taken out at a time.
-std::vector<NamedPolicy> Ablations(const PolicyWeights& weights);
+std::vector<NamedPolicy> Ablations(const MemoryAwareSetup& whole);
 
 }  // namespace meadowthread::bench
 
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -54,8 +54,8 @@
 
 /// @brief Bounds of the queues.
 struct AdmissionOptions {
-  std::array<std::size_t, kUrgencies> max_queued = {256, 256, 512};
-  std::array<std::int64_t, kUrgencies> max_wait_ms = {5'000, 30'000, 120'000};
+  std::array<std::size_t, kUrgencies> max_queued = {256, 512, 512};
+  std::array<std::int64_t, kUrgencies> max_wait_ms = {10'000, 120'000, 600'000};
   double workspace_share = 0.5;  ///< of a queue, once the queue is half full
   int max_bypass = 32;  ///< times a head may be passed over for lack of room
 };
--- a/src/policy/dispatcher.cc
+++ b/src/policy/dispatcher.cc
@@ -6,10 +6,6 @@
 namespace meadowthread {
 namespace {
 
-// No more than this is sent in one turn, so that a host whose view of the
-// engines is wrong does not empty its queue onto them at once.
-constexpr int kMostSentAtOnce = 64;
-
 /// Asks the chooser and keeps its last answer.
 class ChooserProbe final : public CapacityProbe {
  public:
@@ -59,10 +55,10 @@
 }
 
 std::vector<SendOrder> Dispatcher::Drain(std::int64_t now_ms,
-                                         std::uint64_t random) {
+                                         std::uint64_t random, int most) {
   std::vector<SendOrder> orders;
   ChooserProbe probe(this->chooser, this->fleet, now_ms, random);
-  for (int sent = 0; sent < kMostSentAtOnce; ++sent) {
+  for (int sent = 0; sent < most; ++sent) {
     std::optional<WorkItem> work = this->queue.Next(probe, now_ms);
     if (!work.has_value()) {
       break;
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -18,6 +18,9 @@
   Decision decision;
 };
 
+/// @brief Orders that one call of Dispatcher::Drain gives unless told.
+inline constexpr int kMostSentAtOnce = 64;
+
 /// @brief The answer to newly arrived work.
 struct DispatchAnswer {
   AdmissionVerdict verdict = AdmissionVerdict::kRefused;
@@ -41,7 +44,10 @@
 
   /// @brief Queued work that can be sent now. To be called when a stream
   /// ended and every few tens of milliseconds.
-  std::vector<SendOrder> Drain(std::int64_t now_ms, std::uint64_t random);
+  /// @param[in] most orders at once, so that a host whose view of the engines
+  /// is wrong does not empty its queue onto them
+  std::vector<SendOrder> Drain(std::int64_t now_ms, std::uint64_t random,
+                               int most = kMostSentAtOnce);
 
   /// @brief Queued work that is not worth waiting for any more.
   std::vector<GivenUp> Expire(std::int64_t now_ms, std::uint64_t random);
--- a/src/policy/memory_forecast.cc
+++ b/src/policy/memory_forecast.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <numbers>
 
 namespace meadowthread {
@@ -32,14 +33,14 @@
 }
 
 double MemoryForecast::OverfillChance(double capacity) const {
-  double worst = 0.0;
+  // The chance falls with the distance in standard deviations, so that only
+  // the shortest one needs the costly function.
+  double shortest = std::numeric_limits<double>::max();
   for (std::size_t i = 0; i < kHorizonCount; ++i) {
     const double spread = std::sqrt(std::max(1.0F, this->variance[i]));
-    const double distance = (capacity - this->mean[i]) / spread;
-    const double chance = 0.5 * std::erfc(distance / std::numbers::sqrt2);
-    worst = std::max(worst, chance);
+    shortest = std::min(shortest, (capacity - this->mean[i]) / spread);
   }
-  return worst;
+  return 0.5 * std::erfc(shortest / std::numbers::sqrt2);
 }
 
 double MemoryForecast::PeakMean() const {
