Policy: the last room on an engine belongs to one host

Change: each engine is preferred by one host (rendezvous hash over the host list); the others leave 15% of its memory. SetHosts takes the host list.

--- a/bench/driver.cc
+++ b/bench/driver.cc
@@ -187,6 +187,11 @@
       decider.fleet->SetEngine({NameOf(i), "z", true, false}, 0);
       decider.fleet->ApplyReport(this->ReportOf(i), 0);
     }
+    std::vector<std::string> hosts;
+    for (int i = 0; i < this->settings.deciders; ++i) {
+      hosts.push_back(std::to_string(i));
+    }
+    decider.fleet->SetHosts(std::to_string(this->deciders.size()), hosts);
     this->deciders.push_back(std::move(decider));
   }
 
--- a/src/policy/fleet_state.cc
+++ b/src/policy/fleet_state.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "xxhash.h"
+
 namespace meadowthread {
 namespace {
 
@@ -21,6 +23,10 @@
 // Of the tokens another host's stream holds, about this part is generated.
 constexpr double kGeneratedPart = 0.5;
 
+std::uint64_t HashOf(std::string_view text) {
+  return XXH64(text.data(), text.size(), 0);
+}
+
 std::string ModelKey(std::string_view model, std::string_view adapter,
                      std::string_view version) {
   std::string key(model);
@@ -121,6 +127,42 @@
   }
 }
 
+void FleetState::SetHosts(std::string_view self,
+                          std::span<const std::string> hosts) {
+  this->self_hash = HashOf(self);
+  this->host_hashes.clear();
+  for (const std::string& host : hosts) {
+    this->host_hashes.push_back(HashOf(host));
+  }
+  this->preferred.clear();
+  for (std::size_t i = 0; i < this->engines.size(); ++i) {
+    this->DecidePreferred(static_cast<EngineIndex>(i));
+  }
+}
+
+void FleetState::DecidePreferred(EngineIndex index) {
+  Engine& engine = *this->engines[index];
+  if (this->host_hashes.size() < 2) {
+    engine.preferred = true;
+    return;
+  }
+  // Rendezvous hashing: a host that comes or goes moves only its own engines.
+  const std::uint64_t seed = HashOf(engine.view.engine);
+  std::uint64_t best = 0;
+  std::uint64_t best_host = 0;
+  for (const std::uint64_t host : this->host_hashes) {
+    const std::uint64_t score = XXH64(&host, sizeof(host), seed);
+    if (score >= best) {
+      best = score;
+      best_host = host;
+    }
+  }
+  engine.preferred = best_host == this->self_hash;
+  if (engine.preferred) {
+    this->preferred.push_back(index);
+  }
+}
+
 // -------------------------------------------------------------- own streams
 
 void FleetState::NoteSent(const WorkItem& work, std::string_view engine,
@@ -267,6 +309,21 @@
   return this->prefixes.EnginesOf(work.prefix_hash);
 }
 
+bool FleetState::Preferred(EngineIndex index) const {
+  return this->engines[index]->preferred;
+}
+
+bool FleetState::Serves(EngineIndex index, const WorkItem& work) const {
+  const std::vector<ServedModel>& models = this->engines[index]->view.models;
+  return std::any_of(
+      models.begin(), models.end(), [&](const ServedModel& served) {
+        const bool version =
+            work.version.empty() || work.version == served.version;
+        return version && work.model == served.model &&
+               work.adapter == served.adapter;
+      });
+}
+
 const EngineView& FleetState::View(EngineIndex index) const {
   return this->engines[index]->view;
 }
@@ -363,9 +420,10 @@
   if (now_ms - this->first_engine_ms > kFleetStartMs) {
     engine->view.slow_start_since = now_ms;
   }
-  this->by_name[std::string(name)] =
-      static_cast<EngineIndex>(this->engines.size());
+  const auto index = static_cast<EngineIndex>(this->engines.size());
+  this->by_name[std::string(name)] = index;
   this->engines.push_back(std::move(engine));
+  this->DecidePreferred(index);
   return *this->engines.back();
 }
 
--- a/src/policy/fleet_state.h
+++ b/src/policy/fleet_state.h
@@ -53,6 +53,13 @@
   /// @brief It answers again: work comes back slowly.
   void EngineBack(std::string_view engine, std::int64_t now_ms);
 
+  /// @brief Says which entry hosts share the engines. Each engine is
+  /// preferred by one of them, the same in every host's view.
+  /// @param[in] self this host's name
+  /// @param[in] hosts all entry hosts' names, this one's included
+  /// @complexity O(hosts * engines)
+  void SetHosts(std::string_view self, std::span<const std::string> hosts);
+
   // ------------------------------------------------------------ own streams
 
   /// @brief A request was sent to an engine.
@@ -87,6 +94,18 @@
   /// @brief Engines whose cache may hold the work's prefix.
   std::span<const EngineIndex> PrefixEngines(const WorkItem& work) const;
 
+  /// @brief Whether this host is the one that prefers the engine; true for
+  /// all engines while no other host is known.
+  bool Preferred(EngineIndex index) const;
+
+  /// @brief The engines that this host prefers; empty while it is alone.
+  std::span<const EngineIndex> PreferredEngines() const {
+    return this->preferred;
+  }
+
+  /// @brief Whether the engine has the work's model, adapter and version.
+  bool Serves(EngineIndex index, const WorkItem& work) const;
+
   const EngineView& View(EngineIndex index) const;
 
   /// @brief Null where the engine is not known.
@@ -129,6 +148,7 @@
     int others_running = 0;  ///< of the last report, own work taken out
     std::int64_t others_kv = 0;
     bool told_peers = false;
+    bool preferred = true;
     mutable MemoryForecast cached;
     mutable std::int64_t cached_ms = -1;
   };
@@ -139,6 +159,7 @@
   };
 
   Engine* FindEngine(std::string_view name);
+  void DecidePreferred(EngineIndex index);
   Engine& AddEngine(std::string_view name, std::int64_t now_ms);
   void TakeOwnOut(Engine& engine, std::int64_t now_ms) const;
   void IndexModels(EngineIndex index, const std::vector<ServedModel>& models);
@@ -152,6 +173,9 @@
   StringMap<std::vector<EngineIndex>> by_model;
   StringMap<StreamPlace> streams;
   PrefixHints prefixes;
+  std::uint64_t self_hash = 0;
+  std::vector<std::uint64_t> host_hashes;
+  std::vector<EngineIndex> preferred;
   std::int64_t first_engine_ms = -1;
 };
 
--- a/src/policy/memory_aware_chooser.cc
+++ b/src/policy/memory_aware_chooser.cc
@@ -51,7 +51,12 @@
   std::minstd_rand draws(static_cast<std::uint32_t>(random >> 33U));
   std::vector<EngineIndex> sample;
   for (const EngineIndex engine : fleet.PrefixEngines(work)) {
-    if (std::find(serving.begin(), serving.end(), engine) != serving.end()) {
+    if (fleet.Serves(engine, work)) {
+      sample.push_back(engine);
+    }
+  }
+  for (const EngineIndex engine : fleet.PreferredEngines()) {
+    if (fleet.Serves(engine, work)) {
       sample.push_back(engine);
     }
   }
@@ -67,8 +72,13 @@
                                    const FleetState& fleet, EngineIndex engine,
                                    std::int64_t now_ms) const {
   const auto capacity = static_cast<double>(fleet.View(engine).kv_capacity);
-  const double kept =
-      work.urgency == Urgency::kUrgent ? 0.0 : this->options.urgent_room;
+  const bool urgent = work.urgency == Urgency::kUrgent;
+  double kept = urgent ? 0.0 : this->options.urgent_room;
+  // Hosts that see the same last room on an engine would all fill it. The
+  // last part is for one host alone, chosen alike by all.
+  if (!fleet.Preferred(engine)) {
+    kept += this->options.shared_room;
+  }
   return capacity * (1.0 - kept) * fleet.ServiceShare(engine, now_ms);
 }
 
--- a/src/policy/memory_aware_chooser.h
+++ b/src/policy/memory_aware_chooser.h
@@ -21,6 +21,7 @@
   PolicyWeights weights;
   double max_overfill_chance = 0.02;  ///< for work that is not urgent
   double urgent_room = 0.04;   ///< part of the memory kept for urgent work
+  double shared_room = 0.15;   ///< part kept on engines others prefer
   double prefix_bonus = 0.05;  ///< cost taken off where the prefix may be
   int sample = 16;             ///< engines looked at in a big fleet
   int look_at_all_up_to = 32;  ///< fleets this small are looked at whole
--- a/src/policy/tests/fleet_state_test.cc
+++ b/src/policy/tests/fleet_state_test.cc
@@ -2,6 +2,10 @@
 
 #include <criterion/criterion.h>
 
+#include <array>
+#include <string>
+#include <vector>
+
 #include "policy/prefix_hints.h"
 #include "policy/tests/fleet_fixture.h"
 
@@ -112,6 +116,28 @@
   cr_assert(fleet.state.ServiceShare(0, 60'000) == 1.0);
 }
 
+Test(an_engine, is_preferred_by_exactly_one_host) {
+  const std::vector<std::string> hosts = {"h0", "h1", "h2"};
+  std::array<int, 3> counts = {};
+  Fleet fleet(30);
+  cr_assert(fleet.state.Preferred(0));
+  std::vector<int> preferring(30, 0);
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    fleet.state.SetHosts(hosts[i], hosts);
+    for (const EngineIndex engine : fleet.state.PreferredEngines()) {
+      cr_assert(fleet.state.Preferred(engine));
+      ++preferring[engine];
+      ++counts[i];
+    }
+  }
+  for (const int count : preferring) {
+    cr_assert(count == 1);
+  }
+  for (const int count : counts) {
+    cr_assert(count >= 4);
+  }
+}
+
 Test(a_prefix_hint, names_the_newest_engines_and_stays_bounded) {
   PrefixHints hints(2);
   for (std::uint32_t engine = 0; engine < 6; ++engine) {
