--- a/standins/tests/object_table_test.cc
+++ b/standins/tests/object_table_test.cc
@@ -39,6 +39,7 @@
   cr_assert(table.Apply(RemovalOf("a", 1), 0) == 2);
   cr_assert(!table.Get({"claims", "a"}, kAlways).has_value());
   cr_assert(!table.Apply(UpdateOf("a", "3", 2), 0).has_value());
+  cr_assert(!table.Apply(UpdateOf("a", "3", 0), 0).has_value());
   cr_assert(!table.Apply(RemovalOf("a", 2), 0).has_value());
   cr_assert(table.Apply(CreateOf("a", "4"), 0) == 3);
 }
