Stand-ins: an engine's streams are looked at after a step only

Cause: each 5 ms tick went over all streams, most often for nothing. Ruled out: a timer a stream; a coarser tick by default (it adds its length to the jitter of tokens). Change: streams are pumped after a step, a new reader, a cancel, or while one is behind.

--- a/standins/engine/engine_service.cc
+++ b/standins/engine/engine_service.cc
@@ -75,13 +75,24 @@
     return;
   }
   const std::int64_t now_ms = this->clock.NowMs();
-  this->model.Advance(now_ms);
+  const bool stepped = this->model.Advance(now_ms) > 0;
   this->reports.Note(this->model.Load(), now_ms);
+  // Most ticks fall between two steps, when no stream has anything new.
+  if (stepped || this->streams_behind) {
+    this->PumpStreams(now_ms);
+  }
+}
+
+void EngineService::PumpStreams(std::int64_t now_ms) {
+  this->streams_behind = false;
   std::vector<Generation*> over;
   for (const auto& [generation, stream] : this->streams) {
-    if (stream->Pump(this->faults, now_ms, &this->token_events,
-                     &this->buffer)) {
+    const Pumped pumped =
+        stream->Pump(this->faults, now_ms, &this->token_events, &this->buffer);
+    if (pumped == Pumped::kOver) {
       over.push_back(generation);
+    } else if (pumped == Pumped::kBehind) {
+      this->streams_behind = true;
     }
   }
   for (Generation* generation : over) {
@@ -164,6 +175,7 @@
     exchange->Send(ErrorReply(404, "unknown", "it is not running"));
     return;
   }
+  this->streams_behind = true;
   Reply reply;
   reply.status = 204;
   reply.content_type.clear();
@@ -181,6 +193,7 @@
   auto stream = std::make_unique<TokenStream>(exchange, generation, from);
   stream->Begin();
   this->streams[generation] = std::move(stream);
+  this->streams_behind = true;
   exchange->OnClosed([this, generation] { this->Detach(generation); });
 }
 
--- a/standins/engine/engine_service.h
+++ b/standins/engine/engine_service.h
@@ -53,6 +53,7 @@
   void Attach(Generation* generation, std::int64_t from,
               const ExchangePtr& exchange);
   void Detach(Generation* generation);
+  void PumpStreams(std::int64_t now_ms);
 
   // 2. load, cache events and orders
   void SendLoad(const ExchangePtr& exchange);
@@ -81,6 +82,7 @@
   std::vector<ExchangePtr> corked;
   std::string buffer;
   std::int64_t token_events = 0;
+  bool streams_behind = false;  ///< a stream waits for more than a step
 };
 
 }  // namespace meadowthread::standins
--- a/standins/engine/token_stream.cc
+++ b/standins/engine/token_stream.cc
@@ -18,33 +18,42 @@
   this->exchange->StartStream("text/event-stream", this->events.StartEvent());
 }
 
-bool TokenStream::Pump(const EngineFaults& faults, std::int64_t now_ms,
-                       std::int64_t* count, std::string* buffer) {
-  const bool idle = !this->events.HasNew() && this->late.empty();
-  if (idle || this->exchange->PendingBytes() > kMostPendingBytes) {
-    return false;
+Pumped TokenStream::Pump(const EngineFaults& faults, std::int64_t now_ms,
+                         std::int64_t* count, std::string* buffer) {
+  if (!this->events.HasNew() && this->late.empty()) {
+    return Pumped::kUpToDate;
+  }
+  if (this->exchange->PendingBytes() > kMostPendingBytes) {
+    return Pumped::kBehind;
   }
   buffer->clear();
   this->events.AppendNew(faults, count, buffer);
-  const bool delays = faults.late_ms > 0 || !this->late.empty();
-  if (delays) {
-    if (!buffer->empty()) {
-      this->late.push_back({now_ms + faults.late_ms, *buffer});
-    }
-    buffer->clear();
-    while (!this->late.empty() && this->late.front().due_ms <= now_ms) {
-      buffer->append(this->late.front().text);
-      this->late.pop_front();
-    }
+  if (faults.late_ms > 0 || !this->late.empty()) {
+    this->Delay(now_ms + faults.late_ms, now_ms, buffer);
   }
   if (!buffer->empty()) {
     this->exchange->SendChunk(*buffer);
   }
-  const bool over = this->events.IsOver() && this->late.empty();
-  if (over) {
-    this->exchange->EndStream();
+  if (!this->late.empty()) {
+    return Pumped::kBehind;
+  }
+  if (!this->events.IsOver()) {
+    return Pumped::kUpToDate;
+  }
+  this->exchange->EndStream();
+  return Pumped::kOver;
+}
+
+void TokenStream::Delay(std::int64_t due_ms, std::int64_t now_ms,
+                        std::string* buffer) {
+  if (!buffer->empty()) {
+    this->late.push_back({due_ms, *buffer});
+  }
+  buffer->clear();
+  while (!this->late.empty() && this->late.front().due_ms <= now_ms) {
+    buffer->append(this->late.front().text);
+    this->late.pop_front();
   }
-  return over;
 }
 
 }  // namespace meadowthread::standins
--- a/standins/engine/token_stream.h
+++ b/standins/engine/token_stream.h
@@ -9,6 +9,13 @@
 
 namespace meadowthread::standins {
 
+/// @brief How a stream stands after it was pumped.
+enum class Pumped {
+  kUpToDate,  ///< nothing to send until the generation goes on
+  kBehind,    ///< something is held back and comes later
+  kOver,      ///< the last event was sent
+};
+
 /// @brief One reader's stream of a generation over HTTP.
 class TokenStream {
  public:
@@ -21,9 +28,8 @@
   /// @brief Sends what is new and due, in one write.
   /// @param[in,out] count token events of the engine
   /// @param[in,out] buffer scratch space, shared by an engine's streams
-  /// @return whether the stream is over
-  bool Pump(const EngineFaults& faults, std::int64_t now_ms,
-            std::int64_t* count, std::string* buffer);
+  Pumped Pump(const EngineFaults& faults, std::int64_t now_ms,
+              std::int64_t* count, std::string* buffer);
 
   const ExchangePtr& Exchange() const { return this->exchange; }
 
@@ -33,6 +39,9 @@
     std::string text;
   };
 
+  /// @brief Queues the buffer's text and puts what is due in its place.
+  void Delay(std::int64_t due_ms, std::int64_t now_ms, std::string* buffer);
+
   ExchangePtr exchange;
   TokenEvents events;
   std::deque<LateText> late;
