Stand-ins: a request within an unfinished answer closes the connection

Cause: Qt's server hands over a pipelined request while the answer before it is being written; the two answers would mix. The host list had no outage. Ruled out: queueing it (no client of the system pipelines). Change: the listener knows each connection's latest request; the host list takes {"down", "lag_ms"} at /standin/faults.

--- a/standins/hostlist/host_list_service.h
+++ b/standins/hostlist/host_list_service.h
@@ -19,12 +19,15 @@
   void Handle(const Request& request, const ExchangePtr& exchange) override;
 
  private:
+  void ShowList(const ExchangePtr& exchange);
   void Change(const Request& request, const ExchangePtr& exchange);
+  void ChangeFaults(const Request& request, const ExchangePtr& exchange);
 
   StandinClock clock;
   HostHistory history;
   std::int64_t lag_ms;
   std::int64_t reads = 0;
+  bool down = false;
 };
 
 }  // namespace meadowthread::standins
--- a/standins/http/http_exchange.cc
+++ b/standins/http/http_exchange.cc
@@ -27,6 +27,7 @@
 HttpExchange::~HttpExchange() { QObject::disconnect(this->closed_connection); }
 
 void HttpExchange::Send(const Reply& reply) {
+  this->answered = true;
   QObject::disconnect(this->closed_connection);
   std::string out = HeadOf(reply);
   absl::StrAppend(&out, "Content-Length: ", reply.body.size(), "\r\n\r\n",
@@ -53,11 +54,13 @@
 }
 
 void HttpExchange::EndStream() {
+  this->answered = true;
   QObject::disconnect(this->closed_connection);
   this->Write("0\r\n\r\n");
 }
 
 void HttpExchange::Abort() {
+  this->answered = true;
   QObject::disconnect(this->closed_connection);
   if (this->socket != nullptr) {
     this->socket->abort();
--- a/standins/http/http_exchange.h
+++ b/standins/http/http_exchange.h
@@ -41,6 +41,9 @@
   /// @brief Whether the connection stands.
   bool IsOpen() const;
 
+  /// @brief Whether the answer is whole.
+  bool IsAnswered() const { return this->answered; }
+
   /// @brief Bytes waiting for a slow reader.
   std::int64_t PendingBytes() const;
 
@@ -55,6 +58,7 @@
   std::string held;
   std::string frame;  ///< reused for framing, so that a chunk is one write
   bool corked = false;
+  bool answered = false;
 };
 
 using ExchangePtr = std::shared_ptr<HttpExchange>;
--- a/standins/http/http_listener.cc
+++ b/standins/http/http_listener.cc
@@ -69,9 +69,21 @@
 
 bool HttpListener::handleRequest(const QHttpServerRequest& request,
                                  QTcpSocket* socket) {
-  socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-  this->service->Handle(ReadRequest(request),
-                        std::make_shared<HttpExchange>(socket));
+  const auto known = this->latest.find(socket);
+  if (known == this->latest.end()) {
+    socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    QObject::connect(socket, &QObject::destroyed, this,
+                     [this, socket] { this->latest.erase(socket); });
+  } else if (const ExchangePtr before = known->second.lock();
+             before != nullptr && !before->IsAnswered()) {
+    // Answers would mix: a request sent before the last one's answer is whole
+    // costs the connection.
+    socket->abort();
+    return true;
+  }
+  const auto exchange = std::make_shared<HttpExchange>(socket);
+  this->latest[socket] = exchange;
+  this->service->Handle(ReadRequest(request), exchange);
   return true;
 }
 
--- a/standins/http/http_listener.h
+++ b/standins/http/http_listener.h
@@ -3,7 +3,9 @@
 
 #include <QAbstractHttpServer>
 #include <cstdint>
+#include <memory>
 #include <string>
+#include <unordered_map>
 
 #include "http/http_exchange.h"
 
@@ -38,6 +40,8 @@
 
  private:
   HttpService* service;
+  /// The latest request of each connection.
+  std::unordered_map<QTcpSocket*, std::weak_ptr<HttpExchange>> latest;
 };
 
 }  // namespace meadowthread::standins
--- a/standins/tests/engine_service_test.cc
+++ b/standins/tests/engine_service_test.cc
@@ -144,6 +144,18 @@
   cr_assert(WaitFor([&] { return late.Got("HTTP/1.1 404"); }));
 }
 
+Test(a_served_engine, closes_on_a_request_within_a_stream) {
+  const ServedEngine engine;
+  RawCaller caller(engine.port);
+  caller.Send("POST", "/v1/generations", StartOf("[tokens=30000]"));
+  cr_assert(WaitFor([&] { return caller.Got("\"i\":9,"); }));
+  caller.Send("GET", "/v1/load");
+  cr_assert(WaitFor([&] { return caller.IsClosed(); }));
+  cr_assert(!caller.Got("\"incarnation\""));
+  cr_assert(WaitFor(
+      [&] { return engine.Record()["attempts"][0]["has_reader"] == false; }));
+}
+
 Test(a_stalled_engine, accepts_and_sends_nothing_until_it_goes_on) {
   const ServedEngine engine;
   engine.SetFaults(R"({"stall":true})");
