--- /dev/null
+++ b/src/placement/tests/fake_engines.cc
@@ -0,0 +1,137 @@
+#include "placement/tests/fake_engines.h"
+
+#include <algorithm>
+
+#include "base/error.h"
+#include "nlohmann/json.hpp"
+
+namespace meadowthread {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kScheme = "http://";
+
+std::string EngineName(const std::string& url) {
+  const std::size_t end = url.find('/', kScheme.size());
+  return url.substr(kScheme.size(), end - kScheme.size());
+}
+
+bool IsOrder(const HttpRequest& request) { return request.method == "POST"; }
+
+DesiredState ReadDesired(const json& body) {
+  DesiredState desired{body["role"], {}};
+  for (const json& model : body["models"]) {
+    desired.models.push_back(
+        {model["model"], model["adapter"], model["version"]});
+  }
+  return desired;
+}
+
+}  // namespace
+
+HttpCallId FakeEngines::Start(const HttpRequest& request,
+                              HttpHandler* handler) {
+  this->calls.push_back({request, handler});
+  if (IsOrder(request)) {
+    ++this->orders_sent;
+    this->fleet.sent_fences.push_back(json::parse(request.body)["fence"]);
+  }
+  return ++this->last_call;
+}
+
+int FakeEngines::OrdersWaiting() const {
+  return static_cast<int>(
+      std::count_if(this->calls.begin(), this->calls.end(),
+                    [](const Call& call) { return IsOrder(call.request); }));
+}
+
+void FakeEngines::Settle() {
+  while (this->Step()) {
+  }
+}
+
+bool FakeEngines::Step() {
+  if (this->calls.empty()) {
+    return false;
+  }
+  const Call call = this->calls.front();
+  this->calls.pop_front();
+  FakeEngine& engine = this->fleet.engines[EngineName(call.request.url)];
+  if (IsOrder(call.request)) {
+    this->TakeOrder(call, engine);
+  } else {
+    this->TellLoad(call, engine);
+  }
+  return true;
+}
+
+void FakeEngines::Answer(const Call& call, int status,
+                         const std::string& body) const {
+  call.handler->OnHead(status, {});
+  call.handler->OnData(body);
+  call.handler->OnEnd({absl::OkStatus(), status, true});
+}
+
+void FakeEngines::TakeOrder(const Call& call, FakeEngine& engine) {
+  OrderFault fault = OrderFault::kNone;
+  if (!this->faults.empty()) {
+    fault = this->faults.front();
+    this->faults.pop_front();
+  }
+  if (fault == OrderFault::kNeverLeft) {
+    call.handler->OnEnd({absl::UnavailableError("refused"), 0, false});
+    return;
+  }
+  const json body = json::parse(call.request.body);
+  const std::int64_t fence = body["fence"];
+  const std::int64_t deadline = body["deadline_unix_ms"];
+  if (engine.throttled) {
+    this->Answer(call, 429, "{}");
+    return;
+  }
+  if (engine.checks_fence && fence < engine.highest_fence) {
+    ++engine.refused;
+    const json answer = {{"reason", "stale_fence"},
+                         {"fence", engine.highest_fence}};
+    this->Answer(call, 409, answer.dump());
+    return;
+  }
+  if (engine.checks_deadline && deadline < this->clock.WallMs()) {
+    ++engine.refused;
+    this->Answer(call, 410, R"({"reason":"deadline_passed"})");
+    return;
+  }
+  engine.highest_fence = std::max(engine.highest_fence, fence);
+  engine.applied_fences.push_back(fence);
+  const DesiredState desired = ReadDesired(body["desired"]);
+  if (!(desired == engine.wanted)) {
+    engine.ready_ms = this->clock.MonotonicMs() + engine.load_ms;
+  }
+  engine.wanted = desired;
+  if (fault == OrderFault::kAnswerLost) {
+    call.handler->OnEnd({absl::UnavailableError("lost"), 0, true});
+    return;
+  }
+  this->Answer(call, 200, R"({"applied":true})");
+}
+
+void FakeEngines::TellLoad(const Call& call, FakeEngine& engine) const {
+  const std::int64_t now_ms = this->clock.MonotonicMs();
+  if (now_ms >= engine.ready_ms && !engine.never_loads) {
+    engine.state = engine.wanted;
+  }
+  json models = json::array();
+  for (const ServedModel& model : engine.state.models) {
+    models.push_back({{"model", model.model},
+                      {"adapter", model.adapter},
+                      {"version", model.version}});
+  }
+  const json body = {
+      {"engine", "e"},       {"incarnation", "1"}, {"as_of_unix_ms", now_ms},
+      {"kv_capacity", 1000}, {"kv_used", 0},       {"role", engine.state.role},
+      {"state", "live"},     {"models", models}};
+  this->Answer(call, 200, body.dump());
+}
+
+}  // namespace meadowthread
