--- /dev/null
+++ b/src/cli/check_command.cc
@@ -0,0 +1,72 @@
+#include "cli/check_command.h"
+
+#include "absl/strings/str_cat.h"
+#include "cli/command_arguments.h"
+#include "cli/command_result.h"
+#include "cli/document_check.h"
+#include "cli/input_file.h"
+
+namespace meadowthread {
+namespace {
+
+CommandResult Tell(const std::string& file, const CheckedDocument& checked) {
+  CommandResult result;
+  const std::string kind(DocumentKindName(checked.kind));
+  result.json["file"] = file;
+  result.json["kind"] = kind;
+  result.json["problems"] = nlohmann::ordered_json::array();
+  for (const DocumentProblem& problem : checked.problems) {
+    result.json["problems"].push_back({{"line", problem.line},
+                                       {"field", problem.field},
+                                       {"message", problem.message}});
+  }
+  if (checked.problems.empty()) {
+    result.text = absl::StrCat(file, ": a valid ", kind, " document\n");
+    return result;
+  }
+  result.code = ExitCode::kInvalid;
+  result.text = ProblemLines(file, checked.problems);
+  return result;
+}
+
+class CheckCommand final : public Command {
+ public:
+  const CommandHelp& Help() const override { return this->help; }
+
+  ExitCode Run(std::span<const std::string> arguments,
+               Console& console) override {
+    CommandArguments parser(this->help, console);
+    TCLAP::UnlabeledValueArg<std::string> file(
+        "file", "settings or a template; - is the standard input", true, "",
+        "FILE", parser.Line());
+    OutputOption output(parser.Line());
+    const std::optional<ExitCode> ended = parser.Parse(arguments);
+    if (ended.has_value()) {
+      return *ended;
+    }
+    const absl::StatusOr<std::string> text =
+        ReadInput(file.getValue(), console);
+    if (!text.ok()) {
+      return output.Print(FailedResult(text.status()), console);
+    }
+    return output.Print(Tell(file.getValue(), CheckDocument(*text)), console);
+  }
+
+ private:
+  CommandHelp help = {
+      "check",
+      "checks settings or a template without using them",
+      "Tells by its top fields whether a document is a host's settings or a "
+      "template,\nand every problem at once, each with its line and field. "
+      "Speaks to nobody.",
+      {"meadowthread check entry-1.yaml",
+       "meadowthread check daily-report.yaml --output json"}};
+};
+
+}  // namespace
+
+std::unique_ptr<Command> MakeCheckCommand() {
+  return std::make_unique<CheckCommand>();
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/cli/check_command.h
@@ -0,0 +1,15 @@
+#ifndef MEADOWTHREAD_CLI_CHECK_COMMAND_H_
+#define MEADOWTHREAD_CLI_CHECK_COMMAND_H_
+
+#include <memory>
+
+#include "cli/command.h"
+
+namespace meadowthread {
+
+/// @brief `check FILE`: settings or a template.
+std::unique_ptr<Command> MakeCheckCommand();
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_CLI_CHECK_COMMAND_H_
--- /dev/null
+++ b/src/cli/console.h
@@ -0,0 +1,18 @@
+#ifndef MEADOWTHREAD_CLI_CONSOLE_H_
+#define MEADOWTHREAD_CLI_CONSOLE_H_
+
+#include <istream>
+#include <ostream>
+
+namespace meadowthread {
+
+/// @brief What a command reads from and writes to.
+struct Console {
+  std::istream& in;
+  std::ostream& out;
+  std::ostream& err;
+};
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_CLI_CONSOLE_H_
--- /dev/null
+++ b/src/cli/entry_hosts.cc
@@ -0,0 +1,69 @@
+#include "cli/entry_hosts.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "store/object_answers.h"
+
+namespace meadowthread {
+namespace {
+
+constexpr std::string_view kOfferMethod = "offer";
+
+std::string MessageOf(const absl::Status& status) {
+  return {status.message().data(), status.message().size()};
+}
+
+}  // namespace
+
+std::vector<HostEntry> EntryHostsOf(const HostList& list) {
+  std::vector<HostEntry> entries;
+  std::copy_if(
+      list.hosts.begin(), list.hosts.end(), std::back_inserter(entries),
+      [](const HostEntry& host) { return host.role == HostRole::kEntry; });
+  std::sort(entries.begin(), entries.end(),
+            [](const HostEntry& left, const HostEntry& right) {
+              return left.name < right.name;
+            });
+  return entries;
+}
+
+std::string OfferReport::Text() const {
+  std::string text = absl::StrCat("told ", this->took, " of ", this->asked,
+                                  " entry hosts at once");
+  if (!this->trouble.empty()) {
+    absl::StrAppend(&text, " (", this->trouble,
+                    "); the others learn it by their watches");
+  }
+  return text + "\n";
+}
+
+nlohmann::ordered_json OfferReport::Json() const {
+  return {
+      {"asked", this->asked}, {"took", this->took}, {"trouble", this->trouble}};
+}
+
+OfferReport OfferToAll(Platform& platform, const StoredObject& object) {
+  OfferReport report;
+  const absl::StatusOr<HostList> list = platform.ListHosts();
+  if (!list.ok()) {
+    report.trouble = "the host list: " + MessageOf(list.status());
+    return report;
+  }
+  const std::vector<HostEntry> hosts = EntryHostsOf(*list);
+  const nlohmann::json params = {
+      {"items", nlohmann::json::array({ObjectToJson(object)})}};
+  report.asked = static_cast<int>(hosts.size());
+  for (const HostReply& reply :
+       platform.CallAll(hosts, kOfferMethod, params.dump())) {
+    // 0 taken means that the host has this version or a newer one already.
+    if (reply.body.ok()) {
+      ++report.took;
+    } else if (report.trouble.empty()) {
+      report.trouble = reply.host + ": " + MessageOf(reply.body.status());
+    }
+  }
+  return report;
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/cli/explain_command.cc
@@ -0,0 +1,107 @@
+#include "cli/explain_command.h"
+
+#include <sstream>
+
+#include "absl/strings/str_cat.h"
+#include "cli/command_arguments.h"
+#include "cli/command_result.h"
+#include "cli/input_file.h"
+#include "cli/request_story.h"
+
+namespace meadowthread {
+namespace {
+
+constexpr std::string_view kStandardInput = "-";
+
+CommandResult Tell(const RequestStory& story) {
+  CommandResult result;
+  result.json["request"] = story.Request();
+  result.json["steps"] = nlohmann::ordered_json::array();
+  const std::vector<StoryStep> steps = story.Steps();
+  if (steps.empty()) {
+    result.code = ExitCode::kNotFound;
+    result.text =
+        absl::StrCat("no log line is about request ", story.Request(), "\n");
+    return result;
+  }
+  result.text = absl::StrCat("request ", story.Request(), ":\n");
+  for (const StoryStep& step : steps) {
+    const LogRecord& record = step.record;
+    absl::StrAppend(&result.text, "  ", record.time, "  [", record.source,
+                    "]  ", step.sentence, "\n");
+    nlohmann::ordered_json fields = nlohmann::ordered_json::object();
+    for (const LogField& field : record.fields) {
+      fields[field.key] = field.value;
+    }
+    result.json["steps"].push_back({{"time", record.time},
+                                    {"source", record.source},
+                                    {"event", record.event},
+                                    {"sentence", step.sentence},
+                                    {"fields", fields}});
+  }
+  return result;
+}
+
+class ExplainCommand final : public Command {
+ public:
+  const CommandHelp& Help() const override { return this->help; }
+
+  ExitCode Run(std::span<const std::string> arguments,
+               Console& console) override {
+    CommandArguments parser(this->help, console);
+    TCLAP::UnlabeledValueArg<std::string> request(
+        "request", "the id in the answer's Meadowthread-Request header", true,
+        "", "REQUEST", parser.Line());
+    TCLAP::MultiArg<std::string> logs(
+        "", "log",
+        "a log to read, once for each host's; - is the standard input (-)",
+        false, "FILE", parser.Line());
+    OutputOption output(parser.Line());
+    const std::optional<ExitCode> ended = parser.Parse(arguments);
+    if (ended.has_value()) {
+      return *ended;
+    }
+    RequestStory story(request.getValue());
+    std::vector<std::string> paths = logs.getValue();
+    if (paths.empty()) {
+      paths.emplace_back(kStandardInput);
+    }
+    for (const std::string& path : paths) {
+      const absl::Status status = ReadLog(path, console, &story);
+      if (!status.ok()) {
+        return output.Print(FailedResult(status), console);
+      }
+    }
+    return output.Print(Tell(story), console);
+  }
+
+ private:
+  static absl::Status ReadLog(const std::string& path, Console& console,
+                              RequestStory* story) {
+    const absl::StatusOr<std::string> text = ReadInput(path, console);
+    if (text.ok()) {
+      std::istringstream log(*text);
+      story->Read(log, path);
+    }
+    return text.status();
+  }
+
+  CommandHelp help = {
+      "explain",
+      "tells what happened to a request, from log lines",
+      "Every decision about a request is one log line of key=value pairs. "
+      "explain\nreads the logs of any number of hosts, picks the lines that "
+      "are about the\nrequest or one of its attempts, and tells them in order "
+      "of time: which engine\nwas chosen and why, what failed, how it ended.",
+      {"meadowthread explain entry-1-5f3a-17 --log entry-1.log --log "
+       "entry-2.log",
+       "cat *.log | meadowthread explain entry-1-5f3a-17 --output json"}};
+};
+
+}  // namespace
+
+std::unique_ptr<Command> MakeExplainCommand() {
+  return std::make_unique<ExplainCommand>();
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/cli/explain_command.h
@@ -0,0 +1,15 @@
+#ifndef MEADOWTHREAD_CLI_EXPLAIN_COMMAND_H_
+#define MEADOWTHREAD_CLI_EXPLAIN_COMMAND_H_
+
+#include <memory>
+
+#include "cli/command.h"
+
+namespace meadowthread {
+
+/// @brief `explain REQUEST`: a request's story from log lines.
+std::unique_ptr<Command> MakeExplainCommand();
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_CLI_EXPLAIN_COMMAND_H_
--- /dev/null
+++ b/src/cli/ownership_move_command.cc
@@ -0,0 +1,181 @@
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "cli/command_arguments.h"
+#include "cli/command_result.h"
+#include "cli/operator_options.h"
+#include "cli/ownership_commands.h"
+#include "placement/ownership_mover.h"
+
+namespace meadowthread {
+namespace {
+
+constexpr std::int64_t kTickMs = 200;
+constexpr std::int64_t kSecondMs = 1000;
+constexpr int kDefaultWaitS = 60;
+
+CommandResult Tell(const MoveRequest& request, const MoveProgress& progress) {
+  const std::string object = OwnershipObjectName(request.id);
+  CommandResult result;
+  result.json["object"] = object;
+  result.json["next_owner"] = request.next_owner;
+  result.json["epoch"] = progress.epoch;
+  result.json["waits_for"] = progress.waiting_for;
+  if (progress.phase == MovePhase::kDone) {
+    result.json["phase"] = "done";
+    result.text = absl::StrCat(object, " is owned by ", request.next_owner,
+                               ", epoch ", progress.epoch, "\n");
+    return result;
+  }
+  if (progress.phase == MovePhase::kConflict) {
+    result = FailedResult(progress.last_error);
+    result.code = ExitCode::kConflict;
+    return result;
+  }
+  // The draining mark may stand, and whoever asks again carries the move on.
+  const bool draining = progress.phase == MovePhase::kDraining;
+  result.code = ExitCode::kUnknown;
+  result.json["phase"] = draining ? "draining" : "starting";
+  result.text = absl::StrCat(
+      object, draining ? " is draining" : " was perhaps marked as draining",
+      progress.waiting_for.empty()
+          ? ""
+          : "; it waits for " + absl::StrJoin(progress.waiting_for, ", "),
+      "\nthe same command goes on with the move\n");
+  if (!progress.last_error.ok()) {
+    const CommandResult failed = FailedResult(progress.last_error);
+    result.text += failed.text;
+    result.json["error"] = failed.json.at("error");
+  }
+  return result;
+}
+
+/// The arguments that are the move's own.
+struct MoveArguments {
+  explicit MoveArguments(TCLAP::CmdLine& line)
+      : object("object", "workspace.NAME or engine.NAME", true, "", "OBJECT",
+               line),
+        next_owner("", "to", "the half that is to own it", true, "", "HALF",
+                   line),
+        next_address("", "address",
+                     "where callers of that half go (from --settings)", false,
+                     "", "URL", line),
+        default_owner("", "default-owner",
+                      "owner of what has no object (from --settings)", false,
+                      "", "HALF", line),
+        gone("", "gone",
+             "a host that you know to be dead for good, so that the move need "
+             "not wait for it",
+             false, "HOST", line),
+        wait_s("", "wait-s", "how long to wait for hosts to drain (60)", false,
+               kDefaultWaitS, "SECONDS", line) {}
+
+  TCLAP::UnlabeledValueArg<std::string> object;
+  TCLAP::ValueArg<std::string> next_owner;
+  TCLAP::ValueArg<std::string> next_address;
+  TCLAP::ValueArg<std::string> default_owner;
+  TCLAP::MultiArg<std::string> gone;
+  TCLAP::ValueArg<int> wait_s;
+};
+
+std::string AddressOf(const std::optional<HalfSettings>& half,
+                      const std::string& name) {
+  if (half.has_value()) {
+    for (const HalfAddress& address : half->addresses) {
+      if (address.half == name) {
+        return address.url;
+      }
+    }
+  }
+  return "";
+}
+
+class OwnershipMoveCommand final : public Command {
+ public:
+  OwnershipMoveCommand(PlatformConnector& connector, const Clock& clock,
+                       NonceSource& operations)
+      : connector(connector), clock(clock), operations(operations) {}
+
+  const CommandHelp& Help() const override { return this->help; }
+
+  ExitCode Run(std::span<const std::string> arguments,
+               Console& console) override {
+    CommandArguments parser(this->help, console);
+    MoveArguments move(parser.Line());
+    PlatformOptions options(parser.Line());
+    OutputOption output(parser.Line());
+    const std::optional<ExitCode> ended = parser.Parse(arguments);
+    if (ended.has_value()) {
+      return *ended;
+    }
+    const absl::StatusOr<PlatformAddress> address = options.Address();
+    if (!address.ok()) {
+      return parser.Refuse(address.status());
+    }
+    const std::optional<OwnedId> id =
+        ParseOwnershipObjectName(move.object.getValue());
+    if (!id.has_value()) {
+      return parser.Wrong("OBJECT is neither workspace.NAME nor engine.NAME");
+    }
+    MoverSettings settings;
+    settings.default_owner = move.default_owner.getValue();
+    if (settings.default_owner.empty() && options.Half().has_value()) {
+      settings.default_owner = options.Half()->default_owner;
+    }
+    if (settings.default_owner.empty()) {
+      return parser.Wrong("say --default-owner or --settings");
+    }
+    settings.default_address =
+        AddressOf(options.Half(), settings.default_owner);
+    MoveRequest request = {*id, move.next_owner.getValue(),
+                           move.next_address.getValue(),
+                           this->operations.Next(), move.gone.getValue()};
+    if (request.next_address.empty()) {
+      request.next_address = AddressOf(options.Half(), request.next_owner);
+    }
+    const std::unique_ptr<Platform> platform =
+        this->connector.Connect(*address);
+    const MoveProgress progress =
+        this->Move(request, settings, *platform,
+                   std::int64_t{move.wait_s.getValue()} * kSecondMs);
+    return output.Print(Tell(request, progress), console);
+  }
+
+ private:
+  MoveProgress Move(const MoveRequest& request, const MoverSettings& settings,
+                    Platform& platform, std::int64_t limit_ms) {
+    OwnershipMover mover(request, settings, platform.Store(), this->clock);
+    const std::int64_t end_ms = this->clock.MonotonicMs() + limit_ms;
+    while (mover.Progress().phase != MovePhase::kDone &&
+           mover.Progress().phase != MovePhase::kConflict &&
+           this->clock.MonotonicMs() < end_ms) {
+      mover.Tick();
+      platform.Pause(kTickMs);
+    }
+    return mover.Progress();
+  }
+
+  PlatformConnector& connector;
+  const Clock& clock;
+  NonceSource& operations;
+  CommandHelp help = {
+      "ownership move",
+      "hands a workspace or an engine to a half of the migration",
+      "Moves ownership in steps: the owner takes nothing new, its hosts finish "
+      "what runs,\nand only then the next half owns it. Cut off at any step, "
+      "the same command goes\non; two at once do no harm.",
+      {"meadowthread ownership move workspace.makati --to west --settings "
+       "entry-1.yaml",
+       "meadowthread ownership move engine.engine-3 --to west --address "
+       "https://west.example --default-owner east --object-api "
+       "http://127.0.0.1:9000"}};
+};
+
+}  // namespace
+
+std::unique_ptr<Command> MakeOwnershipMoveCommand(PlatformConnector& connector,
+                                                  const Clock& clock,
+                                                  NonceSource& operations) {
+  return std::make_unique<OwnershipMoveCommand>(connector, clock, operations);
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/cli/request_story.cc
@@ -0,0 +1,113 @@
+#include "cli/request_story.h"
+
+#include <algorithm>
+#include <array>
+
+#include "absl/strings/str_cat.h"
+
+namespace meadowthread {
+namespace {
+
+/// How the sentence of a known event begins; its fields follow.
+struct EventWords {
+  std::string_view event;
+  std::string_view words;
+};
+
+constexpr std::array<EventWords, 14> kEventWords = {{
+    {"accept", "accepted"},
+    {"queue", "waits in the queue"},
+    {"route", "sent to engine"},
+    {"attempt-failed", "the attempt failed"},
+    {"retry-refused", "not tried again"},
+    {"resume", "resumed"},
+    {"replay", "answered with the recorded result"},
+    {"claim", "claimed"},
+    {"result-recorded", "the result was recorded"},
+    {"refuse", "refused"},
+    {"caller-gone", "the caller went away"},
+    {"cancel", "cancelled"},
+    {"service", "sent to backend server"},
+    {"end", "ended"},
+}};
+
+bool IsAttemptOf(std::string_view attempt, std::string_view request) {
+  return attempt.size() > request.size() + 1 && attempt.starts_with(request) &&
+         (attempt[request.size()] == '.' || attempt[request.size()] == '/');
+}
+
+bool IsEarlier(const LogRecord& left, const LogRecord& right) {
+  return left.time < right.time;
+}
+
+bool HasTime(const LogRecord& record) { return !record.time.empty(); }
+
+}  // namespace
+
+void RequestStory::Read(std::istream& log, std::string_view source) {
+  std::string line;
+  while (std::getline(log, line)) {
+    std::optional<LogRecord> record = ReadLogLine(line);
+    if (record.has_value() && this->IsAbout(*record)) {
+      record->source = std::string(source);
+      this->records.push_back(std::move(*record));
+    }
+  }
+}
+
+std::vector<StoryStep> RequestStory::Steps() const {
+  std::vector<LogRecord> sorted = this->records;
+  // Hosts' clocks differ by little; without times only the order read is left.
+  if (std::all_of(sorted.begin(), sorted.end(), HasTime)) {
+    std::stable_sort(sorted.begin(), sorted.end(), IsEarlier);
+  }
+  std::vector<StoryStep> steps;
+  for (const LogRecord& record : sorted) {
+    steps.push_back({record, SentenceOf(record)});
+  }
+  return steps;
+}
+
+bool RequestStory::IsAbout(const LogRecord& record) const {
+  return std::any_of(record.fields.begin(), record.fields.end(),
+                     [this](const LogField& field) {
+                       const bool names_one = field.key == "request" ||
+                                              field.key == "attempt" ||
+                                              field.key == "original";
+                       return names_one &&
+                              (field.value == this->request ||
+                               IsAttemptOf(field.value, this->request));
+                     });
+}
+
+std::string SentenceOf(const LogRecord& record) {
+  const auto known = std::find_if(kEventWords.begin(), kEventWords.end(),
+                                  [&record](const EventWords& words) {
+                                    return words.event == record.event;
+                                  });
+  std::string sentence =
+      known == kEventWords.end() ? record.event : std::string(known->words);
+  // Engine and reason carry most: they stand in the sentence itself.
+  const std::string engine(record.Field("engine"));
+  const std::string why(record.Field("why"));
+  if (!engine.empty()) {
+    absl::StrAppend(&sentence, record.event == "route" ? " " : " at engine ",
+                    engine);
+  }
+  if (!why.empty()) {
+    absl::StrAppend(&sentence, " because: ", why);
+  }
+  std::string_view separator = "; ";
+  for (const LogField& field : record.fields) {
+    const bool told = field.key == "request" || field.key == "engine" ||
+                      field.key == "why" || field.value.empty();
+    if (!told) {
+      absl::StrAppend(&sentence, std::string(separator), field.key, " ",
+                      field.value);
+      separator = ", ";
+    }
+  }
+  return sentence;
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/cli/status_command.cc
@@ -0,0 +1,94 @@
+#include "cli/status_command.h"
+
+#include "cli/await.h"
+#include "cli/command_arguments.h"
+#include "cli/command_result.h"
+#include "cli/entry_hosts.h"
+#include "cli/operator_options.h"
+#include "cli/status_report.h"
+
+namespace meadowthread {
+namespace {
+
+std::string Note(const char* what, const absl::Status& status) {
+  return std::string(what) + " could not be read: " +
+         std::string(status.message().data(), status.message().size());
+}
+
+/// Reads what can be read: the command is wanted most while something is down.
+CommandResult ReadStatus(Platform& platform, const Clock& clock) {
+  const absl::StatusOr<HostList> list = platform.ListHosts();
+  const absl::StatusOr<ObjectList> objects =
+      AwaitList(platform, kStatusObjects);
+  std::vector<HostEntry> hosts;
+  if (list.ok()) {
+    hosts = EntryHostsOf(*list);
+  }
+  const std::vector<HostReply> replies = platform.AskStatuses(hosts);
+  StatusReport report =
+      JoinStatuses(hosts, replies,
+                   objects.ok() ? objects->items : std::vector<StoredObject>{},
+                   clock.WallMs());
+  if (!list.ok()) {
+    report.notes.push_back(Note("the host list", list.status()));
+  }
+  if (!objects.ok()) {
+    report.notes.push_back(Note("the status objects", objects.status()));
+  }
+  CommandResult result;
+  result.code =
+      !list.ok() && !objects.ok() ? ExitCode::kUnavailable : ExitCode::kOk;
+  result.text = report.Text();
+  result.json = report.Json();
+  return result;
+}
+
+class StatusCommand final : public Command {
+ public:
+  StatusCommand(PlatformConnector& connector, const Clock& clock)
+      : connector(connector), clock(clock) {}
+
+  const CommandHelp& Help() const override { return this->help; }
+
+  ExitCode Run(std::span<const std::string> arguments,
+               Console& console) override {
+    CommandArguments parser(this->help, console);
+    PlatformOptions options(parser.Line());
+    OutputOption output(parser.Line());
+    const std::optional<ExitCode> ended = parser.Parse(arguments);
+    if (ended.has_value()) {
+      return *ended;
+    }
+    const absl::StatusOr<PlatformAddress> address = options.Address();
+    if (!address.ok()) {
+      return parser.Refuse(address.status());
+    }
+    const std::unique_ptr<Platform> platform =
+        this->connector.Connect(*address);
+    return output.Print(ReadStatus(*platform, this->clock), console);
+  }
+
+ private:
+  PlatformConnector& connector;
+  const Clock& clock;
+  CommandHelp help = {
+      "status",
+      "tells the state of every entry host",
+      "Asks every entry host of the host list for its state and tells in one "
+      "table: the\nmark and readiness, the configuration's revision and how "
+      "long ago it was\nconfirmed, load, and what a stop waits for. A host "
+      "that does not answer is told\nas unreachable, with what its status "
+      "object last said.",
+      {"meadowthread status --settings entry-1.yaml",
+       "meadowthread status --object-api http://127.0.0.1:9000 --host-list "
+       "http://127.0.0.1:9001/hosts --output json"}};
+};
+
+}  // namespace
+
+std::unique_ptr<Command> MakeStatusCommand(PlatformConnector& connector,
+                                           const Clock& clock) {
+  return std::make_unique<StatusCommand>(connector, clock);
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/cli/tests/ownership_test.cc
@@ -0,0 +1,55 @@
+#include "placement/ownership.h"
+
+#include <criterion/criterion.h>
+
+#include "cli/ownership_commands.h"
+#include "cli/tests/fake_platform.h"
+
+namespace meadowthread {
+namespace {
+
+RunRecord Move(FakeWorld& world) {
+  FakeConnector connector(world);
+  RandomNonceSource operations;
+  const auto command =
+      MakeOwnershipMoveCommand(connector, world.clock, operations);
+  return RunCommand(*command, {"workspace.makati", "--to", "west", "--address",
+                               "https://west.example", "--default-owner",
+                               "east", "--object-api", "http://h"});
+}
+
+RunRecord Show(FakeWorld& world, const std::string& object) {
+  FakeConnector connector(world);
+  const auto command = MakeOwnershipShowCommand(connector);
+  return RunCommand(*command, {object, "--object-api", "http://h"});
+}
+
+Test(a_move_of_ownership, is_carried_to_its_end) {
+  FakeWorld world;
+  const RunRecord run = Move(world);
+  cr_assert(run.code == ExitCode::kOk);
+  cr_assert(run.out == "workspace.makati is owned by west, epoch 2\n");
+  cr_assert(Contains(Show(world, "workspace.makati").out, "west   2"));
+  cr_assert(Show(world, "engine.e-1").code == ExitCode::kNotFound);
+}
+
+Test(a_move_of_ownership, that_waits_for_a_host_is_told_as_not_settled) {
+  FakeWorld world;
+  world.Put("status", "entry-1", R"({"ownership":{"half":"east"}})");
+  const RunRecord run = Move(world);
+  cr_assert(run.code == ExitCode::kUnknown);
+  cr_assert(Contains(run.err, "draining; it waits for entry-1"));
+}
+
+Test(a_move_of_ownership, to_a_third_half_meanwhile_is_a_conflict) {
+  FakeWorld world;
+  OwnershipDocument document;
+  document.owner = "east";
+  document.state = OwnershipState::kDraining;
+  document.next_owner = "north";
+  world.Put("ownership", "workspace.makati", EncodeOwnership(document));
+  cr_assert(Move(world).code == ExitCode::kConflict);
+}
+
+}  // namespace
+}  // namespace meadowthread
--- /dev/null
+++ b/src/main/main.cc
@@ -0,0 +1,65 @@
+#include <glog/logging.h>
+
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "cli/check_command.h"
+#include "cli/command_registry.h"
+#include "cli/explain_command.h"
+#include "cli/ownership_commands.h"
+#include "cli/qt_platform.h"
+#include "cli/status_command.h"
+#include "cli/version_command.h"
+#ifdef MEADOWTHREAD_HAS_SERVE
+#include "main/serve_command.h"
+#endif
+
+namespace meadowthread {
+namespace {
+
+// Hosts have no disks, so that nothing is ever logged to files. Commands'
+// results are their output; only serve logs its decisions.
+void SetUpLogging(const char* program, bool serves) {
+  FLAGS_logtostderr = true;
+  FLAGS_minloglevel = serves ? google::GLOG_INFO : google::GLOG_WARNING;
+  google::InitGoogleLogging(program);
+}
+
+int RunMain(std::span<const std::string> words) {
+  const SystemClock clock;
+  RandomNonceSource operations;
+  QtPlatformConnector connector;
+  CommandRegistry registry;
+#ifdef MEADOWTHREAD_HAS_SERVE
+  registry.Add(MakeServeCommand());
+#endif
+  registry.Add(MakeStatusCommand(connector, clock));
+  registry.Add(MakeExplainCommand());
+  registry.Add(MakeCheckCommand());
+  registry.Add(MakeOwnershipShowCommand(connector));
+  registry.Add(MakeOwnershipMoveCommand(connector, clock, operations));
+  registry.Add(MakeVersionCommand());
+  Console console = {std::cin, std::cout, std::cerr};
+  return static_cast<int>(registry.Run(words, console));
+}
+
+}  // namespace
+}  // namespace meadowthread
+
+int main(int argc, char** argv) {
+  const std::vector<std::string> words(argv + 1, argv + argc);
+  // A peer that closes first must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  meadowthread::SetUpLogging(argv[0],
+                             !words.empty() && words.front() == "serve");
+  try {
+    return meadowthread::RunMain(words);
+  } catch (const std::exception& error) {
+    std::cerr << "meadowthread: " << error.what() << "\n";
+    return static_cast<int>(meadowthread::ExitCode::kFailed);
+  }
+}
--- /dev/null
+++ b/src/main/serve_command.cc
@@ -0,0 +1,48 @@
+#include "main/serve_command.h"
+
+#include "cli/command_arguments.h"
+#include "serve/serve.h"
+#include "settings/settings.h"
+
+namespace meadowthread {
+namespace {
+
+class ServeCommand final : public Command {
+ public:
+  const CommandHelp& Help() const override { return this->help; }
+
+  ExitCode Run(std::span<const std::string> arguments,
+               Console& console) override {
+    CommandArguments parser(this->help, console);
+    TCLAP::ValueArg<std::string> file("", "settings", "this host's settings",
+                                      true, "", "FILE", parser.Line());
+    const std::optional<ExitCode> ended = parser.Parse(arguments);
+    if (ended.has_value()) {
+      return *ended;
+    }
+    const ParsedSettings parsed = LoadSettings(file.getValue());
+    if (!parsed.IsValid()) {
+      return parser.Refuse(parsed.Status());
+    }
+    return RunServe(parsed.settings) == 0 ? ExitCode::kOk : ExitCode::kFailed;
+  }
+
+ private:
+  CommandHelp help = {
+      "serve",
+      "runs an entry host between callers and model engines",
+      "Checks the settings whole, then serves until SIGTERM or SIGINT, which "
+      "is a planned\nstop: the host becomes unready, takes nothing new and "
+      "ends once what runs has\nended. Logs go to the standard error, one "
+      "key=value line a decision.",
+      {"meadowthread check entry-1.yaml && meadowthread serve --settings "
+       "entry-1.yaml"}};
+};
+
+}  // namespace
+
+std::unique_ptr<Command> MakeServeCommand() {
+  return std::make_unique<ServeCommand>();
+}
+
+}  // namespace meadowthread
