--- a/src/cli/ownership_show_command.cc
+++ b/src/cli/ownership_show_command.cc
@@ -63,9 +63,11 @@
   ExitCode Run(std::span<const std::string> arguments,
                Console& console) override {
     CommandArguments parser(this->help, console);
-    TCLAP::UnlabeledValueArg<std::string> only(
-        "object", "workspace.NAME or engine.NAME (all)", false, "", "OBJECT",
-        parser.Line());
+    // Not a positional argument: TCLAP counts optional ones in a static, and
+    // then refuses all that follow in the same process.
+    TCLAP::ValueArg<std::string> only("", "object",
+                                      "show only workspace.NAME or engine.NAME",
+                                      false, "", "OBJECT", parser.Line());
     PlatformOptions options(parser.Line());
     OutputOption output(parser.Line());
     const std::optional<ExitCode> ended = parser.Parse(arguments);
@@ -94,7 +96,7 @@
       "Shows the\nowners that are written down, their epochs and moves in "
       "progress.",
       {"meadowthread ownership show --settings entry-1.yaml",
-       "meadowthread ownership show workspace.makati --object-api "
+       "meadowthread ownership show --object workspace.makati --object-api "
        "http://127.0.0.1:9000 --output json"}};
 };
 
--- a/src/cli/tests/ownership_test.cc
+++ b/src/cli/tests/ownership_test.cc
@@ -21,7 +21,7 @@
 RunRecord Show(FakeWorld& world, const std::string& object) {
   FakeConnector connector(world);
   const auto command = MakeOwnershipShowCommand(connector);
-  return RunCommand(*command, {object, "--object-api", "http://h"});
+  return RunCommand(*command, {"--object", object, "--object-api", "http://h"});
 }
 
 Test(a_move_of_ownership, is_carried_to_its_end) {
