--- a/src/cli/ownership_move_command.cc
+++ b/src/cli/ownership_move_command.cc
@@ -1,9 +1,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
-#include "cli/command_arguments.h"
-#include "cli/command_result.h"
-#include "cli/operator_options.h"
 #include "cli/ownership_commands.h"
+#include "cli/platform_command.h"
 #include "placement/ownership_mover.h"
 
 namespace meadowthread {
@@ -89,62 +87,49 @@
   return "";
 }
 
-class OwnershipMoveCommand final : public Command {
+class OwnershipMoveInvocation final : public Invocation {
  public:
-  OwnershipMoveCommand(PlatformConnector& connector, const Clock& clock,
-                       NonceSource& operations)
-      : connector(connector), clock(clock), operations(operations) {}
-
-  const CommandHelp& Help() const override { return this->help; }
-
-  ExitCode Run(std::span<const std::string> arguments,
-               Console& console) override {
-    CommandArguments parser(this->help, console);
-    MoveArguments move(parser.Line());
-    PlatformOptions options(parser.Line());
-    OutputOption output(parser.Line());
-    const std::optional<ExitCode> ended = parser.Parse(arguments);
-    if (ended.has_value()) {
-      return *ended;
-    }
-    const absl::StatusOr<PlatformAddress> address = options.Address();
-    if (!address.ok()) {
-      return parser.Refuse(address.status());
-    }
+  OwnershipMoveInvocation(TCLAP::CmdLine& line, const Clock& clock,
+                          NonceSource& operations)
+      : arguments(line), clock(clock), operations(operations) {}
+
+  CommandResult Run(const RunContext& context) override {
     const std::optional<OwnedId> id =
-        ParseOwnershipObjectName(move.object.getValue());
+        ParseOwnershipObjectName(this->arguments.object.getValue());
     if (!id.has_value()) {
-      return parser.Wrong("OBJECT is neither workspace.NAME nor engine.NAME");
-    }
-    MoverSettings settings;
-    settings.default_owner = move.default_owner.getValue();
-    if (settings.default_owner.empty() && options.Half().has_value()) {
-      settings.default_owner = options.Half()->default_owner;
+      return UsageResult("OBJECT is neither workspace.NAME nor engine.NAME");
     }
+    const MoverSettings settings = this->SettingsOf(context.half);
     if (settings.default_owner.empty()) {
-      return parser.Wrong("say --default-owner or --settings");
+      return UsageResult("say --default-owner or --settings");
     }
-    settings.default_address =
-        AddressOf(options.Half(), settings.default_owner);
-    MoveRequest request = {*id, move.next_owner.getValue(),
-                           move.next_address.getValue(),
-                           this->operations.Next(), move.gone.getValue()};
+    MoveRequest request = {*id, this->arguments.next_owner.getValue(),
+                           this->arguments.next_address.getValue(),
+                           this->operations.Next(),
+                           this->arguments.gone.getValue()};
     if (request.next_address.empty()) {
-      request.next_address = AddressOf(options.Half(), request.next_owner);
+      request.next_address = AddressOf(context.half, request.next_owner);
     }
-    const std::unique_ptr<Platform> platform =
-        this->connector.Connect(*address);
-    const MoveProgress progress =
-        this->Move(request, settings, *platform,
-                   std::int64_t{move.wait_s.getValue()} * kSecondMs);
-    return output.Print(Tell(request, progress), console);
+    return Tell(request, this->Move(request, settings, context.platform));
   }
 
  private:
+  MoverSettings SettingsOf(const std::optional<HalfSettings>& half) {
+    MoverSettings settings;
+    settings.default_owner = this->arguments.default_owner.getValue();
+    if (settings.default_owner.empty() && half.has_value()) {
+      settings.default_owner = half->default_owner;
+    }
+    settings.default_address = AddressOf(half, settings.default_owner);
+    return settings;
+  }
+
   MoveProgress Move(const MoveRequest& request, const MoverSettings& settings,
-                    Platform& platform, std::int64_t limit_ms) {
+                    Platform& platform) {
     OwnershipMover mover(request, settings, platform.Store(), this->clock);
-    const std::int64_t end_ms = this->clock.MonotonicMs() + limit_ms;
+    const std::int64_t end_ms =
+        this->clock.MonotonicMs() +
+        std::int64_t{this->arguments.wait_s.getValue()} * kSecondMs;
     while (mover.Progress().phase != MovePhase::kDone &&
            mover.Progress().phase != MovePhase::kConflict &&
            this->clock.MonotonicMs() < end_ms) {
@@ -154,20 +139,39 @@
     return mover.Progress();
   }
 
-  PlatformConnector& connector;
+  MoveArguments arguments;
+  const Clock& clock;
+  NonceSource& operations;
+};
+
+class OwnershipMoveCommand final : public PlatformCommand {
+ public:
+  OwnershipMoveCommand(PlatformConnector& connector, const Clock& clock,
+                       NonceSource& operations)
+      : PlatformCommand(
+            connector,
+            {"ownership move",
+             "hands a workspace or an engine to a half of the migration",
+             "Moves ownership in steps: the owner takes nothing new, its hosts "
+             "finish what runs,\nand only then the next half owns it. Cut off "
+             "at any step, the same command goes\non; two at once do no harm.",
+             {"meadowthread ownership move workspace.makati --to west "
+              "--settings entry-1.yaml",
+              "meadowthread ownership move engine.engine-3 --to west "
+              "--address https://west.example --default-owner east "
+              "--object-api http://127.0.0.1:9000"}}),
+        clock(clock),
+        operations(operations) {}
+
+ protected:
+  std::unique_ptr<Invocation> Prepare(TCLAP::CmdLine& line) override {
+    return std::make_unique<OwnershipMoveInvocation>(line, this->clock,
+                                                     this->operations);
+  }
+
+ private:
   const Clock& clock;
   NonceSource& operations;
-  CommandHelp help = {
-      "ownership move",
-      "hands a workspace or an engine to a half of the migration",
-      "Moves ownership in steps: the owner takes nothing new, its hosts finish "
-      "what runs,\nand only then the next half owns it. Cut off at any step, "
-      "the same command goes\non; two at once do no harm.",
-      {"meadowthread ownership move workspace.makati --to west --settings "
-       "entry-1.yaml",
-       "meadowthread ownership move engine.engine-3 --to west --address "
-       "https://west.example --default-owner east --object-api "
-       "http://127.0.0.1:9000"}};
 };
 
 }  // namespace
--- a/src/cli/ownership_show_command.cc
+++ b/src/cli/ownership_show_command.cc
@@ -1,9 +1,7 @@
 #include "absl/strings/str_cat.h"
 #include "cli/await.h"
-#include "cli/command_arguments.h"
-#include "cli/command_result.h"
-#include "cli/operator_options.h"
 #include "cli/ownership_commands.h"
+#include "cli/platform_command.h"
 #include "cli/text_table.h"
 #include "placement/ownership.h"
 
@@ -53,51 +51,43 @@
   return result;
 }
 
-class OwnershipShowCommand final : public Command {
+class OwnershipShowInvocation final : public Invocation {
  public:
-  explicit OwnershipShowCommand(PlatformConnector& connector)
-      : connector(connector) {}
-
-  const CommandHelp& Help() const override { return this->help; }
+  // Not a positional argument: TCLAP counts optional ones in a static, and
+  // then refuses all that follow in the same process.
+  explicit OwnershipShowInvocation(TCLAP::CmdLine& line)
+      : only("", "object", "show only workspace.NAME or engine.NAME", false, "",
+             "OBJECT", line) {}
 
-  ExitCode Run(std::span<const std::string> arguments,
-               Console& console) override {
-    CommandArguments parser(this->help, console);
-    // Not a positional argument: TCLAP counts optional ones in a static, and
-    // then refuses all that follow in the same process.
-    TCLAP::ValueArg<std::string> only("", "object",
-                                      "show only workspace.NAME or engine.NAME",
-                                      false, "", "OBJECT", parser.Line());
-    PlatformOptions options(parser.Line());
-    OutputOption output(parser.Line());
-    const std::optional<ExitCode> ended = parser.Parse(arguments);
-    if (ended.has_value()) {
-      return *ended;
-    }
-    const absl::StatusOr<PlatformAddress> address = options.Address();
-    if (!address.ok()) {
-      return parser.Refuse(address.status());
-    }
-    const std::unique_ptr<Platform> platform =
-        this->connector.Connect(*address);
+  CommandResult Run(const RunContext& context) override {
     const absl::StatusOr<ObjectList> list =
-        AwaitList(*platform, kOwnershipKind);
-    return output.Print(
-        list.ok() ? Tell(*list, only.getValue()) : FailedResult(list.status()),
-        console);
+        AwaitList(context.platform, kOwnershipKind);
+    return list.ok() ? Tell(*list, this->only.getValue())
+                     : FailedResult(list.status());
   }
 
  private:
-  PlatformConnector& connector;
-  CommandHelp help = {
-      "ownership show",
-      "tells which half owns what",
-      "During the migration each workspace and engine is owned by one half. "
-      "Shows the\nowners that are written down, their epochs and moves in "
-      "progress.",
-      {"meadowthread ownership show --settings entry-1.yaml",
-       "meadowthread ownership show --object workspace.makati --object-api "
-       "http://127.0.0.1:9000 --output json"}};
+  TCLAP::ValueArg<std::string> only;
+};
+
+class OwnershipShowCommand final : public PlatformCommand {
+ public:
+  explicit OwnershipShowCommand(PlatformConnector& connector)
+      : PlatformCommand(
+            connector,
+            {"ownership show",
+             "tells which half owns what",
+             "During the migration each workspace and engine is owned by one "
+             "half. Shows the\nowners that are written down, their epochs and "
+             "moves in progress.",
+             {"meadowthread ownership show --settings entry-1.yaml",
+              "meadowthread ownership show --object workspace.makati "
+              "--object-api http://127.0.0.1:9000 --output json"}}) {}
+
+ protected:
+  std::unique_ptr<Invocation> Prepare(TCLAP::CmdLine& line) override {
+    return std::make_unique<OwnershipShowInvocation>(line);
+  }
 };
 
 }  // namespace
--- /dev/null
+++ b/src/cli/platform_command.cc
@@ -0,0 +1,35 @@
+#include "cli/platform_command.h"
+
+#include "cli/command_arguments.h"
+#include "cli/operator_options.h"
+
+namespace meadowthread {
+
+ExitCode PlatformCommand::Run(std::span<const std::string> arguments,
+                              Console& console) {
+  CommandArguments parser(this->help, console);
+  const std::unique_ptr<Invocation> invocation = this->Prepare(parser.Line());
+  PlatformOptions options(parser.Line());
+  OutputOption output(parser.Line());
+  const std::optional<ExitCode> ended = parser.Parse(arguments);
+  if (ended.has_value()) {
+    return *ended;
+  }
+  const absl::StatusOr<PlatformAddress> address = options.Address();
+  if (!address.ok()) {
+    return parser.Refuse(address.status());
+  }
+  const std::unique_ptr<Platform> platform = this->connector.Connect(*address);
+  const RunContext context = {*platform, console, options.Half()};
+  return output.Print(invocation->Run(context), console);
+}
+
+CommandResult UsageResult(std::string_view what) {
+  CommandResult result;
+  result.code = ExitCode::kUsage;
+  result.text = std::string(what) + "\n";
+  result.json["error"] = {{"message", std::string(what)}};
+  return result;
+}
+
+}  // namespace meadowthread
--- a/src/cli/status_command.cc
+++ b/src/cli/status_command.cc
@@ -1,10 +1,8 @@
 #include "cli/status_command.h"
 
 #include "cli/await.h"
-#include "cli/command_arguments.h"
-#include "cli/command_result.h"
 #include "cli/entry_hosts.h"
-#include "cli/operator_options.h"
+#include "cli/platform_command.h"
 #include "cli/status_report.h"
 
 namespace meadowthread {
@@ -43,45 +41,42 @@
   return result;
 }
 
-class StatusCommand final : public Command {
+class StatusInvocation final : public Invocation {
  public:
-  StatusCommand(PlatformConnector& connector, const Clock& clock)
-      : connector(connector), clock(clock) {}
+  explicit StatusInvocation(const Clock& clock) : clock(clock) {}
+
+  CommandResult Run(const RunContext& context) override {
+    return ReadStatus(context.platform, this->clock);
+  }
 
-  const CommandHelp& Help() const override { return this->help; }
+ private:
+  const Clock& clock;
+};
+
+class StatusCommand final : public PlatformCommand {
+ public:
+  StatusCommand(PlatformConnector& connector, const Clock& clock)
+      : PlatformCommand(
+            connector,
+            {"status",
+             "tells the state of every entry host",
+             "Asks every entry host of the host list for its state and tells "
+             "in one table: the\nmark and readiness, the configuration's "
+             "revision and how long ago it was\nconfirmed, load, and what a "
+             "stop waits for. A host that does not answer is told\nas "
+             "unreachable, with what its status object last said.",
+             {"meadowthread status --settings entry-1.yaml",
+              "meadowthread status --object-api http://127.0.0.1:9000 "
+              "--host-list http://127.0.0.1:9001/hosts --output json"}}),
+        clock(clock) {}
 
-  ExitCode Run(std::span<const std::string> arguments,
-               Console& console) override {
-    CommandArguments parser(this->help, console);
-    PlatformOptions options(parser.Line());
-    OutputOption output(parser.Line());
-    const std::optional<ExitCode> ended = parser.Parse(arguments);
-    if (ended.has_value()) {
-      return *ended;
-    }
-    const absl::StatusOr<PlatformAddress> address = options.Address();
-    if (!address.ok()) {
-      return parser.Refuse(address.status());
-    }
-    const std::unique_ptr<Platform> platform =
-        this->connector.Connect(*address);
-    return output.Print(ReadStatus(*platform, this->clock), console);
+ protected:
+  std::unique_ptr<Invocation> Prepare(TCLAP::CmdLine& /*line*/) override {
+    return std::make_unique<StatusInvocation>(this->clock);
   }
 
  private:
-  PlatformConnector& connector;
   const Clock& clock;
-  CommandHelp help = {
-      "status",
-      "tells the state of every entry host",
-      "Asks every entry host of the host list for its state and tells in one "
-      "table: the\nmark and readiness, the configuration's revision and how "
-      "long ago it was\nconfirmed, load, and what a stop waits for. A host "
-      "that does not answer is told\nas unreachable, with what its status "
-      "object last said.",
-      {"meadowthread status --settings entry-1.yaml",
-       "meadowthread status --object-api http://127.0.0.1:9000 --host-list "
-       "http://127.0.0.1:9001/hosts --output json"}};
 };
 
 }  // namespace
