--- /dev/null
+++ b/src/cli/host_commands.h
@@ -0,0 +1,25 @@
+#ifndef MEADOWTHREAD_CLI_HOST_COMMANDS_H_
+#define MEADOWTHREAD_CLI_HOST_COMMANDS_H_
+
+#include <memory>
+
+#include "base/clock.h"
+#include "cli/command.h"
+#include "cli/platform.h"
+#include "placement/nonce_source.h"
+
+namespace meadowthread {
+
+/// @brief `host list`: the host list with the operators' marks.
+/// @param[in] connector outlives the command
+std::unique_ptr<Command> MakeHostListCommand(PlatformConnector& connector);
+
+/// @brief `host mark`: marks a host to leave, to stop, or as live.
+/// @param[in] connector,clock,operations outlive the command
+std::unique_ptr<Command> MakeHostMarkCommand(PlatformConnector& connector,
+                                             const Clock& clock,
+                                             NonceSource& operations);
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_CLI_HOST_COMMANDS_H_
--- /dev/null
+++ b/src/cli/tests/check_test.cc
@@ -0,0 +1,55 @@
+#include <criterion/criterion.h>
+
+#include "cli/check_command.h"
+#include "cli/tests/fake_platform.h"
+
+namespace meadowthread {
+namespace {
+
+RunRecord Check(const std::string& text, bool as_json = false) {
+  const auto command = MakeCheckCommand();
+  return RunCommand(*command, {"-", "--output", as_json ? "json" : "text"},
+                    text);
+}
+
+Test(a_checked_document, is_told_as_a_template_with_all_its_problems) {
+  const RunRecord run = Check(
+      "name: tags\n"
+      "models:\n"
+      "  - {model: tag, version: \"7\"}\n"
+      "urgencyy: urgent\n"
+      "workspaces:\n"
+      "  - {workspace: makati, weight: -3}\n");
+  cr_assert(run.code == ExitCode::kInvalid);
+  cr_assert(Contains(run.err, "-:4: urgencyy"));
+  cr_assert(Contains(run.err, "-:6: workspaces[0].weight"));
+}
+
+Test(a_checked_document, is_told_as_settings_with_all_its_problems) {
+  const RunRecord run = Check("host: {name: e}\nplatfrom: {}\n", true);
+  const auto json = nlohmann::json::parse(run.out);
+  cr_assert(json["result"] == "invalid");
+  cr_assert(json["exit_code"] == 3);
+  cr_assert(json["kind"] == "settings");
+  cr_assert(json["problems"].size() == 8);
+  cr_assert(json["problems"].back()["line"] == 2);
+  cr_assert(json["problems"].back()["field"] == "platfrom");
+}
+
+Test(a_checked_document, that_is_valid_says_what_it_is) {
+  const RunRecord run = Check(
+      "name: tags\n"
+      "models: [{model: tag, version: \"7\"}]\n"
+      "workspaces: [{workspace: makati}]\n");
+  cr_assert(run.code == ExitCode::kOk, "%s", run.err.c_str());
+  cr_assert(run.out == "-: a valid template document\n");
+}
+
+Test(a_checked_document, that_is_neither_or_no_yaml_says_so) {
+  cr_assert(Contains(Check("colour: red\n").err, "neither settings"));
+  cr_assert(Contains(Check("- 1\n").err, "neither settings"));
+  cr_assert(Contains(Check("a: 1\nname: [\n").err, "is not YAML"));
+}
+
+}  // namespace
+}  // namespace meadowthread
--- /dev/null
+++ b/src/cli/tests/template_read_test.cc
@@ -0,0 +1,90 @@
+#include <criterion/criterion.h>
+
+#include "cli/host_commands.h"
+#include "cli/line_difference.h"
+#include "cli/template_commands.h"
+#include "cli/tests/fake_platform.h"
+#include "configuration/template_object.h"
+
+namespace meadowthread {
+namespace {
+
+using Maker = std::unique_ptr<Command> (*)(PlatformConnector&);
+
+RunRecord Read(FakeWorld& world, Maker make,
+               std::vector<std::string> arguments) {
+  FakeConnector connector(world);
+  arguments.insert(arguments.end(), {"--object-api", "http://h"});
+  return RunCommand(*make(connector), arguments);
+}
+
+/// A template of two versions: 7 by ana, then the object's own by ben.
+void PutTags(FakeWorld& world) {
+  TemplateObject object;
+  object.current = {"op-2", "ben", 1'764'000'000'000, "a\nB\nc\n", 0};
+  object.history = {{"op-1", "ana", 1'763'000'000'000, "a\nb\nc\n", 7}};
+  world.Put("templates", "tags", TemplateToJson(object));
+}
+
+Test(a_difference, tells_changed_lines_only) {
+  cr_assert(LineDifference("a\nb\nc\n", "a\nb\nc\n").empty());
+  cr_assert(LineDifference("a\nb\nc\n", "a\nB\nc\nd\n") ==
+            "- 2: b\n+ 2: B\n+ 4: d\n");
+  cr_assert(LineDifference("", "a\n") == "+ 1: a\n");
+}
+
+Test(a_template, is_written_as_its_author_wrote_it) {
+  FakeWorld world;
+  PutTags(world);
+  cr_assert(Read(world, MakeTemplateGetCommand, {"tags"}).out == "a\nB\nc\n");
+  const RunRecord earlier =
+      Read(world, MakeTemplateGetCommand, {"tags", "--version", "7"});
+  cr_assert(earlier.out == "a\nb\nc\n");
+  cr_assert(
+      Read(world, MakeTemplateGetCommand, {"tags", "--version", "8"}).code ==
+      ExitCode::kNotFound);
+  cr_assert(Read(world, MakeTemplateGetCommand, {"notes"}).code ==
+            ExitCode::kNotFound);
+}
+
+Test(a_template, is_listed_with_version_and_author) {
+  FakeWorld world;
+  PutTags(world);
+  world.Put("templates", "torn", "{");
+  const RunRecord run =
+      Read(world, MakeTemplateListCommand, {"--output", "json"});
+  const auto templates = nlohmann::json::parse(run.out)["templates"];
+  cr_assert(templates[0]["author"] == "ben");
+  cr_assert(templates[0]["version"] == 1);
+  cr_assert(templates[1]["unreadable"] == true);
+}
+
+Test(a_template, tells_its_history_and_changes) {
+  FakeWorld world;
+  PutTags(world);
+  const RunRecord run =
+      Read(world, MakeTemplateHistoryCommand, {"tags", "--changes"});
+  cr_assert(Contains(run.out, "7        ana     2025-11-13 02:13:20Z  op-1"));
+  cr_assert(Contains(run.out, "version 1 changed:\n- 2: b\n+ 2: B\n"));
+}
+
+Test(a_platform_that_is_down, is_told_as_unavailable) {
+  FakeWorld world;
+  world.store.SetDown(true);
+  const RunRecord run = Read(world, MakeTemplateListCommand, {});
+  cr_assert(run.code == ExitCode::kUnavailable);
+  cr_assert(Contains(run.err, "step: object-api.list"));
+}
+
+Test(the_list_of_hosts, tells_marks_beside_it) {
+  FakeWorld world;
+  world.hosts->hosts = {EntryHost("entry-1"), EntryHost("entry-2")};
+  world.Put("marks", "entry-1",
+            R"({"host":"entry-1","mark":"stopping","handover":true})");
+  const RunRecord run = Read(world, MakeHostListCommand, {});
+  cr_assert(Contains(run.out, "live   stopping (handover)\n"));
+  cr_assert(Contains(run.out, "live   -\n"));
+}
+
+}  // namespace
+}  // namespace meadowthread
--- a/src/main/main.cc
+++ b/src/main/main.cc
@@ -10,9 +10,11 @@
 #include "cli/check_command.h"
 #include "cli/command_registry.h"
 #include "cli/explain_command.h"
+#include "cli/host_commands.h"
 #include "cli/ownership_commands.h"
 #include "cli/qt_platform.h"
 #include "cli/status_command.h"
+#include "cli/template_commands.h"
 #include "cli/version_command.h"
 #ifdef MEADOWTHREAD_HAS_SERVE
 #include "main/serve_command.h"
@@ -37,6 +39,10 @@
 #ifdef MEADOWTHREAD_HAS_SERVE
   registry.Add(MakeServeCommand());
 #endif
+  registry.Add(MakeTemplateGetCommand(connector));
+  registry.Add(MakeTemplateListCommand(connector));
+  registry.Add(MakeTemplateHistoryCommand(connector));
+  registry.Add(MakeHostListCommand(connector));
   registry.Add(MakeStatusCommand(connector, clock));
   registry.Add(MakeExplainCommand());
   registry.Add(MakeCheckCommand());
