--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -118,7 +118,7 @@
   section.Finish();
 }
 
-void Read(YamlSection section, ExchangeSettings* exchange) {
+void Read(YamlSection section, HostExchangeSettings* exchange) {
   section.Integer("period_ms", 50, 60 * kSecondMs, &exchange->period_ms);
   section.Integer("fanout", 1, 16, &exchange->fanout);
   section.Integer("bytes_per_second", 1000, 100 * kMebibyte,
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -99,13 +99,13 @@
 };
 
 /// @brief Exchange between entry hosts.
-struct ExchangeSettings {
+struct HostExchangeSettings {
   std::int64_t period_ms = 500;
   int fanout = 3;
   std::int64_t bytes_per_second = 29000;
 
-  friend bool operator==(const ExchangeSettings&,
-                         const ExchangeSettings&) = default;
+  friend bool operator==(const HostExchangeSettings&,
+                         const HostExchangeSettings&) = default;
 };
 
 /// @brief Claims of requests that may not be repeated.
@@ -155,7 +155,7 @@
   CallerSettings callers;
   AnswerSettings answers;
   PolicySettings policy;
-  ExchangeSettings exchange;
+  HostExchangeSettings exchange;
   ClaimsSettings claims;
   PlacementSettings placement;
   ConfigurationSettings configuration;
