--- a/model/claims.pml
+++ b/model/claims.pml
@@ -73,55 +73,55 @@
 #endif
 
 /* Scratch of atomic steps only. */
-hidden byte s, i, holder, result, head, found;
+hidden byte at_segment, at_entry, holder, result, head, found;
 hidden byte done_scan;
 
 /* The log as read now: holder, result, the head segment; found: does an entry
  * equal to `wanted` stand? */
 inline scan(wanted) {
-  holder = 0; result = 0; found = 0; head = 0; s = 0; done_scan = 0;
+  holder = 0; result = 0; found = 0; head = 0; at_segment = 0; done_scan = 0;
   do
-  :: s < SEGMENTS && !done_scan ->
-    i = 0;
+  :: at_segment < SEGMENTS && !done_scan ->
+    at_entry = 0;
     do
-    :: i < count[s] ->
+    :: at_entry < count[at_segment] ->
       if
-      :: entries[s * CAPACITY + i] == wanted -> found = 1
+      :: entries[at_segment * CAPACITY + at_entry] == wanted -> found = 1
       :: else
       fi;
       if
-      :: entries[s * CAPACITY + i] / 8 == KCLAIM && holder == 0 ->
-        holder = entries[s * CAPACITY + i] % 8
-      :: entries[s * CAPACITY + i] / 8 == KRELEASE &&
-         holder == entries[s * CAPACITY + i] % 8 -> holder = 0
-      :: entries[s * CAPACITY + i] / 8 == KRESULT ->
-        result = entries[s * CAPACITY + i] % 8
+      :: entries[at_segment * CAPACITY + at_entry] / 8 == KCLAIM && holder == 0 ->
+        holder = entries[at_segment * CAPACITY + at_entry] % 8
+      :: entries[at_segment * CAPACITY + at_entry] / 8 == KRELEASE &&
+         holder == entries[at_segment * CAPACITY + at_entry] % 8 -> holder = 0
+      :: entries[at_segment * CAPACITY + at_entry] / 8 == KRESULT ->
+        result = entries[at_segment * CAPACITY + at_entry] % 8
       :: else
       fi;
-      i++
+      at_entry++
     :: else -> break
     od;
-    head = s;
+    head = at_segment;
 #ifdef UNSEALED
     /* The next segment may exist beside a head that is not full. */
     if
-    :: s + 1 < SEGMENTS && version[s + 1] != 0 -> s++
-    :: count[s] == CAPACITY -> s++
+    :: at_segment + 1 < SEGMENTS && version[at_segment + 1] != 0 -> at_segment++
+    :: count[at_segment] == CAPACITY -> at_segment++
     :: else -> done_scan = 1
     fi
 #else
     if
-    :: count[s] == CAPACITY -> s++   /* full: the log goes on */
+    :: count[at_segment] == CAPACITY -> at_segment++   /* full: the log goes on */
     :: else -> done_scan = 1
     fi
 #endif
   :: else -> break
   od;
   if
-  :: s == SEGMENTS -> head = SEGMENTS   /* the bounded log is full */
+  :: at_segment == SEGMENTS -> head = SEGMENTS   /* the bounded log is full */
   :: else
   fi;
-  i = 0
+  at_entry = 0
 }
 
 inline clear(me) {
@@ -132,19 +132,19 @@
 /* A write whose version has passed can't land any more; dropping it here
  * keeps the states few. (A create might land again after the deletion.) */
 inline forget_dead_writes() {
-  i = 0;
+  at_entry = 0;
   do
-  :: i < 4 ->
+  :: at_entry < 4 ->
     if
-    :: delayed[i].on && delayed[i].expected != 0 &&
-       version[delayed[i].segment] != delayed[i].expected ->
-      delayed[i].on = 0
+    :: delayed[at_entry].on && delayed[at_entry].expected != 0 &&
+       version[delayed[at_entry].segment] != delayed[at_entry].expected ->
+      delayed[at_entry].on = 0
     :: else
     fi;
-    i++
+    at_entry++
   :: else -> break
   od;
-  i = 0
+  at_entry = 0
 }
 
 /* Applies a write where its condition holds; sets found. */
