View feeder: list, watch, repair, and who watches

Cause: a host's view must follow the platform through lost watch events, outages, calls that never end and stale reads, with few calls as changes burst. Ruled out: re-listing everything each time (a whole list has no tombstones and would make peers behind it fetch the whole state; the repair reads from the last proved revision instead); every host watching (calls); confirming a watch at the time its answer arrived (the answer may be old by then). Change: view_feeder over ObjectStore, Scheduler and Clock; a host that need not watch reads for itself once nobody confirmed the view for 30 s. Deltas say whether they were cut.

--- a/src/configuration/kind_view.cc
+++ b/src/configuration/kind_view.cc
@@ -102,8 +102,8 @@
     }
     delta.items.push_back(object);
   }
-  const bool is_cut = next != this->by_version.end();
-  if (is_cut && next->first <= this->watermark) {
+  delta.cut = next != this->by_version.end();
+  if (delta.cut && next->first <= this->watermark) {
     // Whatever stands at or under the last item's version is in the delta:
     // the receiver goes on from there.
     delta.revision = delta.items.back().version;
--- /dev/null
+++ b/src/configuration/view_feeder.cc
@@ -0,0 +1,212 @@
+#include "configuration/view_feeder.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "base/error.h"
+#include "base/log_line.h"
+
+namespace meadowthread {
+
+KindFeeder::KindFeeder(std::string_view kind, ObjectStore& store,
+                       ReplicatedView& view, Scheduler& scheduler,
+                       const Clock& clock, const FeederOptions& options,
+                       std::function<bool()> is_watcher)
+    : kind(kind),
+      store(store),
+      view(view),
+      scheduler(scheduler),
+      clock(clock),
+      options(options),
+      is_watcher(std::move(is_watcher)),
+      random(options.seed) {
+  this->state.kind = std::string(kind);
+}
+
+void KindFeeder::Start() { this->Next(); }
+
+void KindFeeder::Next() {
+  this->state.watching = this->MustRead();
+  if (!this->state.watching) {
+    this->SetStalled(false, "not_watching");
+    this->Later(this->Jitter(this->options.idle_ms), [this] { this->Next(); });
+    return;
+  }
+  this->Send(this->Choose());
+}
+
+// Some hosts watch and tell the others. A host that hears of no fresh read
+// reads for itself: then those that should watch are gone or cut off.
+bool KindFeeder::MustRead() const {
+  const Confirmation confirmed = this->view.Digest(this->kind).confirmed;
+  const std::int64_t age_ms = this->clock.WallMs() - confirmed.unix_ms;
+  return this->is_watcher() || age_ms >= this->options.self_watch_ms;
+}
+
+KindFeeder::ReadKind KindFeeder::Choose() const {
+  if (this->must_list) {
+    return ReadKind::kWhole;
+  }
+  const std::int64_t since_proof = this->clock.MonotonicMs() - this->proved_ms;
+  return since_proof >= this->options.repair_ms ? ReadKind::kRepair
+                                                : ReadKind::kWatch;
+}
+
+void KindFeeder::Send(ReadKind read_kind) {
+  Read read;
+  read.kind = read_kind;
+  read.number = ++this->reads;
+  read.sent_wall_ms = this->clock.WallMs();
+  read.sent_ms = this->clock.MonotonicMs();
+  this->pending = true;
+  std::int64_t wait_ms = 0;
+  if (read_kind == ReadKind::kWatch) {
+    wait_ms = this->options.wait_ms;
+    read.since = this->view.Digest(this->kind).revision;
+  } else if (read_kind == ReadKind::kRepair) {
+    read.since = this->proved_revision;
+  }
+  const auto done = [this, read, guard = std::weak_ptr<int>(this->alive)](
+                        const absl::StatusOr<ObjectList>& answer) {
+    if (!guard.expired()) {
+      this->Answered(read, answer);
+    }
+  };
+  this->Later(wait_ms + this->options.answer_margin_ms,
+              [this, number = read.number] { this->GiveUp(number); });
+  if (read_kind == ReadKind::kWatch) {
+    this->store.Watch(this->kind, read.since, wait_ms, done);
+  } else {
+    this->store.List(this->kind, read.since, done);
+  }
+}
+
+void KindFeeder::Answered(const Read& read,
+                          const absl::StatusOr<ObjectList>& answer) {
+  // The answer to a call given up: its items are as good as an offer, and the
+  // next call is on its way already.
+  if (!this->pending || read.number != this->reads) {
+    if (answer.ok()) {
+      this->view.ApplyItems(answer->items);
+    }
+    return;
+  }
+  this->pending = false;
+  if (!answer.ok()) {
+    this->Failed(answer.status());
+    return;
+  }
+  this->state.last_answer_unix_ms = this->clock.WallMs();
+  this->Take(read, *answer);
+}
+
+void KindFeeder::Take(const Read& read, const ObjectList& list) {
+  const Confirmation confirmation = {this->ConfirmedAt(read, list),
+                                     this->options.host};
+  if (!this->view.ApplyList(this->kind, read.since, list, confirmation)) {
+    ++this->state.stale_reads;
+    this->Failed(absl::UnavailableError("stale read"));
+    return;
+  }
+  this->state.failures = 0;
+  this->SetStalled(false, "answered");
+  if (read.kind != ReadKind::kWatch) {
+    this->must_list = false;
+    this->proved_revision = list.revision;
+    this->proved_ms = read.sent_ms;
+  }
+  this->Later(this->options.pace_ms, [this] { this->Next(); });
+}
+
+void KindFeeder::Failed(const absl::Status& status) {
+  if (DetailOf(status).id == ErrorId::kStoreRevisionGone) {
+    this->must_list = true;
+  }
+  ++this->state.failures;
+  this->SetStalled(true, absl::StrCat(status.message()));
+  this->Later(this->Backoff(), [this] { this->Next(); });
+}
+
+// The store should end every call in time; should one be lost, the view must
+// not stand still for ever.
+void KindFeeder::GiveUp(std::uint64_t number) {
+  if (!this->pending || number != this->reads) {
+    return;
+  }
+  this->pending = false;
+  this->Failed(absl::DeadlineExceededError("no answer"));
+}
+
+void KindFeeder::SetStalled(bool stalled, std::string_view why) {
+  if (this->state.stalled == stalled) {
+    return;
+  }
+  this->state.stalled = stalled;
+  LogLine line("watch");
+  line.Add("kind", this->kind).Add("stalled", stalled ? "yes" : "no");
+  line.Add("why", why).Add("revision", this->view.Digest(this->kind).revision);
+  line.Write();
+}
+
+// When the answer was made is known only between bounds. Of a list: after it
+// was asked for. Of a watch that ran out: after its whole wait.
+std::int64_t KindFeeder::ConfirmedAt(const Read& read,
+                                     const ObjectList& list) const {
+  const std::int64_t took_ms = this->clock.MonotonicMs() - read.sent_ms;
+  const bool ran_out = read.kind == ReadKind::kWatch && list.items.empty() &&
+                       took_ms >= this->options.wait_ms;
+  return read.sent_wall_ms + (ran_out ? this->options.wait_ms : 0);
+}
+
+std::int64_t KindFeeder::Backoff() {
+  constexpr int kMostDoublings = 20;
+  const int doublings = std::min(this->state.failures - 1, kMostDoublings);
+  const std::int64_t backoff_ms = this->options.first_backoff_ms << doublings;
+  return this->Jitter(std::min(backoff_ms, this->options.most_backoff_ms));
+}
+
+// From half to one and a half: hosts that failed together come back apart.
+std::int64_t KindFeeder::Jitter(std::int64_t delay_ms) {
+  std::uniform_int_distribution<std::int64_t> spread(0, delay_ms);
+  return delay_ms / 2 + spread(this->random);
+}
+
+void KindFeeder::Later(std::int64_t delay_ms,
+                       const std::function<void()>& task) {
+  this->scheduler.After(delay_ms,
+                        [task, guard = std::weak_ptr<int>(this->alive)] {
+                          if (!guard.expired()) {
+                            task();
+                          }
+                        });
+}
+
+ViewFeeder::ViewFeeder(std::span<const std::string_view> kinds,
+                       ObjectStore& store, ReplicatedView& view,
+                       Scheduler& scheduler, const Clock& clock,
+                       const FeederOptions& options,
+                       const std::function<bool()>& is_watcher) {
+  FeederOptions own = options;
+  for (const std::string_view kind : kinds) {
+    ++own.seed;
+    this->feeders.push_back(std::make_unique<KindFeeder>(
+        kind, store, view, scheduler, clock, own, is_watcher));
+  }
+}
+
+void ViewFeeder::Start() {
+  for (const std::unique_ptr<KindFeeder>& feeder : this->feeders) {
+    feeder->Start();
+  }
+}
+
+std::vector<FeederState> ViewFeeder::States() const {
+  std::vector<FeederState> states;
+  for (const std::unique_ptr<KindFeeder>& feeder : this->feeders) {
+    states.push_back(feeder->State());
+  }
+  return states;
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/configuration/view_feeder.h
@@ -0,0 +1,127 @@
+#ifndef MEADOWTHREAD_CONFIGURATION_VIEW_FEEDER_H_
+#define MEADOWTHREAD_CONFIGURATION_VIEW_FEEDER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/scheduler.h"
+#include "configuration/replicated_view.h"
+#include "store/object_store.h"
+
+namespace meadowthread {
+
+/// @brief How a host reads the platform; times in milliseconds.
+struct FeederOptions {
+  std::string host;               ///< named in confirmations
+  std::uint64_t seed = 0;         ///< of the jitter; differs between hosts
+  std::int64_t wait_ms = 10'000;  ///< of a watch
+  /// Between a watch's answer and the next one: bounds the calls as changes
+  /// burst.
+  std::int64_t pace_ms = 200;
+  /// Between reads that repair what watches lost.
+  std::int64_t repair_ms = 60'000;
+  std::int64_t first_backoff_ms = 200;
+  std::int64_t most_backoff_ms = 10'000;
+  /// A call without an answer for this long beyond its wait is given up.
+  std::int64_t answer_margin_ms = 5'000;
+  /// A host that need not watch looks this often whether it now must.
+  std::int64_t idle_ms = 1'000;
+  /// A view that no host confirmed for this long is read by every host.
+  std::int64_t self_watch_ms = 30'000;
+};
+
+/// @brief How the feeding of one kind goes.
+struct FeederState {
+  std::string kind;
+  bool watching = false;  ///< reads the platform itself
+  bool stalled = false;   ///< reads it, but the last call brought nothing
+  int failures = 0;       ///< in a row
+  std::int64_t stale_reads = 0;          ///< answers older than what is known
+  std::int64_t last_answer_unix_ms = 0;  ///< 0: none yet
+};
+
+/// @brief Keeps one kind of a view fresh from the object API.
+///
+/// Lists, then watches from the view's watermark on, and reads again from the
+/// last proved revision from time to time, as watches may lose events.
+class KindFeeder {
+ public:
+  /// @param[in] is_watcher whether this host shall watch now
+  KindFeeder(std::string_view kind, ObjectStore& store, ReplicatedView& view,
+             Scheduler& scheduler, const Clock& clock,
+             const FeederOptions& options, std::function<bool()> is_watcher);
+
+  /// @brief Starts reading; goes on until this is destroyed.
+  void Start();
+
+  FeederState State() const { return this->state; }
+
+ private:
+  enum class ReadKind { kWhole, kRepair, kWatch };
+  struct Read {
+    ReadKind kind = ReadKind::kWatch;
+    std::uint64_t number = 0;
+    std::int64_t since = 0;
+    std::int64_t sent_wall_ms = 0;
+    std::int64_t sent_ms = 0;
+  };
+
+  void Next();
+  bool MustRead() const;
+  ReadKind Choose() const;
+  void Send(ReadKind kind);
+  void Answered(const Read& read, const absl::StatusOr<ObjectList>& answer);
+  void Take(const Read& read, const ObjectList& list);
+  void Failed(const absl::Status& status);
+  void GiveUp(std::uint64_t number);
+  void SetStalled(bool stalled, std::string_view why);
+  std::int64_t ConfirmedAt(const Read& read, const ObjectList& list) const;
+  std::int64_t Backoff();
+  std::int64_t Jitter(std::int64_t delay_ms);
+  void Later(std::int64_t delay_ms, const std::function<void()>& task);
+
+  std::string kind;
+  ObjectStore& store;
+  ReplicatedView& view;
+  Scheduler& scheduler;
+  const Clock& clock;
+  FeederOptions options;
+  std::function<bool()> is_watcher;
+  std::mt19937_64 random;
+  FeederState state;
+  std::uint64_t reads = 0;  ///< the number of the call awaited, if any
+  bool pending = false;
+  bool must_list = true;
+  std::int64_t proved_revision = 0;  ///< what lists, not watches, have shown
+  std::int64_t proved_ms = 0;
+  std::shared_ptr<int> alive = std::make_shared<int>(0);
+};
+
+/// @brief Keeps a view's kinds fresh.
+class ViewFeeder {
+ public:
+  /// @param[in] is_watcher whether this host shall watch now; some hosts do,
+  /// and all tell each other
+  ViewFeeder(std::span<const std::string_view> kinds, ObjectStore& store,
+             ReplicatedView& view, Scheduler& scheduler, const Clock& clock,
+             const FeederOptions& options,
+             const std::function<bool()>& is_watcher);
+
+  void Start();
+
+  std::vector<FeederState> States() const;
+
+ private:
+  std::vector<std::unique_ptr<KindFeeder>> feeders;
+};
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_CONFIGURATION_VIEW_FEEDER_H_
--- a/src/configuration/view_messages.h
+++ b/src/configuration/view_messages.h
@@ -39,6 +39,7 @@
   /// Items are all live objects up to `revision`, not just those changed after
   /// `since`: what the receiver holds beyond them was deleted.
   bool full = false;
+  bool cut = false;        ///< more is known: the byte limit cut it off
   Confirmation confirmed;  ///< unset where the byte limit cut the delta
   std::vector<StoredObject> items;  ///< ascending versions
 };
