Exchange over the host's ReplicatedView; whole state only where asked for

Cause: the view gives uncut whole state to whoever stands under its floor, as hosts a moment behind one that has just read everything do: at 8,300 objects several MB each time, and more than a request may hold.

Change: ReplicatedSource carries the view, marks first. Whole state goes to a peer that has nothing, or asks anew after peers told it for 5 s that no delta helps; a request never passes the server's 1 MiB. Tests run over the real view.

--- a/src/exchange/exchange_budget.cc
+++ b/src/exchange/exchange_budget.cc
@@ -3,6 +3,11 @@
 #include <algorithm>
 
 namespace meadowthread {
+namespace {
+
+constexpr std::size_t kMaxWholeStateBytes = std::size_t{16} << 20;
+
+}  // namespace
 
 ExchangeBudget::ExchangeBudget(const ExchangeSettings& exchange_settings,
                                const Clock& clock)
@@ -27,7 +32,18 @@
   return this->news.Available() < this->news.Burst() / 2;
 }
 
-std::size_t ExchangeBudget::ItemLimit() {
+ItemLimits ExchangeBudget::ForRequest() {
+  const std::size_t bytes = this->ItemBytes();
+  return ItemLimits{bytes, bytes};
+}
+
+ItemLimits ExchangeBudget::ForAnswer() {
+  const std::size_t bytes = this->ItemBytes();
+  const bool has_bulk = this->bulk.Available() > 0;
+  return ItemLimits{bytes, has_bulk ? kMaxWholeStateBytes : bytes};
+}
+
+std::size_t ExchangeBudget::ItemBytes() {
   const std::int64_t bulk_bytes =
       std::min(this->settings.bulk_item_bytes, this->bulk.Available());
   if (bulk_bytes > this->settings.news_item_bytes) {
--- a/src/exchange/exchange_budget.h
+++ b/src/exchange/exchange_budget.h
@@ -6,6 +6,7 @@
 
 #include "exchange/byte_budget.h"
 #include "exchange/exchange_settings.h"
+#include "exchange/view_sharer.h"
 
 namespace meadowthread {
 
@@ -28,10 +29,16 @@
   /// @brief Whether less than half of the burst is left.
   bool IsLow();
 
-  /// @brief Most bytes of items that the next message may carry; 0: none.
-  std::size_t ItemLimit();
+  /// @brief What the next request may carry.
+  ItemLimits ForRequest();
+
+  /// @brief What the next answer may carry: whole state goes here, as the
+  /// platform's own list would bring it, and runs the bulk share into debt.
+  ItemLimits ForAnswer();
 
  private:
+  std::size_t ItemBytes();
+
   ExchangeSettings settings;
   ByteBudget news;
   ByteBudget bulk;
--- a/src/exchange/exchange_message.cc
+++ b/src/exchange/exchange_message.cc
@@ -73,6 +73,9 @@
   if (digest.beyond != 0) {
     value["beyond"] = absl::StrCat(absl::Hex(digest.beyond));
   }
+  if (view.ask_anew) {
+    value["ask_anew"] = true;
+  }
   if (!view.delta.has_value()) {
     return value;
   }
@@ -226,7 +229,7 @@
   if (!digest.ok()) {
     return digest.status();
   }
-  ViewPart view{std::move(*digest), std::nullopt};
+  ViewPart view{std::move(*digest), std::nullopt, IsTrue(value, "ask_anew")};
   const absl::StatusOr<const json*> items = ListField(value, "items");
   if (!items.ok()) {
     return items.status();
--- a/src/exchange/exchange_message.h
+++ b/src/exchange/exchange_message.h
@@ -18,6 +18,9 @@
 struct ViewPart {
   KindDigest digest;
   std::optional<KindDelta> delta;
+  /// Only whole state would bring the receiver up to date, and it is too large
+  /// to be sent unasked: ask with revision 0.
+  bool ask_anew = false;
 };
 
 /// @brief `exchange`, both ways (docs/INTERFACES.md, section 7).
--- a/src/exchange/exchanger.cc
+++ b/src/exchange/exchanger.cc
@@ -10,6 +10,8 @@
 
 constexpr std::int64_t kNextBulkMs = 10;
 constexpr int kNewsRetries = 1;
+// A control server takes bodies of 1 MiB; the rest is JSON-RPC's.
+constexpr std::size_t kMaxRequestBytes = (std::size_t{1} << 20) - 1024;
 
 ErrorDetail DetailFor(ErrorId id, std::string_view peer) {
   ErrorDetail detail;
@@ -89,10 +91,23 @@
     return;
   }
   for (const RpcPeer& peer : this->parts.directory.Choose(count)) {
-    this->Send({peer, CallKind::kRound}, this->sharer.Digests());
+    this->Send({peer, CallKind::kRound}, this->DigestsToAsk());
   }
 }
 
+// Revision 0 asks for whole state.
+std::vector<ViewPart> Exchanger::DigestsToAsk() {
+  const std::int64_t now_ms = this->parts.clock.MonotonicMs();
+  std::vector<ViewPart> views = this->sharer.Digests();
+  for (ViewPart& view : views) {
+    if (this->lag.TakeAskAnew(view.digest.kind, now_ms)) {
+      view.digest.revision = 0;
+      view.digest.beyond = 0;
+    }
+  }
+  return views;
+}
+
 /////////////
 // 2. news //
 /////////////
@@ -161,7 +176,7 @@
       part.digest.beyond = 0;
     }
   }
-  return this->sharer.PartsFor(known, this->budget.ItemLimit());
+  return this->sharer.PartsFor(known, this->budget.ForRequest());
 }
 
 ///////////////////////////
@@ -169,8 +184,14 @@
 ///////////////////////////
 
 void Exchanger::Send(const OutgoingCall& call, std::vector<ViewPart> views) {
+  std::string message = this->Encode(call.peer.name, views);
+  if (message.size() > kMaxRequestBytes) {
+    // The peer would refuse it; in its own rounds it gets any size.
+    views = this->sharer.Digests();
+    message = this->Encode(call.peer.name, views);
+  }
   this->stats.items_sent += CountItems(views);
-  const std::string message = this->Encode(call.peer.name, std::move(views));
+  this->CountOut(message);
   ++this->stats.calls;
   ++this->calls_in_progress;
   this->parts.directory.OnCallStarted(call.peer.name);
@@ -204,6 +225,8 @@
   const bool restarted =
       this->parts.directory.OnAnswered(call.peer.name, message->incarnation);
   const ApplyResult result = this->Take(*message, restarted);
+  this->lag.Compare(this->parts.source.Digests(), message->views,
+                    this->parts.clock.MonotonicMs());
   this->caught_up = this->caught_up || result.caught_up;
   this->FollowUp(call, *message, result);
 }
@@ -240,7 +263,7 @@
     return;
   }
   std::vector<ViewPart> lacked =
-      this->sharer.PartsFor(answer.views, this->budget.ItemLimit());
+      this->sharer.PartsFor(answer.views, this->budget.ForRequest());
   if (CountItems(lacked) > 0) {
     this->Send({call.peer, CallKind::kFollowUp}, std::move(lacked));
   }
@@ -265,9 +288,11 @@
   this->Take(*message, restarted);
   ++this->stats.served;
   std::vector<ViewPart> views =
-      this->sharer.PartsFor(message->views, this->budget.ItemLimit());
+      this->sharer.PartsFor(message->views, this->budget.ForAnswer());
   this->stats.items_sent += CountItems(views);
-  return this->Encode(message->from, std::move(views));
+  std::string answer = this->Encode(message->from, std::move(views));
+  this->CountOut(answer);
+  return answer;
 }
 
 absl::StatusOr<std::string> Exchanger::Offer(std::string_view params) {
@@ -298,10 +323,12 @@
     message.loads =
         this->load_source->NotesFor(peer, this->settings.load_notes);
   }
-  std::string text = EncodeExchange(message);
-  this->stats.bytes_out += std::ssize(text);
-  this->budget.Spend(text.size());
-  return text;
+  return EncodeExchange(message);
+}
+
+void Exchanger::CountOut(std::string_view message) {
+  this->stats.bytes_out += std::ssize(message);
+  this->budget.Spend(message.size());
 }
 
 ApplyResult Exchanger::Take(const ExchangeMessage& message, bool restarted) {
--- a/src/exchange/exchanger.h
+++ b/src/exchange/exchanger.h
@@ -20,6 +20,7 @@
 #include "exchange/exchange_message.h"
 #include "exchange/exchange_settings.h"
 #include "exchange/exchange_source.h"
+#include "exchange/lag_watch.h"
 #include "exchange/load_note.h"
 #include "exchange/peer_directory.h"
 #include "exchange/peer_knowledge.h"
@@ -115,6 +116,7 @@
   // 1. rounds
   void ScheduleRound();
   void RunRound();
+  std::vector<ViewPart> DigestsToAsk();
 
   // 2. news
   void ScheduleNews(std::int64_t delay_ms);
@@ -130,6 +132,7 @@
   void FollowUp(const OutgoingCall& call, const ExchangeMessage& answer,
                 const ApplyResult& result);
   std::string Encode(std::string_view peer, std::vector<ViewPart> views);
+  void CountOut(std::string_view message);
   ApplyResult Take(const ExchangeMessage& message, bool restarted);
   void Later(std::int64_t delay_ms, const std::function<void()>& task);
 
@@ -137,6 +140,7 @@
   ExchangeSettings settings;
   ExchangeParts parts;
   ViewSharer sharer;
+  LagWatch lag;
   PeerKnowledge knowledge;
   ExchangeBudget budget;
   std::mt19937_64 random;
--- a/src/exchange/tests/exchange_budget_test.cc
+++ b/src/exchange/tests/exchange_budget_test.cc
@@ -13,7 +13,7 @@
   ExchangeBudget budget(settings, clock);
   budget.Spend(static_cast<std::size_t>(settings.bulk_burst_bytes));
   cr_assert(budget.AllowsCall() && !budget.IsLow());
-  cr_assert(budget.ItemLimit() ==
+  cr_assert(budget.ForRequest().items ==
             static_cast<std::size_t>(settings.news_item_bytes));
 }
 
@@ -23,7 +23,7 @@
   ExchangeBudget budget(settings, clock);
   budget.Spend(static_cast<std::size_t>(settings.bulk_burst_bytes));
   budget.Spend(static_cast<std::size_t>(settings.news_burst_bytes));
-  cr_assert(!budget.AllowsCall() && budget.ItemLimit() == 0);
+  cr_assert(!budget.AllowsCall() && budget.ForRequest().items == 0);
   clock.Advance(kSecondMs);
   cr_assert(budget.AllowsCall() && budget.IsLow());
 }
--- a/src/exchange/tests/exchanger_test.cc
+++ b/src/exchange/tests/exchanger_test.cc
@@ -10,8 +10,6 @@
 namespace {
 
 using fake::FakeFleet;
-using fake::kMarks;
-using fake::kTemplates;
 using fake::ObjectOf;
 
 constexpr std::int64_t kWarmUpMs = 3000;
@@ -20,8 +18,8 @@
 
 Test(a_change, reaches_every_host_within_a_second) {
   FakeFleet fleet({50, 6, 2}, {}, 1);
-  fleet.scheduler.Run(kWarmUpMs);
-  const StoredObject mark = ObjectOf(kMarks, "pasig-4", 7);
+  fleet.Run(kWarmUpMs);
+  const StoredObject mark = ObjectOf(kMarksKind, "pasig-4", 7);
   fleet.At(0).Read(mark);
   cr_assert(fleet.RunUntilHeld(0, mark, kSecondMs));
 }
@@ -34,16 +32,16 @@
   }
   fleet.network.SetLoss(0.1);
   fleet.network.SetDelay([](const auto&, const auto&) { return 40; });
-  fleet.scheduler.Run(kWarmUpMs);
-  const StoredObject mark = ObjectOf(kMarks, "pasig-4", 7);
+  fleet.Run(kWarmUpMs);
+  const StoredObject mark = ObjectOf(kMarksKind, "pasig-4", 7);
   fleet.At(frozen).Read(mark);
   cr_assert(fleet.RunUntilHeld(frozen, mark, kInForceMs));
 }
 
 Test(a_change, offered_by_an_operator_is_told_on) {
   FakeFleet fleet({9, 3, 1}, {}, 3);
-  fleet.scheduler.Run(kWarmUpMs);
-  const StoredObject mark = ObjectOf(kMarks, "makati-1", 9);
+  fleet.Run(kWarmUpMs);
+  const StoredObject mark = ObjectOf(kMarksKind, "makati-1", 9);
   const std::string offer = EncodeOffer(std::vector<StoredObject>{mark});
   cr_assert(*fleet.At(4).exchanger.Offer(offer) == R"({"taken":1})");
   cr_assert(*fleet.At(4).exchanger.Offer(offer) == R"({"taken":0})");
@@ -52,12 +50,12 @@
 
 Test(a_change, known_to_all_is_sent_no_more) {
   FakeFleet fleet({9, 3, 1}, {}, 3);
-  fleet.scheduler.Run(kWarmUpMs);
-  const StoredObject mark = ObjectOf(kMarks, "makati-1", 9);
+  fleet.Run(kWarmUpMs);
+  const StoredObject mark = ObjectOf(kMarksKind, "makati-1", 9);
   cr_assert(fleet.At(4)
                 .exchanger.Offer(EncodeOffer(std::vector<StoredObject>{mark}))
                 .ok());
-  fleet.scheduler.Run(10 * kSecondMs);
+  fleet.Run(10 * kSecondMs);
   const auto items_sent = [&fleet] {
     std::int64_t sum = 0;
     for (int host = 0; host < fleet.Size(); ++host) {
@@ -66,14 +64,14 @@
     return sum;
   };
   const std::int64_t before = items_sent();
-  fleet.scheduler.Run(20 * kSecondMs);
+  fleet.Run(20 * kSecondMs);
   cr_assert(items_sent() == before);
 }
 
 Test(an_older_copy, never_takes_a_version_back) {
   FakeFleet fleet({9, 3, 1}, {}, 4);
-  const StoredObject old_template = ObjectOf(kTemplates, "lukot", 3, "old");
-  const StoredObject new_template = ObjectOf(kTemplates, "lukot", 8, "new");
+  const StoredObject old_template = ObjectOf(kTemplatesKind, "lukot", 3, "old");
+  const StoredObject new_template = ObjectOf(kTemplatesKind, "lukot", 8, "new");
   for (int host = 0; host < 8; ++host) {
     fleet.At(host).Read(new_template);
   }
@@ -82,7 +80,7 @@
   const std::string offer =
       EncodeOffer(std::vector<StoredObject>{old_template});
   cr_assert(fleet.At(0).exchanger.Offer(offer).ok());
-  fleet.scheduler.Run(kInForceMs);
+  fleet.Run(kInForceMs);
   cr_assert(fleet.Holding(0, new_template) == 9);
 }
 
@@ -90,42 +88,77 @@
   FakeFleet fleet({9, 3, 1}, {}, 5);
   constexpr int kObjects = 400;
   for (int object = 1; object <= kObjects; ++object) {
-    fleet.At(0).Read(ObjectOf(kTemplates, absl::StrCat("t-", object), object,
-                              std::string(1000, 'x')));
+    fleet.At(0).Read(ObjectOf(kTemplatesKind, absl::StrCat("t-", object),
+                              object, std::string(1000, 'x')));
   }
   const StoredObject last =
-      ObjectOf(kTemplates, absl::StrCat("t-", kObjects), kObjects);
+      ObjectOf(kTemplatesKind, absl::StrCat("t-", kObjects), kObjects);
   cr_assert(fleet.RunUntilHeld(0, last, 20 * kSecondMs));
   fleet.StartHost(5);
   cr_assert(!fleet.At(5).exchanger.HasCaughtUp());
-  cr_assert(fleet.scheduler.RunUntil(
-      [&] { return fleet.At(5).exchanger.HasCaughtUp(); }, kInForceMs));
-  cr_assert(fleet.At(5).source.Count(kTemplates) == kObjects);
+  cr_assert(fleet.RunUntil([&] { return fleet.At(5).exchanger.HasCaughtUp(); },
+                           kInForceMs));
+  cr_assert(fleet.At(5).view.Live(kTemplatesKind).size() == kObjects);
 }
 
 Test(a_restarted_host, that_no_peer_answers_has_not_caught_up) {
   FakeFleet fleet({3, 3, 1}, {}, 6);
   fleet.network.Freeze("host-1");
   fleet.network.Freeze("host-2");
-  fleet.scheduler.Run(60 * kSecondMs);
+  fleet.Run(60 * kSecondMs);
   cr_assert(!fleet.At(0).exchanger.HasCaughtUp());
 }
 
+Test(whole_state, goes_unasked_to_no_host_close_behind) {
+  FakeFleet fleet({2, 1, 1}, {}, 13);
+  constexpr int kObjects = 100;
+  ObjectList all{kObjects + 50, {}};
+  for (int object = 1; object <= kObjects; ++object) {
+    all.items.push_back(ObjectOf(kTemplatesKind, absl::StrCat("t-", object),
+                                 object, std::string(1000, 'x')));
+    fleet.At(1).Read(all.items.back());
+  }
+  fleet.At(0).view.ApplyList(kTemplatesKind, 0, all, {});
+  fleet.Run(kAskAnewAfterMs / 2);
+  cr_assert(fleet.At(0).exchanger.Stats().items_sent == 0);
+  // No other host helps it on, so that it asks.
+  cr_assert(fleet.RunUntil(
+      [&] {
+        return fleet.At(1).view.Digest(kTemplatesKind).revision == all.revision;
+      },
+      2 * kAskAnewAfterMs));
+  fleet.Run(20 * kSecondMs);
+  cr_assert(fleet.At(0).exchanger.Stats().items_sent == kObjects);
+}
+
+Test(an_object_too_large_for_a_request, travels_in_answers) {
+  FakeFleet fleet({4, 1, 1}, {}, 14);
+  const StoredObject small = ObjectOf(kTemplatesKind, "small", 2);
+  fleet.At(0).Read(small);
+  cr_assert(fleet.RunUntilHeld(0, small, kInForceMs));
+  // Each quote takes two bytes on the wire.
+  const StoredObject large =
+      ObjectOf(kTemplatesKind, "large", 5, std::string(900000, '"'));
+  fleet.At(0).Read(large);
+  cr_assert(fleet.RunUntilHeld(0, large, 60 * kSecondMs));
+  cr_assert(fleet.network.LargestRequest() < std::size_t{1} << 20);
+}
+
 Test(a_partition, heals_soon_after_its_end) {
   FakeFleet fleet({24, 4, 2}, {}, 7);
-  fleet.scheduler.Run(kWarmUpMs);
+  fleet.Run(kWarmUpMs);
   const auto side = [](const std::string& host) {
     return std::stoi(host.substr(host.find('-') + 1)) % 2;
   };
   fleet.network.SetDelay([side](const auto& from, const auto& to) {
     return side(from) == side(to) ? 1 : -1;
   });
-  fleet.scheduler.Run(120 * kSecondMs);
-  const StoredObject left = ObjectOf(kTemplates, "lukot", 20);
-  const StoredObject right = ObjectOf(kMarks, "laredo-2", 21);
+  fleet.Run(120 * kSecondMs);
+  const StoredObject left = ObjectOf(kTemplatesKind, "lukot", 20);
+  const StoredObject right = ObjectOf(kMarksKind, "laredo-2", 21);
   fleet.At(0).Read(left);
   fleet.At(1).Read(right);
-  fleet.scheduler.Run(10 * kSecondMs);
+  fleet.Run(10 * kSecondMs);
   cr_assert(fleet.Holding(0, left) == 12 && fleet.Holding(0, right) == 12);
   fleet.network.SetDelay([](const auto&, const auto&) { return 1; });
   cr_assert(fleet.RunUntilHeld(0, left, kInForceMs));
@@ -137,16 +170,16 @@
   for (int host = 6; host < 9; ++host) {
     fleet.network.Freeze(fleet.NameOf(host));
   }
-  fleet.scheduler.Run(60 * kSecondMs);
+  fleet.Run(60 * kSecondMs);
   const std::int64_t failures_before = fleet.At(0).exchanger.Stats().failures;
   const std::int64_t calls_before = fleet.At(0).exchanger.Stats().calls;
-  fleet.scheduler.Run(60 * kSecondMs);
+  fleet.Run(60 * kSecondMs);
   const ExchangeStats stats = fleet.At(0).exchanger.Stats();
   cr_assert(stats.peers_suspected == 3 && stats.peers_alive == 5);
   const std::int64_t failures = stats.failures - failures_before;
   cr_assert(8 * failures <= stats.calls - calls_before);
   fleet.network.Thaw("host-7");
-  cr_assert(fleet.scheduler.RunUntil(
+  cr_assert(fleet.RunUntil(
       [&] { return !fleet.At(0).directory.IsSuspected("host-7"); },
       20 * kSecondMs));
 }
@@ -158,9 +191,9 @@
   std::int64_t version = 0;
   for (int tick = 0; tick < kSeconds * 10; ++tick) {
     ++version;
-    fleet.At(0).Read(ObjectOf(kTemplates, absl::StrCat("t-", version % 100),
+    fleet.At(0).Read(ObjectOf(kTemplatesKind, absl::StrCat("t-", version % 100),
                               version, std::string(4000, 'x')));
-    fleet.scheduler.Run(kSecondMs / 10);
+    fleet.Run(kSecondMs / 10);
   }
   const std::int64_t rate =
       settings.news_bytes_per_second + settings.bulk_bytes_per_second;
@@ -176,7 +209,7 @@
               static_cast<long>(rate * kSeconds + burst));
   }
   const StoredObject last =
-      ObjectOf(kTemplates, absl::StrCat("t-", version % 100), version);
+      ObjectOf(kTemplatesKind, absl::StrCat("t-", version % 100), version);
   cr_assert(fleet.RunUntilHeld(0, last, 120 * kSecondMs));
 }
 
@@ -206,7 +239,7 @@
   fleet.network.Attach("host-1", [&fleet](auto, auto params) {
     return fleet.At(2).exchanger.Exchange(params);
   });
-  fleet.scheduler.Run(kInForceMs);
+  fleet.Run(kInForceMs);
   const ExchangeStats stats = fleet.At(0).exchanger.Stats();
   cr_assert(stats.malformed > 0 && stats.failures == stats.malformed);
   const ExchangeMessage own{"host-0", 1, {}, {}};
@@ -231,7 +264,7 @@
   fleet.At(0).exchanger.CarryLoads(&notes, &notes);
   fleet.At(1).exchanger.CarryLoads(&notes, &quiet);
   fleet.At(2).exchanger.CarryLoads(&notes, &notes);
-  fleet.scheduler.Run(20 * kSecondMs);
+  fleet.Run(20 * kSecondMs);
   cr_assert(notes.heard.size() == 2 && quiet.heard.empty());
   const std::vector<EngineLoadNote>& from = notes.heard.at("host-2");
   cr_assert(from.size() == ExchangeSettings{}.load_notes);
@@ -241,9 +274,9 @@
 Test(a_message, reads_back_as_it_was_written) {
   ExchangeMessage message{"pasig-1", 17, {}, {}};
   message.loads.push_back({"e-1", "pasig-1", 3, 4096, 99});
-  KindDelta delta{kMarks, 4, 9, true, true, 0, "", {}};
-  delta.items = {ObjectOf(kMarks, "a", 8), {kMarks, "b", 9, "", true}};
-  message.views.push_back({{kMarks, 11, 1234, "pasig-2", 0xabc}, delta});
+  KindDelta delta{"marks", 4, 9, true, true, 0, "", {}};
+  delta.items = {ObjectOf(kMarksKind, "a", 8), {"marks", "b", 9, "", true}};
+  message.views.push_back({{"marks", 11, 1234, "pasig-2", 0xabc}, delta, true});
   const auto read = DecodeExchange(EncodeExchange(message), "pasig-1");
   cr_assert(read.ok() && read->from == "pasig-1" && read->incarnation == 17);
   cr_assert(read->loads == message.loads);
@@ -251,7 +284,7 @@
   cr_assert(view.digest == message.views.at(0).digest);
   cr_assert(view.delta->items == delta.items);
   cr_assert(view.delta->since == 4 && view.delta->revision == 9);
-  cr_assert(view.delta->full && view.delta->cut);
+  cr_assert(view.delta->full && view.delta->cut && view.ask_anew);
 }
 
 }  // namespace
--- a/src/exchange/tests/fake_fleet.h
+++ b/src/exchange/tests/fake_fleet.h
@@ -1,19 +1,20 @@
 #ifndef MEADOWTHREAD_EXCHANGE_TESTS_FAKE_FLEET_H_
 #define MEADOWTHREAD_EXCHANGE_TESTS_FAKE_FLEET_H_
 
+#include <array>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "exchange/exchanger.h"
+#include "exchange/replicated_source.h"
 #include "exchange/tests/fake_network.h"
-#include "exchange/tests/fake_source.h"
 
 namespace meadowthread::fake {
 
-inline constexpr char kMarks[] = "marks";
-inline constexpr char kTemplates[] = "templates";
+inline constexpr std::array<std::string_view, 2> kKinds = {kMarksKind,
+                                                           kTemplatesKind};
 inline constexpr std::int64_t kStartMs = 1000000;
 
 /// @brief How hosts of a fake fleet are spread.
@@ -30,7 +31,8 @@
            std::int64_t incarnation, const ExchangeSettings& settings,
            std::uint64_t seed, FakeNetwork& network, ManualScheduler& scheduler,
            const ManualClock& clock)
-      : source({kMarks, kTemplates}),
+      : view(clock, kKinds),
+        source(this->view),
         directory(name, place, PeerSettings{}, seed, clock),
         channel(network, name),
         exchanger(
@@ -43,13 +45,20 @@
         });
   }
 
-  /// @brief As if read from the platform, and told on.
+  /// @brief As a watch of the platform brings it, and told on.
   void Read(const StoredObject& item) {
-    this->source.Read(item.kind, {item}, item.version);
+    const std::int64_t since = this->view.Digest(item.kind).revision;
+    this->view.ApplyList(item.kind, since, {item.version, {item}}, {});
     this->exchanger.NoteChange(item.kind);
   }
 
-  FakeSource source;
+  std::int64_t VersionOf(const StoredObject& item) const {
+    const StoredObject* const held = this->view.Find(item.kind, item.name);
+    return held == nullptr ? 0 : held->version;
+  }
+
+  ReplicatedView view;
+  ReplicatedSource source;
   PeerDirectory directory;
   FakeChannel channel;
   Exchanger exchanger;
@@ -91,14 +100,33 @@
   }
   int Size() const { return this->shape.hosts; }
 
+  /// @brief Runs what is due within `for_ms`.
+  void Run(std::int64_t for_ms) {
+    this->RunUntil([] { return false; }, for_ms);
+  }
+
+  /// @brief Runs until `condition` holds, at most for `most_ms`.
+  /// @return whether it holds
+  template <class Condition>
+  bool RunUntil(const Condition& condition, std::int64_t most_ms) {
+    const std::int64_t end_ms = this->clock.MonotonicMs() + most_ms;
+    while (!condition()) {
+      if (this->scheduler.RunOne()) {
+        continue;
+      }
+      if (this->clock.MonotonicMs() >= end_ms) {
+        return false;
+      }
+      this->clock.Advance(1);
+    }
+    return true;
+  }
+
   /// @brief How many of the hosts from `first` hold at least this version.
   int Holding(int first, const StoredObject& item) {
     int count = 0;
     for (int host = first; host < this->shape.hosts; ++host) {
-      count +=
-          this->At(host).source.VersionOf(item.kind, item.name) >= item.version
-              ? 1
-              : 0;
+      count += this->At(host).VersionOf(item) >= item.version ? 1 : 0;
     }
     return count;
   }
@@ -106,12 +134,12 @@
   /// @brief Runs until all hosts from `first` hold this version.
   bool RunUntilHeld(int first, const StoredObject& item, std::int64_t most_ms) {
     const int wanted = this->shape.hosts - first;
-    return this->scheduler.RunUntil(
-        [&] { return this->Holding(first, item) == wanted; }, most_ms);
+    return this->RunUntil([&] { return this->Holding(first, item) == wanted; },
+                          most_ms);
   }
 
   ManualClock clock{kStartMs};
-  ManualScheduler scheduler{this->clock};
+  ManualScheduler scheduler{&this->clock};
   FakeNetwork network{this->scheduler, 42};
 
  private:
@@ -132,10 +160,10 @@
 };
 
 /// @brief An object of a kind at a version.
-inline StoredObject ObjectOf(const std::string& kind, const std::string& name,
+inline StoredObject ObjectOf(std::string_view kind, const std::string& name,
                              std::int64_t version,
                              const std::string& value = "{}") {
-  return StoredObject{kind, name, version, value, false};
+  return StoredObject{std::string(kind), name, version, value, false};
 }
 
 }  // namespace meadowthread::fake
--- a/src/exchange/tests/fake_network.h
+++ b/src/exchange/tests/fake_network.h
@@ -1,70 +1,21 @@
 #ifndef MEADOWTHREAD_EXCHANGE_TESTS_FAKE_NETWORK_H_
 #define MEADOWTHREAD_EXCHANGE_TESTS_FAKE_NETWORK_H_
 
+#include <algorithm>
 #include <functional>
 #include <map>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "base/clock.h"
 #include "base/error.h"
-#include "base/scheduler.h"
+#include "base/manual_scheduler.h"
 #include "exchange/rpc_channel.h"
 
 namespace meadowthread::fake {
 
-/// @brief Runs tasks in virtual time, in order.
-class ManualScheduler final : public Scheduler {
- public:
-  explicit ManualScheduler(ManualClock& manual) : clock(manual) {}
-
-  void After(std::int64_t delay_ms, std::function<void()> task) override {
-    this->tasks.push(Task{this->clock.MonotonicMs() + delay_ms,
-                          this->next_number++, std::move(task)});
-  }
-
-  /// @brief Runs what is due within `for_ms`, and moves the clock.
-  void Run(std::int64_t for_ms) {
-    this->RunUntil([] { return false; }, for_ms);
-  }
-
-  /// @brief As Run, but ends as soon as `condition` holds.
-  /// @return whether it did
-  bool RunUntil(const std::function<bool()>& condition, std::int64_t most_ms) {
-    const std::int64_t end_ms = this->clock.MonotonicMs() + most_ms;
-    while (!condition()) {
-      if (this->tasks.empty() || this->tasks.top().at_ms > end_ms) {
-        this->clock.Advance(end_ms - this->clock.MonotonicMs());
-        return condition();
-      }
-      const Task task = this->tasks.top();
-      this->tasks.pop();
-      this->clock.Advance(task.at_ms - this->clock.MonotonicMs());
-      task.run();
-    }
-    return true;
-  }
-
- private:
-  struct Task {
-    std::int64_t at_ms;
-    std::int64_t number;
-    std::function<void()> run;
-    bool operator<(const Task& other) const {
-      return std::tie(other.at_ms, other.number) <
-             std::tie(this->at_ms, this->number);
-    }
-  };
-
-  ManualClock& clock;
-  std::priority_queue<Task> tasks;
-  std::int64_t next_number = 0;
-};
-
 /// @brief What a host answers with.
 using Serve = std::function<absl::StatusOr<std::string>(
     std::string_view method, std::string_view params)>;
@@ -89,12 +40,12 @@
   void Freeze(const std::string& host) { this->frozen.insert(host); }
   void Thaw(const std::string& host) { this->frozen.erase(host); }
 
-  int CallsTo(const std::string& host) { return this->calls_to[host]; }
+  std::size_t LargestRequest() const { return this->largest_request; }
 
   void Call(const std::string& from, const RpcPeer& peer,
             std::string_view method, std::string_view params,
             std::int64_t limit_ms, const RpcDone& done) {
-    ++this->calls_to[peer.name];
+    this->largest_request = std::max(this->largest_request, params.size());
     const std::int64_t way_ms = this->delay(from, peer.name);
     if (way_ms < 0 || this->frozen.contains(peer.name) ||
         this->frozen.contains(from) || this->IsLost()) {
@@ -136,10 +87,10 @@
   ManualScheduler& scheduler;
   std::mt19937_64 random;
   std::map<std::string, Serve> hosts;
-  std::map<std::string, int> calls_to;
   std::set<std::string> frozen;
   Delay delay = [](const std::string&, const std::string&) { return 1; };
   double loss = 0;
+  std::size_t largest_request = 0;
 };
 
 /// @brief One host's end of the network.
--- a/src/exchange/view_sharer.cc
+++ b/src/exchange/view_sharer.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t kItemOverheadBytes = 48;
+constexpr std::size_t kSmallStateBytes = std::size_t{8} << 10;
 constexpr std::size_t kBeyondLimitBytes = std::size_t{64} << 10;
 
 }  // namespace
@@ -16,36 +17,48 @@
   std::vector<ViewPart> parts;
   for (KindDigest& digest : this->source.Digests()) {
     digest.beyond = this->BeyondOf(digest);
-    parts.push_back(ViewPart{std::move(digest), std::nullopt});
+    parts.push_back(ViewPart{std::move(digest), std::nullopt, false});
   }
   return parts;
 }
 
 std::vector<ViewPart> ViewSharer::PartsFor(std::span<const ViewPart> peer,
-                                           std::size_t limit_bytes) {
+                                           ItemLimits limits) {
   std::vector<ViewPart> parts = this->Digests();
   for (ViewPart& part : parts) {
     const ViewPart* const theirs = detail::FindKind(peer, part.digest.kind);
-    const bool is_same = theirs != nullptr &&
-                         theirs->digest.revision == part.digest.revision &&
-                         theirs->digest.beyond == part.digest.beyond;
-    if (theirs == nullptr || is_same || limit_bytes == 0) {
+    if (theirs == nullptr || limits.items == 0) {
       continue;
     }
-    KindDelta delta = this->source.DeltaSince(
-        part.digest.kind, theirs->digest.revision, limit_bytes);
-    if (delta.items.empty() && delta.revision <= theirs->digest.revision) {
-      continue;
+    this->AddDelta(theirs->digest, limits, &part);
+    if (part.delta.has_value()) {
+      limits.items -= std::min(limits.items, detail::SizeOf(part.delta->items));
     }
-    limit_bytes -= std::min(limit_bytes, detail::SizeOf(delta.items));
-    part.delta = std::move(delta);
   }
   return parts;
 }
 
-KindDelta ViewSharer::DeltaSince(std::string_view kind, std::int64_t revision,
-                                 std::size_t limit_bytes) const {
-  return this->source.DeltaSince(kind, revision, limit_bytes);
+void ViewSharer::AddDelta(const KindDigest& theirs, const ItemLimits& limits,
+                          ViewPart* part) const {
+  const KindDigest& own = part->digest;
+  if (theirs.revision == own.revision && theirs.beyond == own.beyond) {
+    return;
+  }
+  KindDelta delta =
+      this->source.DeltaSince(own.kind, theirs.revision, limits.items);
+  if (delta.items.empty() && delta.revision <= theirs.revision) {
+    return;
+  }
+  // Whole state comes uncut also where a peer is only a little behind a host
+  // that has just read everything. Such a peer gets its few items elsewhere.
+  const bool is_new = theirs.revision == 0;
+  const std::size_t limit =
+      is_new ? limits.whole_state : std::min(limits.items, kSmallStateBytes);
+  if (delta.full && detail::SizeOf(delta.items) > limit) {
+    part->ask_anew = !is_new;
+    return;
+  }
+  part->delta = std::move(delta);
 }
 
 ApplyResult ViewSharer::Apply(std::string_view from,
--- a/src/exchange/view_sharer.h
+++ b/src/exchange/view_sharer.h
@@ -22,6 +22,13 @@
   bool caught_up = true;  ///< of every kind no less is known than the peer does
 };
 
+/// @brief Most bytes of items that a message may carry.
+struct ItemLimits {
+  std::size_t items = 0;  ///< over all kinds; 0: none
+  /// Of a kind's whole state, which can't be cut, to a peer that has nothing.
+  std::size_t whole_state = 0;
+};
+
 /// @brief Makes the parts of messages from the host's views, and takes peers'.
 class ViewSharer {
  public:
@@ -32,13 +39,8 @@
   std::vector<ViewPart> Digests();
 
   /// @brief All kinds' digests; with items, where `peer` lacks some.
-  /// @param[in] limit_bytes of items over all kinds; 0: none
   std::vector<ViewPart> PartsFor(std::span<const ViewPart> peer,
-                                 std::size_t limit_bytes);
-
-  /// @brief What is known of a kind beyond a revision.
-  KindDelta DeltaSince(std::string_view kind, std::int64_t revision,
-                       std::size_t limit_bytes) const;
+                                 ItemLimits limits);
 
   /// @brief Takes what a peer sent.
   ApplyResult Apply(std::string_view from, std::span<const ViewPart> views);
@@ -54,6 +56,8 @@
     std::uint64_t fingerprint = 0;
   };
 
+  void AddDelta(const KindDigest& theirs, const ItemLimits& limits,
+                ViewPart* part) const;
   std::uint64_t BeyondOf(const KindDigest& digest);
 
   ExchangeSource& source;
