--- a/src/placement/tests/controller_test.cc
+++ b/src/placement/tests/controller_test.cc
@@ -190,6 +190,18 @@
   cr_assert(scene.Loaded("a") == 3 && scene.Loaded("b") == 3);
 }
 
+Test(a_weight_store_that_refuses, holds_up_the_next_load) {
+  Scene scene(6);
+  for (auto& [name, engine] : scene.fleet.engines) {
+    engine.throttled = true;
+  }
+  while (scene.one.client.orders_sent == 0) {
+    scene.Run(kTickMs, {&scene.one});
+  }
+  scene.Run(9'000, {&scene.one});
+  cr_assert(scene.one.client.orders_sent == 4);  // two, each once again
+}
+
 Test(a_weight_store_that_refuses, is_asked_less_and_less) {
   Scene scene(6);
   for (auto& [name, engine] : scene.fleet.engines) {
--- a/src/placement/tests/lease_test.cc
+++ b/src/placement/tests/lease_test.cc
@@ -129,6 +129,22 @@
   cr_assert(!lease.Held());
 }
 
+Test(a_stale_listing, does_not_end_a_hold) {
+  MemoryStore store;
+  LeaseHost first("first", store);
+  LeaseHost second("second", store);
+  first.Turn();
+  StoredObject old;
+  store.Get(kLeaseKind, "placement.a.0",
+            [&old](const auto& object) { old = *object; });
+  store.Settle();
+  second.Turn();
+  second.clock.Advance(kWaitMs);
+  second.Turn();
+  second.lease.Observe(old);
+  cr_assert(second.lease.Held());
+}
+
 Test(a_lost_answer, to_an_acquisition_is_settled_by_reading_back) {
   MemoryStore store;
   LeaseHost host("first", store);
