Serve: exchange, ownership, placement and the view feeder wired in

Cause: hosts read the platform each by themselves and placed nothing. Change: watchers by a hash of names, the exchange tells the others, the status object for movers, placement by lease.

--- a/src/exchange/replicated_source.cc
+++ b/src/exchange/replicated_source.cc
@@ -58,13 +58,15 @@
                             const KindDelta& delta) {
   const int before = this->changed_objects;
   if (delta.since > 0 || delta.revision > 0 || !delta.items.empty()) {
-    this->view.ApplyDelta(
-        ViewDelta{delta.kind,
-                  delta.since,
-                  delta.revision,
-                  delta.full,
-                  {delta.confirmed_unix_ms, delta.confirmed_by},
-                  delta.items});
+    ViewDelta known;
+    known.kind = delta.kind;
+    known.since = delta.since;
+    known.revision = delta.revision;
+    known.full = delta.full;
+    known.cut = delta.cut;
+    known.confirmed = {delta.confirmed_unix_ms, delta.confirmed_by};
+    known.items = delta.items;
+    this->view.ApplyDelta(known);
   }
   this->view.ApplyDigest(
       ViewDigest{digest.kind,
--- a/src/placement/ownership_mover.cc
+++ b/src/placement/ownership_mover.cc
@@ -9,7 +9,6 @@
 namespace meadowthread {
 namespace {
 
-constexpr std::string_view kStatusKind = "status";
 
 }  // namespace
 
--- a/src/placement/ownership_mover.h
+++ b/src/placement/ownership_mover.h
@@ -14,6 +14,9 @@
 
 namespace meadowthread {
 
+/// @brief The kind of hosts' status objects at the object API.
+inline constexpr std::string_view kStatusKind = "status";
+
 /// @brief What is to be handed to which half.
 struct MoveRequest {
   OwnedId id;
--- a/src/serve/engine_watch.h
+++ b/src/serve/engine_watch.h
@@ -26,7 +26,7 @@
   EngineClient& client;
   FleetState& fleet;
   std::mt19937_64& random;
-  /// Whether this half may send new work to an engine.
+  /// Whether new work may be sent to an engine: its half, its mark.
   std::function<bool(std::string_view engine)> may_use;
   std::int64_t period_ms = 500;
 };
--- /dev/null
+++ b/src/serve/exchange_duty.h
@@ -0,0 +1,50 @@
+#ifndef MEADOWTHREAD_SERVE_EXCHANGE_DUTY_H_
+#define MEADOWTHREAD_SERVE_EXCHANGE_DUTY_H_
+
+#include <cstdint>
+
+#include "absl/status/status.h"
+#include "base/clock.h"
+#include "base/scheduler.h"
+#include "configuration/replicated_view.h"
+#include "exchange/exchanger.h"
+#include "exchange/peer_directory.h"
+#include "exchange/replicated_source.h"
+#include "exchange/rpc_client.h"
+#include "exchange/rpc_server.h"
+#include "hosts/host_directory.h"
+#include "settings/settings.h"
+
+namespace meadowthread {
+
+/// @brief This host's part in the exchange between entry hosts.
+class ExchangeDuty {
+ public:
+  /// @param[in] clock,scheduler,view,hosts outlive the duty
+  ExchangeDuty(const Settings& settings, std::int64_t incarnation,
+               const Clock& clock, Scheduler& scheduler, ReplicatedView& view,
+               HostDirectory& hosts);
+
+  /// @brief Listens on the control port and starts the rounds.
+  absl::Status Start();
+
+  /// @brief Peers that answered when last asked.
+  int PeersAlive() const { return this->directory.Counts().alive; }
+
+  ExchangeStats Stats() const { return this->exchanger.Stats(); }
+
+ private:
+  void TakeHosts();
+
+  HostSettings host;
+  HostDirectory& hosts;
+  RpcClient client;
+  RpcServer server;
+  PeerDirectory directory;
+  ReplicatedSource source;
+  Exchanger exchanger;
+};
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_SERVE_EXCHANGE_DUTY_H_
--- a/src/serve/host_gate.cc
+++ b/src/serve/host_gate.cc
@@ -50,6 +50,12 @@
   this->parts.end_work(workspace);
 }
 
+bool HostGate::IsMarked(std::string_view host) const {
+  const HostEntry* entry = this->parts.hosts.Find(host);
+  return this->marks.MarkOf(host).mark != HostMark::kLive ||
+         (entry != nullptr && entry->leaving);
+}
+
 MarkDocument HostGate::Mark() const {
   MarkDocument mark = this->marks.MarkOf(this->parts.host);
   const HostEntry* entry = this->parts.hosts.Find(this->parts.host);
@@ -84,8 +90,7 @@
   if (alone) {
     return false;
   }
-  const std::int64_t silence = this->parts.peer_silence_ms();
-  return silence < 0 || silence > this->parts.stale_limit_ms;
+  return this->parts.peers_alive() == 0;
 }
 
 }  // namespace meadowthread
--- a/src/serve/host_gate.h
+++ b/src/serve/host_gate.h
@@ -20,8 +20,8 @@
   const ReplicatedView& view;
   const HostDirectory& hosts;
   std::int64_t stale_limit_ms = 5000;
-  /// Milliseconds since a peer last answered; -1: none has.
-  std::function<std::int64_t()> peer_silence_ms;
+  /// How many other entry hosts answered when last asked.
+  std::function<int()> peers_alive;
   /// Counts work in, or says why this half does not serve the workspace.
   std::function<absl::Status(std::string_view workspace)> begin_work;
   std::function<void(std::string_view workspace)> end_work;
@@ -43,6 +43,10 @@
   /// @brief This host's mark, or leaving where the host list says so.
   MarkDocument Mark() const;
 
+  /// @brief Whether any host, ours or an engine's, is not to get new work, by
+  /// its mark or the host list.
+  bool IsMarked(std::string_view host) const;
+
   /// @brief Milliseconds since the newest confirmed read of every kind; -1
   /// where some kind has never been confirmed.
   std::int64_t ViewAgeMs() const;
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -1,16 +1,19 @@
 #include "serve/host_process.h"
 
 #include <glog/logging.h>
+#include <xxhash.h>
 
 #include <QCoreApplication>
 #include <QUuid>
 #include <array>
 #include <functional>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "base/log_line.h"
 #include "claims/store_claim_service.h"
 #include "configuration/service_catalog.h"
+#include "configuration/view_feeder.h"
 #include "gateway/gateway.h"
 #include "hosts/host_list_poller.h"
 #include "net/curl_client.h"
@@ -19,8 +22,11 @@
 #include "nlohmann/json.hpp"
 #include "policy/length_model.h"
 #include "serve/engine_watch.h"
+#include "serve/exchange_duty.h"
 #include "serve/host_gate.h"
 #include "serve/host_metrics.h"
+#include "serve/ownership_duty.h"
+#include "serve/placement_duty.h"
 #include "serve/policy_parts.h"
 #include "settings/secret_file.h"
 #include "store/http_object_store.h"
@@ -32,8 +38,8 @@
 constexpr std::int64_t kTickPeriodMs = 1000;
 constexpr std::int64_t kRotatePeriodMs = 60'000;
 constexpr std::size_t kShownRunning = 20;
-constexpr std::array<std::string_view, 2> kViewKinds = {kTemplatesKind,
-                                                        kMarksKind};
+constexpr std::array<std::string_view, 3> kViewKinds = {
+    kMarksKind, kOwnershipKind, kTemplatesKind};
 
 SessionOptions MakeSessionOptions(const Settings& settings) {
   SessionOptions options;
@@ -91,7 +97,7 @@
 
  private:
   void Every(std::int64_t period_ms, const std::function<void()>& task);
-  void FeedView();
+  bool IsWatcher() const;
   void FollowMark();
   void EndIfDrained();
   std::string StatusJson() const;
@@ -107,6 +113,10 @@
   ServiceCatalog catalog;
   HostDirectory hosts;
   HostListPoller host_list;
+  std::int64_t incarnation;
+  ViewFeeder feeder;
+  OwnershipDuty ownership;
+  ExchangeDuty exchange;
   LearnedLengthModel lengths;
   FleetState fleet;
   std::unique_ptr<EngineChooser> chooser;
@@ -119,11 +129,12 @@
   ResumeTokenCodec tokens;
   HostMetrics metrics;
   HostGate gate;
+  PlacementDuty placement;
   ServiceForwarder forwarder;
   std::unique_ptr<Gateway> gateway;
   std::unique_ptr<HttpServer> server;
-  std::int64_t incarnation;
   bool stopping = false;
+  bool left = false;
 };
 
 HostProcess::Parts::Parts(const Settings& with, const SecretKeys& keys)
@@ -136,6 +147,14 @@
       catalog(this->view),
       host_list(this->client, this->scheduler, this->hosts,
                 with.platform.host_list, with.platform.host_list_period_ms),
+      incarnation(this->clock.WallMs()),
+      feeder(kViewKinds, this->store, this->view, this->scheduler, this->clock,
+             FeederOptions{with.host.name, this->random()},
+             [this] { return this->IsWatcher(); }),
+      ownership(with, this->incarnation, this->clock, this->scheduler,
+                this->store, this->view),
+      exchange(with, this->incarnation, this->clock, this->scheduler,
+               this->view, this->hosts),
       fleet(this->lengths),
       chooser(MakeChooser(with.policy)),
       dispatcher(this->fleet, *this->chooser,
@@ -145,17 +164,28 @@
                     EngineLimits{1000, with.answers.engine_silence_ms, 2000}),
       engines({this->clock, this->scheduler, this->hosts, this->engine_client,
                this->fleet, this->random,
-               [](std::string_view) { return true; }}),
+               [this](std::string_view engine) {
+                 return this->ownership.MayUseEngine(engine) &&
+                        !this->gate.IsMarked(engine);
+               }}),
       claims({&this->store, &this->scheduler, &this->clock,
               MakeClaimSettings(with)}),
       tokens(keys.resume_keys),
       gate({with.host.name, this->clock, this->view, this->hosts,
-            with.configuration.stale_limit_ms, [] { return std::int64_t{-1}; },
-            [](std::string_view) { return absl::OkStatus(); },
-            [](std::string_view) {}}),
+            with.configuration.stale_limit_ms,
+            [this] { return this->exchange.PeersAlive(); },
+            [this](std::string_view workspace) {
+              return this->ownership.BeginWork(workspace);
+            },
+            [this](std::string_view workspace) {
+              this->ownership.EndWork(workspace);
+            }}),
+      placement(with, this->incarnation,
+                {this->clock, this->scheduler, this->store, this->client,
+                 this->catalog, this->hosts, this->engines, this->gate,
+                 this->ownership.View()}),
       forwarder({this->client, this->hosts, this->catalog, this->claims,
-                 this->retries, this->clock, this->random}),
-      incarnation(this->clock.WallMs()) {
+                 this->retries, this->clock, this->random}) {
   SessionParts session = {
       this->clock,   this->scheduler,  this->engine_client,
       this->engines, this->dispatcher, this->fleet,
@@ -177,6 +207,14 @@
   this->gateway = std::make_unique<Gateway>(gateway_parts);
   this->server =
       std::make_unique<HttpServer>(this->gateway.get(), MakeServerLimits(with));
+  this->view.AddListener([this](const ViewChange& change) {
+    if (change.kind != kTemplatesKind) {
+      this->engines.Refresh();
+    }
+    if (change.kind == kMarksKind) {
+      this->FollowMark();
+    }
+  });
   this->catalog.AddListener(
       [this] { ApplyLimits(this->catalog, &this->limits); });
   this->engines.on_report = [this](const LoadReport& report) {
@@ -194,7 +232,13 @@
   }
   this->host_list.Start();
   this->engines.Start();
-  this->FeedView();
+  this->feeder.Start();
+  this->ownership.Start();
+  this->placement.Start();
+  const absl::Status exchanging = this->exchange.Start();
+  if (!exchanging.ok()) {
+    return exchanging;
+  }
   this->Every(kDrainPeriodMs, [this] { this->gateway->DrainQueue(); });
   this->Every(kTickPeriodMs, [this] {
     this->gateway->TickSessions();
@@ -220,18 +264,17 @@
   });
 }
 
-void HostProcess::Parts::FeedView() {
-  for (const std::string_view kind : kViewKinds) {
-    const std::int64_t asked = this->clock.WallMs();
-    this->store.List(
-        kind, 0, [this, kind, asked](const absl::StatusOr<ObjectList>& list) {
-          if (list.ok()) {
-            this->view.ApplyList(kind, 0, *list,
-                                 {asked, this->settings.host.name});
-          }
-        });
+// The live entry hosts that come first by a hash of their names read the
+// platform; the exchange tells the others.
+bool HostProcess::Parts::IsWatcher() const {
+  const std::string& self = this->settings.host.name;
+  const std::uint64_t own = XXH64(self.data(), self.size(), 0);
+  int before = 0;
+  for (const HostEntry* entry : this->hosts.OfRole(HostRole::kEntry)) {
+    const std::uint64_t rank = XXH64(entry->name.data(), entry->name.size(), 0);
+    before += rank < own && !this->gate.IsMarked(entry->name) ? 1 : 0;
   }
-  this->scheduler.After(1000, [this] { this->FeedView(); });
+  return before < this->settings.platform.watchers;
 }
 
 ///////////////////
@@ -279,8 +322,14 @@
     line.Add("requests", requests).Write();
     return;
   }
-  LogLine("stopped").Add("host", this->settings.host.name).Write();
-  QCoreApplication::quit();
+  if (std::exchange(this->left, true)) {
+    return;
+  }
+  this->placement.Stop();
+  this->ownership.Leave([this] {
+    LogLine("stopped").Add("host", this->settings.host.name).Write();
+    QCoreApplication::quit();
+  });
 }
 
 //////////////////////
--- /dev/null
+++ b/src/serve/ownership_duty.cc
@@ -0,0 +1,175 @@
+#include "serve/ownership_duty.h"
+
+#include <algorithm>
+
+#include "base/error.h"
+#include "nlohmann/json.hpp"
+#include "placement/ownership_mover.h"
+
+namespace meadowthread {
+namespace {
+
+constexpr std::int64_t kTickMs = 500;
+// Keeps the object's version moving, so that a mover sees a live host; 350
+// hosts make 12 writes a second of it.
+constexpr std::int64_t kRewriteMs = 30'000;
+
+OwnershipSettings MakeOwnershipSettings(const HalfSettings& half) {
+  OwnershipSettings settings;
+  settings.half = half.name;
+  settings.default_owner = half.default_owner;
+  for (const HalfAddress& address : half.addresses) {
+    if (address.half == half.default_owner) {
+      settings.default_address = address.url;
+    }
+  }
+  return settings;
+}
+
+}  // namespace
+
+OwnershipDuty::OwnershipDuty(const Settings& settings, std::int64_t incarnation,
+                             const Clock& clock, Scheduler& scheduler,
+                             ObjectStore& store, ReplicatedView& view)
+    : host(settings.host.name),
+      has_other_half(!settings.half.addresses.empty()),
+      incarnation(incarnation),
+      clock(clock),
+      scheduler(scheduler),
+      store(store),
+      view(view),
+      ownership(MakeOwnershipSettings(settings.half), clock),
+      tracker(this->ownership) {
+  view.AddListener([this](const ViewChange& change) { this->Follow(change); });
+}
+
+void OwnershipDuty::Start() { this->Tick(); }
+
+void OwnershipDuty::Follow(const ViewChange& change) {
+  if (change.kind != kOwnershipKind) {
+    return;
+  }
+  for (const StoredObject& object : change.items) {
+    this->ownership.Apply(object);
+  }
+}
+
+void OwnershipDuty::Tick() {
+  if (this->leaving) {
+    return;
+  }
+  this->TakeConfirmation();
+  const std::string report = EncodeDrainReport(this->tracker.Report());
+  const bool due = report != this->written_report ||
+                   this->clock.MonotonicMs() - this->written_ms >= kRewriteMs;
+  if (due && !this->writing) {
+    this->WriteStatus(report);
+  }
+  this->scheduler.After(kTickMs, [this, alive = this->alive] {
+    if (*alive) {
+      this->Tick();
+    }
+  });
+}
+
+// A read counts only once the status object stands: a mover that marked
+// something before lists the object and waits for this host; one that marks it
+// later is seen by the read.
+void OwnershipDuty::TakeConfirmation() {
+  const Confirmation confirmed = this->view.Digest(kOwnershipKind).confirmed;
+  if (confirmed.by.empty() || this->registered_wall_ms == 0) {
+    return;
+  }
+  // Another host's wall clock may be ahead of ours by what the view tolerates.
+  const std::int64_t skew = confirmed.by == this->host ? 0 : kMaxClockSkewMs;
+  const std::int64_t read_wall_ms = confirmed.unix_ms - skew;
+  if (read_wall_ms < this->registered_wall_ms) {
+    return;
+  }
+  const std::int64_t age = this->clock.WallMs() - read_wall_ms;
+  this->ownership.Confirm(this->clock.MonotonicMs() -
+                          std::max<std::int64_t>(0, age));
+}
+
+void OwnershipDuty::WriteStatus(const std::string& report) {
+  this->writing = true;
+  const nlohmann::json status = {
+      {"host", this->host},
+      {"incarnation", this->incarnation},
+      {"unix_ms", this->clock.WallMs()},
+      {"ownership", nlohmann::json::parse(report, nullptr, false)}};
+  this->store.Put(kStatusKind, this->host, status.dump(), this->status_version,
+                  [this, alive = this->alive,
+                   report](const absl::StatusOr<std::int64_t>& version) {
+                    if (*alive) {
+                      this->OnWritten(version, report);
+                    }
+                  });
+}
+
+void OwnershipDuty::OnWritten(const absl::StatusOr<std::int64_t>& version,
+                              const std::string& report) {
+  this->writing = false;
+  if (!version.ok()) {
+    // An earlier life's object, or our own write whose answer was lost.
+    this->ReadVersion();
+    return;
+  }
+  this->status_version = *version;
+  this->written_report = report;
+  this->written_ms = this->clock.MonotonicMs();
+  if (this->registered_wall_ms == 0) {
+    this->registered_wall_ms = this->clock.WallMs();
+    this->ownership.SetRegistered();
+  }
+}
+
+void OwnershipDuty::ReadVersion() {
+  this->writing = true;
+  this->store.Get(
+      kStatusKind, this->host,
+      [this, alive = this->alive](const absl::StatusOr<StoredObject>& object) {
+        if (!*alive) {
+          return;
+        }
+        this->writing = false;
+        if (object.ok()) {
+          this->status_version = object->version;
+        } else if (DetailOf(object.status()).id == ErrorId::kNotFound) {
+          this->status_version = 0;
+        }
+      });
+}
+
+void OwnershipDuty::Leave(const std::function<void()>& done) {
+  this->leaving = true;
+  if (this->status_version == 0) {
+    done();
+    return;
+  }
+  this->store.Delete(kStatusKind, this->host, this->status_version,
+                     [done](const absl::StatusOr<std::int64_t>&) { done(); });
+}
+
+absl::Status OwnershipDuty::BeginWork(std::string_view workspace) {
+  if (!this->has_other_half) {
+    return absl::OkStatus();
+  }
+  return this->tracker.Begin({OwnedKind::kWorkspace, std::string(workspace)});
+}
+
+void OwnershipDuty::EndWork(std::string_view workspace) {
+  if (this->has_other_half) {
+    this->tracker.End({OwnedKind::kWorkspace, std::string(workspace)});
+  }
+}
+
+bool OwnershipDuty::MayUseEngine(std::string_view engine) const {
+  if (!this->has_other_half) {
+    return true;
+  }
+  return this->ownership.Look({OwnedKind::kEngine, std::string(engine)})
+             .verdict == OwnershipVerdict::kOurs;
+}
+
+}  // namespace meadowthread
