Command line: template put|get|list|history, host mark|list

Change: MakeChange settles a conditional write by the operation's id; results as text and JSON, a distinct exit code each; accepted objects are offered to the entry hosts by JSON-RPC. Conclusion: operators can put templates and mark hosts.

--- a/src/cli/check_command.cc
+++ b/src/cli/check_command.cc
@@ -14,12 +14,7 @@
   const std::string kind(DocumentKindName(checked.kind));
   result.json["file"] = file;
   result.json["kind"] = kind;
-  result.json["problems"] = nlohmann::ordered_json::array();
-  for (const DocumentProblem& problem : checked.problems) {
-    result.json["problems"].push_back({{"line", problem.line},
-                                       {"field", problem.field},
-                                       {"message", problem.message}});
-  }
+  result.json["problems"] = ProblemsJson(checked.problems);
   if (checked.problems.empty()) {
     result.text = absl::StrCat(file, ": a valid ", kind, " document\n");
     return result;
--- a/src/cli/document_check.cc
+++ b/src/cli/document_check.cc
@@ -48,6 +48,7 @@
 template <typename Problem>
 std::vector<DocumentProblem> Converted(const std::vector<Problem>& problems) {
   std::vector<DocumentProblem> converted;
+  converted.reserve(problems.size());
   for (const Problem& problem : problems) {
     converted.push_back({problem.line, problem.field, problem.message});
   }
@@ -80,7 +81,7 @@
   if (checked.kind == DocumentKind::kSettings) {
     checked.problems = Converted(ParseSettings(text).problems);
   } else if (checked.kind == DocumentKind::kTemplate) {
-    checked.problems = Converted(ParseTemplate(text, 0).problems);
+    return CheckTemplate(text);
   } else {
     checked.problems.push_back(
         {0, "document",
@@ -90,6 +91,21 @@
   return checked;
 }
 
+CheckedDocument CheckTemplate(std::string_view text) {
+  return {DocumentKind::kTemplate, Converted(ParseTemplate(text, 0).problems)};
+}
+
+nlohmann::ordered_json ProblemsJson(
+    const std::vector<DocumentProblem>& problems) {
+  nlohmann::ordered_json json = nlohmann::ordered_json::array();
+  for (const DocumentProblem& problem : problems) {
+    json.push_back({{"line", problem.line},
+                    {"field", problem.field},
+                    {"message", problem.message}});
+  }
+  return json;
+}
+
 std::string ProblemLines(std::string_view file,
                          const std::vector<DocumentProblem>& problems) {
   std::string lines;
--- a/src/cli/document_check.h
+++ b/src/cli/document_check.h
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <vector>
 
+#include "nlohmann/json.hpp"
+
 namespace meadowthread {
 
 /// @brief What an operator writes.
@@ -32,6 +34,13 @@
 /// @brief Tells a document's kind by its top fields and checks it whole.
 CheckedDocument CheckDocument(std::string_view text);
 
+/// @brief Checks a document as a template, whatever its fields.
+CheckedDocument CheckTemplate(std::string_view text);
+
+/// @brief Problems as JSON.
+nlohmann::ordered_json ProblemsJson(
+    const std::vector<DocumentProblem>& problems);
+
 /// @brief Problems as lines for a person, `FILE:LINE: FIELD MESSAGE`.
 std::string ProblemLines(std::string_view file,
                          const std::vector<DocumentProblem>& problems);
--- /dev/null
+++ b/src/cli/host_mark_command.cc
@@ -0,0 +1,171 @@
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "cli/change_result.h"
+#include "cli/host_commands.h"
+#include "cli/operator_options.h"
+#include "cli/platform_command.h"
+#include "cli/utc_time.h"
+#include "configuration/marks.h"
+#include "configuration/template_document.h"
+
+namespace meadowthread {
+namespace {
+
+class MarkChange final : public ObjectChange {
+ public:
+  explicit MarkChange(MarkDocument wanted) : wanted(std::move(wanted)) {}
+
+  std::string_view Kind() const override { return "marks"; }
+  std::string_view Name() const override { return this->wanted.host; }
+
+  bool IsDoneBy(const StoredObject& standing) const override {
+    const absl::StatusOr<MarkDocument> mark = MarkFromJson(standing.value);
+    return mark.ok() && mark->mark == this->wanted.mark &&
+           mark->handover == this->wanted.handover;
+  }
+
+  std::string NextValue(const StoredObject& /*standing*/) const override {
+    return MarkToJson(this->wanted);
+  }
+
+  // A mark has no history: one that is not ours tells nothing of ours.
+  FoundOperation Find(const StoredObject& standing,
+                      std::int64_t /*base_version*/) const override {
+    const absl::StatusOr<MarkDocument> mark = MarkFromJson(standing.value);
+    if (mark.ok() && mark->operation == this->wanted.operation) {
+      return {OperationTrace::kPresent, standing.version};
+    }
+    return {OperationTrace::kUntold, 0};
+  }
+
+ private:
+  MarkDocument wanted;
+};
+
+std::string ConflictText(const StoredObject& standing) {
+  const absl::StatusOr<MarkDocument> mark = MarkFromJson(standing.value);
+  if (!mark.ok()) {
+    return "the mark that stands cannot be read\n";
+  }
+  return absl::StrCat("marked ", std::string(HostMarkName(mark->mark)),
+                      mark->handover ? " (handover)" : "", " by ", mark->set_by,
+                      " at ", UtcTime(mark->unix_ms), "\n");
+}
+
+bool IsListed(const HostList& list, const std::string& host) {
+  return std::any_of(
+      list.hosts.begin(), list.hosts.end(),
+      [&host](const HostEntry& entry) { return entry.name == host; });
+}
+
+class MarkInvocation final : public Invocation {
+ public:
+  MarkInvocation(TCLAP::CmdLine& line, const Clock& clock,
+                 NonceSource& operations)
+      : host("host", "the host", true, "", "HOST", line),
+        mark("mark",
+             "leaving: takes no new work; stopping: also ends once what runs "
+             "has ended; live: takes work",
+             true, "", "leaving|stopping|live", line),
+        handover("", "handover",
+                 "its streams may go on at other hosts by their resume tokens",
+                 line),
+        unlisted("", "unlisted",
+                 "mark it although the host list does not have it", line),
+        author(line),
+        clock(clock),
+        operations(operations) {}
+
+  CommandResult Run(const RunContext& context) override {
+    const absl::StatusOr<HostMark> wanted =
+        ParseHostMark(this->mark.getValue());
+    if (!wanted.ok() || !IsName(this->host.getValue())) {
+      return UsageResult(wanted.ok() ? "HOST is no host's name"
+                                     : "the mark is one of live, leaving, "
+                                       "stopping");
+    }
+    const absl::StatusOr<std::string> who = this->author.Author();
+    if (!who.ok()) {
+      return UsageResult(who.status());
+    }
+    // A misspelt host would be marked and the meant one go on taking work.
+    const absl::StatusOr<HostList> list = context.platform.ListHosts();
+    if (list.ok() && !this->unlisted.getValue() &&
+        !IsListed(*list, this->host.getValue())) {
+      return this->NotListed();
+    }
+    MarkDocument document;
+    document.host = this->host.getValue();
+    document.mark = *wanted;
+    document.handover = this->handover.getValue();
+    document.operation = this->operations.Next();
+    document.set_by = *who;
+    document.unix_ms = this->clock.WallMs();
+    const ChangeEnd end =
+        MakeChange(context.platform, MarkChange(document), std::nullopt);
+    return TellChange(
+        context.platform, end,
+        absl::StrCat("mark ", this->mark.getValue(), " of ", document.host),
+        ConflictText(end.object));
+  }
+
+ private:
+  CommandResult NotListed() {
+    CommandResult result;
+    result.code = ExitCode::kNotFound;
+    result.text =
+        absl::StrCat("the host list does not have ", this->host.getValue(),
+                     "; nothing was marked (--unlisted marks it all "
+                     "the same)\n");
+    return result;
+  }
+
+  TCLAP::UnlabeledValueArg<std::string> host;
+  TCLAP::UnlabeledValueArg<std::string> mark;
+  TCLAP::SwitchArg handover;
+  TCLAP::SwitchArg unlisted;
+  AuthorOption author;
+  const Clock& clock;
+  NonceSource& operations;
+};
+
+class MarkCommand final : public PlatformCommand {
+ public:
+  MarkCommand(PlatformConnector& connector, const Clock& clock,
+              NonceSource& operations)
+      : PlatformCommand(
+            connector,
+            {"host mark",
+             "marks a host to leave, to stop, or as live",
+             "Marks an entry host or a host under an engine. A host that is "
+             "leaving or stopping\nreceives no new work within a few seconds, "
+             "and what it runs goes on to its end;\n`meadowthread status` "
+             "tells what a stop waits for. An accepted mark is pushed to\nthe "
+             "entry hosts at once.",
+             {"meadowthread host mark entry-2 stopping --author ana",
+              "meadowthread host mark engine-7 leaving --author ana",
+              "meadowthread host mark entry-2 live --author ana"}}),
+        clock(clock),
+        operations(operations) {}
+
+ protected:
+  std::unique_ptr<Invocation> Prepare(TCLAP::CmdLine& line) override {
+    return std::make_unique<MarkInvocation>(line, this->clock,
+                                            this->operations);
+  }
+
+ private:
+  const Clock& clock;
+  NonceSource& operations;
+};
+
+}  // namespace
+
+std::unique_ptr<Command> MakeHostMarkCommand(PlatformConnector& connector,
+                                             const Clock& clock,
+                                             NonceSource& operations) {
+  return std::make_unique<MarkCommand>(connector, clock, operations);
+}
+
+}  // namespace meadowthread
--- a/src/cli/platform_command.cc
+++ b/src/cli/platform_command.cc
@@ -32,4 +32,9 @@
   return result;
 }
 
+CommandResult UsageResult(const absl::Status& status) {
+  const absl::string_view message = status.message();
+  return UsageResult(std::string_view(message.data(), message.size()));
+}
+
 }  // namespace meadowthread
--- a/src/cli/platform_command.h
+++ b/src/cli/platform_command.h
@@ -54,6 +54,7 @@
 
 /// @brief The result of arguments that contradict each other.
 CommandResult UsageResult(std::string_view what);
+CommandResult UsageResult(const absl::Status& status);
 
 }  // namespace meadowthread
 
--- a/src/cli/qt_platform.cc
+++ b/src/cli/qt_platform.cc
@@ -17,8 +17,8 @@
 namespace meadowthread {
 namespace {
 
-constexpr std::size_t kHostListLimitBytes = 16 * 1024 * 1024;
-constexpr std::size_t kStatusLimitBytes = 1024 * 1024;
+constexpr std::size_t kHostListLimitBytes = std::size_t{16} * 1024 * 1024;
+constexpr std::size_t kStatusLimitBytes = std::size_t{1024} * 1024;
 constexpr std::int64_t kConnectTimeoutMs = 1000;
 constexpr int kRpcThreads = 16;
 constexpr int kHttpOk = 200;
--- a/src/cli/request_story.cc
+++ b/src/cli/request_story.cc
@@ -62,6 +62,7 @@
     std::stable_sort(sorted.begin(), sorted.end(), IsEarlier);
   }
   std::vector<StoryStep> steps;
+  steps.reserve(sorted.size());
   for (const LogRecord& record : sorted) {
     steps.push_back({record, SentenceOf(record)});
   }
--- /dev/null
+++ b/src/cli/tests/change_test.cc
@@ -0,0 +1,150 @@
+#include <criterion/criterion.h>
+
+#include "cli/host_commands.h"
+#include "cli/template_commands.h"
+#include "cli/tests/fake_platform.h"
+#include "configuration/template_object.h"
+
+namespace meadowthread {
+namespace {
+
+std::string Tags(const std::string& urgency) {
+  return "name: tags\nmodels: [{model: tag, version: \"7\"}]\nurgency: " +
+         urgency + "\nworkspaces: [{workspace: makati}]\n";
+}
+
+RunRecord Put(FakeWorld& world, const std::string& yaml,
+              std::vector<std::string> more = {}) {
+  FakeConnector connector(world);
+  RandomNonceSource operations;
+  const auto command =
+      MakeTemplatePutCommand(connector, world.clock, operations);
+  more.insert(more.begin(),
+              {"-", "--author", "ana", "--object-api", "http://h"});
+  return RunCommand(*command, more, yaml);
+}
+
+RunRecord Mark(FakeWorld& world, const std::vector<std::string>& words) {
+  FakeConnector connector(world);
+  RandomNonceSource operations;
+  const auto command = MakeHostMarkCommand(connector, world.clock, operations);
+  std::vector<std::string> all = {"--author", "ana", "--object-api",
+                                  "http://h"};
+  all.insert(all.begin(), words.begin(), words.end());
+  return RunCommand(*command, all);
+}
+
+/// Another operator's put, over what stands.
+void PutByBen(FakeWorld& world, const std::string& yaml) {
+  const auto ignore = [](const auto&) {};
+  world.store.Get("templates", "tags",
+                  [&](const absl::StatusOr<StoredObject>& standing) {
+                    TemplateObject object =
+                        *TemplateFromJson(standing->value, standing->version);
+                    object = NextTemplateObject(
+                        object, {"op-ben", "ben", 1, yaml, 0}, 1'000'000);
+                    world.store.Put("templates", "tags", TemplateToJson(object),
+                                    standing->version, ignore);
+                  });
+  world.store.Settle();
+}
+
+Test(a_put_template, is_accepted_and_offered_to_the_entry_hosts) {
+  FakeWorld world;
+  world.hosts->hosts = {EntryHost("entry-1"), EntryHost("entry-2")};
+  world.replies = {{"entry-1", std::string(R"({"taken":1})")},
+                   {"entry-2", NoAnswer()}};
+  const RunRecord run = Put(world, Tags("urgent"));
+  cr_assert(run.code == ExitCode::kOk, "%s", run.err.c_str());
+  cr_assert(Contains(run.out,
+                     "template tags: accepted as version 1\n"
+                     "told 1 of 2 entry hosts at once"));
+  const auto offered = nlohmann::json::parse(world.calls.front());
+  cr_assert(offered["items"][0]["kind"] == "templates");
+  cr_assert(offered["items"][0]["version"] == 1);
+}
+
+Test(a_put_template, put_twice_is_one_change) {
+  FakeWorld world;
+  Put(world, Tags("urgent"));
+  const RunRecord run = Put(world, Tags("urgent"), {"--output", "json"});
+  cr_assert(run.code == ExitCode::kUnchanged);
+  cr_assert(nlohmann::json::parse(run.out)["result"] == "unchanged");
+  cr_assert(world.store.WriteCalls() == 1);
+}
+
+Test(a_put_template, that_is_not_valid_is_never_sent) {
+  FakeWorld world;
+  const RunRecord run = Put(world, Tags("sometimes"));
+  cr_assert(run.code == ExitCode::kInvalid);
+  cr_assert(Contains(run.err, "-:3: urgency"));
+  cr_assert(world.store.WriteCalls() == 0);
+}
+
+Test(a_put_template, over_another_version_than_meant_is_a_conflict) {
+  FakeWorld world;
+  Put(world, Tags("urgent"));
+  PutByBen(world, Tags("batch"));
+  const RunRecord run = Put(world, Tags("normal"), {"--if-version", "1"});
+  cr_assert(run.code == ExitCode::kConflict);
+  cr_assert(Contains(run.err, "not applied: version 2 stands"));
+  cr_assert(Contains(run.err, "put by ben at 1970-01-01 00:00:00Z"));
+  cr_assert(Contains(run.err, "- 3: urgency: normal\n+ 3: urgency: batch\n"));
+}
+
+Test(a_put_template, whose_answer_was_lost_is_settled) {
+  for (const WriteFault fault :
+       {WriteFault::kAnswerLost, WriteFault::kRequestLost}) {
+    FakeWorld world;
+    Put(world, Tags("urgent"));
+    world.store.FailWrites({fault});
+    const RunRecord run = Put(world, Tags("batch"));
+    cr_assert(run.code == ExitCode::kOk);
+    cr_assert(Contains(run.out, "accepted as version 2\n"));
+  }
+}
+
+Test(a_put_template, that_stays_unsettled_is_unknown) {
+  FakeWorld world;
+  world.store.FailWrites(std::vector<WriteFault>(20, WriteFault::kRequestLost));
+  const RunRecord run = Put(world, Tags("urgent"));
+  cr_assert(run.code == ExitCode::kUnknown);
+  cr_assert(Contains(run.err, "the same command again finds out"));
+}
+
+Test(a_put_template, while_the_platform_is_down_is_certainly_not_applied) {
+  FakeWorld world;
+  world.store.SetDown(true);
+  cr_assert(Put(world, Tags("urgent")).code == ExitCode::kUnavailable);
+}
+
+Test(a_host, is_marked_once) {
+  FakeWorld world;
+  world.hosts->hosts = {EntryHost("entry-1")};
+  cr_assert(Mark(world, {"entry-1", "stopping", "--handover"}).code ==
+            ExitCode::kOk);
+  cr_assert(Mark(world, {"entry-1", "stopping", "--handover"}).code ==
+            ExitCode::kUnchanged);
+  cr_assert(Mark(world, {"entry-1", "live"}).code == ExitCode::kOk);
+}
+
+Test(a_host, that_the_list_does_not_have_is_marked_only_if_meant) {
+  FakeWorld world;
+  world.hosts->hosts = {EntryHost("entry-1")};
+  cr_assert(Mark(world, {"entri-1", "leaving"}).code == ExitCode::kNotFound);
+  cr_assert(world.store.WriteCalls() == 0);
+  cr_assert(Mark(world, {"entri-1", "leaving", "--unlisted"}).code ==
+            ExitCode::kOk);
+}
+
+Test(a_host, is_marked_while_the_host_list_is_down) {
+  FakeWorld world;
+  world.hosts = NoAnswer();
+  const RunRecord run = Mark(world, {"entry-1", "leaving"});
+  cr_assert(run.code == ExitCode::kOk);
+  cr_assert(Contains(run.out, "told 0 of 0 entry hosts"));
+  cr_assert(Mark(world, {"entry-1", "gone"}).code == ExitCode::kUsage);
+}
+
+}  // namespace
+}  // namespace meadowthread
--- a/src/main/main.cc
+++ b/src/main/main.cc
@@ -39,9 +39,11 @@
 #ifdef MEADOWTHREAD_HAS_SERVE
   registry.Add(MakeServeCommand());
 #endif
+  registry.Add(MakeTemplatePutCommand(connector, clock, operations));
   registry.Add(MakeTemplateGetCommand(connector));
   registry.Add(MakeTemplateListCommand(connector));
   registry.Add(MakeTemplateHistoryCommand(connector));
+  registry.Add(MakeHostMarkCommand(connector, clock, operations));
   registry.Add(MakeHostListCommand(connector));
   registry.Add(MakeStatusCommand(connector, clock));
   registry.Add(MakeExplainCommand());
