Sessions: what may have run is never said to have not run; retries queue again

Cause: two faults found by tests over processes. (1) A repeatable request whose first attempt ended unknown and whose second was rejected was answered not_run, by the last attempt's outcome. (2) A retry that found no usable engine used up its attempts within 350 ms and failed, though the engine came back half a second later: is_run_elsewhere_where_it_may_be_repeated failed with 'unknown'. Ruled out: more attempts or longer backoff, which hold a request without a place in the queue. Change: a session remembers the worst that is known of its attempts; a retry goes through the queue. Also the tests over processes: answers, outcomes, claims, and statusz's engines_usable, for which the harness waits.

--- a/src/gateway/generation_session.cc
+++ b/src/gateway/generation_session.cc
@@ -204,8 +204,12 @@
 }
 
 void GenerationSession::Offer() {
-  this->phase = SessionPhase::kQueued;
   this->parts.retries.NoteFirstAttempt();
+  this->OfferAgain();
+}
+
+void GenerationSession::OfferAgain() {
+  this->phase = SessionPhase::kQueued;
   const DispatchAnswer answer = this->parts.dispatcher.Offer(
       this->MakeWork(), this->parts.clock.WallMs(), this->parts.random());
   switch (answer.verdict) {
--- a/src/gateway/generation_session.h
+++ b/src/gateway/generation_session.h
@@ -102,6 +102,7 @@
 
   // Placing and sending
   void Offer();
+  void OfferAgain();
   void Send(const Decision& decision);
   void LogRoute(const Decision& decision) const;
   WorkItem MakeWork() const;
@@ -131,6 +132,7 @@
   absl::Status ErrorOf(ErrorId id, Outcome outcome, std::string_view step,
                        std::string_view what) const;
   bool MayRunAgain() const;
+  absl::Status Truthful(const absl::Status& status) const;
 
   SessionParts parts;
   SessionStart start;
@@ -142,6 +144,9 @@
   std::vector<std::unique_ptr<EngineStream>> retired;
   StreamAssembler assembler;
   std::shared_ptr<bool> alive;  ///< false for callbacks that come too late
+  /// The worst that is known of attempts which failed: a later one that has
+  /// certainly not run takes nothing of it back.
+  Outcome earlier = Outcome::kNotRun;
   int attempts = 0;
   int resumes = 0;  ///< since the last token
   std::int64_t first_token_ms = -1;
--- a/src/gateway/generation_session_stream.cc
+++ b/src/gateway/generation_session_stream.cc
@@ -202,6 +202,9 @@
       .Add("against_engine", SpeaksAgainstEngine(failure) ? "yes" : "no")
       .Add("why", std::string(cause.message()))
       .Write();
+  if (outcome == Outcome::kUnknown) {
+    this->earlier = Outcome::kUnknown;
+  }
   if (outcome == Outcome::kUnknown && this->start.terms.at_most_once) {
     this->Fail(WithOutcome(cause, Outcome::kUnknown));
     return;
@@ -230,20 +233,14 @@
     return;
   }
   this->phase = SessionPhase::kQueued;
-  this->parts.scheduler.After(
-      answer.backoff_ms, [this, alive = this->alive, cause, outcome] {
-        if (!*alive || this->phase != SessionPhase::kQueued) {
-          return;
-        }
-        const Decision decision = this->parts.dispatcher.Choose(
-            this->MakeWork(), this->parts.clock.WallMs(), this->parts.random());
-        if (decision.engine.has_value()) {
-          this->SendNow(decision);
-        } else {
-          ++this->attempts;
-          this->SendAgain(cause, outcome);
-        }
-      });
+  this->parts.scheduler.After(answer.backoff_ms, [this, alive = this->alive] {
+    if (!*alive || this->phase != SessionPhase::kQueued) {
+      return;
+    }
+    // Through the queue: where no engine is left just now, it waits its
+    // turn until its deadline.
+    this->OfferAgain();
+  });
 }
 
 void GenerationSession::ResumeSoon(const absl::Status& cause) {
@@ -274,6 +271,7 @@
   this->EndPolicy(StreamEnd::kCut);
   this->RetireStream();
   if (this->MayRunAgain()) {
+    this->earlier = Outcome::kInterrupted;
     this->caller->DropHeld();
     this->caller->SetResumeToken("");
     this->SendAgain(cause, Outcome::kInterrupted);
@@ -352,13 +350,21 @@
   }
   this->RetireStream();
   this->EndPolicy(StreamEnd::kCut);
-  const ErrorDetail detail = DetailOf(status);
+  const absl::Status truth = this->Truthful(status);
+  const ErrorDetail detail = DetailOf(truth);
   const bool safe =
       detail.outcome == Outcome::kNotRun || !this->start.terms.at_most_once;
-  this->caller->Fail(status, safe);
+  this->caller->Fail(truth, safe);
   this->Finish(detail.outcome, detail.id);
 }
 
+// "Not run" is said of the request, not of its last attempt.
+absl::Status GenerationSession::Truthful(const absl::Status& status) const {
+  const bool hides = DetailOf(status).outcome == Outcome::kNotRun &&
+                     this->earlier != Outcome::kNotRun;
+  return hides ? WithOutcome(status, this->earlier) : status;
+}
+
 void GenerationSession::EndPolicy(StreamEnd end) {
   if (std::exchange(this->noted_in_fleet, false)) {
     this->parts.fleet.NoteEnded(this->start.request, end,
--- a/src/serve/engine_watch.cc
+++ b/src/serve/engine_watch.cc
@@ -107,6 +107,15 @@
   return EngineAddress{entry->name, entry->BaseUrl()};
 }
 
+int EngineWatch::UsableEngines() const {
+  int usable = 0;
+  for (const auto& [name, state] : this->watched) {
+    const EngineView* view = this->parts.fleet.Find(name);
+    usable += state.report.has_value() && view != nullptr && view->Usable();
+  }
+  return usable;
+}
+
 const LoadReport* EngineWatch::ReportOf(std::string_view engine) const {
   const auto found = this->watched.find(engine);
   return found == this->watched.end() || !found->second.report.has_value()
--- a/src/serve/engine_watch.h
+++ b/src/serve/engine_watch.h
@@ -49,6 +49,9 @@
   /// @brief The last report of an engine, or null.
   const LoadReport* ReportOf(std::string_view engine) const;
 
+  /// @brief Engines that have reported and may get new work.
+  int UsableEngines() const;
+
   /// @brief Called after each report.
   std::function<void(const LoadReport&)> on_report;
 
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -373,6 +373,7 @@
       {"mark", std::string(HostMarkName(this->gate.Mark().mark))},
       {"stop_waits_for", waits},
       {"engines", this->fleet.EngineCount()},
+      {"engines_usable", this->engines.UsableEngines()},
       {"template_problems", problems}};
   return status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
--- a/standins/engine/engine_service.cc
+++ b/standins/engine/engine_service.cc
@@ -186,8 +186,12 @@
                            const ExchangePtr& exchange) {
   const auto standing = this->streams.find(generation);
   if (standing != this->streams.end()) {
-    standing->second->Exchange()->Abort();
+    const ExchangePtr replaced = standing->second->Exchange();
     this->streams.erase(standing);
+    replaced->OnClosed([] {});
+    replaced->SendChunk("event: replaced\ndata: {\"g\":\"" + generation->id +
+                        "\"}\n\n");
+    replaced->EndStream();
   }
   this->model.SetRead(generation, true, this->clock.NowMs());
   auto stream = std::make_unique<TokenStream>(exchange, generation, from);
--- /dev/null
+++ b/tests/process/process.h
@@ -0,0 +1,51 @@
+#ifndef MEADOWTHREAD_TESTS_PROCESS_PROCESS_H_
+#define MEADOWTHREAD_TESTS_PROCESS_PROCESS_H_
+
+#include <QProcess>
+#include <QStringList>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace meadowthread::tests {
+
+/// @brief Runs the event loop until `done`, or until a generous limit.
+/// @return whether it became true; a test fails on false, never on being slow
+bool WaitFor(const std::function<bool()>& done);
+
+/// @brief One process that a test started; ended by its id, at the latest when
+/// the test ends.
+class Process {
+ public:
+  /// @param[in] program a name in the build's bin folder
+  Process(const std::string& program, const QStringList& arguments);
+  ~Process();
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  void Kill();
+  void Freeze();
+  void Thaw();
+  /// @brief SIGTERM.
+  void AskToStop();
+  bool IsRunning() const;
+  int ExitCode() const { return this->process->exitCode(); }
+
+  /// @brief The n-th `ready` line's port, waited for.
+  int Port(int n = 0);
+
+  /// @brief What it wrote to standard error so far.
+  std::string Log();
+
+ private:
+  void Signal(int number);
+
+  std::unique_ptr<QProcess> process;
+  std::string out;
+  std::string log;
+};
+
+}  // namespace meadowthread::tests
+
+#endif  // MEADOWTHREAD_TESTS_PROCESS_PROCESS_H_
