--- a/model/configuration.pml
+++ b/model/configuration.pml
@@ -49,6 +49,9 @@
 byte newest[12];             /* by revision * 2 + object: who wrote it last */
 byte m_since, m_revision, m_ver[2], m_from;
 bit m_whole;
+#ifdef EVENT_LOST
+bit event_lost;
+#endif
 
 /* Newest revision up to `upto` that wrote `object`, in state; 0: none. */
 #define as_of(object, upto) state = newest[(upto) * 2 + object]
@@ -130,10 +133,12 @@
 }
 
 inline check_object(h, object) {
+#ifndef EVENT_LOST
   /* W: the watermark is true. */
   as_of(object, watermark[h]);
   assert(state == 0 || ver[h * 2 + object] >= state ||
          (ver[h * 2 + object] == 0 && hist_deleted[state]));
+#endif
   position(h, object);
   if
   :: serving[h] ->
@@ -181,6 +186,13 @@
   d_step {
     as_of(0, upto_rev); first = (state > since_rev -> state : 0);
     as_of(1, upto_rev); second = (state > since_rev -> state : 0);
+#ifdef EVENT_LOST
+    /* The watch loses an event of object 0. */
+    if
+    :: !event_lost && first != 0 -> first = 0; event_lost = 1
+    :: else
+    fi;
+#endif
     take_whole(h, since_rev, upto_rev, 0, first, second);
     check(h);
     first = 0; second = 0; upto_rev = 0; since_rev = 0
@@ -223,6 +235,14 @@
   do
   :: atomic { list_at(me) }
   :: atomic { watermark[me] > 0 -> watch_from(me) }
+#ifdef EVENT_LOST
+  /* The peer read again what the watch lost, and is asked after that. */
+  :: d_step { me == 1 && event_lost && ver[0] != 0 && watermark[1] > 0 &&
+      newest[watermark[0] * 2] == ver[0] &&
+      watermark[1] == watermark[0] && ver[0] <= watermark[0] ->
+      /* X: peers that agree on the watermark agree on what it covers. */
+      assert(ver[2] >= ver[0]) }
+#endif
   :: atomic { IS_PEER(me) -> send_delta(me, peer) }
   :: d_step { m_from == peer ->
       take_whole(me, m_since, m_revision, m_whole, m_ver[0], m_ver[1]);
