Configuration: a fresh read of the platform passes the floor

Cause: reading src/configuration against model/configuration.pml. A peer whose watch lost the event of a new object taught its floor, by its whole state, to a restarted host; that host then refused the object for good, even from its own whole read of the platform, as an unknown object at or under the floor. Ruled out: lowering the floor for peers' deltas (a peer that lost a deletion's event would bring the object back). Change: KindView::TakeShown, used by ReplicatedView::ApplyList only: what the platform shows live at or beyond our watermark wasn't deleted. Conclusion: half of the fault; what a non-watching host lacks under its watermark is still not sent by peers (limit-lost-watch-event).

--- a/src/configuration/kind_view.cc
+++ b/src/configuration/kind_view.cc
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-bool KindView::Take(const StoredObject& object) {
+bool KindView::Take(const StoredObject& object, bool is_shown_live) {
   if (object.kind != this->kind) {
     return false;
   }
@@ -25,7 +25,7 @@
   if (found == this->objects.end()) {
     // An object that was deleted long ago, brought back by a host that slept
     // or by an operator's old copy.
-    if (object.version <= this->floor) {
+    if (object.version <= this->floor && !is_shown_live) {
       return false;
     }
   } else if (object.version <= found->second.version) {
@@ -45,6 +45,19 @@
   return true;
 }
 
+// The floor may come from a peer whose watch had lost an event; what the
+// platform itself shows at or beyond our watermark certainly was not deleted.
+void KindView::TakeShown(std::int64_t revision,
+                         std::span<const StoredObject> items,
+                         std::vector<StoredObject>* changed) {
+  const bool is_stale = revision < this->watermark;
+  for (const StoredObject& item : items) {
+    if (!is_stale && !item.deleted && this->Take(item, true)) {
+      changed->push_back(item);
+    }
+  }
+}
+
 bool KindView::TakeWhole(std::int64_t since, std::int64_t revision, bool full,
                          std::span<const StoredObject> items,
                          std::vector<StoredObject>* changed) {
--- a/src/configuration/kind_view.h
+++ b/src/configuration/kind_view.h
@@ -27,7 +27,13 @@
   /// @brief Takes an object, unless as new or a newer version is known.
   /// @return whether it was taken
   /// @complexity logarithmic
-  bool Take(const StoredObject& object);
+  bool Take(const StoredObject& object) { return this->Take(object, false); }
+
+  /// @brief Takes what a read of the platform as of `revision` shows, also
+  /// what the floor holds back from others, unless the read is stale.
+  /// @param[out] changed what was taken is appended
+  void TakeShown(std::int64_t revision, std::span<const StoredObject> items,
+                 std::vector<StoredObject>* changed);
 
   /// @brief Takes what is whole from `since` to `revision`, if it joins what
   /// is known and isn't older.
@@ -59,6 +65,7 @@
   std::size_t Tombstones() const { return this->tombstones; }
 
  private:
+  bool Take(const StoredObject& object, bool is_shown_live);
   void RemoveAbsent(std::int64_t revision, std::span<const StoredObject> items,
                     std::vector<StoredObject>* changed);
   void RaiseFloor(std::int64_t revision);
--- a/src/configuration/replicated_view.cc
+++ b/src/configuration/replicated_view.cc
@@ -24,6 +24,11 @@
   delta.full = since == 0;
   delta.confirmed = confirmation;
   delta.items = list.items;
+  if (KindView* view = this->KindOf(kind); view != nullptr) {
+    std::vector<StoredObject> changed;
+    view->TakeShown(list.revision, list.items, &changed);
+    this->Tell(kind, changed);
+  }
   return this->ApplyDelta(delta);
 }
 
--- a/src/configuration/tests/replicated_view_test.cc
+++ b/src/configuration/tests/replicated_view_test.cc
@@ -106,6 +106,26 @@
   cr_assert(host.VersionOf("x") == 7 && host.VersionOf("y") == 0);
 }
 
+Test(a_view, takes_from_the_platform_what_its_peer_missed) {
+  // given a peer whose watch lost an event, and who taught a restarted host
+  Host peer("peer");
+  Host restarted("restarted");
+  peer.List(0, 50, {});
+  peer.List(50, 120, {});  // "x" was put at 100
+  restarted.LearnFrom(peer);
+  cr_assert(restarted.Revision() == 120);
+  {
+    // when a stale read shows it, it may be one that was deleted since
+    restarted.List(0, 110, {At("x", 100)});
+    cr_assert(restarted.VersionOf("x") == 0);
+  }
+  {
+    // when a fresh read shows it, then it is there, whatever the peer knew
+    restarted.List(0, 130, {At("x", 100)});
+    cr_assert(restarted.VersionOf("x") == 100);
+  }
+}
+
 Test(an_older_copy_offered, never_reverts_a_newer_one) {
   Host host("a");
   host.List(0, 9, {At("x", 7)});
