--- a/standins/engine/token_events.cc
+++ b/standins/engine/token_events.cc
@@ -77,7 +77,7 @@
     return;
   }
   const std::string_view reason = ended.state == GenerationState::kLost
-                                      ? std::string_view(ended.lost_reason)
+                                      ? std::string_view{ended.lost_reason}
                                       : StateName(ended.state);
   absl::StrAppend(out, "event: lost\ndata: {\"g\":\"", ended.id,
                   "\",\"reason\":\"",
--- a/standins/engine/token_stream.cc
+++ b/standins/engine/token_stream.cc
@@ -6,7 +6,7 @@
 namespace {
 
 // A reader this far behind gets nothing more until it has read.
-constexpr std::int64_t kMostPendingBytes = 256 * 1024;
+constexpr std::int64_t kMostPendingBytes = std::int64_t{256} << 10;
 
 }  // namespace
 
--- a/standins/hostlist/host_list_service.cc
+++ b/standins/hostlist/host_list_service.cc
@@ -47,7 +47,7 @@
   const absl::StatusOr<nlohmann::json> hosts = ParseHosts(request.body);
   if (!hosts.ok()) {
     exchange->Send(
-        ErrorReply(400, "malformed", std::string(hosts.status().message())));
+        ErrorReply(400, "malformed", std::string{hosts.status().message()}));
     return;
   }
   this->history.Set(*hosts, this->clock.NowMs());
--- a/standins/objects/object_table.h
+++ b/standins/objects/object_table.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace meadowthread::standins {
@@ -14,7 +15,10 @@
 struct ObjectKey {
   std::string kind;
   std::string name;
-  auto operator<=>(const ObjectKey&) const = default;
+
+  friend bool operator<(const ObjectKey& a, const ObjectKey& b) {
+    return std::tie(a.kind, a.name) < std::tie(b.kind, b.name);
+  }
 };
 
 /// @brief One version of an object.
