--- a/src/claims/claim_entry.cc
+++ b/src/claims/claim_entry.cc
@@ -108,16 +108,29 @@
   return Base64(nonce.data(), nonce.size());
 }
 
+std::string EncodeEntry(const ClaimEntry& entry) {
+  return EntryJson(entry).dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 std::string EncodeSegment(const ClaimSegment& segment) {
-  json entries = json::array();
+  const json frame = {{"segment", segment.number},
+                      {"prior_ms", segment.prior_ms},
+                      {"sealed", segment.sealed},
+                      {"oldest", segment.oldest},
+                      {"dropped_ms", segment.dropped_ms}};
+  // The frame's last brace is where the list of entries goes in.
+  std::string text = frame.dump();
+  text.pop_back();
+  text += ",\"entries\":[";
   for (const ClaimEntry& entry : segment.entries) {
-    entries.push_back(EntryJson(entry));
+    text += entry.encoded.empty() ? EncodeEntry(entry) : entry.encoded;
+    text += ',';
   }
-  const json value = {
-      {"segment", segment.number},        {"prior_ms", segment.prior_ms},
-      {"sealed", segment.sealed},         {"oldest", segment.oldest},
-      {"dropped_ms", segment.dropped_ms}, {"entries", std::move(entries)}};
-  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+  if (!segment.entries.empty()) {
+    text.pop_back();
+  }
+  text += "]}";
+  return text;
 }
 
 absl::StatusOr<ClaimSegment> DecodeSegment(std::string_view text,
@@ -140,6 +153,7 @@
     if (!EntryOf(item, &entry)) {
       return Malformed(name);
     }
+    entry.encoded = item.dump(-1, ' ', false, json::error_handler_t::replace);
     segment.entries.push_back(std::move(entry));
   }
   const bool sound = segment.number >= 0 && segment.oldest >= 0 &&
--- a/src/claims/claim_entry.h
+++ b/src/claims/claim_entry.h
@@ -27,6 +27,9 @@
   std::int64_t unix_ms = 0;
   bool result_apart = false;  ///< the result stands in `results/<nonce>`
   ClaimResult result;         ///< of a kResult that is not apart
+  /// As it stands in the document, where that is known: a head is written often
+  /// and its entries do not change.
+  std::string encoded;
 };
 
 /// @brief One segment of a shard's log: the head object, or an archived one.
@@ -51,6 +54,9 @@
 /// @brief A nonce as it is written, 22 characters.
 std::string NonceText(const ClaimNonce& nonce);
 
+/// @brief An entry as it stands in a segment's document.
+std::string EncodeEntry(const ClaimEntry& entry);
+
 /// @brief A segment as a JSON document.
 std::string EncodeSegment(const ClaimSegment& segment);
 
--- a/src/claims/claim_types.h
+++ b/src/claims/claim_types.h
@@ -67,9 +67,14 @@
   std::size_t max_index_entries = 200'000;  ///< a shard
   std::size_t max_waiting = 10'000;         ///< a shard
   std::int64_t batch_window_ms = 5;
+  /// Between two updates of a shard by one host: with one writer a shard, no
+  /// more than shards / interval updates a second go out, whatever the load.
+  std::int64_t write_interval_ms = 20;
   std::int64_t retry_ms = 50;
+  std::int64_t max_retry_ms = 500;  ///< in an outage
   std::int64_t settle_limit_ms = 2'000;
   std::int64_t record_limit_ms = 30'000;
+  std::int64_t forward_limit_ms = 300;
   std::int64_t outage_retry_after_ms = 1'000;
   std::int64_t retention_ms = 24LL * 60 * 60 * 1000;
   std::int64_t key_margin_ms = 5LL * 60 * 1000;
--- a/src/claims/shard_log.cc
+++ b/src/claims/shard_log.cc
@@ -49,7 +49,7 @@
 // In an outage, or beyond the bound, a claim is answered at once; what is
 // already being retried finds out when the object API is back.
 bool ShardLog::RefusesAtOnce(const Op& op) {
-  if (op->entry.kind != EntryKind::kClaim) {
+  if (op->entry.kind != EntryKind::kClaim || op->withdrawn) {
     return false;
   }
   const bool full = this->ops.size() >= this->tools.settings.max_waiting;
@@ -61,6 +61,9 @@
   const std::weak_ptr<ShardLog> weak = this->weak_from_this();
   this->tools.scheduler->After(0, [weak, op, id] {
     if (const std::shared_ptr<ShardLog> self = weak.lock()) {
+      if (op->forwarded) {
+        self->ops.push_back(op);
+      }
       self->RefuseUnread(op, id);
       self->Flush();
     }
@@ -85,8 +88,7 @@
     this->ops.remove(op);
     return;
   }
-  const bool may_land = op->in_flight || op->undecided_at.has_value();
-  if (!may_land) {
+  if (!op->MayLand()) {
     this->Refuse(op, this->tools.clock->WallMs() >= op->deadline_ms
                          ? ErrorId::kDeadlinePassed
                          : ErrorId::kStoreUnavailable);
@@ -94,7 +96,16 @@
   }
   this->Answer(op, ClaimError(ErrorId::kClaimUnsettled, this->HeadName(),
                               this->tools.settings.outage_retry_after_ms));
+  this->Withdraw(op);
+}
+
+void ShardLog::Withdraw(const Op& op) {
+  if (op->foreign) {
+    this->ops.remove(op);
+    return;
+  }
   op->withdrawn = true;
+  this->PumpAfter(this->tools.settings.batch_window_ms);
 }
 
 void ShardLog::Finish(const Op& op, Verdict verdict) {
@@ -111,6 +122,9 @@
     case Verdict::kExpired:
       this->Refuse(op, ErrorId::kIdempotencyKeyExpired);
       return;
+    case Verdict::kGivenBack:
+      this->Refuse(op, ErrorId::kClaimUnsettled);
+      return;
     case Verdict::kReplay:
       this->Replay(op);
       break;
@@ -127,11 +141,10 @@
 }
 
 void ShardLog::Grant(const Op& op) {
-  if (this->tools.clock->WallMs() >= op->deadline_ms) {
+  if (!op->foreign && this->tools.clock->WallMs() >= op->deadline_ms) {
     // Frozen meanwhile: nobody sent it and nobody will, so it is given back.
     this->Answer(op, ClaimError(ErrorId::kDeadlinePassed, this->HeadName(), 0));
-    op->withdrawn = true;
-    this->PumpAfter(this->tools.settings.batch_window_ms);
+    this->Withdraw(op);
     return;
   }
   ClaimGrant grant;
@@ -151,6 +164,11 @@
       op,
       ClaimError(id, this->HeadName(),
                  come_back ? this->tools.settings.outage_retry_after_ms : -1));
+  if (op->forwarded) {
+    // The copy that was sent on may still be written, by the other host.
+    this->Withdraw(op);
+    return;
+  }
   this->ops.remove(op);
 }
 
@@ -158,9 +176,9 @@
 void ShardLog::RefuseWaiting(ErrorId id) {
   const std::list<Op> waiting = this->ops;
   for (const Op& op : waiting) {
-    const bool may_land = op->in_flight || op->undecided_at.has_value();
     const bool is_claim = op->entry.kind == EntryKind::kClaim;
-    if (is_claim && !op->withdrawn && !may_land) {
+    const bool decided = !op->in_flight && !op->undecided_at.has_value();
+    if (is_claim && !op->withdrawn && decided) {
       this->RefuseUnread(op, id);
     }
   }
@@ -176,7 +194,9 @@
     this->ops.remove(op);
     return;
   }
-  const bool held = state.standing != KeyStanding::kFree;
+  // Its own nonce tells nothing against it: another copy of it is settled.
+  const bool held =
+      state.standing != KeyStanding::kFree && state.nonce != op->entry.nonce;
   this->Refuse(op, held ? ErrorId::kClaimHeld : id);
 }
 
@@ -251,11 +271,20 @@
     this->WriteArchive();
   } else if (head.sealed && this->swept != head.number) {
     this->ReadOldest();
+  } else if (const std::int64_t pause_ms = this->PauseMs(); pause_ms > 0) {
+    // Fewer and fuller updates: the rate of writes is bounded by the number of
+    // shards, whatever the load.
+    this->PumpAfter(pause_ms);
   } else {
     this->WriteHead(batch);
   }
 }
 
+std::int64_t ShardLog::PauseMs() const {
+  return this->written_ms + this->tools.settings.write_interval_ms -
+         this->tools.clock->MonotonicMs();
+}
+
 bool ShardLog::ReadMissing() {
   for (const Op& op : this->ops) {
     if (op->entry.kind != EntryKind::kClaim) {
@@ -281,7 +310,8 @@
         *op->undecided_at < this->view.Version()) {
       op->undecided_at.reset();
     }
-    // Two of one key in one update could not both be judged on the same view.
+    // The second of one key waits: it would be judged on a view that the first
+    // is about to change.
     if (touched.contains(op->entry.key_hash)) {
       continue;
     }
--- a/src/claims/shard_log.h
+++ b/src/claims/shard_log.h
@@ -41,6 +41,8 @@
   void Enqueue(ShardOp op);
 
  private:
+  static constexpr std::int64_t kNever = -1'000'000;
+
   using Op = std::shared_ptr<ShardOp>;
 
   /////////////////////
@@ -49,6 +51,7 @@
   bool RefusesAtOnce(const Op& op);
   void OnLimit(const Op& op);
   void GiveUp(const Op& op);
+  void Withdraw(const Op& op);
   void Finish(const Op& op, Verdict verdict);
   void Grant(const Op& op);
   void Refuse(const Op& op, ErrorId id);
@@ -63,6 +66,7 @@
   /////////////////////
   void PumpAfter(std::int64_t delay_ms);
   void Pump();
+  std::int64_t PauseMs() const;
   bool ReadMissing();
   bool JudgeAll(std::vector<Op>* batch, bool* must_fence);
   bool IsFresh(const ShardOp& op) const;
@@ -94,14 +98,16 @@
   ShardView view;
   std::list<Op> ops;
   std::vector<std::function<void()>> answers;
-  std::uint64_t calls = 0;      ///< store calls made so far
-  std::uint64_t view_call = 0;  ///< the call that confirmed the view last
-  bool busy = false;            ///< a store call is in flight
-  bool pump_due = false;        ///< a pump is scheduled
-  bool must_read = true;        ///< the head has to be read before a write
-  bool impaired = false;        ///< the last call failed
-  std::int64_t archived = -1;   ///< this segment's archive is known to stand
-  std::int64_t swept = -1;      ///< retention was looked at for this segment
+  std::uint64_t calls = 0;           ///< store calls made so far
+  std::uint64_t view_call = 0;       ///< the call that confirmed the view last
+  bool busy = false;                 ///< a store call is in flight
+  bool pump_due = false;             ///< a pump is scheduled
+  bool must_read = true;             ///< the head has to be read before a write
+  std::int64_t trouble_wait_ms = 0;  ///< the last wait after a failure
+  bool impaired = false;             ///< the last call failed
+  std::int64_t written_ms = kNever;
+  std::int64_t archived = -1;  ///< this segment's archive is known to stand
+  std::int64_t swept = -1;     ///< retention was looked at for this segment
   std::vector<ClaimSegment> dropping;
 };
 
--- a/src/claims/shard_log_io.cc
+++ b/src/claims/shard_log_io.cc
@@ -12,24 +12,16 @@
 constexpr char kClaims[] = "claims";
 constexpr char kResults[] = "results";
 
-// What an entry takes besides its result: hashes, nonce, stamp and names.
-constexpr std::size_t kEntryBytes = 200;
-constexpr std::size_t kSegmentFrameBytes = 100;
+constexpr std::size_t kSegmentFrameBytes = 120;
 
 // A roll drops more than the one segment that it adds, so that a backlog of old
 // segments shrinks.
 constexpr std::size_t kDropsPerRoll = 4;
 
-std::size_t BytesOf(const ClaimEntry& entry) {
-  const std::size_t body = entry.result.body.size() * 4 / 3;
-  return kEntryBytes + entry.host.size() + entry.result.content_type.size() +
-         body;
-}
-
 std::size_t BytesOf(const ClaimSegment& segment) {
   std::size_t bytes = kSegmentFrameBytes;
   for (const ClaimEntry& entry : segment.entries) {
-    bytes += BytesOf(entry);
+    bytes += entry.encoded.size() + 1;
   }
   return bytes;
 }
@@ -77,6 +69,7 @@
     return;
   }
   this->impaired = false;
+  this->trouble_wait_ms = 0;
   this->must_read = false;
   this->view_call = call;
   const bool undecided =
@@ -135,6 +128,7 @@
   entry.unix_ms = std::max({this->tools.clock->WallMs(), last_ms,
                             op.span.forgettable ? 0 : op.span.earliest_ms});
   entry.host = this->tools.settings.host;
+  entry.encoded = EncodeEntry(entry);
   return entry;
 }
 
@@ -156,7 +150,7 @@
       break;
     }
     next.entries.push_back(this->NextEntry(*op, next.LastMs()));
-    bytes += BytesOf(next.entries.back());
+    bytes += next.entries.back().encoded.size() + 1;
     op->in_flight = true;
   }
   next.sealed = bytes >= this->tools.settings.segment_bytes;
@@ -166,6 +160,7 @@
 void ShardLog::WriteHead(const std::vector<Op>& batch) {
   this->busy = true;
   const std::uint64_t call = ++this->calls;
+  this->written_ms = this->tools.clock->MonotonicMs();
   const ClaimSegment next = this->NextHead(batch);
   const std::weak_ptr<ShardLog> weak = this->weak_from_this();
   this->tools.store->Put(
@@ -317,8 +312,12 @@
   this->impaired = true;
   this->must_read = true;
   this->RefuseWaiting(id);
+  // Longer each time: an object API that is down is not to be kept busy.
+  const ClaimSettings& settings = this->tools.settings;
+  this->trouble_wait_ms = std::clamp(2 * this->trouble_wait_ms,
+                                     settings.retry_ms, settings.max_retry_ms);
   if (!this->ops.empty()) {
-    this->PumpAfter(this->tools.settings.retry_ms);
+    this->PumpAfter(this->trouble_wait_ms);
   }
 }
 
--- a/src/claims/shard_op.cc
+++ b/src/claims/shard_op.cc
@@ -11,12 +11,24 @@
   if (IsHolder(op, view.Index().Find(op.entry.key_hash))) {
     return Verdict::kRelease;
   }
+  // Another host may write it at any later time: a release that stands first
+  // makes that claim void.
+  const bool released =
+      view.Index().Has(op.entry.key_hash, op.entry.nonce, EntryKind::kRelease);
+  if (op.forwarded && !released) {
+    return Verdict::kRelease;
+  }
   // On the same version the delayed write can still land; any other write on
   // that version takes its place for good.
   return op.undecided_at.has_value() ? Verdict::kFence : Verdict::kSettled;
 }
 
 Verdict JudgeClaim(const ShardOp& op, const ShardView& view, bool is_fresh) {
+  // A forwarded claim whose sender has given up in the meantime.
+  if (view.Index().Has(op.entry.key_hash, op.entry.nonce,
+                       EntryKind::kRelease)) {
+    return Verdict::kGivenBack;
+  }
   const KeyState state = view.Index().Find(op.entry.key_hash);
   if (IsHolder(op, state)) {
     return Verdict::kGranted;
--- a/src/claims/shard_op.h
+++ b/src/claims/shard_op.h
@@ -20,11 +20,20 @@
   /// The version that an undecided write carrying this was conditioned on.
   std::optional<std::int64_t> undecided_at;
   bool in_flight = false;
+  bool forwarded = false;  ///< another host may write it too
+  /// Of another host, which alone knows whether it was sent: it is never given
+  /// back from here.
+  bool foreign = false;
   /// A claim whose asker was answered: it is never sent, and given back where
   /// it landed or may land.
   bool withdrawn = false;
   ClaimService::ClaimDone claim_done;
   ClaimService::Done done;
+
+  /// @brief Whether it may stand in the log, or come to.
+  bool MayLand() const {
+    return this->in_flight || this->forwarded || this->undecided_at.has_value();
+  }
 };
 
 /// @brief What is to be done with an operation on the view as it is.
@@ -38,7 +47,8 @@
   kReused,
   kReplay,
   kExpired,
-  kSettled,  ///< it stands, or nothing of it can: forget it
+  kGivenBack,  ///< its own release stands before it
+  kSettled,    ///< it stands, or nothing of it can: forget it
 };
 
 /// @brief Judges one operation.
--- a/src/claims/store_claim_service.cc
+++ b/src/claims/store_claim_service.cc
@@ -30,12 +30,37 @@
   Done done;
 };
 
-StoreClaimService::StoreClaimService(const ClaimTools& tools)
-    : tools(tools), alive(std::make_shared<int>(0)) {
-  for (int shard = 0; shard < std::max(tools.settings.shards, 1); ++shard) {
-    this->logs.push_back(std::make_shared<ShardLog>(
-        this->tools, static_cast<std::uint32_t>(shard)));
+StoreClaimService::StoreClaimService(const ClaimTools& tools,
+                                     ClaimForwarder* forwarder)
+    : tools(tools),
+      router(std::make_shared<ClaimRouter>(tools, forwarder)),
+      alive(std::make_shared<int>(0)) {}
+
+void StoreClaimService::TakeForwarded(const ForwardedOp& op,
+                                      const ClaimForwarder::ForwardDone& done) {
+  if (op.shard >= this->router->Shards()) {
+    // The sender's settings differ; it writes the log itself.
+    this->AnswerLater(
+        [done](const absl::StatusOr<ClaimAnswer>& end) { done(end.status()); },
+        ClaimError(ErrorId::kStoreMalformed, "", -1));
+    return;
+  }
+  ShardOp taken;
+  taken.entry = op.entry;
+  taken.span = op.span;
+  taken.deadline_ms = op.deadline_ms;
+  taken.limit_ms = op.limit_ms;
+  taken.foreign = true;
+  if (op.entry.kind == EntryKind::kClaim) {
+    taken.claim_done = [done](const absl::StatusOr<ClaimAnswer>& claim) {
+      done(ForwardedAnswer{claim, absl::OkStatus()});
+    };
+  } else {
+    taken.done = [done](const absl::Status& status) {
+      done(ForwardedAnswer{ClaimAnswer(ClaimGrant{}), status});
+    };
   }
+  this->router->Write(op.shard, std::move(taken));
 }
 
 void StoreClaimService::Claim(const ClaimRequest& request,
@@ -62,8 +87,8 @@
       std::min(request.deadline_unix_ms, now_ms + settings.settle_limit_ms);
   op.claim_done = done;
   const std::uint32_t shard = ShardOf(request.workspace, request.key,
-                                      static_cast<int>(this->logs.size()));
-  this->logs[shard]->Enqueue(std::move(op));
+                                      static_cast<int>(this->router->Shards()));
+  this->router->Route(shard, std::move(op));
 }
 
 absl::StatusOr<KeySpan> StoreClaimService::SpanOf(
@@ -157,7 +182,7 @@
   op.limit_ms =
       this->tools.clock->WallMs() + this->tools.settings.record_limit_ms;
   op.done = done;
-  this->logs.at(grant.shard)->Enqueue(std::move(op));
+  this->router->Route(grant.shard, std::move(op));
 }
 
 std::string_view StoreClaimService::Guarantee(KeyForm form) const {
--- a/src/claims/store_claim_service.h
+++ b/src/claims/store_claim_service.h
@@ -4,10 +4,9 @@
 #include <cstdint>
 #include <memory>
 #include <string_view>
-#include <vector>
 
+#include "claims/claim_router.h"
 #include "claims/claim_service.h"
-#include "claims/shard_log.h"
 
 namespace meadowthread {
 
@@ -17,7 +16,13 @@
 /// to come when it is destroyed are not given.
 class StoreClaimService final : public ClaimService {
  public:
-  explicit StoreClaimService(const ClaimTools& tools);
+  /// @param[in] forwarder null: this host writes every shard's log itself
+  explicit StoreClaimService(const ClaimTools& tools,
+                             ClaimForwarder* forwarder = nullptr);
+
+  /// @brief Takes an operation that another host's forwarder sent here.
+  void TakeForwarded(const ForwardedOp& op,
+                     const ClaimForwarder::ForwardDone& done);
 
   void Claim(const ClaimRequest& request, const ClaimDone& done) override;
   void RecordResult(const ClaimGrant& grant, const ClaimResult& result,
@@ -35,7 +40,7 @@
   void PutResult(const std::shared_ptr<PendingResult>& pending);
 
   ClaimTools tools;
-  std::vector<std::shared_ptr<ShardLog>> logs;
+  std::shared_ptr<ClaimRouter> router;
   /// Lives as long as the service; pending answers hold it weakly.
   std::shared_ptr<int> alive;
 };
