--- a/src/claims/tests/claim_faults_test.cc
+++ b/src/claims/tests/claim_faults_test.cc
@@ -5,6 +5,39 @@
 namespace meadowthread {
 namespace {
 
+/// @brief A client that sends each write a second time by itself and gives the
+/// second answer.
+class ResendingStore final : public ObjectStore {
+ public:
+  explicit ResendingStore(MemoryStore* store) : store(store) {}
+
+  void Get(std::string_view kind, std::string_view name,
+           const GetDone& done) override {
+    this->store->Get(kind, name, done);
+  }
+  void Put(std::string_view kind, std::string_view name, std::string_view value,
+           std::int64_t version, const PutDone& done) override {
+    this->store->Put(kind, name, value, version,
+                     [](const absl::StatusOr<std::int64_t>&) {});
+    this->store->Put(kind, name, value, version, done);
+  }
+  void Delete(std::string_view kind, std::string_view name,
+              std::int64_t version, const PutDone& done) override {
+    this->store->Delete(kind, name, version, done);
+  }
+  void List(std::string_view kind, std::int64_t since,
+            const ListDone& done) override {
+    this->store->List(kind, since, done);
+  }
+  void Watch(std::string_view kind, std::int64_t since, std::int64_t wait_ms,
+             const ListDone& done) override {
+    this->store->Watch(kind, since, wait_ms, done);
+  }
+
+ private:
+  MemoryStore* store;
+};
+
 Test(a_claim_whose_answer_is_lost, is_settled_by_reading_back) {
   ClaimFixture fixture;
   const std::string key = fixture.Key("note");
@@ -27,6 +60,28 @@
   cr_assert(fixture.store.WriteCalls() == 3);
 }
 
+Test(a_claim_whose_answer_is_lost, may_meet_its_own_earlier_copy) {
+  ClaimFixture fixture;
+  ResendingStore resending(&fixture.store);
+  const std::string key = fixture.Key("note");
+  ClaimTools tools;
+  tools.store = &resending;
+  tools.scheduler = &fixture.scheduler;
+  tools.clock = &fixture.clock;
+  tools.settings = fixture.settings;
+  fixture.hosts[0] = std::make_unique<StoreClaimService>(tools);
+  const auto mine = fixture.Claim(0, key);
+  fixture.RunUnanswered(5);
+  fixture.store.Step();  // the head is read; the write is sent twice
+  fixture.store.SetDown(true);
+  fixture.Run(20);
+  // then: the conflict settles nothing, and neither does the outage
+  cr_assert(mine->times == 0);
+  fixture.store.SetDown(false);
+  fixture.Run(500);
+  cr_assert(mine->Granted());
+}
+
 Test(a_delayed_write, that_lands_after_the_read_back_still_holds_the_key) {
   ClaimFixture fixture;
   const std::string key = fixture.Key("note");
--- a/src/claims/tests/claim_log_test.cc
+++ b/src/claims/tests/claim_log_test.cc
@@ -212,6 +212,61 @@
   cr_assert(again->Refused(ErrorId::kIdempotencyKeyExpired, Outcome::kUnknown));
 }
 
+Test(a_claim, is_never_stamped_earlier_than_its_key_is_looked_for) {
+  ClaimFixture fixture(1, SmallSegments());
+  ManualClock stepped(kStartMs);
+  ClaimTools tools;
+  tools.store = &fixture.store;
+  tools.scheduler = &fixture.scheduler;
+  tools.clock = &stepped;
+  tools.settings = fixture.settings;
+  StoreClaimService other(tools);
+  // given: a claimer whose clock steps back between the asking and the write
+  ClaimRequest request;
+  request.workspace = "lukot";
+  request.key = fixture.Key("note");
+  request.body_digest = BodyDigest("body");
+  request.deadline_unix_ms = kStartMs + 10'000;
+  int granted = 0;
+  other.Claim(request, [&granted](const absl::StatusOr<ClaimAnswer>& answer) {
+    granted += answer.ok() ? 1 : 0;
+  });
+  stepped.Advance(-kHourMs);
+  fixture.Run(50);
+  cr_assert(granted == 1);
+  // when: segments follow, and a host with an empty index is asked
+  Fill(&fixture, 10, "a");
+  fixture.hosts[0] = fixture.NewHost();
+  const auto again = fixture.Claim(0, request.key);
+  fixture.Run(50);
+  cr_assert(again->Refused(ErrorId::kClaimHeld, Outcome::kUnknown));
+}
+
+Test(a_lost_head, refuses_claims_of_hosts_that_knew_it) {
+  ClaimFixture fixture(1);
+  const std::string key = Fill(&fixture, 1, "a");
+  const std::int64_t version = Read(&fixture, "0.head")->version;
+  fixture.store.Delete("claims", "0.head", version,
+                       [](const absl::StatusOr<std::int64_t>&) {});
+  fixture.Run(50);
+  const auto other = fixture.Claim(0, fixture.Key("b"));
+  fixture.Run(2'500);
+  {  // then: no new log is begun, in which the claims of the old one are free
+    cr_assert(other->Refused(ErrorId::kClaimUnsettled, Outcome::kNotRun));
+    cr_assert(Read(&fixture, "0.head")->value.empty());
+  }
+}
+
+Test(writes, of_a_shard_keep_their_distance) {
+  ClaimFixture fixture(1);
+  for (int i = 0; i < 200; ++i) {
+    fixture.Claim(0, fixture.Key(std::to_string(i)));
+    fixture.Run(1);
+  }
+  cr_assert(fixture.store.WriteCalls() <=
+            1 + 200 / fixture.settings.write_interval_ms);
+}
+
 Test(a_malformed_log, refuses_claims_and_harms_nothing) {
   for (const std::string_view text :
        {"", "[]", "{\"entries\":[7],\"sealed\":false}",
