--- a/src/claims/claim_types.h
+++ b/src/claims/claim_types.h
@@ -61,9 +61,9 @@
 struct ClaimSettings {
   int shards = 8;
   std::string host;  ///< written into entries, for a person who reads the log
-  std::size_t segment_bytes = 64 * 1024;
+  std::size_t segment_bytes = std::size_t{64} * 1024;
   std::size_t inline_result_bytes = 1024;
-  std::size_t max_result_bytes = 700 * 1024;
+  std::size_t max_result_bytes = std::size_t{700} * 1024;
   std::size_t max_index_entries = 200'000;  ///< a shard
   std::size_t max_waiting = 10'000;         ///< a shard
   std::int64_t batch_window_ms = 5;
@@ -77,7 +77,7 @@
   std::int64_t forward_limit_ms = 300;
   std::int64_t outage_retry_after_ms = 1'000;
   std::int64_t retention_ms = 24LL * 60 * 60 * 1000;
-  std::int64_t key_margin_ms = 5LL * 60 * 1000;
+  std::int64_t key_margin_ms = 60LL * 1000;
 };
 
 }  // namespace meadowthread
--- a/src/claims/shard_log_io.cc
+++ b/src/claims/shard_log_io.cc
@@ -161,14 +161,14 @@
   this->busy = true;
   const std::uint64_t call = ++this->calls;
   this->written_ms = this->tools.clock->MonotonicMs();
-  const ClaimSegment next = this->NextHead(batch);
+  const auto next = std::make_shared<const ClaimSegment>(this->NextHead(batch));
   const std::weak_ptr<ShardLog> weak = this->weak_from_this();
   this->tools.store->Put(
-      kClaims, this->HeadName(), EncodeSegment(next), this->view.Version(),
+      kClaims, this->HeadName(), EncodeSegment(*next), this->view.Version(),
       [weak, batch, next, call](const absl::StatusOr<std::int64_t>& answer) {
         if (const std::shared_ptr<ShardLog> self = weak.lock()) {
           self->busy = false;
-          self->OnWritten(answer, batch, next, call);
+          self->OnWritten(answer, batch, *next, call);
           self->Flush();
         }
       });
