--- a/src/claims/tests/shard_view_test.cc
+++ b/src/claims/tests/shard_view_test.cc
@@ -58,6 +58,12 @@
   view.TakeArchive(Segment(1, 20, {Entry(EntryKind::kRelease, 1, 30)}));
   view.TakeArchive(Segment(0, -1, {Entry(EntryKind::kClaim, 1, 20)}));
   cr_assert(view.Index().Find({}).nonce[0] == 2);
+  {  // and: of two claims the older segment's holds
+    ClaimIndex index;
+    index.Add(Segment(1, 20, {Entry(EntryKind::kClaim, 2, 30)}), 0);
+    index.Add(Segment(0, -1, {Entry(EntryKind::kClaim, 1, 20)}), 0);
+    cr_assert(index.Find({}).nonce[0] == 1);
+  }
 }
 
 Test(a_released_nonce, does_not_hold_the_key_again) {
