--- a/src/cli/change_result.cc
+++ b/src/cli/change_result.cc
@@ -59,6 +59,7 @@
   result.text = absl::StrCat(std::string(what), ": ", SentenceOf(end), "\n");
   if (end.outcome == ChangeOutcome::kAccepted) {
     const OfferReport offered = OfferToAll(platform, end.object);
+    result.json["result"] = "accepted";
     result.json["offered"] = offered.Json();
     result.text += offered.Text();
   } else if (end.outcome == ChangeOutcome::kConflict) {
--- a/src/cli/tests/change_test.cc
+++ b/src/cli/tests/change_test.cc
@@ -104,6 +104,26 @@
   }
 }
 
+Test(a_put_template, that_another_came_before_is_a_conflict_by_its_history) {
+  FakeWorld world;
+  Put(world, Tags("urgent"));
+  world.store.FailWrites({WriteFault::kRequestLost});
+  world.at_pause = [&world] { PutByBen(world, Tags("batch")); };
+  cr_assert(Put(world, Tags("normal")).code == ExitCode::kConflict);
+}
+
+Test(a_put_template, covered_by_one_without_history_is_unknown) {
+  FakeWorld world;
+  Put(world, Tags("urgent"));
+  world.store.FailWrites({WriteFault::kDelayed});
+  world.at_pause = [&world] {
+    world.store.ReleaseDelayed();
+    const std::string other = R"({"operation":"op-x","yaml":"name: tags"})";
+    world.store.Put("templates", "tags", other, 2, [](const auto&) {});
+  };
+  cr_assert(Put(world, Tags("normal")).code == ExitCode::kUnknown);
+}
+
 Test(a_put_template, that_stays_unsettled_is_unknown) {
   FakeWorld world;
   world.store.FailWrites(std::vector<WriteFault>(20, WriteFault::kRequestLost));
--- a/src/cli/tests/fake_platform.h
+++ b/src/cli/tests/fake_platform.h
@@ -1,8 +1,10 @@
 #ifndef MEADOWTHREAD_CLI_TESTS_FAKE_PLATFORM_H_
 #define MEADOWTHREAD_CLI_TESTS_FAKE_PLATFORM_H_
 
+#include <functional>
 #include <sstream>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -21,6 +23,8 @@
   absl::StatusOr<HostList> hosts = HostList{};
   std::vector<HostReply> replies;  ///< to AskStatuses and CallAll
   std::vector<std::string> calls;  ///< parameters of CallAll
+  /// Happens once, at the first pause: between a write and the next.
+  std::function<void()> at_pause = [] {};
 
   void Put(std::string_view kind, std::string_view name,
            std::string_view value) {
@@ -42,6 +46,7 @@
   }
 
   void Pause(std::int64_t pause_ms) override {
+    std::exchange(this->world.at_pause, [] {})();
     this->world.store.Settle();
     this->world.clock.Advance(pause_ms);
   }
--- a/src/cli/tests/object_change_test.cc
+++ b/src/cli/tests/object_change_test.cc
@@ -2,8 +2,6 @@
 
 #include <criterion/criterion.h>
 
-#include <functional>
-
 #include "cli/tests/fake_platform.h"
 
 namespace meadowthread {
@@ -37,44 +35,16 @@
   bool keeps_history;
 };
 
-/// Does something to the world at the first pause, which is between the first
-/// write and the second.
-class MeddlingPlatform final : public Platform {
- public:
-  MeddlingPlatform(FakeWorld& world, std::function<void()> meddle)
-      : inner(world), meddle(std::move(meddle)) {}
-
-  ObjectStore& Store() override { return this->inner.Store(); }
-  bool Wait(const std::function<bool()>& is_done) override {
-    return this->inner.Wait(is_done);
-  }
-  void Pause(std::int64_t pause_ms) override {
-    std::exchange(this->meddle, [] {})();
-    this->inner.Pause(pause_ms);
-  }
-  absl::StatusOr<HostList> ListHosts() override { return HostList{}; }
-  std::vector<HostReply> AskStatuses(std::span<const HostEntry>) override {
-    return {};
-  }
-  std::vector<HostReply> CallAll(std::span<const HostEntry>, std::string_view,
-                                 std::string_view) override {
-    return {};
-  }
-
- private:
-  FakePlatform inner;
-  std::function<void()> meddle;
-};
-
 ChangeEnd ChangeMeanwhile(FakeWorld& world, bool keeps_history,
                           WriteFault fault, std::string_view other) {
   world.store.FailWrites({fault});
-  MeddlingPlatform platform(world, [&world, other] {
+  world.at_pause = [&world, other] {
     world.store.ReleaseDelayed();
     world.store.Put("k", "n", other, world.store.Revision(),
                     [](const auto&) {});
     world.store.Settle();
-  });
+  };
+  FakePlatform platform(world);
   return MakeChange(platform, ListChange(keeps_history), std::nullopt);
 }
 
@@ -100,6 +70,15 @@
   cr_assert(end.outcome == ChangeOutcome::kUnknown);
 }
 
+Test(an_undecided_change, that_the_platform_then_refuses_is_unknown) {
+  FakeWorld world;
+  world.store.FailWrites({WriteFault::kDelayed});
+  world.at_pause = [&world] { world.store.SetDown(true); };
+  FakePlatform platform(world);
+  const ChangeEnd end = MakeChange(platform, ListChange(true), std::nullopt);
+  cr_assert(end.outcome == ChangeOutcome::kUnknown);
+}
+
 Test(a_change, that_is_refused_at_once_is_a_conflict) {
   FakeWorld world;
   world.Put("k", "n", "a,");
