--- a/src/configuration/service_catalog.h
+++ b/src/configuration/service_catalog.h
@@ -72,6 +72,9 @@
   CallRule RuleOf(std::string_view workspace, std::string_view service,
                   std::string_view method, std::string_view path) const;
 
+  /// @brief All workspaces that are served anything, by name.
+  std::vector<std::string> Workspaces() const;
+
   /// @brief All models that any template in force needs, ascending.
   std::vector<ModelVersion> Models() const;
 
