--- a/bench/driver.cc
+++ b/bench/driver.cc
@@ -187,6 +187,11 @@
       decider.fleet->SetEngine({NameOf(i), "z", true, false}, 0);
       decider.fleet->ApplyReport(this->ReportOf(i), 0);
     }
+    std::vector<std::string> hosts;
+    for (int i = 0; i < this->settings.deciders; ++i) {
+      hosts.push_back(std::to_string(i));
+    }
+    decider.fleet->SetHosts(std::to_string(this->deciders.size()), hosts);
     this->deciders.push_back(std::move(decider));
   }
 
@@ -272,9 +277,14 @@
            decider.dispatcher->Expire(now_ms, this->random())) {
         this->Refused(given_up.work);
       }
-      for (const SendOrder& order :
-           decider.dispatcher->Drain(now_ms, this->random())) {
-        this->Send(NumberOf(order.work.request), order.decision);
+      // One at a time, so that an oracle sees each where it went.
+      for (;;) {
+        const std::vector<SendOrder> orders =
+            decider.dispatcher->Drain(now_ms, this->random(), 1);
+        if (orders.empty()) {
+          break;
+        }
+        this->Send(NumberOf(orders[0].work.request), orders[0].decision);
       }
     }
   }
--- a/src/configuration/service_catalog.cc
+++ b/src/configuration/service_catalog.cc
@@ -156,6 +156,14 @@
   return CallRule{};
 }
 
+std::vector<std::string> ServiceCatalog::Workspaces() const {
+  std::vector<std::string> names;
+  for (const auto& [workspace, places] : this->by_workspace) {
+    names.push_back(workspace);
+  }
+  return names;
+}
+
 std::vector<ModelVersion> ServiceCatalog::Models() const {
   std::vector<ModelVersion> models;
   for (const auto& [model, uses] : this->model_uses) {
