--- a/src/configuration/conditional_change.cc
+++ b/src/configuration/conditional_change.cc
@@ -79,7 +79,7 @@
     result.outcome = ChangeOutcome::kInvalid;
     result.message = "the text is larger than the object API takes";
     result.problems.push_back({0, "", result.message});
-    this->Finish(std::move(result));
+    this->Finish(result);
     return;
   }
   this->Write();
@@ -162,7 +162,7 @@
     result.message = "accepted, and followed by another change";
     result.difference = this->subject->Explain(nullptr, &standing);
   }
-  this->Finish(std::move(result));
+  this->Finish(result);
   return true;
 }
 
@@ -203,7 +203,7 @@
   result.object = StoredObject{std::string(this->subject->Kind()),
                                std::string(this->subject->Name()), version,
                                this->value, false};
-  this->Finish(std::move(result));
+  this->Finish(result);
 }
 
 void ConditionalChange::FinishConflict(const StoredObject* standing) {
@@ -217,7 +217,7 @@
   if (standing != nullptr) {
     result.object = *standing;
   }
-  this->Finish(std::move(result));
+  this->Finish(result);
 }
 
 void ConditionalChange::FinishUnsettled() {
@@ -237,11 +237,11 @@
         "the object API is unavailable and nothing was changed; try again "
         "later";
   }
-  this->Finish(std::move(result));
+  this->Finish(result);
 }
 
-void ConditionalChange::Finish(ChangeResult result) {
-  this->done(std::move(result));
+void ConditionalChange::Finish(const ChangeResult& result) {
+  this->done(result);
 }
 
 }  // namespace meadowthread
--- a/src/configuration/conditional_change.h
+++ b/src/configuration/conditional_change.h
@@ -46,7 +46,7 @@
   void FinishApplied(std::int64_t version);
   void FinishConflict(const StoredObject* standing);
   void FinishUnsettled();
-  void Finish(ChangeResult result);
+  void Finish(const ChangeResult& result);
 
   ObjectStore& store;
   Scheduler& scheduler;
--- a/src/configuration/kind_view.cc
+++ b/src/configuration/kind_view.cc
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "configuration/template_object.h"
+
 namespace meadowthread {
 namespace {
 
@@ -39,7 +41,12 @@
   if (found != this->objects.end()) {
     this->Forget(object.name);
   }
-  const auto placed = this->objects.emplace(object.name, object).first;
+  // Each change of a template would cost its whole history in every exchange;
+  // one earlier version is enough to fall back on.
+  const auto placed =
+      this->kind == kTemplatesKind
+          ? this->objects.emplace(object.name, WithoutOldHistory(object)).first
+          : this->objects.emplace(object.name, object).first;
   this->by_version.emplace(object.version, &placed->second);
   this->tombstones += object.deleted ? 1 : 0;
   return true;
--- a/src/configuration/template_object.cc
+++ b/src/configuration/template_object.cc
@@ -85,4 +85,19 @@
   return object;
 }
 
+StoredObject WithoutOldHistory(const StoredObject& object) {
+  if (object.deleted) {
+    return object;
+  }
+  absl::StatusOr<TemplateObject> read =
+      TemplateFromJson(object.value, object.version);
+  if (!read.ok() || read->history.size() <= kMaxReplicatedHistory) {
+    return object;
+  }
+  read->history.resize(kMaxReplicatedHistory);
+  StoredObject kept = object;
+  kept.value = TemplateToJson(*read);
+  return kept;
+}
+
 }  // namespace meadowthread
--- a/src/configuration/template_object.h
+++ b/src/configuration/template_object.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "store/object_store.h"
 
 namespace meadowthread {
 
@@ -47,6 +48,13 @@
                                   const TemplateEntry& next,
                                   std::size_t limit_bytes);
 
+/// @brief Most earlier versions that hosts hold and tell each other.
+inline constexpr std::size_t kMaxReplicatedHistory = 1;
+
+/// @brief A template's object as hosts hold it: with its newest history only.
+/// An object that cannot be read stays as it is.
+StoredObject WithoutOldHistory(const StoredObject& object);
+
 }  // namespace meadowthread
 
 #endif  // MEADOWTHREAD_CONFIGURATION_TEMPLATE_OBJECT_H_
--- a/src/configuration/tests/replicated_view_test.cc
+++ b/src/configuration/tests/replicated_view_test.cc
@@ -7,6 +7,8 @@
 #include <random>
 #include <set>
 
+#include "configuration/template_object.h"
+
 namespace meadowthread {
 namespace {
 
@@ -221,6 +223,18 @@
   cr_assert(peer.Offer(all.front()) == 0 && host.Offer(all.front()) == 0);
 }
 
+Test(a_template, is_held_with_its_newest_history_only) {
+  TemplateObject object;
+  object.current.yaml = "now";
+  object.history = {{"", "", 0, "before", 2}, {"", "", 0, "long ago", 1}};
+  Host host("a");
+  host.Offer({"templates", "x", 3, TemplateToJson(object), false});
+  const StoredObject* held = host.view.Find("templates", "x");
+  const auto read = TemplateFromJson(held->value, held->version);
+  cr_assert(read->current.yaml == "now" && read->history.size() == 1);
+  cr_assert(read->history.front().yaml == "before");
+}
+
 Test(freshness, is_the_latest_read_at_our_watermark) {
   Host host("b");
   host.List(0, 9, {});
