Command line: operators' changes by the configuration slice's logic

Cause: the command line had a conditional change and a line difference of its own, written while the configuration slice's were under way; both define meadowthread::LineDifference, and one protocol stood twice. Ruled out: keeping the own one (the configuration slice also minds stale reads and confirms "the same stands" by an update).

--- a/src/cli/host_mark_command.cc
+++ b/src/cli/host_mark_command.cc
@@ -1,58 +1,17 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
-#include "cli/change_result.h"
+#include "cli/change_command.h"
 #include "cli/host_commands.h"
 #include "cli/operator_options.h"
 #include "cli/platform_command.h"
-#include "cli/utc_time.h"
 #include "configuration/marks.h"
+#include "configuration/operator_change.h"
 #include "configuration/template_document.h"
 
 namespace meadowthread {
 namespace {
 
-class MarkChange final : public ObjectChange {
- public:
-  explicit MarkChange(MarkDocument wanted) : wanted(std::move(wanted)) {}
-
-  std::string_view Kind() const override { return "marks"; }
-  std::string_view Name() const override { return this->wanted.host; }
-
-  bool IsDoneBy(const StoredObject& standing) const override {
-    const absl::StatusOr<MarkDocument> mark = MarkFromJson(standing.value);
-    return mark.ok() && mark->mark == this->wanted.mark &&
-           mark->handover == this->wanted.handover;
-  }
-
-  std::string NextValue(const StoredObject& /*standing*/) const override {
-    return MarkToJson(this->wanted);
-  }
-
-  // A mark has no history: one that is not ours tells nothing of ours.
-  FoundOperation Find(const StoredObject& standing,
-                      std::int64_t /*base_version*/) const override {
-    const absl::StatusOr<MarkDocument> mark = MarkFromJson(standing.value);
-    if (mark.ok() && mark->operation == this->wanted.operation) {
-      return {OperationTrace::kPresent, standing.version};
-    }
-    return {OperationTrace::kUntold, 0};
-  }
-
- private:
-  MarkDocument wanted;
-};
-
-std::string ConflictText(const StoredObject& standing) {
-  const absl::StatusOr<MarkDocument> mark = MarkFromJson(standing.value);
-  if (!mark.ok()) {
-    return "the mark that stands cannot be read\n";
-  }
-  return absl::StrCat("marked ", std::string(HostMarkName(mark->mark)),
-                      mark->handover ? " (handover)" : "", " by ", mark->set_by,
-                      " at ", UtcTime(mark->unix_ms), "\n");
-}
-
 bool IsListed(const HostList& list, const std::string& host) {
   return std::any_of(
       list.hosts.begin(), list.hosts.end(),
@@ -74,6 +33,7 @@
         unlisted("", "unlisted",
                  "mark it although the host list does not have it", line),
         author(line),
+        operation(line),
         clock(clock),
         operations(operations) {}
 
@@ -99,15 +59,18 @@
     document.host = this->host.getValue();
     document.mark = *wanted;
     document.handover = this->handover.getValue();
-    document.operation = this->operations.Next();
+    document.operation = this->operation.Operation(this->operations);
     document.set_by = *who;
     document.unix_ms = this->clock.WallMs();
-    const ChangeEnd end =
-        MakeChange(context.platform, MarkChange(document), std::nullopt);
+    const ChangeResult end = AwaitChange(
+        context.platform,
+        [&document](OperatorChanges& changes, const ChangeDone& done) {
+          changes.PutMark(document, done);
+        });
     return TellChange(
         context.platform, end,
         absl::StrCat("mark ", this->mark.getValue(), " of ", document.host),
-        ConflictText(end.object));
+        document.operation);
   }
 
  private:
@@ -126,6 +89,7 @@
   TCLAP::SwitchArg handover;
   TCLAP::SwitchArg unlisted;
   AuthorOption author;
+  OperationOption operation;
   const Clock& clock;
   NonceSource& operations;
 };
--- a/src/cli/platform.h
+++ b/src/cli/platform.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "base/scheduler.h"
 #include "hosts/host_list.h"
 #include "store/object_store.h"
 
@@ -28,6 +29,9 @@
 
   virtual ObjectStore& Store() = 0;
 
+  /// @brief Runs tasks later, while a command waits.
+  virtual Scheduler& Tasks() = 0;
+
   /// @brief Lets answers come until `is_done`.
   /// @return false where the time limit passed first
   virtual bool Wait(const std::function<bool()>& is_done) = 0;
--- a/src/cli/qt_platform.cc
+++ b/src/cli/qt_platform.cc
@@ -12,6 +12,7 @@
 #include "cli/await.h"
 #include "exchange/rpc_client.h"
 #include "net/curl_client.h"
+#include "net/qt_scheduler.h"
 #include "store/http_object_store.h"
 
 namespace meadowthread {
@@ -68,6 +69,7 @@
         rpc({kRpcThreads, kMaxCalls}, this->clock) {}
 
   ObjectStore& Store() override { return this->store; }
+  Scheduler& Tasks() override { return this->tasks; }
 
   bool Wait(const std::function<bool()>& is_done) override {
     return this->WaitUpTo(this->address.timeout_ms + kWaitMarginMs, is_done);
@@ -195,6 +197,7 @@
 
   PlatformAddress address;
   SystemClock clock;
+  QtScheduler tasks;
   CurlClient http;
   HttpObjectStore store;
   RpcClient rpc;
--- a/src/cli/template_put_command.cc
+++ b/src/cli/template_put_command.cc
@@ -1,12 +1,11 @@
 #include "absl/strings/str_cat.h"
-#include "cli/change_result.h"
+#include "cli/change_command.h"
 #include "cli/document_check.h"
 #include "cli/input_file.h"
-#include "cli/line_difference.h"
 #include "cli/operator_options.h"
 #include "cli/platform_command.h"
 #include "cli/template_commands.h"
-#include "cli/utc_time.h"
+#include "configuration/operator_change.h"
 #include "configuration/template_document.h"
 #include "configuration/template_object.h"
 #include "store/http_object_store.h"
@@ -14,73 +13,6 @@
 namespace meadowthread {
 namespace {
 
-/// An object whose value cannot be read counts as an empty template, so that
-/// a put can repair it.
-TemplateObject ReadObject(const StoredObject& object) {
-  absl::StatusOr<TemplateObject> read =
-      TemplateFromJson(object.value, object.version);
-  if (read.ok()) {
-    return *std::move(read);
-  }
-  TemplateObject none;
-  none.current.version = object.version;
-  return none;
-}
-
-class TemplateChange final : public ObjectChange {
- public:
-  TemplateChange(std::string_view name, const TemplateEntry& entry)
-      : name(name), entry(entry) {}
-
-  std::string_view Kind() const override { return "templates"; }
-  std::string_view Name() const override { return this->name; }
-
-  bool IsDoneBy(const StoredObject& standing) const override {
-    return ReadObject(standing).current.yaml == this->entry.yaml;
-  }
-
-  std::string NextValue(const StoredObject& standing) const override {
-    if (standing.version == 0) {
-      return TemplateToJson({this->entry, {}});
-    }
-    return TemplateToJson(
-        NextTemplateObject(ReadObject(standing), this->entry, kMaxObjectBytes));
-  }
-
-  FoundOperation Find(const StoredObject& standing,
-                      std::int64_t base_version) const override {
-    const TemplateObject object = ReadObject(standing);
-    std::vector<TemplateEntry> entries = {object.current};
-    entries.insert(entries.end(), object.history.begin(), object.history.end());
-    bool reaches_base = false;
-    for (const TemplateEntry& found : entries) {
-      if (found.operation == this->entry.operation) {
-        return {OperationTrace::kPresent, found.version};
-      }
-      reaches_base = reaches_base || found.version == base_version;
-    }
-    // Each version names the one before it, so that a history down to the base
-    // has every change since.
-    return {reaches_base ? OperationTrace::kAbsent : OperationTrace::kUntold,
-            0};
-  }
-
- private:
-  std::string name;
-  TemplateEntry entry;
-};
-
-std::string ConflictText(const StoredObject& standing,
-                         const std::string& yours) {
-  if (standing.version == 0) {
-    return "";
-  }
-  const TemplateEntry theirs = ReadObject(standing).current;
-  return absl::StrCat("put by ", theirs.author, " at ", UtcTime(theirs.unix_ms),
-                      "; your file (-) against what stands (+):\n",
-                      LineDifference(yours, theirs.yaml));
-}
-
 class PutInvocation final : public Invocation {
  public:
   PutInvocation(TCLAP::CmdLine& line, const Clock& clock,
@@ -92,6 +24,7 @@
                    "json` tells it; 0: only where there is none",
                    false, 0, "N", line),
         author(line),
+        operation(line),
         clock(clock),
         operations(operations) {}
 
@@ -109,19 +42,24 @@
     if (!who.ok()) {
       return UsageResult(who.status());
     }
-    const TemplateEntry entry = {this->operations.Next(), *who,
-                                 this->clock.WallMs(), *yaml, 0};
-    if (TemplateToJson({entry, {}}).size() > kMaxObjectBytes) {
+    TemplateChange change;
+    change.yaml = *yaml;
+    change.author = *who;
+    change.operation = this->operation.Operation(this->operations);
+    change.unix_ms = this->clock.WallMs();
+    if (TemplateToJson(EntryOf(change)).size() > kMaxObjectBytes) {
       return TooLarge();
     }
-    const TemplateChange change(parsed.document.name, entry);
-    std::optional<std::int64_t> condition;
     if (this->if_version.isSet()) {
-      condition = this->if_version.getValue();
+      change.base_version = this->if_version.getValue();
     }
-    const ChangeEnd end = MakeChange(context.platform, change, condition);
+    const ChangeResult end = AwaitChange(
+        context.platform,
+        [&change](OperatorChanges& changes, const ChangeDone& done) {
+          changes.PutTemplate(change, done);
+        });
     return TellChange(context.platform, end, "template " + parsed.document.name,
-                      ConflictText(end.object, *yaml));
+                      change.operation);
   }
 
  private:
@@ -134,6 +72,11 @@
     return result;
   }
 
+  static TemplateObject EntryOf(const TemplateChange& change) {
+    return {{change.operation, change.author, change.unix_ms, change.yaml, 0},
+            {}};
+  }
+
   static CommandResult TooLarge() {
     CommandResult result;
     result.code = ExitCode::kInvalid;
@@ -145,6 +88,7 @@
   TCLAP::UnlabeledValueArg<std::string> file;
   TCLAP::ValueArg<std::int64_t> if_version;
   AuthorOption author;
+  OperationOption operation;
   const Clock& clock;
   NonceSource& operations;
 };
--- a/src/cli/template_read_commands.cc
+++ b/src/cli/template_read_commands.cc
@@ -1,11 +1,11 @@
 #include "absl/strings/str_cat.h"
 #include "cli/await.h"
-#include "cli/line_difference.h"
 #include "cli/platform_command.h"
 #include "cli/template_commands.h"
 #include "cli/text_table.h"
 #include "cli/utc_time.h"
 #include "configuration/template_object.h"
+#include "configuration/text_difference.h"
 
 namespace meadowthread {
 namespace {
--- a/src/cli/tests/fake_platform.h
+++ b/src/cli/tests/fake_platform.h
@@ -1,6 +1,7 @@
 #ifndef MEADOWTHREAD_CLI_TESTS_FAKE_PLATFORM_H_
 #define MEADOWTHREAD_CLI_TESTS_FAKE_PLATFORM_H_
 
+#include <deque>
 #include <functional>
 #include <sstream>
 #include <string>
@@ -16,14 +17,37 @@
 
 namespace meadowthread {
 
+/// @brief Runs tasks one at a time, when a command waits for nothing else.
+class QueueScheduler final : public Scheduler {
+ public:
+  void After(std::int64_t /*delay_ms*/, std::function<void()> task) override {
+    this->tasks.push_back(std::move(task));
+  }
+
+  /// @return whether there was a task
+  bool RunOne() {
+    if (this->tasks.empty()) {
+      return false;
+    }
+    const std::function<void()> task = std::move(this->tasks.front());
+    this->tasks.pop_front();
+    task();
+    return true;
+  }
+
+ private:
+  std::deque<std::function<void()>> tasks;
+};
+
 /// @brief What the fake platform is made of; outlives the platforms.
 struct FakeWorld {
   MemoryStore store;
+  QueueScheduler tasks;
   ManualClock clock{1'000'000};
   absl::StatusOr<HostList> hosts = HostList{};
   std::vector<HostReply> replies;  ///< to AskStatuses and CallAll
   std::vector<std::string> calls;  ///< parameters of CallAll
-  /// Happens once, at the first pause: between a write and the next.
+  /// Happens once, before the first task: between a write and the next.
   std::function<void()> at_pause = [] {};
 
   void Put(std::string_view kind, std::string_view name,
@@ -40,13 +64,21 @@
 
   ObjectStore& Store() override { return this->world.store; }
 
+  Scheduler& Tasks() override { return this->world.tasks; }
+
   bool Wait(const std::function<bool()>& is_done) override {
     this->world.store.Settle();
+    while (!is_done()) {
+      std::exchange(this->world.at_pause, [] {})();
+      if (!this->world.tasks.RunOne()) {
+        break;
+      }
+      this->world.store.Settle();
+    }
     return is_done();
   }
 
   void Pause(std::int64_t pause_ms) override {
-    std::exchange(this->world.at_pause, [] {})();
     this->world.store.Settle();
     this->world.clock.Advance(pause_ms);
   }
--- a/src/main/serve_command.cc
+++ b/src/main/serve_command.cc
@@ -24,7 +24,7 @@
     if (!parsed.IsValid()) {
       return parser.Refuse(parsed.Status());
     }
-    return RunServe(parsed.settings) == 0 ? ExitCode::kOk : ExitCode::kFailed;
+    return static_cast<ExitCode>(RunServe(parsed.settings));
   }
 
  private:
