--- a/src/cli/tests/fake_platform.h
+++ b/src/cli/tests/fake_platform.h
@@ -1,8 +1,11 @@
 #ifndef MEADOWTHREAD_CLI_TESTS_FAKE_PLATFORM_H_
 #define MEADOWTHREAD_CLI_TESTS_FAKE_PLATFORM_H_
 
+#include <deque>
+#include <functional>
 #include <sstream>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -14,13 +17,38 @@
 
 namespace meadowthread {
 
+/// @brief Runs tasks one at a time, when a command waits for nothing else.
+class QueueScheduler final : public Scheduler {
+ public:
+  void After(std::int64_t /*delay_ms*/, std::function<void()> task) override {
+    this->tasks.push_back(std::move(task));
+  }
+
+  /// @return whether there was a task
+  bool RunOne() {
+    if (this->tasks.empty()) {
+      return false;
+    }
+    const std::function<void()> task = std::move(this->tasks.front());
+    this->tasks.pop_front();
+    task();
+    return true;
+  }
+
+ private:
+  std::deque<std::function<void()>> tasks;
+};
+
 /// @brief What the fake platform is made of; outlives the platforms.
 struct FakeWorld {
   MemoryStore store;
+  QueueScheduler tasks;
   ManualClock clock{1'000'000};
   absl::StatusOr<HostList> hosts = HostList{};
   std::vector<HostReply> replies;  ///< to AskStatuses and CallAll
   std::vector<std::string> calls;  ///< parameters of CallAll
+  /// Happens once, before the first task: between a write and the next.
+  std::function<void()> at_pause = [] {};
 
   void Put(std::string_view kind, std::string_view name,
            std::string_view value) {
@@ -36,8 +64,17 @@
 
   ObjectStore& Store() override { return this->world.store; }
 
+  Scheduler& Tasks() override { return this->world.tasks; }
+
   bool Wait(const std::function<bool()>& is_done) override {
     this->world.store.Settle();
+    while (!is_done()) {
+      std::exchange(this->world.at_pause, [] {})();
+      if (!this->world.tasks.RunOne()) {
+        break;
+      }
+      this->world.store.Settle();
+    }
     return is_done();
   }
 
