--- a/src/exchange/exchange_budget.cc
+++ b/src/exchange/exchange_budget.cc
@@ -26,7 +26,10 @@
   (is_bulk ? this->bulk : this->news).Spend(bytes);
 }
 
-bool ExchangeBudget::AllowsCall() { return this->news.Available() > 0; }
+// The reserve pays for what peers send meanwhile, which can't be refused.
+bool ExchangeBudget::AllowsCall() {
+  return this->news.Available() > this->settings.news_reserve_bytes;
+}
 
 bool ExchangeBudget::IsLow() {
   return this->news.Available() < this->news.Burst() / 2;
@@ -50,7 +53,8 @@
     return static_cast<std::size_t>(bulk_bytes);
   }
   const std::int64_t news_bytes =
-      std::min(this->settings.news_item_bytes, this->news.Available());
+      std::min(this->settings.news_item_bytes,
+               this->news.Available() - this->settings.news_reserve_bytes);
   return static_cast<std::size_t>(std::max<std::int64_t>(0, news_bytes));
 }
 
--- a/src/exchange/exchange_settings.h
+++ b/src/exchange/exchange_settings.h
@@ -24,6 +24,8 @@
   bool push_to_behind = true;
   std::int64_t news_bytes_per_second = 25000;
   std::int64_t news_burst_bytes = 100000;
+  /// Kept for what peers send, which can't be refused.
+  std::int64_t news_reserve_bytes = 20000;
   std::int64_t news_item_bytes = 8192;  ///< a bigger message counts as bulk
   std::int64_t bulk_bytes_per_second = 4000;
   std::int64_t bulk_burst_bytes = std::int64_t{2} << 20;
--- a/src/exchange/exchanger.cc
+++ b/src/exchange/exchanger.cc
@@ -159,24 +159,29 @@
   }
 }
 
-// To a peer whose revision is known goes what it lacks; to another what
-// changed since the last telling, which joins what most hosts know. Before the
-// first telling that would be everything.
+// What changed since the last telling joins what most hosts know; a peer that
+// is further behind shows it in its answer. What a peer showed earlier is used
+// only where it says that less is enough: it is old, and the peer has heard
+// from others since. Before the first telling nothing is known to be news, and
+// digests alone are sent.
 std::vector<ViewPart> Exchanger::NewsFor(std::string_view peer) {
-  std::vector<ViewPart> known = this->sharer.Digests();
-  for (ViewPart& part : known) {
-    const KindDigest* const shown =
-        this->knowledge.Find(peer, part.digest.kind);
-    const auto told = this->told_revisions.find(part.digest.kind);
-    if (shown != nullptr) {
-      part.digest = *shown;
-    } else if (told != this->told_revisions.end() &&
-               this->changed_kinds.contains(part.digest.kind)) {
-      part.digest.revision = told->second;
-      part.digest.beyond = 0;
+  std::vector<ViewPart> assumed = this->sharer.Digests();
+  for (ViewPart& part : assumed) {
+    KindDigest& digest = part.digest;
+    const auto told = this->told_revisions.find(digest.kind);
+    if (told == this->told_revisions.end() ||
+        !this->changed_kinds.contains(digest.kind)) {
+      continue;
+    }
+    const KindDigest* const shown = this->knowledge.Find(peer, digest.kind);
+    if (shown != nullptr && shown->revision >= told->second) {
+      digest = *shown;
+    } else {
+      digest.revision = told->second;
+      digest.beyond = 0;
     }
   }
-  return this->sharer.PartsFor(known, this->budget.ForRequest());
+  return this->sharer.PartsFor(assumed, this->budget.ForRequest());
 }
 
 ///////////////////////////
