Control calls: a connector of our own, which bounds answers

Cause: libjsonrpccpp's HTTP connector takes answers of any size, goes through proxies that the environment names, and tells a time-out in words only.

Ruled out: keeping it (its libcurl handle can't be reached to set limits).

--- a/src/exchange/blocking_rpc_client.cc
+++ b/src/exchange/blocking_rpc_client.cc
@@ -1,10 +1,11 @@
 #include "exchange/blocking_rpc_client.h"
 
 #include <jsonrpccpp/client.h>
-#include <jsonrpccpp/client/connectors/httpclient.h>
 
 #include <exception>
 
+#include "exchange/http_connector.h"
+
 namespace meadowthread {
 namespace detail {
 namespace {
@@ -25,7 +26,8 @@
   if (error.GetCode() == jsonrpc::Errors::ERROR_CLIENT_CONNECTOR) {
     return {RpcEnd::kLost, "", error.GetMessage()};
   }
-  if (error.GetCode() == jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE) {
+  if (error.GetCode() == jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE ||
+      error.GetCode() == jsonrpc::Errors::ERROR_RPC_JSON_PARSE_ERROR) {
     return {RpcEnd::kMalformed, "", error.GetMessage()};
   }
   return {RpcEnd::kRefused, Write(error.GetData()), error.GetMessage()};
@@ -34,9 +36,9 @@
 }  // namespace
 
 struct BlockingRpcClient::State {
-  State() : connector("http://127.0.0.1/rpc"), client(this->connector) {}
+  State() : client(this->connector) {}
 
-  jsonrpc::HttpClient connector;
+  HttpConnector connector;
   jsonrpc::Client client;
 };
 
@@ -48,8 +50,7 @@
                                   const std::string& method,
                                   const std::string& params,
                                   std::int64_t limit_ms) {
-  this->state->connector.SetUrl(url);
-  this->state->connector.SetTimeout(limit_ms);
+  this->state->connector.SetTarget(url, limit_ms);
   try {
     Json::Value value;
     if (!Parse(params, &value)) {
@@ -58,6 +59,9 @@
     return {RpcEnd::kAnswered,
             Write(this->state->client.CallMethod(method, value)), ""};
   } catch (const jsonrpc::JsonRpcException& error) {
+    if (this->state->connector.TimedOut()) {
+      return {RpcEnd::kSilent, "", error.GetMessage()};
+    }
     return FromException(error);
   } catch (const std::exception& error) {
     // jsoncpp throws on values nested too deeply.
--- a/src/exchange/blocking_rpc_client.h
+++ b/src/exchange/blocking_rpc_client.h
@@ -14,6 +14,7 @@
   kAnswered,   ///< `text` is the result
   kRefused,    ///< the peer answered an error; `text` is the error's data
   kLost,       ///< no connection, or it broke
+  kSilent,     ///< the time limit passed
   kMalformed,  ///< the peer answered something else
 };
 
--- a/src/exchange/rpc_client.cc
+++ b/src/exchange/rpc_client.cc
@@ -58,14 +58,12 @@
     case detail::RpcEnd::kMalformed:
       return Failure(absl::StatusCode::kInternal, ErrorId::kPeerMalformed,
                      task.peer, result.message);
+    case detail::RpcEnd::kSilent:
+      return Failure(absl::StatusCode::kDeadlineExceeded, ErrorId::kPeerSilent,
+                     task.peer, result.message);
     case detail::RpcEnd::kLost:
       break;
   }
-  // The library tells a time-out from a broken connection in words only.
-  if (clock.MonotonicMs() >= task.deadline_ms) {
-    return Failure(absl::StatusCode::kDeadlineExceeded, ErrorId::kPeerSilent,
-                   task.peer, result.message);
-  }
   return Failure(absl::StatusCode::kUnavailable, ErrorId::kConnectionLost,
                  task.peer, result.message);
 }
--- a/src/exchange/tests/rpc_test.cc
+++ b/src/exchange/tests/rpc_test.cc
@@ -75,6 +75,27 @@
   return answer;
 }
 
+// Answers every connection with the same bytes.
+struct RawServer {
+  explicit RawServer(const QByteArray& answer, int repeats = 1) {
+    QObject::connect(&this->server, &QTcpServer::newConnection, [=, this] {
+      QTcpSocket* const socket = this->server.nextPendingConnection();
+      QObject::connect(socket, &QTcpSocket::readyRead, socket, [=] {
+        socket->readAll();
+        for (int repeat = 0; repeat < repeats; ++repeat) {
+          socket->write(answer);
+        }
+        socket->disconnectFromHost();
+      });
+    });
+    this->server.listen(QHostAddress::LocalHost, 0);
+  }
+  RpcPeer Peer() const {
+    return {"laredo-1", "127.0.0.1", this->server.serverPort()};
+  }
+  QTcpServer server;
+};
+
 std::string Dispatched(std::string_view request) {
   RpcDispatcher dispatcher;
   dispatcher.Register(
@@ -107,6 +128,15 @@
   cr_assert(absl::IsInvalidArgument(result.status()));
 }
 
+Test(a_control_call, goes_through_no_proxy_that_the_environment_names) {
+  setenv("http_proxy", "http://127.0.0.1:9", 1);
+  Loop loop;
+  RpcServer server{RpcServerSettings{}};
+  const RpcPeer peer = Serve(server);
+  RpcClient client({}, loop.clock);
+  cr_assert(CallOnce(loop, client, peer, "echo", "{}", kGenerousMs).ok());
+}
+
 Test(a_control_call, can_be_answered_later) {
   Loop loop;
   RpcServer server{RpcServerSettings{}};
@@ -152,6 +182,34 @@
   cr_assert(ends.back() == ErrorId::kPeerSilent);
 }
 
+Test(a_peers_answer, that_is_no_json_rpc_is_an_error_of_the_peer) {
+  Loop loop;
+  RpcClient client({}, loop.clock);
+  for (const char* const answer :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n[[[[",
+        "HTTP/1.1 413 Payload Too Large\r\nContent-Length: 0\r\n\r\n"}) {
+    const RawServer server(answer);
+    const auto result =
+        CallOnce(loop, client, server.Peer(), "echo", "{}", kGenerousMs);
+    cr_assert(DetailOf(result.status()).id == ErrorId::kPeerMalformed);
+    cr_assert(DetailOf(result.status()).peer == "laredo-1");
+  }
+  const RawServer garbage("\x16\x03\x01 no http");
+  const auto result =
+      CallOnce(loop, client, garbage.Peer(), "echo", "{}", kGenerousMs);
+  cr_assert(DetailOf(result.status()).id == ErrorId::kConnectionLost);
+}
+
+Test(a_peers_answer, without_end_is_cut_off) {
+  Loop loop;
+  RpcClient client({}, loop.clock);
+  const QByteArray mebibyte(1 << 20, ' ');
+  const RawServer server("HTTP/1.1 200 OK\r\n\r\n" + mebibyte, 64);
+  const auto result =
+      CallOnce(loop, client, server.Peer(), "echo", "{}", kGenerousMs);
+  cr_assert(DetailOf(result.status()).id == ErrorId::kConnectionLost);
+}
+
 Test(malformed_bytes, are_answered_with_a_clear_error) {
   const std::string deep(200000, '[');
   for (const std::string& request :
