Exchange: a starting host asks one partner; bench of restarts and load notes

Ruled out: paging whole state (the view would have to pin a revision).

Change: one partner a round until one was caught up with. Load notes: 8 at most instead of 16, none while bytes are low.

--- a/src/exchange/bench/bench_runs.h
+++ b/src/exchange/bench/bench_runs.h
@@ -15,6 +15,10 @@
 /// @param[in] seconds of virtual time for each row
 void RunCost(int seconds);
 
+/// @brief Time and bytes until a restarted host knows all that its peers know,
+/// in virtual time with real messages. Prints CSV.
+void RunRestart();
+
 /// @brief Hosts on real sockets over loopback: processor time a call, and with
 /// a relay between them the bytes of TCP payload a call. Prints CSV.
 void RunWire(int hosts, int seconds, int items, bool with_relay);
--- a/src/exchange/bench/cost.cc
+++ b/src/exchange/bench/cost.cc
@@ -32,11 +32,28 @@
   }
 }
 
+/// Gives as many notes as are wanted, as a busy host does.
+class BusyHost final : public LoadSource, public LoadSink {
+ public:
+  std::vector<EngineLoadNote> NotesFor(std::string_view /*peer*/,
+                                       std::size_t limit) override {
+    std::vector<EngineLoadNote> notes;
+    for (std::size_t note = 0; note < limit; ++note) {
+      notes.push_back(EngineLoadNote{absl::StrCat("engine-", note), "", 12,
+                                     48000, fake::kStartMs});
+    }
+    return notes;
+  }
+  void OnNotes(std::string_view /*host*/,
+               std::span<const EngineLoadNote> /*notes*/) override {}
+};
+
 /// One row: a fleet, what it holds and how fast that changes.
 struct Row {
   int hosts;
   int items;
   double changes_per_s;
+  bool loads = false;
 };
 
 StoredObject Change(fake::FakeFleet* fleet, const Row& row, int seconds) {
@@ -60,6 +77,10 @@
   fake::FakeFleet fleet(shape, {}, kSeed);
   SetDelays(&fleet, shape);
   Load(&fleet, row.items);
+  BusyHost busy;
+  for (int host = 0; row.loads && host < row.hosts; ++host) {
+    fleet.At(host).exchanger.CarryLoads(&busy, &busy);
+  }
   fleet.Run(kWarmUpMs);
   const FleetTotals before = TotalsOf(&fleet);
   const double micros_before = ProcessorMicros();
@@ -72,8 +93,8 @@
   const double host_seconds = static_cast<double>(row.hosts) * seconds;
   const auto calls = static_cast<double>(after.calls - before.calls);
   std::printf(
-      "%d,%d,%.3f,%.2f,%.0f,%.0f,%.1f,%.4f,%.0f,%ld\n", row.hosts, row.items,
-      row.changes_per_s, calls / host_seconds,
+      "%d,%d,%.3f,%d,%.2f,%.0f,%.0f,%.1f,%.4f,%.0f,%ld\n", row.hosts, row.items,
+      row.changes_per_s, row.loads ? 1 : 0, calls / host_seconds,
       static_cast<double>(after.body_bytes - before.body_bytes) / host_seconds,
       static_cast<double>(after.bytes - before.bytes) / host_seconds,
       micros / calls, micros / host_seconds / 1e4,
@@ -83,11 +104,44 @@
   std::fflush(stdout);
 }
 
+void RunRestartRow(int hosts, int items) {
+  constexpr int kRestarted = 1;
+  const fake::FleetShape shape = ShapeOf(hosts);
+  fake::FakeFleet fleet(shape, {}, kSeed);
+  SetDelays(&fleet, shape);
+  Load(&fleet, items);
+  fleet.Run(kWarmUpMs);
+  fleet.StartHost(kRestarted);
+  const FleetTotals before = TotalsOf(&fleet);
+  const double micros_before = ProcessorMicros();
+  const std::int64_t start_ms = fleet.clock.MonotonicMs();
+  const bool has_all = fleet.RunUntil(
+      [&fleet] { return fleet.At(kRestarted).exchanger.HasCaughtUp(); },
+      kMostMs);
+  std::printf("%d,%d,%ld,%.1f,%ld\n", hosts, items,
+              has_all ? static_cast<long>(fleet.clock.MonotonicMs() -  // NOLINT
+                                          start_ms)
+                      : -1L,
+              (ProcessorMicros() - micros_before) / kSecondMs,
+              static_cast<long>(  // NOLINT
+                  (TotalsOf(&fleet).body_bytes - before.body_bytes) / 2));
+  std::fflush(stdout);
+}
+
 }  // namespace
 
+void RunRestart() {
+  std::printf("hosts,items,ms_until_caught_up,cpu_ms_fleet,body_bytes\n");
+  for (const int items : {10, 1000, 8300}) {
+    RunRestartRow(9, items);
+    RunRestartRow(50, items);
+  }
+}
+
 void RunCost(int seconds) {
   std::printf(
-      "hosts,items,changes_per_s,calls_per_s_a_host,body_bytes_per_s_a_host,"
+      "hosts,items,changes_per_s,loads,calls_per_s_a_host,body_bytes_per_s_a_"
+      "host,"
       "bytes_per_s_a_host,cpu_us_a_call,cpu_percent_a_host,heap_bytes_a_host,"
       "ms_until_last_change_is_everywhere\n");
   for (const double changes : {0.0, kMeanChanges, kBurstChanges}) {
@@ -98,6 +152,9 @@
       RunRow({9, items, changes}, seconds);
       RunRow({50, items, changes}, seconds);
     }
+    for (const int hosts : {9, 50, 350}) {
+      RunRow({hosts, 1000, changes, true}, seconds);
+    }
   }
 }
 
--- a/src/exchange/bench/exchange_bench.cc
+++ b/src/exchange/bench/exchange_bench.cc
@@ -17,7 +17,7 @@
 
 int Run(int argc, char** argv) {
   TCLAP::CmdLine command("Measures the exchange between hosts", ' ', "1");
-  std::vector<std::string> names = {"consistency", "cost", "wire"};
+  std::vector<std::string> names = {"consistency", "cost", "restart", "wire"};
   TCLAP::ValuesConstraint<std::string> known(names);
   TCLAP::UnlabeledValueArg<std::string> run("run", "what to measure", true, "",
                                             &known, command);
@@ -36,6 +36,8 @@
     meadowthread::bench::RunConsistency(trials.getValue());
   } else if (run.getValue() == "cost") {
     meadowthread::bench::RunCost(seconds.getValue());
+  } else if (run.getValue() == "restart") {
+    meadowthread::bench::RunRestart();
   } else {
     meadowthread::bench::RunWire(hosts.getValue(), seconds.getValue(),
                                  items.getValue(), relay.getValue());
--- a/src/exchange/exchange_settings.h
+++ b/src/exchange/exchange_settings.h
@@ -30,7 +30,7 @@
   std::int64_t bulk_bytes_per_second = 4000;
   std::int64_t bulk_burst_bytes = std::int64_t{2} << 20;
   std::int64_t bulk_item_bytes = std::int64_t{256} << 10;
-  std::size_t load_notes = 16;  ///< most in a message
+  std::size_t load_notes = 8;  ///< most in a message; none while bytes are low
 };
 
 }  // namespace meadowthread
--- a/src/exchange/exchanger.cc
+++ b/src/exchange/exchanger.cc
@@ -86,7 +86,9 @@
     return;
   }
   const int room = this->settings.max_calls - this->calls_in_progress;
-  const int count = std::min(this->settings.partners, room);
+  // A host that knows nothing yet would be sent everything by each partner.
+  const int partners = this->caught_up ? this->settings.partners : 1;
+  const int count = std::min(partners, room);
   if (count <= 0) {
     return;
   }
@@ -324,7 +326,8 @@
   message.from = this->identity.name;
   message.incarnation = this->identity.incarnation;
   message.views = std::move(views);
-  if (this->load_source != nullptr && this->parts.directory.IsInRegion(peer)) {
+  if (this->load_source != nullptr && !this->budget.IsLow() &&
+      this->parts.directory.IsInRegion(peer)) {
     message.loads =
         this->load_source->NotesFor(peer, this->settings.load_notes);
   }
