--- a/src/placement/group_controller.cc
+++ b/src/placement/group_controller.cc
@@ -104,9 +104,13 @@
     this->budget.Take(change.load.has_value() ? 1 : 0);
     this->table.Order(change);
   }
-  for (const Shortage& shortage : plan.shortages) {
-    LogShortage(this->lease.Duty(), this->lease.Fence(), shortage);
+  // Plans are made each second: a shortage is told once.
+  if (plan.shortages != this->shortages) {
+    for (const Shortage& shortage : plan.shortages) {
+      LogShortage(this->lease.Duty(), this->lease.Fence(), shortage);
+    }
   }
+  this->shortages = plan.shortages;
 }
 
 void GroupController::SendDue() {
--- a/src/placement/group_controller.h
+++ b/src/placement/group_controller.h
@@ -79,6 +79,7 @@
   LoadBudget budget;
   std::optional<std::int64_t> held_since_ms;
   std::int64_t planned_ms = 0;
+  std::vector<Shortage> shortages;  ///< of the last plan
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -99,6 +99,8 @@
 struct Shortage {
   ServedModel key;
   int copies = 0;
+
+  friend bool operator==(const Shortage&, const Shortage&) = default;
 };
 
 /// @brief The next changes, the most urgent first.
