--- a/src/placement/ownership_mover.cc
+++ b/src/placement/ownership_mover.cc
@@ -14,12 +14,10 @@
 }  // namespace
 
 OwnershipMover::OwnershipMover(const MoveRequest& what,
-                               const MoverSettings& with, ObjectStore& over,
-                               const Clock& by)
+                               const MoverSettings& with, ObjectStore& over)
     : request(what),
       settings(with),
       store(over),
-      clock(by),
       object_name(OwnershipObjectName(what.id)) {}
 
 void OwnershipMover::Tick() {
@@ -95,18 +93,8 @@
 void OwnershipMover::OnDraining(const OwnershipDocument& document,
                                 std::int64_t version) {
   this->progress.phase = MovePhase::kDraining;
-  const std::int64_t now_ms = this->clock.MonotonicMs();
-  if (version != this->draining_version) {
-    this->draining_version = version;
-    this->draining_seen_ms = now_ms;
-  }
-  // Before this has passed, a host that has not seen the mark may still start
-  // work, and one that is starting up may not be among the statuses.
-  const std::int64_t bound_ms =
-      this->settings.freshness_ms + this->settings.drift_margin_ms;
-  if (now_ms - this->draining_seen_ms < bound_ms) {
-    return;
-  }
+  // Listed only now that the mark has been seen to stand: a host that is not
+  // among them reads the mark before it starts any work.
   this->busy = true;
   const std::weak_ptr<bool> guard = this->alive;
   this->store.List(
@@ -129,7 +117,7 @@
   this->progress.waiting_for.clear();
   for (const StoredObject& status : list->items) {
     if (!this->IsDrained(status, document.owner, version) &&
-        !this->IsGone(status)) {
+        !this->IsGone(status.name)) {
       this->progress.waiting_for.push_back(status.name);
     }
   }
@@ -139,7 +127,8 @@
 }
 
 bool OwnershipMover::IsDrained(const StoredObject& status,
-                               std::string_view half, std::int64_t version) {
+                               std::string_view half,
+                               std::int64_t version) const {
   const absl::StatusOr<DrainReport> report = ParseDrainReport(status.value);
   if (!report.ok()) {
     return false;  // it may be a host of that half with work in flight
@@ -152,17 +141,11 @@
          report->drained.end();
 }
 
-bool OwnershipMover::IsGone(const StoredObject& status) {
-  const std::vector<std::string>& named = this->request.gone;
-  if (std::find(named.begin(), named.end(), status.name) != named.end()) {
-    return true;
-  }
-  const std::int64_t now_ms = this->clock.MonotonicMs();
-  StatusSight& sight = this->sights[status.name];
-  if (sight.version != status.version) {
-    sight = {status.version, now_ms};
-  }
-  return now_ms - sight.since_ms >= this->settings.gone_after_ms;
+// A host that has not been heard of may be cut off and at work: only someone
+// who can see the machine may say that it is gone.
+bool OwnershipMover::IsGone(std::string_view host) const {
+  const std::vector<std::string>& gone = this->request.gone;
+  return std::find(gone.begin(), gone.end(), host) != gone.end();
 }
 
 void OwnershipMover::Flip(const OwnershipDocument& from, std::int64_t version) {
--- a/src/placement/ownership_mover.h
+++ b/src/placement/ownership_mover.h
@@ -2,13 +2,11 @@
 #define MEADOWTHREAD_PLACEMENT_OWNERSHIP_MOVER_H_
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "base/clock.h"
 #include "placement/ownership.h"
 #include "store/object_store.h"
 
@@ -23,13 +21,10 @@
   std::vector<std::string> gone;  ///< hosts an operator vouches are dead
 };
 
-/// @brief Bounds that a mover counts with.
+/// @brief What a missing object means, as on the hosts.
 struct MoverSettings {
-  std::string default_owner;  ///< of what has no object, as on the hosts
+  std::string default_owner;
   std::string default_address;
-  std::int64_t freshness_ms = 4'000;     ///< F, as on the hosts
-  std::int64_t drift_margin_ms = 500;    ///< between clocks, over F
-  std::int64_t gone_after_ms = 120'000;  ///< a status unchanged so long
 };
 
 /// @brief How far a move has come.
@@ -50,9 +45,9 @@
 /// needs no settling of its own, as every step begins by reading.
 class OwnershipMover {
  public:
-  /// @param[in] over,by outlive the mover
+  /// @param[in] over outlives the mover
   OwnershipMover(const MoveRequest& what, const MoverSettings& with,
-                 ObjectStore& over, const Clock& by);
+                 ObjectStore& over);
 
   /// @brief Takes the next step, unless one is in progress.
   void Tick();
@@ -60,12 +55,6 @@
   const MoveProgress& Progress() const { return this->progress; }
 
  private:
-  /// A status object's version, and since when we have seen it.
-  struct StatusSight {
-    std::int64_t version = 0;
-    std::int64_t since_ms = 0;
-  };
-
   void OnObject(const absl::StatusOr<StoredObject>& answer);
   void OnDocument(const OwnershipDocument& document, std::int64_t version);
   void Mark(const OwnershipDocument& from, std::int64_t version);
@@ -73,8 +62,8 @@
   void OnStatuses(const OwnershipDocument& document, std::int64_t version,
                   const absl::StatusOr<ObjectList>& list);
   bool IsDrained(const StoredObject& status, std::string_view half,
-                 std::int64_t version);
-  bool IsGone(const StoredObject& status);
+                 std::int64_t version) const;
+  bool IsGone(std::string_view host) const;
   void Flip(const OwnershipDocument& from, std::int64_t version);
   void Put(const OwnershipDocument& document, std::int64_t version);
   void Conflict(std::string_view why);
@@ -82,12 +71,8 @@
   MoveRequest request;
   MoverSettings settings;
   ObjectStore& store;
-  const Clock& clock;
   std::string object_name;
   MoveProgress progress;
-  std::int64_t draining_version = 0;
-  std::int64_t draining_seen_ms = 0;
-  std::map<std::string, StatusSight> sights;
   bool busy = false;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/placement/ownership_view.cc
+++ b/src/placement/ownership_view.cc
@@ -41,12 +41,12 @@
       return "elsewhere";
     case OwnershipVerdict::kUnreadable:
       return "unreadable";
-    case OwnershipVerdict::kViewStale:
-      return "view_stale";
     case OwnershipVerdict::kUnregistered:
       return "unregistered";
+    case OwnershipVerdict::kUnread:
+      return "unread";
   }
-  return "view_stale";
+  return "unread";
 }
 
 void OwnershipView::Apply(const StoredObject& object) {
@@ -74,12 +74,27 @@
 
 void OwnershipView::Confirm(std::int64_t since_ms) {
   this->confirmed_ms =
-      this->confirmed ? std::max(this->confirmed_ms, since_ms) : since_ms;
-  this->confirmed = true;
+      std::max(this->confirmed_ms.value_or(since_ms), since_ms);
+}
+
+void OwnershipView::SetRegistered() {
+  // Kept at the first time: later writes of the same status change nothing.
+  if (!this->registered_ms.has_value()) {
+    this->registered_ms = this->clock.MonotonicMs();
+  }
+}
+
+// Strictly later: a read sent within the same millisecond may have been sent
+// before the status object stood.
+bool OwnershipView::HasReadSinceRegistered() const {
+  return this->confirmed_ms.has_value() && this->registered_ms.has_value() &&
+         *this->confirmed_ms > *this->registered_ms;
 }
 
 std::int64_t OwnershipView::AgeMs() const {
-  return this->confirmed ? this->clock.MonotonicMs() - this->confirmed_ms : -1;
+  return this->confirmed_ms.has_value()
+             ? this->clock.MonotonicMs() - *this->confirmed_ms
+             : -1;
 }
 
 OwnershipVerdict OwnershipView::Judge(const OwnershipDocument& document) const {
@@ -110,13 +125,15 @@
   answer.address = draining ? document.next_address : document.address;
   answer.verdict =
       readable ? this->Judge(document) : OwnershipVerdict::kUnreadable;
-  const std::int64_t age_ms = this->AgeMs();
-  if (age_ms < 0 || age_ms > this->settings.freshness_ms) {
-    // A stale 'elsewhere' would send callers in circles; a stale 'ours' would
-    // start work that a mover no longer waits for.
-    answer.verdict = OwnershipVerdict::kViewStale;
-  } else if (!this->registered && answer.verdict == OwnershipVerdict::kOurs) {
+  // What is known to be another's stays so whatever is missing here.
+  if (answer.verdict != OwnershipVerdict::kOurs ||
+      !this->settings.has_other_half) {
+    return answer;
+  }
+  if (!this->registered_ms.has_value()) {
     answer.verdict = OwnershipVerdict::kUnregistered;
+  } else if (!this->HasReadSinceRegistered()) {
+    answer.verdict = OwnershipVerdict::kUnread;
   }
   return answer;
 }
@@ -137,11 +154,11 @@
     case OwnershipVerdict::kUnregistered:
       return NotRun(ErrorId::kHostNotReady, name,
                     "this host's status is not at the platform yet");
-    case OwnershipVerdict::kViewStale:
+    case OwnershipVerdict::kUnread:
       break;
   }
   return NotRun(ErrorId::kHostNotReady, name,
-                "ownership has not been confirmed lately");
+                "ownership has not been read since this host's start");
 }
 
 std::vector<DrainingObject> OwnershipView::Draining() const {
--- a/src/placement/ownership_view.h
+++ b/src/placement/ownership_view.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,8 +20,9 @@
   std::string half;           ///< this half's name
   std::string default_owner;  ///< owns what has no object
   std::string default_address;
-  /// F: no new work on a view confirmed longer ago than this.
-  std::int64_t freshness_ms = 4'000;
+  /// Whether another half may act too. Without one a host needs neither to be
+  /// registered nor to have read the platform before it starts work.
+  bool has_other_half = true;
 };
 
 /// @brief Whether this half may act.
@@ -29,8 +31,8 @@
   kDraining,      ///< ours, but nothing new may start
   kElsewhere,     ///< the other half's
   kUnreadable,    ///< its object makes no sense: neither half acts
-  kViewStale,     ///< not confirmed lately enough to say
-  kUnregistered,  ///< this host's status object has not been written yet
+  kUnregistered,  ///< this host's status object is not known to stand
+  kUnread,        ///< the platform was not read since it was registered
 };
 
 /// @brief The verdict's name in log lines.
@@ -38,7 +40,7 @@
 
 /// @brief What is known of one workspace or engine.
 struct OwnershipAnswer {
-  OwnershipVerdict verdict = OwnershipVerdict::kViewStale;
+  OwnershipVerdict verdict = OwnershipVerdict::kUnread;
   std::string owner;
   std::string address;       ///< where to go instead, empty if not known
   std::int64_t epoch = 0;    ///< 0: no object
@@ -68,12 +70,19 @@
   void Confirm(std::int64_t since_ms);
 
   /// @brief This host's status object stands at the platform, so that a mover
-  /// will wait for it.
-  void SetRegistered() { this->registered = true; }
+  /// waits for its word; told when the write's answer has come.
+  void SetRegistered();
+
+  /// @brief The status object was found removed or written by another
+  /// incarnation: a mover no longer waits for this host.
+  void SetUnregistered() { this->registered_ms.reset(); }
 
   /// @brief Milliseconds since the last confirmation; -1: none yet.
   std::int64_t AgeMs() const;
 
+  /// @brief Whether this host may say that anything is its half's.
+  bool IsRegistered() const { return this->registered_ms.has_value(); }
+
   /// @brief What is known now. @complexity logarithmic in the objects
   OwnershipAnswer Look(const OwnedId& id) const;
 
@@ -94,14 +103,15 @@
     OwnershipDocument document;
   };
 
+  /// @brief Whether all that stood when the host was registered is known.
+  bool HasReadSinceRegistered() const;
   OwnershipVerdict Judge(const OwnershipDocument& document) const;
 
   OwnershipSettings settings;
   const Clock& clock;
   std::map<OwnedId, Entry> entries;
-  std::int64_t confirmed_ms = 0;
-  bool confirmed = false;
-  bool registered = false;
+  std::optional<std::int64_t> confirmed_ms;
+  std::optional<std::int64_t> registered_ms;
 };
 
 }  // namespace meadowthread
