Policy: weigh missing memory over time, and batches before memory

Change: risk is the chance of overfilling (by the preemption weight) and the tokens missing summed over steps (by the stall weight); the cost of an engine is its risk and its batch. Each weight lowers its own measure, but both fall together; no lever was found that trades one for the other.

--- a/bench/main.cc
+++ b/bench/main.cc
@@ -8,6 +8,7 @@
 #include <future>
 #include <iostream>
 #include <span>
+#include <sstream>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -83,12 +84,19 @@
 
 void PlanWeights(Plan& plan, double load) {
   for (const Deployment& deployment : plan.deployments) {
-    for (const double part : {0.0, 0.25, 0.5, 0.75, 1.0}) {
+    const PolicyWeights even{2.0, 2.0, 1.0};
+    for (const PolicyWeights& weights :
+         {PolicyWeights{0.5, 2.0, 1.0}, even, PolicyWeights{8.0, 2.0, 1.0},
+          PolicyWeights{2.0, 0.5, 1.0}, PolicyWeights{2.0, 8.0, 1.0},
+          PolicyWeights{2.0, 2.0, 0.1}, PolicyWeights{2.0, 2.0, 4.0}}) {
       MemoryAwareSetup setup = plan.setup;
-      setup.options.weights = {4.0 * part, 4.0 * (1.0 - part), 1.0};
-      const std::string name = "stall=" + std::to_string(part).substr(0, 4);
+      setup.options.weights = weights;
+      std::ostringstream name;
+      name << "stall=" << weights.stall << " preemption=" << weights.preemption
+           << " gap=" << weights.token_gap;
       plan.cells.push_back({&deployment, LoadName(load), load,
-                            MemoryAwarePolicy(name, setup), Faults::kNone});
+                            MemoryAwarePolicy(name.str(), setup),
+                            Faults::kNone});
     }
   }
 }
@@ -150,9 +158,8 @@
                                    "path", command);
   TCLAP::ValueArg<std::string> only("", "only", "one policy of the table",
                                     false, "", "name", command);
-  TCLAP::ValueArg<double> overfill("", "overfill",
-                                   "chance of overfilling that is accepted",
-                                   false, -1.0, "chance", command);
+  TCLAP::ValueArg<double> risk("", "risk", "risk that is accepted", false, -1.0,
+                               "risk", command);
   TCLAP::ValueArg<double> room("", "urgent-room",
                                "part of the memory kept for urgent work", false,
                                -1.0, "part", command);
@@ -164,8 +171,8 @@
   plan.seeds = seeds.getValue();
   plan.threads = threads.getValue();
   plan.deciders = deciders.getValue();
-  if (overfill.getValue() >= 0.0) {
-    plan.setup.options.max_overfill_chance = overfill.getValue();
+  if (risk.getValue() >= 0.0) {
+    plan.setup.options.max_risk = risk.getValue();
   }
   if (room.getValue() >= 0.0) {
     plan.setup.options.urgent_room = room.getValue();
--- a/bench/policies.cc
+++ b/bench/policies.cc
@@ -97,7 +97,7 @@
   setup.share_loads = false;
   policies.push_back(MemoryAwarePolicy("no_shared_loads", setup));
   setup = whole;
-  setup.options.max_overfill_chance = 1.0;
+  setup.options.max_risk = 1e9;
   policies.push_back(MemoryAwarePolicy("no_memory_admission", setup));
   setup = whole;
   setup.options.urgent_room = 0.0;
--- a/src/policy/memory_aware_chooser.cc
+++ b/src/policy/memory_aware_chooser.cc
@@ -15,7 +15,12 @@
 // same state do not all send to the same one.
 constexpr double kNearEqual = 0.02;
 // Urgent work is short: it may go where other work may not.
-constexpr double kUrgentOverfillFactor = 10.0;
+constexpr double kUrgentRiskFactor = 10.0;
+// Missing tokens, summed over token steps, that weigh as much as a certain
+// preemption: about a report of 1,500 tokens put aside for 270 steps.
+constexpr double kStallUnit = 400'000.0;
+// The sum of weights at which max_risk is meant.
+constexpr double kUsualWeights = 4.0;
 
 }  // namespace
 
@@ -90,24 +95,24 @@
   const double room = this->RoomFor(work, fleet, engine, now_ms);
   Scored scored;
   scored.engine = engine;
-  scored.overfill = forecast.OverfillChance(room);
+  const MemoryRisk risk = forecast.RiskOf(room);
+  scored.overfill = risk.overfill_chance;
   scored.in_flight = fleet.InFlight(engine, now_ms);
   const auto hints = fleet.PrefixEngines(work);
   scored.prefix_hint =
       std::find(hints.begin(), hints.end(), engine) != hints.end();
 
-  const bool urgent = work.urgency == Urgency::kUrgent;
-  const double allowed = this->options.max_overfill_chance *
-                         (urgent ? kUrgentOverfillFactor : 1.0);
-  scored.fits = scored.overfill <= allowed;
-
   const PolicyWeights& weights = this->options.weights;
-  const double memory = forecast.PeakMean() / std::max(room, 1.0);
+  scored.risk = (weights.stall * risk.missing_area / kStallUnit +
+                 weights.preemption * risk.overfill_chance) /
+                kUsualWeights;
+  const bool urgent = work.urgency == Urgency::kUrgent;
+  const double allowed =
+      this->options.max_risk * (urgent ? kUrgentRiskFactor : 1.0);
+  scored.fits = scored.risk <= allowed;
   const double batch = scored.in_flight / kBatchUnit;
-  scored.cost =
-      (weights.stall + weights.preemption) * (memory + scored.overfill) +
-      weights.token_gap * batch -
-      (scored.prefix_hint ? this->options.prefix_bonus : 0.0);
+  scored.cost = kUsualWeights * scored.risk + weights.token_gap * batch -
+                (scored.prefix_hint ? this->options.prefix_bonus : 0.0);
   return scored;
 }
 
--- a/src/policy/memory_aware_chooser.h
+++ b/src/policy/memory_aware_chooser.h
@@ -9,17 +9,19 @@
 
 namespace meadowthread {
 
-/// @brief What a deployment minds most; only the proportions count.
+/// @brief What a deployment minds most. Greater weights of stall and
+/// preemption together mean less of both, for more time in queues; their sum
+/// is usually four.
 struct PolicyWeights {
-  double stall = 1.0;       ///< time in which a begun output stands still
-  double preemption = 1.0;  ///< outputs put aside by their engine
+  double stall = 2.0;       ///< time in which a begun output stands still
+  double preemption = 2.0;  ///< outputs put aside by their engine
   double token_gap = 1.0;   ///< time between tokens
 };
 
 /// @brief What MemoryAwareChooser may be set to.
 struct MemoryAwareOptions {
   PolicyWeights weights;
-  double max_overfill_chance = 0.02;  ///< for work that is not urgent
+  double max_risk = 0.1;       ///< for work that is not urgent
   double urgent_room = 0.04;   ///< part of the memory kept for urgent work
   double shared_room = 0.15;   ///< part kept on engines others prefer
   double prefix_bonus = 0.05;  ///< cost taken off where the prefix may be
@@ -43,6 +45,7 @@
     EngineIndex engine = 0;
     double cost = 0.0;
     double overfill = 0.0;
+    double risk = 0.0;
     int in_flight = 0;
     bool prefix_hint = false;
     bool fits = false;
--- a/src/policy/memory_forecast.cc
+++ b/src/policy/memory_forecast.cc
@@ -2,10 +2,15 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <numbers>
 
 namespace meadowthread {
+namespace {
+
+// So many standard deviations from the limit nothing is at risk.
+constexpr double kFarAway = 4.0;
+
+}  // namespace
 
 void MemoryForecast::AddStream(const StreamOutlook& stream,
                                const LengthCurve& curve) {
@@ -32,15 +37,25 @@
   }
 }
 
-double MemoryForecast::OverfillChance(double capacity) const {
-  // The chance falls with the distance in standard deviations, so that only
-  // the shortest one needs the costly function.
-  double shortest = std::numeric_limits<double>::max();
+MemoryRisk MemoryForecast::RiskOf(double capacity) const {
+  MemoryRisk risk;
   for (std::size_t i = 0; i < kHorizonCount; ++i) {
     const double spread = std::sqrt(std::max(1.0F, this->variance[i]));
-    shortest = std::min(shortest, (capacity - this->mean[i]) / spread);
+    const double distance = (capacity - this->mean[i]) / spread;
+    if (distance > kFarAway) {
+      continue;
+    }
+    const double chance = 0.5 * std::erfc(distance / std::numbers::sqrt2);
+    const double density = std::exp(-0.5 * distance * distance) *
+                           std::numbers::inv_sqrtpi / std::numbers::sqrt2;
+    // The mean of what is missing, of a normal distribution cut at capacity.
+    const double missing = spread * (density - distance * chance);
+    const std::int64_t until =
+        i + 1 < kHorizonCount ? kHorizons[i + 1] : kHorizons[i];
+    risk.overfill_chance = std::max(risk.overfill_chance, chance);
+    risk.missing_area += missing * static_cast<double>(until - kHorizons[i]);
   }
-  return 0.5 * std::erfc(shortest / std::numbers::sqrt2);
+  return risk;
 }
 
 double MemoryForecast::PeakMean() const {
--- a/src/policy/memory_forecast.h
+++ b/src/policy/memory_forecast.h
@@ -23,6 +23,12 @@
   std::int64_t max_output_tokens = 0;  ///< 0: no limit known
 };
 
+/// @brief What too little memory is expected to cost on one engine.
+struct MemoryRisk {
+  double overfill_chance = 0.0;  ///< the greatest over the horizons
+  double missing_area = 0.0;     ///< tokens missing, summed over token steps
+};
+
 /// @brief Memory that a set of streams will hold, as mean and variance at
 /// each horizon; sums of independent streams.
 struct MemoryForecast {
@@ -35,9 +41,8 @@
   /// @brief Adds `scale` times another forecast.
   void AddScaled(const MemoryForecast& other, float scale);
 
-  /// @brief The greatest chance, over the horizons, of needing more than
-  /// `capacity` tokens.
-  double OverfillChance(double capacity) const;
+  /// @brief The risk of needing more than `capacity` tokens.
+  MemoryRisk RiskOf(double capacity) const;
 
   /// @brief The greatest mean over the horizons, tokens.
   double PeakMean() const;
