--- a/src/claims/shard_log_io.cc
+++ b/src/claims/shard_log_io.cc
@@ -146,7 +146,9 @@
   }
   std::size_t bytes = BytesOf(next);
   for (const Op& op : batch) {
-    if (bytes >= this->tools.settings.segment_bytes) {
+    // However small the bound is, an update carries something.
+    const bool full = bytes >= this->tools.settings.segment_bytes;
+    if (full && !next.entries.empty()) {
       break;
     }
     next.entries.push_back(this->NextEntry(*op, next.LastMs()));
--- a/src/claims/tests/claim_forward_test.cc
+++ b/src/claims/tests/claim_forward_test.cc
@@ -56,7 +56,7 @@
   FakeForwarder forwarder{this};
 };
 
-const ClaimResult kResult = {200, "text/plain", "sent"};
+ClaimResult Result() { return {200, "text/plain", "sent"}; }
 
 Test(a_forwarded_claim, is_written_by_the_preferred_host) {
   ForwardFixture fixture;
@@ -64,11 +64,11 @@
   const auto mine = fixture.Claim(1, key);
   fixture.Run(50);
   cr_assert(mine->Granted());
-  cr_assert(fixture.Record(1, mine->Grant(), kResult).ok());
+  cr_assert(fixture.Record(1, mine->Grant(), Result()).ok());
   for (const int host : {0, 1, 2}) {
     const auto retry = fixture.Claim(host, key);
     fixture.Run(50);
-    cr_assert(retry->Replayed(kResult));
+    cr_assert(retry->Replayed(Result()));
   }
   cr_assert(fixture.forwarder.sent == 3);
 }
@@ -81,10 +81,10 @@
     const auto mine = fixture.Claim(1, key);
     fixture.Run(400);
     cr_assert(mine->Granted());
-    cr_assert(fixture.Record(1, mine->Grant(), kResult).ok());
+    cr_assert(fixture.Record(1, mine->Grant(), Result()).ok());
     const auto retry = fixture.Claim(2, key);
     fixture.Run(50);
-    cr_assert(retry->Replayed(kResult));
+    cr_assert(retry->Replayed(Result()));
   }
 }
 
--- a/src/claims/tests/claim_log_test.cc
+++ b/src/claims/tests/claim_log_test.cc
@@ -33,6 +33,7 @@
 Test(group_commit, puts_all_that_waits_into_one_write) {
   ClaimFixture fixture(1);
   std::vector<std::shared_ptr<Told>> told;
+  told.reserve(100);
   for (int i = 0; i < 100; ++i) {
     told.push_back(fixture.Claim(0, fixture.Key(std::to_string(i))));
   }
@@ -212,36 +213,93 @@
   cr_assert(again->Refused(ErrorId::kIdempotencyKeyExpired, Outcome::kUnknown));
 }
 
-Test(a_claim, is_never_stamped_earlier_than_its_key_is_looked_for) {
-  ClaimFixture fixture(1, SmallSegments());
-  ManualClock stepped(kStartMs);
+// A claim of `key` by a host with another clock, that steps before the write.
+bool ClaimOn(ClaimFixture* fixture, ManualClock* clock, std::string_view key,
+             std::int64_t step_ms) {
   ClaimTools tools;
-  tools.store = &fixture.store;
-  tools.scheduler = &fixture.scheduler;
-  tools.clock = &stepped;
-  tools.settings = fixture.settings;
-  StoreClaimService other(tools);
-  // given: a claimer whose clock steps back between the asking and the write
+  tools.store = &fixture->store;
+  tools.scheduler = &fixture->scheduler;
+  tools.clock = clock;
+  tools.settings = fixture->settings;
+  StoreClaimService service(tools);
   ClaimRequest request;
   request.workspace = "lukot";
-  request.key = fixture.Key("note");
+  request.key = std::string(key);
   request.body_digest = BodyDigest("body");
-  request.deadline_unix_ms = kStartMs + 10'000;
-  int granted = 0;
-  other.Claim(request, [&granted](const absl::StatusOr<ClaimAnswer>& answer) {
-    granted += answer.ok() ? 1 : 0;
+  request.deadline_unix_ms = clock->WallMs() + 10'000;
+  bool granted = false;
+  service.Claim(request, [&granted](const absl::StatusOr<ClaimAnswer>& answer) {
+    granted = answer.ok();
   });
-  stepped.Advance(-kHourMs);
+  clock->Advance(step_ms);
+  fixture->Run(50);
+  return granted;
+}
+
+ClaimSettings OneEntrySegments() {
+  ClaimSettings settings;
+  settings.segment_bytes = 1;
+  return settings;
+}
+
+Test(a_claim, is_never_stamped_earlier_than_its_key_is_looked_for) {
+  ClaimFixture fixture(1, OneEntrySegments());
+  ManualClock stepped(kStartMs);
+  const std::string key = fixture.Key("note");
+  cr_assert(ClaimOn(&fixture, &stepped, key, -kHourMs));
+  Fill(&fixture, 5, "a");
+  fixture.hosts[0] = fixture.NewHost();
+  const auto again = fixture.Claim(0, key);
   fixture.Run(50);
-  cr_assert(granted == 1);
-  // when: segments follow, and a host with an empty index is asked
-  Fill(&fixture, 10, "a");
+  cr_assert(again->Refused(ErrorId::kClaimHeld, Outcome::kUnknown));
+}
+
+Test(a_claim, is_found_behind_the_entry_of_a_slow_clock) {
+  ClaimFixture fixture(1, OneEntrySegments());
+  const std::string key = Fill(&fixture, 1, "first");
+  ManualClock slow(kStartMs - kHourMs);
+  const std::string slow_key = std::to_string(slow.WallMs() / 1000) + "-s";
+  cr_assert(ClaimOn(&fixture, &slow, slow_key, 0));
+  cr_assert(ClaimOn(&fixture, &slow, slow_key + "t", 0));
   fixture.hosts[0] = fixture.NewHost();
-  const auto again = fixture.Claim(0, request.key);
+  const auto again = fixture.Claim(0, key);
   fixture.Run(50);
   cr_assert(again->Refused(ErrorId::kClaimHeld, Outcome::kUnknown));
 }
 
+Test(retention, deletes_nothing_that_the_head_still_counts) {
+  for (int steps = 0; steps < 10; ++steps) {
+    ClaimFixture fixture(1, SmallSegments());
+    Fill(&fixture, 12, "a");
+    ManualClock ahead(kStartMs + 25 * kHourMs);
+    ClaimTools tools;
+    tools.store = &fixture.store;
+    tools.scheduler = &fixture.scheduler;
+    tools.clock = &ahead;
+    tools.settings = fixture.settings;
+    StoreClaimService dropper(tools);
+    ClaimRequest request;
+    request.key = std::to_string(ahead.WallMs() / 1000) + "-b";
+    request.deadline_unix_ms = ahead.WallMs() + 10'000;
+    // when: a host that would drop is overtaken by one that would not
+    dropper.Claim(request, [](const absl::StatusOr<ClaimAnswer>&) {});
+    fixture.RunUnanswered(5);
+    for (int i = 0; i < steps; ++i) {
+      fixture.store.Step();
+    }
+    fixture.Claim(0, fixture.Key("c"));
+    fixture.RunUnanswered(5);
+    for (int i = 0; i < 10; ++i) {
+      fixture.Run(50);
+      ahead.Advance(50);
+    }
+    const auto head = DecodeSegment(Read(&fixture, "0.head")->value, "head");
+    for (std::int64_t i = head->oldest; i < head->number; ++i) {
+      cr_assert(!Read(&fixture, "0." + std::to_string(i))->value.empty());
+    }
+  }
+}
+
 Test(a_lost_head, refuses_claims_of_hosts_that_knew_it) {
   ClaimFixture fixture(1);
   const std::string key = Fill(&fixture, 1, "a");
