--- a/src/claims/tests/claim_test.cc
+++ b/src/claims/tests/claim_test.cc
@@ -5,7 +5,7 @@
 namespace meadowthread {
 namespace {
 
-const ClaimResult kConfirmed = {201, "text/plain", "pickup confirmed"};
+ClaimResult Confirmed() { return {201, "text/plain", "pickup confirmed"}; }
 
 Test(a_claim, is_granted_once_over_two_hosts) {
   ClaimFixture fixture;
@@ -58,7 +58,7 @@
   const auto held = fixture.Claim(1, key, "two towels");
   fixture.Run(100);
   cr_assert(held->Refused(ErrorId::kIdempotencyKeyReused, Outcome::kNotRun));
-  cr_assert(fixture.Record(0, first->Grant(), kConfirmed).ok());
+  cr_assert(fixture.Record(0, first->Grant(), Confirmed()).ok());
   const auto done = fixture.Claim(1, key, "two towels");
   fixture.Run(100);
   cr_assert(done->Refused(ErrorId::kIdempotencyKeyReused, Outcome::kNotRun));
