--- a/model/lease.pml
+++ b/model/lease.pml
@@ -11,16 +11,17 @@
  *                     between check and arrival are bounded (BOUNDED_PAUSE).
  *
  * HANDOVER: a workspace (or engine) moves from one half to the other by steps
- * of its ownership object, which a host reads late and believes for a while.
- *
- * Time is counted in ticks that pass at any moment. A clock that drifts
- * measures an interval by up to one tick too short or too long.
+ * of its ownership object, which a host reads late. A host starts work only
+ * once its status object stands and it has read the platform since; the mover
+ * lists the statuses only once the mark stands. No clock takes part.
  */
+#ifdef ORDERS
+
+/* Time is counted in ticks that pass at any moment. A clock that drifts
+ * measures an interval by up to one tick too short or too long. */
 byte now;
 #define SINCE(t) (now - (t))
 
-#ifdef ORDERS
-
 #define TTL 3
 #ifndef MARGIN
 #define MARGIN 1       /* what two clocks drift apart by over a lease */
@@ -193,16 +194,8 @@
 
 #ifdef HANDOVER
 
-#define FRESH 2         /* how long a view is believed */
-#ifndef MARGIN
-#define MARGIN 1
-#endif
-#ifndef LAST_TICK
-#define LAST_TICK 9
-#endif
-
 /* The ownership object's versions, in their order. The move is called off
- * once and begun again, or not (never with two old hosts, for room). */
+ * once and begun again, or not. */
 #define FIRST_OWNED 1
 #define FIRST_DRAINING 2
 #define CALLED_OFF 3
@@ -211,16 +204,13 @@
 #define OURS(v) ((v) == FIRST_OWNED || (v) == CALLED_OFF)
 #define DRAINS(v) ((v) == FIRST_DRAINING || (v) == DRAINING_AGAIN)
 #define EPOCH(v) ((v) == MOVED -> 2 : 1)
-#ifndef OLD_HOSTS
-#define OLD_HOSTS 1
-#endif
+#define OLD_HOSTS 2
 
 byte version = FIRST_OWNED;
-byte drained[2];       /* status objects: 0 none, 1 nothing drained,
+bit called_off;
+byte drained[OLD_HOSTS];       /* status objects: 0 none, 1 nothing drained,
                                   else the draining version confirmed */
-byte in_flight[2];
-bit slow[2];
-bit mover_fast;
+byte in_flight[OLD_HOSTS];
 byte started_by[3];            /* ghost, by epoch: 1 old half, 2 new half */
 bit new_works;
 
@@ -229,37 +219,62 @@
   started_by[epoch] = half
 }
 
-#ifdef VIEW_NEVER_STALE
-#define IS_FRESH(h, t) true
+/* Whether a read that shows `v` has all that stood at registration. */
+#ifdef REVISIONS_COMPARED
+#define COVERS(v) ((v) >= registered_at)
 #else
-#define IS_FRESH(h, t) (SINCE(t) - slow[h] <= FRESH)
+#define COVERS(v) true
 #endif
 
 #ifdef UNREGISTERED_STARTS
-#define IS_REGISTERED(h) true
+#define IS_REGISTERED true
 #else
-#define IS_REGISTERED(h) (drained[h] != 0)
+#define IS_REGISTERED (registered_at != 0)
+#endif
+
+#ifdef UNREAD_STARTS
+#define HAS_READ true
+#else
+#define HAS_READ has_read
 #endif
 
 proctype OldHost(byte me) {
   byte view;                   /* version read; 0: none */
-  byte confirmed;              /* when that read was sent */
-  byte asked;                  /* ... the read under way */
-  byte answer;                 /* ... what it will bring */
+  byte answer;                 /* a read under way, and what it will bring */
+  bit asked_registered;        /* that read left after the registration */
   byte report;                 /* a status write under way */
-  byte starts = 1;
+  byte registered_at;          /* the object's version then; 0: not yet */
+  bit has_read;                /* since registered */
+  byte starts = 2;
 
 end:
   do
-  /* The oldest content that an answer may have is that of the asking. */
-  :: atomic { answer == 0 && version > view -> asked = now; answer = version }
-  :: atomic { answer != 0 -> view = answer;
-#ifdef STAMPED_AT_ANSWER
-      confirmed = (OURS(view) -> now : 0);
+  :: atomic { answer == 0 && (version > view || !has_read) ->
+      answer = version;
+#ifdef STALE_READS
+      do
+      :: answer == MOVED && !called_off -> answer = FIRST_DRAINING
+      :: answer > FIRST_OWNED && (answer != MOVED || called_off) -> answer--
+      :: break
+      od;
+#endif
+#ifdef UNREGISTERED_STARTS
+      asked_registered = 1
 #else
-      confirmed = (OURS(view) -> asked : 0);
+      asked_registered = (registered_at != 0)
 #endif
-      answer = 0; asked = 0 }
+    }
+  :: atomic { answer != 0 ->
+      if
+      :: answer >= view ->
+        view = answer;
+        if
+        :: asked_registered && COVERS(answer) -> has_read = 1
+        :: else
+        fi
+      :: else
+      fi;
+      answer = 0; asked_registered = 0 }
   /* The status object: first registers the host, later says what is drained;
    * it lands late. */
   :: atomic { report == 0 && (drained[me] == 0 ||
@@ -269,16 +284,18 @@
   :: atomic { report == 0 && DRAINS(view) && drained[me] != view ->
       report = view }
 #endif
-  :: atomic { report != 0 -> drained[me] = report; report = 0 }
+  :: atomic { report != 0 -> drained[me] = report; report = 0;
+      if
+      :: registered_at == 0 -> registered_at = version
+      :: else
+      fi }
   /* DrainTracker::Begin: the check and the count are one step. */
-  :: atomic { starts > 0 && OURS(view) && IS_FRESH(me, confirmed) &&
-      IS_REGISTERED(me) ->
-      starts--;
-      in_flight[me]++;
+  :: atomic { starts > 0 && OURS(view) && IS_REGISTERED && HAS_READ ->
+      starts--; in_flight[me]++;
       assert(!new_works);                      /* H2 */
       start(EPOCH(view), 1) }
 #ifdef DRAINING_TAKES_WORK
-  :: atomic { starts > 0 && DRAINS(view) && drained[me] != 0 ->
+  :: atomic { starts > 0 && DRAINS(view) && registered_at != 0 ->
       starts--; in_flight[me]++;
       assert(!new_works);
       start(EPOCH(view), 1) }
@@ -287,39 +304,32 @@
   od
 }
 
-#ifdef CONFIRMED_BY_EPOCH
+#if defined(STALE_READS) && !defined(REVISIONS_COMPARED)
+#define IS_DRAINED(h) true     /* listed as of before the host registered */
+#elif defined(CONFIRMED_BY_EPOCH)
 #define IS_DRAINED(h) (drained[h] == 0 || drained[h] > 1)
 #else
 #define IS_DRAINED(h) (drained[h] == 0 || drained[h] == version)
 #endif
 
 proctype Mover() {
-  byte seen_at;
-
 mark:
   atomic {
     if
     :: version == FIRST_OWNED -> version = FIRST_DRAINING
     :: version == CALLED_OFF -> version = DRAINING_AGAIN
-    fi;
-    seen_at = now
+    fi
   };
   if
-#if OLD_HOSTS == 1
-  :: atomic { version == FIRST_DRAINING -> version = CALLED_OFF; goto mark }
-#endif
+  :: atomic { version == FIRST_DRAINING ->
+      version = CALLED_OFF; called_off = 1; goto mark }
   :: skip
   fi;
-#ifndef NO_WAIT
-  SINCE(seen_at) + mover_fast > FRESH + MARGIN;
-#endif
-  /* Reads the statuses, then moves by a conditional update. */
-  atomic {
+  /* Lists the statuses, now that the mark stands; then moves by a conditional
+   * update. */
 #ifndef DRAIN_NOT_AWAITED
-    IS_DRAINED(0) && IS_DRAINED(1);
+  IS_DRAINED(0) && IS_DRAINED(1);
 #endif
-    seen_at = 0
-  };
   atomic { DRAINS(version) -> version = MOVED }
 }
 
@@ -334,24 +344,9 @@
 #endif
 }
 
-proctype Time() {
-  do
-  :: now < LAST_TICK -> now++
-  :: now == LAST_TICK -> break
-  od
-}
-
 init {
   atomic {
-    if                           /* apart by one tick, which MARGIN covers */
-    :: slow[0] = 1
-    :: mover_fast = 1
-    :: true
-    fi;
-    run Time(); run Mover(); run NewHost(); run OldHost(0);
-#if OLD_HOSTS > 1
-    run OldHost(1)
-#endif
+    run Mover(); run NewHost(); run OldHost(0); run OldHost(1)
   }
 }
 #endif
