--- a/src/exchange/exchanger.cc
+++ b/src/exchange/exchanger.cc
@@ -86,7 +86,9 @@
     return;
   }
   const int room = this->settings.max_calls - this->calls_in_progress;
-  const int count = std::min(this->settings.partners, room);
+  // A host that knows nothing yet would be sent everything by each partner.
+  const int partners = this->caught_up ? this->settings.partners : 1;
+  const int count = std::min(partners, room);
   if (count <= 0) {
     return;
   }
@@ -159,24 +161,29 @@
   }
 }
 
-// To a peer whose revision is known goes what it lacks; to another what
-// changed since the last telling, which joins what most hosts know. Before the
-// first telling that would be everything.
+// What changed since the last telling joins what most hosts know; a peer that
+// is further behind shows it in its answer. What a peer showed earlier is used
+// only where it says that less is enough: it is old, and the peer has heard
+// from others since. Before the first telling nothing is known to be news, and
+// digests alone are sent.
 std::vector<ViewPart> Exchanger::NewsFor(std::string_view peer) {
-  std::vector<ViewPart> known = this->sharer.Digests();
-  for (ViewPart& part : known) {
-    const KindDigest* const shown =
-        this->knowledge.Find(peer, part.digest.kind);
-    const auto told = this->told_revisions.find(part.digest.kind);
-    if (shown != nullptr) {
-      part.digest = *shown;
-    } else if (told != this->told_revisions.end() &&
-               this->changed_kinds.contains(part.digest.kind)) {
-      part.digest.revision = told->second;
-      part.digest.beyond = 0;
+  std::vector<ViewPart> assumed = this->sharer.Digests();
+  for (ViewPart& part : assumed) {
+    KindDigest& digest = part.digest;
+    const auto told = this->told_revisions.find(digest.kind);
+    if (told == this->told_revisions.end() ||
+        !this->changed_kinds.contains(digest.kind)) {
+      continue;
+    }
+    const KindDigest* const shown = this->knowledge.Find(peer, digest.kind);
+    if (shown != nullptr && shown->revision >= told->second) {
+      digest = *shown;
+    } else {
+      digest.revision = told->second;
+      digest.beyond = 0;
     }
   }
-  return this->sharer.PartsFor(known, this->budget.ForRequest());
+  return this->sharer.PartsFor(assumed, this->budget.ForRequest());
 }
 
 ///////////////////////////
@@ -319,7 +326,8 @@
   message.from = this->identity.name;
   message.incarnation = this->identity.incarnation;
   message.views = std::move(views);
-  if (this->load_source != nullptr && this->parts.directory.IsInRegion(peer)) {
+  if (this->load_source != nullptr && !this->budget.IsLow() &&
+      this->parts.directory.IsInRegion(peer)) {
     message.loads =
         this->load_source->NotesFor(peer, this->settings.load_notes);
   }
