Stand-ins: the object API's faults tested over HTTP; held writes

Cause: lost answers, lost requests and delayed writes were only tried by hand; a test whose delayed write comes by a timer would be judged by timing. Ruled out: a long delay (slow, and still by timing).

--- a/standins/objects/object_faults.h
+++ b/standins/objects/object_faults.h
@@ -22,10 +22,10 @@
   bool watch_stall = false;
   std::int64_t slow_ms = 0;
   std::int64_t stale_reads_ms = 0;
-  std::int64_t lose_answers = 0;   ///< writes still to meet this
-  std::int64_t lose_requests = 0;  ///< writes still to meet this
-  std::int64_t delay_writes = 0;   ///< writes still to meet this
-  std::int64_t delay_writes_ms = 0;
+  std::int64_t lose_answers = 0;     ///< writes still to meet this
+  std::int64_t lose_requests = 0;    ///< writes still to meet this
+  std::int64_t delay_writes = 0;     ///< writes still to meet this
+  std::int64_t delay_writes_ms = 0;  ///< negative: until released
 
   /// @brief Takes over the fields that `change` names; the others stay.
   void Merge(const nlohmann::json& change);
--- a/standins/objects/object_service.cc
+++ b/standins/objects/object_service.cc
@@ -59,6 +59,9 @@
     if (change.value("compact", false)) {
       this->table.Compact();
     }
+    if (change.value("release_delayed", false)) {
+      this->ReleaseDelayed();
+    }
     exchange->Send(JsonReply(200, {{"applied", true}}));
   } catch (const nlohmann::json::exception& error) {
     exchange->Send(ErrorReply(400, "malformed", error.what()));
@@ -225,8 +228,7 @@
                           removes};
   const WriteFate fate = this->faults.NextWrite();
   if (fate == WriteFate::kDelayed) {
-    QTimer::singleShot(std::chrono::milliseconds(this->faults.delay_writes_ms),
-                       this, [this, write] { this->Apply(write); });
+    this->Delay(write);
   }
   if (fate == WriteFate::kAnswerLost) {
     this->Apply(write);
@@ -246,6 +248,21 @@
   this->Answer(exchange, reply);
 }
 
+void ObjectService::Delay(const ObjectWrite& write) {
+  if (this->faults.delay_writes_ms < 0) {
+    this->held_writes.push_back(write);
+    return;
+  }
+  QTimer::singleShot(std::chrono::milliseconds(this->faults.delay_writes_ms),
+                     this, [this, write] { this->Apply(write); });
+}
+
+void ObjectService::ReleaseDelayed() {
+  for (const ObjectWrite& write : std::exchange(this->held_writes, {})) {
+    this->Apply(write);
+  }
+}
+
 std::optional<std::int64_t> ObjectService::Apply(const ObjectWrite& write) {
   const std::int64_t now_ms = this->clock.NowMs();
   const std::optional<std::int64_t> version = this->table.Apply(write, now_ms);
--- a/standins/objects/object_service.h
+++ b/standins/objects/object_service.h
@@ -53,6 +53,8 @@
 
   // 3. writes
   void Write(const Request& request, const ExchangePtr& exchange);
+  void Delay(const ObjectWrite& write);
+  void ReleaseDelayed();
   std::optional<std::int64_t> Apply(const ObjectWrite& write);
 
   StandinClock clock;
@@ -63,6 +65,7 @@
   RateLimit read_limit;
   std::vector<PendingWatch> watches;
   std::vector<ExchangePtr> hung;
+  std::vector<ObjectWrite> held_writes;
   QTimer watch_timer;
 };
 
--- a/standins/tests/http_fixture.h
+++ b/standins/tests/http_fixture.h
@@ -47,6 +47,18 @@
     return this->text.find(part) != std::string::npos;
   }
 
+  /// @brief Whether an answer with a length is there as a whole.
+  bool IsAnswered() const {
+    const std::string mark = "Content-Length: ";
+    const std::size_t at = this->text.find(mark);
+    const std::size_t end = this->text.find("\r\n\r\n");
+    if (at == std::string::npos || end == std::string::npos) {
+      return false;
+    }
+    const std::size_t length = std::stoul(this->text.substr(at + mark.size()));
+    return this->text.size() >= end + 4 + length;
+  }
+
   bool IsClosed() const {
     return this->socket.state() == QAbstractSocket::UnconnectedState;
   }
