Stand-ins: many callers may connect at once

Cause: 2,000 connects at once to 14 engines took 1.1 to 3.2 s, in steps of a second: QTcpServer queues 50 new connections by default, the kernel drops the SYNs beyond and callers send them again after a second. Times to the first token measured against this would have been wrong. Ruled out: slower connecting in the client (hides it). Change: the listener binds a QTcpServer of its own with room for 4,096.

--- a/standins/http/http_listener.cc
+++ b/standins/http/http_listener.cc
@@ -3,12 +3,15 @@
 #include <QHostAddress>
 #include <QHttpServerRequest>
 #include <QMetaEnum>
+#include <QTcpServer>
 #include <QUrlQuery>
 #include <iostream>
 
 namespace meadowthread::standins {
 namespace {
 
+constexpr int kNewConnections = 4096;
+
 std::string Decoded(const QByteArray& encoded) {
   return QByteArray::fromPercentEncoding(encoded).toStdString();
 }
@@ -58,12 +61,18 @@
 std::uint16_t HttpListener::Listen(const std::string& address,
                                    std::uint16_t port, std::string_view role,
                                    std::string_view name) {
-  const std::uint16_t actual =
-      this->listen(QHostAddress(QString::fromStdString(address)), port);
-  if (actual != 0) {
-    std::cout << "ready role=" << role << " name=" << name << " port=" << actual
-              << std::endl;
+  // A server of our own, since the one that listen() makes queues 50 new
+  // connections only: the kernel drops those beyond, and their callers try
+  // again a second later.
+  auto server = std::make_unique<QTcpServer>();
+  server->setListenBacklogSize(kNewConnections);
+  if (!server->listen(QHostAddress(QString::fromStdString(address)), port)) {
+    return 0;
   }
+  const std::uint16_t actual = server->serverPort();
+  this->bind(server.release());
+  std::cout << "ready role=" << role << " name=" << name << " port=" << actual
+            << std::endl;
   return actual;
 }
 
