--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -114,7 +114,8 @@
   std::int64_t retention_ms = 86400000;
   std::int64_t segment_bytes = 65536;
 
-  friend bool operator==(const ClaimsSettings&, const ClaimsSettings&) = default;
+  friend bool operator==(const ClaimsSettings&,
+                         const ClaimsSettings&) = default;
 };
 
 /// @brief Placement of models on engines.
