A template that made the parser run for ever

Cause: random texts found that YAML::LoadAll (yaml-cpp 0.7) never returns on ", a: 1": it finds one empty document after another. One such object would have stopped every host's event loop. Ruled out: YAML::Load alone (it passes over what follows the first document); looking for "---" by hand (the hang has none). Change: the parser is stepped twice with a handler that keeps nothing; a template is exactly one document. Conclusion: the hang is closed at the price of a second pass.

--- a/src/configuration/template_document.cc
+++ b/src/configuration/template_document.cc
@@ -1,11 +1,13 @@
 #include "configuration/template_document.h"
 
+#include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
 #include <array>
 #include <optional>
 #include <set>
+#include <sstream>
 #include <utility>
 
 #include "absl/strings/ascii.h"
@@ -169,6 +171,38 @@
   return digests;
 }
 
+/// Hears a document and keeps nothing of it.
+class DeafHandler final : public YAML::EventHandler {
+ public:
+  void OnDocumentStart(const YAML::Mark& /*mark*/) override {}
+  void OnDocumentEnd() override {}
+  void OnNull(const YAML::Mark& /*mark*/, YAML::anchor_t /*anchor*/) override {}
+  void OnAlias(const YAML::Mark& /*mark*/, YAML::anchor_t /*anchor*/) override {
+  }
+  void OnScalar(const YAML::Mark& /*mark*/, const std::string& /*tag*/,
+                YAML::anchor_t /*anchor*/,
+                const std::string& /*value*/) override {}
+  void OnSequenceStart(const YAML::Mark& /*mark*/, const std::string& /*tag*/,
+                       YAML::anchor_t /*anchor*/,
+                       YAML::EmitterStyle::value /*style*/) override {}
+  void OnSequenceEnd() override {}
+  void OnMapStart(const YAML::Mark& /*mark*/, const std::string& /*tag*/,
+                  YAML::anchor_t /*anchor*/,
+                  YAML::EmitterStyle::value /*style*/) override {}
+  void OnMapEnd() override {}
+};
+
+// YAML::LoadAll never returns on a text such as ", a: 1": the parser finds one
+// empty document after another. YAML::Load alone would pass over whatever
+// follows the first. Two steps of the parser tell both.
+bool IsOneDocument(const std::string& text) {
+  std::istringstream stream(text);
+  YAML::Parser parser(stream);
+  DeafHandler handler;
+  const bool has_one = parser.HandleNextDocument(handler);
+  return has_one && !parser.HandleNextDocument(handler);
+}
+
 ParsedTemplate OneProblem(int line, std::string_view message) {
   ParsedTemplate parsed;
   parsed.problems.push_back({line, "", std::string(message)});
@@ -191,11 +225,11 @@
 ParsedTemplate ParseTemplate(std::string_view yaml, std::int64_t version) {
   // yaml-cpp reports by exceptions; they end here.
   try {
-    const std::vector<YAML::Node> nodes = YAML::LoadAll(std::string(yaml));
-    if (nodes.size() != 1) {
+    const std::string text(yaml);
+    if (!IsOneDocument(text)) {
       return OneProblem(0, "a template is exactly one YAML document");
     }
-    return TemplateReader(version).Read(nodes.front());
+    return TemplateReader(version).Read(YAML::Load(text));
   } catch (const YAML::Exception& error) {
     return OneProblem(error.mark.line + 1, "not YAML: " + error.msg);
   }
--- a/src/configuration/tests/template_document_test.cc
+++ b/src/configuration/tests/template_document_test.cc
@@ -169,19 +169,22 @@
 }
 
 Test(a_text_that_is_no_template, is_refused_without_a_crash) {
-  const std::vector<std::string> texts = {"",
-                                          "7",
-                                          "[]",
-                                          "a: [",
-                                          "\xff\xfe",
-                                          "---\na: 1\n---\nb: 2",
-                                          "&a [*a]",
-                                          "name: &n [*n]",
-                                          "workspaces: {a: 1}",
-                                          "models: [[[]]]",
-                                          "? {a: 1}\n: 2",
-                                          "workspaces: [~, 1, {parameters: 3}]",
-                                          std::string(100000, '[')};
+  const std::vector<std::string> texts = {
+      "",
+      "7",
+      "[]",
+      "a: [",
+      "\xff\xfe",
+      "---\na: 1\n---\nb: 2",
+      "&a [*a]",
+      "name: &n [*n]",
+      "workspaces: {a: 1}",
+      "models: [[[]]]",
+      "? {a: 1}\n: 2",
+      "workspaces: [~, 1, {parameters: 3}]",
+      ", name: a",
+      "{name: a, models: [], workspaces: []} x",
+      std::string(100000, '[')};
   for (const std::string& text : texts) {
     cr_assert(!ParseTemplate(text, 1).IsValid(), "%.40s", text.c_str());
   }
