--- a/src/configuration/template_document.cc
+++ b/src/configuration/template_document.cc
@@ -1,14 +1,17 @@
 #include "configuration/template_document.h"
 
+#include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
 #include <array>
 #include <optional>
 #include <set>
+#include <sstream>
 #include <utility>
 
 #include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
 #include "configuration/service_reader.h"
 #include "configuration/yaml_reader.h"
 
@@ -20,8 +23,7 @@
     "delivery", "not_repeatable", "limits", "workspaces"};
 constexpr std::array<std::string_view, 4> kWorkspaceFields = {
     "workspace", "key_sha256", "weight", "parameters"};
-constexpr std::string_view kNameRule =
-    "' may hold only a-z, 0-9 and -, 1 to 63 of them";
+constexpr char kNameRule[] = "' may hold only a-z, 0-9 and -, 1 to 63 of them";
 constexpr double kLeastWeight = 0.01;
 constexpr double kMostWeight = 1000;
 
@@ -69,7 +71,7 @@
 std::string TemplateReader::ReadName(const YamlField& field) {
   const std::optional<std::string> name = this->reader.RawText(field);
   if (name.has_value() && !IsName(*name)) {
-    this->reader.Report(field, "'" + *name + std::string(kNameRule));
+    this->reader.Report(field, absl::StrCat("'", *name, kNameRule));
   }
   return name.value_or("");
 }
@@ -83,9 +85,10 @@
       continue;
     }
     if (name->empty() || name->find_first_of("${} ") != std::string::npos) {
-      this->reader.Report(item, "'" + *name + "' cannot name a parameter");
+      this->reader.Report(
+          item, absl::StrCat("'", *name, "' cannot name a parameter"));
     } else if (std::find(names.begin(), names.end(), *name) != names.end()) {
-      this->reader.Report(item, "'" + *name + "' stands twice");
+      this->reader.Report(item, absl::StrCat("'", *name, "' stands twice"));
     }
     names.push_back(*name);
   }
@@ -102,7 +105,8 @@
   const YamlField name = this->reader.RequiredMember(field, "workspace");
   ParameterScope scope{this->declared, {}, this->ReadName(name)};
   if (name.IsThere() && !this->workspaces.insert(scope.workspace).second) {
-    this->reader.Report(name, "'" + scope.workspace + "' stands twice");
+    this->reader.Report(name,
+                        absl::StrCat("'", scope.workspace, "' stands twice"));
   }
   const std::optional<double> weight = this->reader.Number(
       this->reader.Member(field, "weight"), kLeastWeight, kMostWeight);
@@ -167,6 +171,38 @@
   return digests;
 }
 
+/// Hears a document and keeps nothing of it.
+class DeafHandler final : public YAML::EventHandler {
+ public:
+  void OnDocumentStart(const YAML::Mark& /*mark*/) override {}
+  void OnDocumentEnd() override {}
+  void OnNull(const YAML::Mark& /*mark*/, YAML::anchor_t /*anchor*/) override {}
+  void OnAlias(const YAML::Mark& /*mark*/, YAML::anchor_t /*anchor*/) override {
+  }
+  void OnScalar(const YAML::Mark& /*mark*/, const std::string& /*tag*/,
+                YAML::anchor_t /*anchor*/,
+                const std::string& /*value*/) override {}
+  void OnSequenceStart(const YAML::Mark& /*mark*/, const std::string& /*tag*/,
+                       YAML::anchor_t /*anchor*/,
+                       YAML::EmitterStyle::value /*style*/) override {}
+  void OnSequenceEnd() override {}
+  void OnMapStart(const YAML::Mark& /*mark*/, const std::string& /*tag*/,
+                  YAML::anchor_t /*anchor*/,
+                  YAML::EmitterStyle::value /*style*/) override {}
+  void OnMapEnd() override {}
+};
+
+// YAML::LoadAll never returns on a text such as ", a: 1": the parser finds one
+// empty document after another. YAML::Load alone would pass over whatever
+// follows the first. Two steps of the parser tell both.
+bool IsOneDocument(const std::string& text) {
+  std::istringstream stream(text);
+  YAML::Parser parser(stream);
+  DeafHandler handler;
+  const bool has_one = parser.HandleNextDocument(handler);
+  return has_one && !parser.HandleNextDocument(handler);
+}
+
 ParsedTemplate OneProblem(int line, std::string_view message) {
   ParsedTemplate parsed;
   parsed.problems.push_back({line, "", std::string(message)});
@@ -189,11 +225,11 @@
 ParsedTemplate ParseTemplate(std::string_view yaml, std::int64_t version) {
   // yaml-cpp reports by exceptions; they end here.
   try {
-    const std::vector<YAML::Node> nodes = YAML::LoadAll(std::string(yaml));
-    if (nodes.size() != 1) {
+    const std::string text(yaml);
+    if (!IsOneDocument(text)) {
       return OneProblem(0, "a template is exactly one YAML document");
     }
-    return TemplateReader(version).Read(nodes.front());
+    return TemplateReader(version).Read(YAML::Load(text));
   } catch (const YAML::Exception& error) {
     return OneProblem(error.mark.line + 1, "not YAML: " + error.msg);
   }
