Two halves: hosts registered and read since, in place of a freshness bound

Cause: a bound of 4 s on the age of a host's view stopped all new work in any outage of the platform, migration or not, and counted on clocks. Ruled out: a longer bound (an outage outlasts it); hosts counted as gone once their status stands still (a host that is cut off and at work looks the same). Change: a host starts work once its status object stands and the platform was read after that; the mover waits for the word of every status of the old half that no operator vouches is gone. Nothing depends on time. Without another half neither is needed. A host whose status was removed is unregistered. Callers: the move command (no clock), the ownership duty (other half, status removed).

--- a/src/cli/ownership_move_command.cc
+++ b/src/cli/ownership_move_command.cc
@@ -126,7 +126,7 @@
 
   MoveProgress Move(const MoveRequest& request, const MoverSettings& settings,
                     Platform& platform) {
-    OwnershipMover mover(request, settings, platform.Store(), this->clock);
+    OwnershipMover mover(request, settings, platform.Store());
     const std::int64_t end_ms =
         this->clock.MonotonicMs() +
         std::int64_t{this->arguments.wait_s.getValue()} * kSecondMs;
--- a/src/placement/ownership_mover.cc
+++ b/src/placement/ownership_mover.cc
@@ -7,10 +7,7 @@
 #include "placement/drain_tracker.h"
 
 namespace meadowthread {
-namespace {
-
-
-}  // namespace
+namespace {}  // namespace
 
 OwnershipMover::OwnershipMover(const MoveRequest& what,
                                const MoverSettings& with, ObjectStore& over)
--- a/src/serve/ownership_duty.cc
+++ b/src/serve/ownership_duty.cc
@@ -10,14 +10,15 @@
 namespace {
 
 constexpr std::int64_t kTickMs = 500;
-// Keeps the object's version moving, so that a mover sees a live host; 350
-// hosts make 12 writes a second of it.
+// Finds out whether the object still stands: a mover waits for no host without
+// one. 350 hosts make 12 writes a second of it.
 constexpr std::int64_t kRewriteMs = 30'000;
 
 OwnershipSettings MakeOwnershipSettings(const HalfSettings& half) {
   OwnershipSettings settings;
   settings.half = half.name;
   settings.default_owner = half.default_owner;
+  settings.has_other_half = !half.addresses.empty();
   for (const HalfAddress& address : half.addresses) {
     if (address.half == half.default_owner) {
       settings.default_address = address.url;
@@ -137,6 +138,8 @@
           this->status_version = object->version;
         } else if (DetailOf(object.status()).id == ErrorId::kNotFound) {
           this->status_version = 0;
+          this->registered_wall_ms = 0;
+          this->ownership.SetUnregistered();
         }
       });
 }
