--- a/bench/driver.cc
+++ b/bench/driver.cc
@@ -7,6 +7,7 @@
 #include <random>
 #include <utility>
 
+#include "measures.h"
 #include "policy/dispatcher.h"
 
 namespace meadowthread::bench {
@@ -23,7 +24,6 @@
 constexpr std::int64_t kCacheLagUs = 2 * kSecond;
 constexpr std::uint64_t kCacheEventsLostOneIn = 5;
 constexpr std::int64_t kSilentUs = 2 * kSecond;  ///< then taken as stalled
-constexpr std::size_t kGapBuckets = 4'000;       ///< of a millisecond each
 
 struct Decider {
   std::unique_ptr<LengthModel> lengths;
@@ -59,8 +59,7 @@
                               settings.duration_us, settings.seed)),
         streams(arrivals.size()),
         slots(static_cast<std::size_t>(deployment.engines)),
-        random(settings.seed ^ 0x9e3779b97f4a7c15U),
-        gaps(kGapBuckets) {
+        random(settings.seed ^ 0x9e3779b97f4a7c15U) {
     for (int i = 0; i < deployment.engines; ++i) {
       this->engines.push_back(
           std::make_unique<FakeEngine>(deployment.shape, *this));
@@ -80,9 +79,12 @@
       }
       this->events.pop();
       this->now_us = event.at_us;
+      this->measures.SetOn(this->now_us >= this->settings.warm_up_us);
       event.action();
     }
-    return this->Summary();
+    this->NoteOpenGaps();
+    return this->measures.Summary(this->settings.duration_us -
+                                  this->settings.warm_up_us);
   }
 
   const std::vector<std::unique_ptr<FakeEngine>>& Engines() const override {
@@ -96,11 +98,10 @@
 
   void OnToken(const Job& job, std::int64_t now) override {
     Stream& stream = this->streams[job.id];
-    const bool first = job.generated == 1;
-    if (first) {
-      this->NoteFirst(job, now);
+    if (job.generated == 1) {
+      this->measures.First(this->arrivals[job.id], now);
     } else {
-      this->NoteGap(now - stream.last_token_us);
+      this->measures.Gap(now - stream.last_token_us);
     }
     stream.generated = job.generated;
     stream.last_token_us = now;
@@ -108,23 +109,18 @@
   }
 
   void OnEnd(const Job& job, std::int64_t) override {
-    if (this->Measuring()) {
-      ++this->result.completed;
-      this->completed_tokens += job.generated;
-    }
+    this->measures.Completed(job.generated);
     this->Finish(job.id, StreamEnd::kComplete);
   }
 
-  void OnPreempted(const Job&) override {
-    this->result.preemptions += this->Measuring() ? 1 : 0;
-  }
+  void OnPreempted(const Job&) override { this->measures.Preempted(); }
 
   void OnDropped(const Job& job, std::int64_t) override {
     this->Finish(job.id, StreamEnd::kCut);
     if (job.generated > 0) {
-      this->result.interrupted += this->Measuring() ? 1 : 0;
+      this->measures.Interrupted();
     } else {
-      this->Refused(this->arrivals[job.id].work);
+      this->measures.Refused(this->arrivals[job.id].work);
     }
   }
 
@@ -160,8 +156,6 @@
     return "e" + std::to_string(engine);
   }
 
-  bool Measuring() const { return this->now_us >= this->settings.warm_up_us; }
-
   void After(std::int64_t delay_us, std::function<void()> action) {
     this->events.push(
         {this->now_us + delay_us, ++this->event_order, std::move(action)});
@@ -239,14 +233,14 @@
   void Arrive(std::size_t number) {
     const auto at = this->random() % this->deciders.size();
     this->streams[number].decider = static_cast<int>(at);
-    this->result.offered += this->Measuring() ? 1 : 0;
+    this->measures.Offered();
     const WorkItem& work = this->arrivals[number].work;
     const DispatchAnswer answer = this->deciders[at].dispatcher->Offer(
         work, this->now_us / kMs, this->random());
     if (answer.verdict == AdmissionVerdict::kAdmitted) {
       this->Send(number, answer.decision);
     } else if (answer.verdict == AdmissionVerdict::kRefused) {
-      this->Refused(work);
+      this->measures.Refused(work);
     }
   }
 
@@ -264,7 +258,7 @@
     this->streams[number].engine = static_cast<int>(engine);
     if (!this->slots[engine].up || !this->engines[engine]->Submit(job)) {
       this->Finish(job.id, StreamEnd::kCut);
-      this->Refused(arrival.work);
+      this->measures.Refused(arrival.work);
       return;
     }
     this->Wake(engine);
@@ -275,7 +269,7 @@
     for (Decider& decider : this->deciders) {
       for (const GivenUp& given_up :
            decider.dispatcher->Expire(now_ms, this->random())) {
-        this->Refused(given_up.work);
+        this->measures.Refused(given_up.work);
       }
       // One at a time, so that an oracle sees each where it went.
       for (;;) {
@@ -435,85 +429,14 @@
                 [this, engine] { this->Die(engine, kSecond * 60); });
   }
 
-  // ---------------------------------------------------------- measuring
-
-  void Refused(const WorkItem& work) {
-    if (this->Measuring()) {
-      ++this->result.refused;
-      this->result.urgent_refused += work.urgency == Urgency::kUrgent ? 1 : 0;
-    }
-  }
-
-  void NoteFirst(const Job& job, std::int64_t now) {
-    if (!this->Measuring()) {
-      return;
-    }
-    ++this->result.begun;
-    const Arrival& arrival = this->arrivals[job.id];
-    const double wait_ms = static_cast<double>(now - arrival.at_us) / kMs;
-    const bool urgent = arrival.work.urgency == Urgency::kUrgent;
-    (urgent ? this->urgent_waits : this->other_waits).push_back(wait_ms);
-  }
-
-  void NoteGap(std::int64_t gap_us) {
-    if (!this->Measuring()) {
-      return;
-    }
-    const auto bucket = static_cast<std::size_t>(gap_us / kMs);
-    ++this->gaps[std::min(bucket, kGapBuckets - 1)];
-    ++this->gap_count;
-    if (gap_us > kStallAfterUs) {
-      this->result.stall_s +=
-          static_cast<double>(gap_us - kStallAfterUs) / kSecond;
-    }
-  }
-
-  double GapQuantile(double part) const {
-    const auto wanted =
-        static_cast<std::int64_t>(static_cast<double>(this->gap_count) * part);
-    std::int64_t seen = 0;
-    for (std::size_t i = 0; i < kGapBuckets; ++i) {
-      if (seen + this->gaps[i] > wanted) {
-        const double inside = static_cast<double>(wanted - seen) /
-                              static_cast<double>(this->gaps[i]);
-        return static_cast<double>(i) + inside;
-      }
-      seen += this->gaps[i];
-    }
-    return static_cast<double>(kGapBuckets);
-  }
-
-  static double Quantile95(std::vector<double>& values) {
-    if (values.empty()) {
-      return 0.0;
-    }
-    const std::size_t at = values.size() * 95 / 100;
-    std::nth_element(values.begin(),
-                     values.begin() + static_cast<std::ptrdiff_t>(at),
-                     values.end());
-    return values[at];
-  }
-
-  RunResult Summary() {
-    this->AddOpenGaps();
-    const std::int64_t measured =
-        this->settings.duration_us - this->settings.warm_up_us;
-    this->result.tokens_per_s = static_cast<double>(this->completed_tokens) *
-                                kSecond / static_cast<double>(measured);
-    this->result.gap_p95_ms = this->GapQuantile(0.95);
-    this->result.gap_p99_ms = this->GapQuantile(0.99);
-    this->result.urgent_wait_p95_ms = Quantile95(this->urgent_waits);
-    this->result.report_wait_p95_ms = Quantile95(this->other_waits);
-    return this->result;
-  }
-
   /// Outputs that stand still at the end count for as long as they did.
-  void AddOpenGaps() {
+  void NoteOpenGaps() {
     this->now_us = this->settings.duration_us;
     for (const auto& engine : this->engines) {
       for (const Job& job : engine->Waiting()) {
         if (job.generated > 0) {
-          this->NoteGap(this->now_us - this->streams[job.id].last_token_us);
+          this->measures.Gap(this->now_us -
+                             this->streams[job.id].last_token_us);
         }
       }
     }
@@ -532,12 +455,7 @@
   std::int64_t now_us = 0;
   std::uint64_t event_order = 0;
   bool share_loads = false;
-  RunResult result;
-  std::vector<std::int64_t> gaps;
-  std::int64_t gap_count = 0;
-  std::int64_t completed_tokens = 0;
-  std::vector<double> urgent_waits;
-  std::vector<double> other_waits;
+  Measures measures;
 };
 
 }  // namespace
--- a/bench/driver.h
+++ b/bench/driver.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "fake_engine.h"
+#include "measures.h"
 #include "policy/chooser.h"
 #include "policy/length_model.h"
 #include "workload.h"
@@ -45,26 +46,6 @@
   std::int64_t duration_us = 600'000'000;
 };
 
-/// @brief What one run measured, after its warm-up.
-struct RunResult {
-  std::int64_t begun = 0;      ///< outputs whose first token came
-  std::int64_t completed = 0;  ///< outputs that ended by themselves
-  std::int64_t offered = 0;
-  std::int64_t refused = 0;  ///< at once, given up in a queue, or rejected
-  std::int64_t interrupted = 0;
-  std::int64_t preemptions = 0;
-  double stall_s = 0.0;  ///< beyond kStallAfterUs between two tokens, summed
-  double gap_p95_ms = 0.0;
-  double gap_p99_ms = 0.0;
-  double tokens_per_s = 0.0;        ///< of completed outputs
-  double urgent_wait_p95_ms = 0.0;  ///< arrival to first token
-  double report_wait_p95_ms = 0.0;  ///< of work that is not urgent
-  std::int64_t urgent_refused = 0;
-};
-
-/// @brief A gap between two tokens of one output is a stall beyond this.
-inline constexpr std::int64_t kStallAfterUs = 250'000;
-
 /// @brief Runs one policy over one deployment's arrivals in virtual time.
 RunResult Run(const Deployment& deployment, const PolicyFactory& policy,
               const RunSettings& settings);
--- a/src/policy/memory_aware_chooser.h
+++ b/src/policy/memory_aware_chooser.h
@@ -21,8 +21,8 @@
 /// @brief What MemoryAwareChooser may be set to.
 struct MemoryAwareOptions {
   PolicyWeights weights;
-  double max_risk = 0.1;       ///< for work that is not urgent
-  double urgent_room = 0.04;   ///< part of the memory kept for urgent work
+  double max_risk = 0.13;      ///< for work that is not urgent
+  double urgent_room = 0.05;   ///< part of the memory kept for urgent work
   double shared_room = 0.15;   ///< part kept on engines others prefer
   double prefix_bonus = 0.05;  ///< cost taken off where the prefix may be
   int sample = 16;             ///< engines looked at in a big fleet
