--- a/src/serve/ownership_duty.cc
+++ b/src/serve/ownership_duty.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/error.h"
+#include "base/json_fields.h"
 #include "nlohmann/json.hpp"
 #include "placement/ownership_mover.h"
 
@@ -144,6 +145,30 @@
       });
 }
 
+// Found removed or written by another life of this host, a mover may not wait
+// for us: nothing new is started until our own object stands again.
+void OwnershipDuty::OnRead(const absl::StatusOr<StoredObject>& object) {
+  if (!object.ok()) {
+    if (DetailOf(object.status()).id == ErrorId::kNotFound) {
+      this->status_version = 0;
+      this->Unregister();
+    }
+    return;
+  }
+  this->status_version = object->version;
+  const nlohmann::json status =
+      nlohmann::json::parse(object->value, nullptr, false);
+  if (IntOr(status, "incarnation", 0) != this->incarnation) {
+    this->Unregister();
+  }
+}
+
+void OwnershipDuty::Unregister() {
+  this->registered_wall_ms = 0;
+  this->written_report.clear();
+  this->ownership.SetUnregistered();
+}
+
 void OwnershipDuty::Leave(const std::function<void()>& done) {
   this->leaving = true;
   if (this->status_version == 0) {
--- a/src/serve/ownership_duty.h
+++ b/src/serve/ownership_duty.h
@@ -51,6 +51,8 @@
   void OnWritten(const absl::StatusOr<std::int64_t>& version,
                  const std::string& report);
   void ReadVersion();
+  void OnRead(const absl::StatusOr<StoredObject>& object);
+  void Unregister();
 
   std::string host;
   bool has_other_half;
