--- a/src/settings/tests/settings_test.cc
+++ b/src/settings/tests/settings_test.cc
@@ -33,7 +33,7 @@
   cr_assert(parsed.IsValid());
   cr_assert(parsed.settings.host.zone == "makati-hall");
   cr_assert(parsed.settings.platform.object_api == "http://127.0.0.1:9000");
-  cr_assert(parsed.settings.exchange == ExchangeSettings{});
+  cr_assert(parsed.settings.exchange == HostExchangeSettings{});
   cr_assert(parsed.settings.half.default_owner == "main");
 }
 
