Server: a pipelined request does not run into the answer before it; backlog 4096

Ruled out: queueing the pipelined request, which would hold its caller as long as a report. Change: the connection is closed.

--- a/src/net/connection_guard.h
+++ b/src/net/connection_guard.h
@@ -2,6 +2,7 @@
 #define MEADOWTHREAD_NET_CONNECTION_GUARD_H_
 
 #include <QObject>
+#include <QPointer>
 #include <QTcpSocket>
 #include <QTimer>
 
@@ -21,6 +22,12 @@
   /// @brief A whole request was taken: counting starts anew.
   void RequestTaken();
 
+  /// @brief Whether an earlier request of the connection is being answered.
+  bool IsAnswering() const { return !this->answering.isNull(); }
+
+  /// @brief The answer that the connection is busy with until it is destroyed.
+  void SetAnswering(QObject* answer) { this->answering = answer; }
+
  private:
   void CountArrived();
   void ReadHead();
@@ -29,6 +36,7 @@
   QTcpSocket* socket;
   ServerLimits limits;
   QTimer body_timer;
+  QPointer<QObject> answering;
   QByteArray head;
   qint64 received = 0;
   bool head_done = false;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -80,14 +80,18 @@
  protected:
   bool handleRequest(const QHttpServerRequest& request,
                      QTcpSocket* socket) override {
-    for (QObject* child : socket->children()) {
-      if (auto* found = dynamic_cast<ConnectionGuard*>(child)) {
-        found->RequestTaken();
-      }
+    ConnectionGuard* guard = GuardOf(socket);
+    // Qt hands over a pipelined request while the answer before it is still
+    // being written; a second answer would run into the first.
+    if (guard == nullptr || guard->IsAnswering()) {
+      socket->abort();
+      return true;
     }
-    this->service->Serve(Convert(request),
-                         std::make_unique<ResponseWriter>(
-                             makeResponder(request, socket), socket));
+    guard->RequestTaken();
+    auto writer = std::make_unique<ResponseWriter>(
+        makeResponder(request, socket), socket);
+    guard->SetAnswering(writer.get());
+    this->service->Serve(Convert(request), std::move(writer));
     return true;
   }
 
@@ -95,6 +99,15 @@
                       QTcpSocket* /*socket*/) override {}
 
  private:
+  static ConnectionGuard* GuardOf(QTcpSocket* socket) {
+    for (QObject* child : socket->children()) {
+      if (auto* guard = dynamic_cast<ConnectionGuard*>(child)) {
+        return guard;
+      }
+    }
+    return nullptr;
+  }
+
   static ServerRequest Convert(const QHttpServerRequest& request) {
     ServerRequest out;
     out.method = MethodName(request.method());
@@ -167,7 +180,8 @@
     secure->setSslConfiguration(*configuration);
     listener = std::move(secure);
   }
-  listener->setListenBacklogSize(1024);
+  // Qt's own 50 make a burst of connections wait for their SYN to be repeated.
+  listener->setListenBacklogSize(4096);
   const QHostAddress host(QString::fromUtf8(
       address.data(), static_cast<qsizetype>(address.size())));
   if (!listener->listen(host, port)) {
