Faults found by reading the code against the models mended; the replaced reader told

Cause: the models' author found (1) a second generation could follow a resume token of the first, given with a keep-alive; (2) a host that starts during an outage served with the first peer's copy; (3) an object lost by a watch below a watermark that peers took over never reached hosts that do not watch; (4) an order's deadline was taken after the lease's rest, so that a pause between moved it past the lease; (5) 'interrupted' was said while the generation went on. The engine stand-in sends 'replaced' and closes. Not changed: 'not run' for a keyed submission that an outage kept from being sent (design/claims.md).

--- a/src/configuration/view_feeder.cc
+++ b/src/configuration/view_feeder.cc
@@ -24,7 +24,10 @@
   this->state.kind = std::string(kind);
 }
 
-void KindFeeder::Start() { this->Next(); }
+void KindFeeder::Start() {
+  this->proved_ms = this->clock.MonotonicMs();
+  this->Next();
+}
 
 void KindFeeder::Next() {
   this->state.watching = this->MustRead();
@@ -37,8 +40,13 @@
 }
 
 // Some hosts watch and tell the others. A host that hears of no fresh read
-// reads for itself: then those that should watch are gone or cut off.
+// reads for itself: then those that should watch are gone or cut off. And every
+// host repairs from time to time: what a watcher's watch lost below a watermark
+// that peers took over, no peer's delta brings any more.
 bool KindFeeder::MustRead() const {
+  if (this->clock.MonotonicMs() - this->proved_ms >= this->options.repair_ms) {
+    return true;
+  }
   const Confirmation confirmed = this->view.Digest(this->kind).confirmed;
   const std::int64_t age_ms = this->clock.WallMs() - confirmed.unix_ms;
   return this->is_watcher() || age_ms >= this->options.self_watch_ms;
--- a/src/gateway/caller_stream.cc
+++ b/src/gateway/caller_stream.cc
@@ -22,7 +22,12 @@
       mode(mode),
       bounds(bounds) {}
 
+// A whole answer is given without one: nothing of it was delivered before its
+// end, and a second generation may still take its place.
 void CallerStream::SetResumeToken(std::string token) {
+  if (this->mode != DeliveryMode::kStreamed) {
+    return;
+  }
   this->resume_token = std::move(token);
   this->token_told = false;
 }
--- a/src/gateway/caller_stream.h
+++ b/src/gateway/caller_stream.h
@@ -73,7 +73,10 @@
   std::int64_t Delivered() const { return this->delivered; }
 
   /// @brief Whether a second generation could still take this one's place.
-  bool MayStartOver() const { return this->delivered == 0; }
+  /// Not once the caller holds a token that leads to the first.
+  bool MayStartOver() const {
+    return this->delivered == 0 && !this->token_told;
+  }
 
   /// @brief Whether the caller could come back to another host.
   bool CanResume() const;
--- a/src/gateway/generation_session_stream.cc
+++ b/src/gateway/generation_session_stream.cc
@@ -268,6 +268,8 @@
 // Nothing more will come of the pinned generation. A second one may take its
 // place only while nothing of the first was delivered.
 void GenerationSession::AfterGenerationLost(const absl::Status& cause) {
+  // It may go on where only our way to it is broken; the answer ends here.
+  this->CancelGeneration();
   this->EndPolicy(StreamEnd::kCut);
   this->RetireStream();
   if (this->MayRunAgain()) {
--- a/src/placement/orderer.cc
+++ b/src/placement/orderer.cc
@@ -64,19 +64,23 @@
 }
 
 HttpRequest Orderer::Request(const EngineOrder& order) const {
+  // The wall clock first: a pause between the two readings must shorten the
+  // engine's deadline, never move it past the lease's end.
+  const std::int64_t now_unix_ms = this->clock.WallMs();
   const std::int64_t window_ms = std::min(
       this->lease.Settings().order_window_ms, this->lease.RemainingMs());
   OrderMessage message;
   message.holder = this->lease.Settings().holder;
   message.fence = this->lease.Fence();
-  message.deadline_unix_ms = this->clock.WallMs() + window_ms;
+  message.deadline_unix_ms = now_unix_ms + window_ms;
   message.desired = order.desired;
   HttpRequest request;
   request.method = "POST";
   request.url = order.base_url + "/v1/orders";
   request.headers = {{"Content-Type", "application/json"}};
   request.body = EncodeOrder(message);
-  request.total_timeout_ms = window_ms;
+  // 0 would mean no limit at all.
+  request.total_timeout_ms = std::max<std::int64_t>(1, window_ms);
   request.connect_timeout_ms =
       std::min(request.connect_timeout_ms, request.total_timeout_ms);
   // A second sending by the library would come after our check.
--- a/src/serve/host_gate.cc
+++ b/src/serve/host_gate.cc
@@ -9,6 +9,8 @@
 
 // The balancer has taken this host out by then.
 constexpr std::int64_t kRetryAfterMs = 1000;
+// In that time every reachable peer has been heard, at the exchange's rounds.
+constexpr std::int64_t kLearnFromPeersMs = 3000;
 
 absl::Status NotTaken(ErrorId id, std::string_view what) {
   ErrorDetail detail;
@@ -28,7 +30,7 @@
   if (this->closed) {
     return NotTaken(ErrorId::kHostLeaving, "this host is stopping");
   }
-  if (this->ViewAgeMs() < 0) {
+  if (!this->HasLearnt()) {
     return NotTaken(ErrorId::kHostNotReady,
                     "this host has not learnt its configuration yet");
   }
@@ -78,6 +80,20 @@
   return oldest;
 }
 
+// A read of the platform made after the start shows everything accepted before.
+// While the platform is down, peers' copies may differ: the first one to answer
+// may be behind what an earlier life of this host had in force, so that it
+// listens for a while before it serves.
+bool HostGate::HasLearnt() const {
+  const std::int64_t age = this->ViewAgeMs();
+  if (age < 0) {
+    return false;
+  }
+  const std::int64_t up =
+      this->parts.clock.WallMs() - this->parts.started_unix_ms;
+  return age <= up || up >= kLearnFromPeersMs;
+}
+
 // With peers answering, a change accepted anywhere reaches this host: while
 // the platform is down none is accepted, and one accepted just before it went
 // down is told on by the host or command line that saw it. A host that hears
--- a/src/serve/host_gate.h
+++ b/src/serve/host_gate.h
@@ -20,6 +20,7 @@
   const ReplicatedView& view;
   const HostDirectory& hosts;
   std::int64_t stale_limit_ms = 5000;
+  std::int64_t started_unix_ms = 0;  ///< of this process
   /// How many other entry hosts answered when last asked.
   std::function<int()> peers_alive;
   /// Counts work in, or says why this half does not serve the workspace.
@@ -53,6 +54,7 @@
 
  private:
   bool IsIsolated() const;
+  bool HasLearnt() const;
 
   HostGateParts parts;
   Marks marks;
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -172,7 +172,7 @@
               MakeClaimSettings(with)}),
       tokens(keys.resume_keys),
       gate({with.host.name, this->clock, this->view, this->hosts,
-            with.configuration.stale_limit_ms,
+            with.configuration.stale_limit_ms, this->incarnation,
             [this] { return this->exchange.PeersAlive(); },
             [this](std::string_view workspace) {
               return this->ownership.BeginWork(workspace);
--- a/src/serve/ownership_duty.cc
+++ b/src/serve/ownership_duty.cc
@@ -135,13 +135,7 @@
           return;
         }
         this->writing = false;
-        if (object.ok()) {
-          this->status_version = object->version;
-        } else if (DetailOf(object.status()).id == ErrorId::kNotFound) {
-          this->status_version = 0;
-          this->registered_wall_ms = 0;
-          this->ownership.SetUnregistered();
-        }
+        this->OnRead(object);
       });
 }
 
--- a/standins/engine/engine_service.cc
+++ b/standins/engine/engine_service.cc
@@ -191,7 +191,7 @@
     replaced->OnClosed([] {});
     replaced->SendChunk("event: replaced\ndata: {\"g\":\"" + generation->id +
                         "\"}\n\n");
-    replaced->EndStream();
+    replaced->EndStreamAndClose();
   }
   this->model.SetRead(generation, true, this->clock.NowMs());
   auto stream = std::make_unique<TokenStream>(exchange, generation, from);
--- a/standins/http/http_exchange.cc
+++ b/standins/http/http_exchange.cc
@@ -59,6 +59,13 @@
   this->Write("0\r\n\r\n");
 }
 
+void HttpExchange::EndStreamAndClose() {
+  this->EndStream();
+  if (this->socket != nullptr) {
+    this->socket->disconnectFromHost();
+  }
+}
+
 void HttpExchange::Abort() {
   this->answered = true;
   QObject::disconnect(this->closed_connection);
--- a/standins/http/http_exchange.h
+++ b/standins/http/http_exchange.h
@@ -32,6 +32,9 @@
   /// @brief Ends a chunked answer.
   void EndStream();
 
+  /// @brief Ends a chunked answer and closes the connection once it has left.
+  void EndStreamAndClose();
+
   /// @brief Closes the connection at once, whatever was answered.
   void Abort();
 
