--- a/bench/decision_benchmark.cc
+++ b/bench/decision_benchmark.cc
@@ -61,6 +61,7 @@
       this->fleet.ApplyReport(ReportOf(i, 0), 0);
     }
     std::vector<std::string> hosts;
+    hosts.reserve(kHosts);
     for (int i = 0; i < kHosts; ++i) {
       hosts.push_back(Name("host-", i));
     }
@@ -146,6 +147,7 @@
 void TokenNote(::benchmark::State& state) {
   World world(12'000);
   std::vector<std::string> requests;
+  requests.reserve(kOwnStreams);
   for (int i = 0; i < kOwnStreams; ++i) {
     requests.push_back(Name("request-", i));
   }
--- a/bench/driver.cc
+++ b/bench/driver.cc
@@ -182,6 +182,7 @@
       decider.fleet->ApplyReport(this->ReportOf(i), 0);
     }
     std::vector<std::string> hosts;
+    hosts.reserve(static_cast<std::size_t>(this->settings.deciders));
     for (int i = 0; i < this->settings.deciders; ++i) {
       hosts.push_back(std::to_string(i));
     }
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <exception>
 #include <fstream>
 #include <future>
 #include <iostream>
@@ -125,6 +126,7 @@
     }
   };
   std::vector<std::future<void>> threads;
+  threads.reserve(static_cast<std::size_t>(plan.threads));
   for (int i = 0; i < plan.threads; ++i) {
     threads.push_back(std::async(std::launch::async, work));
   }
@@ -143,6 +145,33 @@
   return rows;
 }
 
+void PlanTable(Plan& plan, std::string_view table, double one_load) {
+  std::vector<double> loads = {0.6, 0.9, 1.1, 1.5};
+  if (one_load > 0.0) {
+    loads = {one_load};
+  }
+  const double other_load = one_load > 0.0 ? one_load : 1.1;
+  if (table == "loads") {
+    PlanMain(plan, loads, Faults::kNone);
+  } else if (table == "faults") {
+    PlanMain(plan, {one_load > 0.0 ? one_load : 0.9},
+             Faults::kDeathStallReclaim);
+  } else if (table == "ablations") {
+    PlanAblations(plan, other_load);
+  } else {
+    PlanWeights(plan, other_load);
+  }
+}
+
+void FindCapacities(Plan& plan) {
+  for (const Deployment& deployment : plan.deployments) {
+    plan.capacities.push_back(CapacityOf(deployment));
+    std::cout << "capacity of " << deployment.name << ": "
+              << static_cast<std::int64_t>(plan.capacities.back())
+              << " tokens/s\n";
+  }
+}
+
 int Main(int argc, char** argv) {
   TCLAP::CmdLine command("The policy bench in virtual time", ' ', "1");
   TCLAP::ValueArg<int> seeds("", "seeds", "seeds of each cell", false, 5,
@@ -177,28 +206,8 @@
   if (room.getValue() >= 0.0) {
     plan.setup.options.urgent_room = room.getValue();
   }
-  for (const Deployment& deployment : plan.deployments) {
-    plan.capacities.push_back(CapacityOf(deployment));
-    std::cout << "capacity of " << deployment.name << ": "
-              << static_cast<std::int64_t>(plan.capacities.back())
-              << " tokens/s\n";
-  }
-  const double one_load = load.getValue();
-  std::vector<double> loads = {0.6, 0.9, 1.1, 1.5};
-  if (one_load > 0.0) {
-    loads = {one_load};
-  }
-  const double other_load = one_load > 0.0 ? one_load : 1.1;
-  if (table.getValue() == "loads") {
-    PlanMain(plan, loads, Faults::kNone);
-  } else if (table.getValue() == "faults") {
-    PlanMain(plan, {one_load > 0.0 ? one_load : 0.9},
-             Faults::kDeathStallReclaim);
-  } else if (table.getValue() == "ablations") {
-    PlanAblations(plan, other_load);
-  } else {
-    PlanWeights(plan, other_load);
-  }
+  FindCapacities(plan);
+  PlanTable(plan, table.getValue(), load.getValue());
   if (!only.getValue().empty()) {
     std::erase_if(plan.cells, [&](const Cell& cell) {
       return cell.policy.name != only.getValue();
@@ -217,5 +226,10 @@
 }  // namespace meadowthread::bench
 
 int main(int argc, char** argv) {
-  return meadowthread::bench::Main(argc, argv);
+  try {
+    return meadowthread::bench::Main(argc, argv);
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << '\n';
+    return 1;
+  }
 }
--- a/bench/workload.cc
+++ b/bench/workload.cc
@@ -1,8 +1,10 @@
 #include "workload.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <random>
+#include <span>
 
 namespace meadowthread::bench {
 namespace {
@@ -35,7 +37,7 @@
 
 // About ten workspaces, the first few of them large.
 void Spread(std::vector<TemplateMix>& mixes, const TemplateMix& base,
-            const std::vector<double>& parts) {
+            std::span<const double> parts) {
   for (std::size_t i = 0; i < parts.size(); ++i) {
     TemplateMix mix = base;
     mix.workspace = "w" + std::to_string(i);
@@ -46,8 +48,8 @@
   }
 }
 
-const std::vector<double> kWorkspaceParts = {0.30, 0.22, 0.16, 0.08, 0.06,
-                                             0.05, 0.04, 0.04, 0.03, 0.02};
+constexpr std::array<double, 10> kWorkspaceParts = {
+    0.30, 0.22, 0.16, 0.08, 0.06, 0.05, 0.04, 0.04, 0.03, 0.02};
 
 double RushNow(std::int64_t at_us) {
   const auto phase = static_cast<double>(at_us % kRushPeriodUs) /
--- a/src/policy/baseline_choosers.cc
+++ b/src/policy/baseline_choosers.cc
@@ -21,7 +21,8 @@
 
 double ReportedLoad(const EngineView& view) {
   const auto capacity = static_cast<double>(view.kv_capacity);
-  const double used = capacity > 0 ? view.kv_used / capacity : 0.0;
+  const double used =
+      capacity > 0 ? static_cast<double>(view.kv_used) / capacity : 0.0;
   // Work that waits at the engine counts beyond any memory in use.
   return used + view.waiting;
 }
--- a/src/policy/length_model.cc
+++ b/src/policy/length_model.cc
@@ -1,7 +1,5 @@
 #include "policy/length_model.h"
 
-#include <utility>
-
 namespace meadowthread {
 namespace {
 
@@ -12,8 +10,10 @@
 constexpr std::size_t kMaxModels = 1024;
 // With nothing observed, lengths are taken as spread evenly over octaves from
 // 16 to 4,096 tokens: wide, and with a tail that keeps memory free.
-constexpr std::size_t kFirstPriorBucket = 4 * kLengthBucketsPerOctave;
-constexpr std::size_t kEndPriorBucket = 12 * kLengthBucketsPerOctave;
+constexpr std::size_t kFirstPriorBucket =
+    std::size_t{4} * kLengthBucketsPerOctave;
+constexpr std::size_t kEndPriorBucket =
+    std::size_t{12} * kLengthBucketsPerOctave;
 constexpr float kTailPrior = 1e-3F;
 
 std::string JoinKey(const LengthKey& key) {
@@ -84,11 +84,11 @@
   if (own.curve != nullptr && !stale) {
     return own.curve;
   }
-  static const std::array<float, kLengthBuckets> kFirst = FirstPrior();
+  static const std::array<float, kLengthBuckets> first = FirstPrior();
   const auto weight = static_cast<float>(this->options.prior_weight);
   std::array<float, kLengthBuckets> mixed = {};
   for (std::size_t i = 0; i < kLengthBuckets; ++i) {
-    float base = kFirst[i];
+    float base = first[i];
     if (prior != nullptr && prior->total > 0.0F) {
       // The first prior stays in with one observation's weight.
       base = (prior->weights[i] + base) / (prior->total + 1.0F);
@@ -115,7 +115,7 @@
 }
 
 LearnedLengthModel::Histogram& LearnedLengthModel::KeyState(
-    std::string joined) {
+    const std::string& joined) {
   const auto found = this->keys.find(joined);
   if (found != this->keys.end()) {
     Histogram& state = *found->second;
@@ -127,7 +127,7 @@
     this->recency.pop_back();
   }
   this->recency.push_front(joined);
-  auto& added = this->keys[std::move(joined)];
+  auto& added = this->keys[joined];
   added = std::make_unique<Histogram>();
   added->recent = this->recency.begin();
   return *added;
--- a/src/policy/length_model.h
+++ b/src/policy/length_model.h
@@ -75,7 +75,7 @@
   std::shared_ptr<const LengthCurve> Blend(Histogram& own,
                                            const Histogram* prior) const;
   Histogram& ModelOf(const std::string& model);
-  Histogram& KeyState(std::string joined);
+  Histogram& KeyState(const std::string& joined);
 
   LengthModelOptions options;
   Histogram overall;
