Policy: a lagging host list does not bring a leaving engine back

Cause: found on reading: SetEngine with a host list from before the mark cleared the leaving flag that the engine's own report had set, until its next report. Ruled out: passing over the host list where a report is newer (its time is not part of the listing). Change: what the list and the report say is kept apart; either is believed. A decision in a big fleet looks at 12 engines in place of 16.

--- a/src/policy/fleet_state.cc
+++ b/src/policy/fleet_state.cc
@@ -71,7 +71,8 @@
   }
   view.zone = listing.zone;
   view.live = listing.live;
-  view.leaving = listing.leaving;
+  engine->listed_leaving = listing.leaving;
+  view.leaving = engine->listed_leaving || engine->reported_leaving;
 }
 
 void FleetState::RemoveEngine(std::string_view engine) {
@@ -103,7 +104,8 @@
   view.kv_used = report.kv_used;
   view.kv_capacity = report.kv_capacity;
   view.preemptions = report.preemptions;
-  view.leaving = view.leaving || report.leaving;
+  engine->reported_leaving = report.leaving;
+  view.leaving = engine->listed_leaving || engine->reported_leaving;
   this->TakeOwnOut(*engine, now_ms);
   engine->cached_ms = -1;
   if (view.models != report.models) {
--- a/src/policy/fleet_state.h
+++ b/src/policy/fleet_state.h
@@ -147,6 +147,9 @@
     std::vector<PeerLoad> peers;
     int others_running = 0;  ///< of the last report, own work taken out
     std::int64_t others_kv = 0;
+    // Both lag, each behind the other at times: either one is believed.
+    bool listed_leaving = false;
+    bool reported_leaving = false;
     bool told_peers = false;
     bool preferred = true;
     mutable MemoryForecast cached;
--- a/src/policy/memory_aware_chooser.h
+++ b/src/policy/memory_aware_chooser.h
@@ -26,7 +26,7 @@
   double urgent_fullness = 2.0;  ///< cost of a full engine to urgent work
   double shared_room = 0.15;     ///< part kept on engines others prefer
   double prefix_bonus = 0.05;    ///< cost taken off where the prefix may be
-  int sample = 16;               ///< engines looked at in a big fleet
+  int sample = 12;               ///< engines looked at in a big fleet
   int look_at_all_up_to = 32;    ///< fleets this small are looked at whole
 };
 
--- a/src/policy/tests/fleet_state_test.cc
+++ b/src/policy/tests/fleet_state_test.cc
@@ -61,6 +61,22 @@
   cr_assert(fleet.state.View(0).running == 5);
 }
 
+Test(a_fleet_state, believes_a_leaving_engine_before_a_lagging_host_list) {
+  Fleet fleet(1);
+  LoadReport report = ReportOf(0, 10);
+  report.leaving = true;
+  fleet.state.ApplyReport(report, 20);
+  fleet.state.SetEngine({EngineName(0), "z", true, false}, 30);
+  cr_assert(!fleet.state.View(0).Usable());
+  // and the host list before a report of before the mark
+  fleet.state.SetEngine({EngineName(0), "z", true, true}, 40);
+  fleet.state.ApplyReport(ReportOf(0, 45), 50);
+  cr_assert(!fleet.state.View(0).Usable());
+  // until both say that it stays
+  fleet.state.SetEngine({EngineName(0), "z", true, false}, 60);
+  cr_assert(fleet.state.View(0).Usable());
+}
+
 Test(a_fleet_state, does_not_count_own_work_twice) {
   Fleet fleet(1);
   fleet.state.NoteSent(Work("a"), "e0", 10);
