Server: tokens go to the socket directly while Qt's buffer is empty

Cause: each write through QTcpSocket waits for a further turn of the loop, which looks at every caller's socket. Ruled out: holding tokens back to gather them. Change: ::send while nothing is buffered, the rest through Qt; TLS as before.

--- a/src/net/response_writer.cc
+++ b/src/net/response_writer.cc
@@ -1,6 +1,9 @@
 #include "net/response_writer.h"
 
+#include <sys/socket.h>
+
 #include <QMetaObject>
+#include <QSslSocket>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -22,7 +25,9 @@
 
 ResponseWriter::ResponseWriter(QHttpServerResponder&& responder,
                                QTcpSocket* socket)
-    : responder(std::move(responder)), socket(socket) {
+    : responder(std::move(responder)),
+      socket(socket),
+      plain(qobject_cast<QSslSocket*>(socket) == nullptr) {
   QObject::connect(socket, &QTcpSocket::disconnected, this, [this] {
     if (this->closed_told && !this->ended) {
       std::exchange(this->closed_told, nullptr)();
@@ -90,7 +95,22 @@
   const std::string chunk = absl::StrCat(absl::Hex(this->pending.size()),
                                          "\r\n", this->pending, "\r\n");
   this->pending.clear();
-  this->socket->write(chunk.data(), static_cast<qint64>(chunk.size()));
+  std::string_view rest = chunk;
+  if (this->plain && this->socket->bytesToWrite() == 0) {
+    rest.remove_prefix(this->SendDirect(rest));
+  }
+  if (!rest.empty()) {
+    this->socket->write(rest.data(), static_cast<qint64>(rest.size()));
+  }
+}
+
+// Past Qt's buffer, which costs a further turn of the event loop for each
+// write. Only while that buffer is empty, so that nothing is overtaken.
+std::size_t ResponseWriter::SendDirect(std::string_view data) {
+  const ssize_t sent =
+      ::send(static_cast<int>(this->socket->socketDescriptor()), data.data(),
+             data.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  return sent > 0 ? static_cast<std::size_t>(sent) : 0;
 }
 
 void ResponseWriter::FinishStream() {
--- a/src/net/response_writer.h
+++ b/src/net/response_writer.h
@@ -78,9 +78,11 @@
 
  private:
   void Flush();
+  std::size_t SendDirect(std::string_view data);
 
   QHttpServerResponder responder;
   QPointer<QTcpSocket> socket;
+  bool plain;  ///< no TLS between us and the socket
   std::string pending;
   std::function<void()> closed_told;
   std::function<void()> drained_told;
