--- a/bench/load/stream_load.cc
+++ b/bench/load/stream_load.cc
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <cstdio>
+#include <exception>
 #include <fstream>
 #include <memory>
 #include <sstream>
@@ -217,7 +218,7 @@
 }  // namespace
 }  // namespace meadowthread
 
-int main(int argc, char** argv) {
+int main(int argc, char** argv) try {
   QCoreApplication application(argc, argv);
   TCLAP::CmdLine command("Streams at once: times between tokens", ' ', "0.1");
   TCLAP::ValueArg<std::string> url("", "url", "host or engine", true, "", "url",
@@ -239,4 +240,7 @@
   plan.streams = streams.getValue();
   plan.tokens = tokens.getValue();
   return meadowthread::Run(plan, pid.getValue());
+} catch (const std::exception& error) {
+  std::fprintf(stderr, "stream_load: %s\n", error.what());
+  return 2;
 }
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -63,7 +63,11 @@
 
 ErrorDetail DetailOf(const absl::Status& status) {
   const absl::optional<absl::Cord> payload = status.GetPayload(kPayloadUrl);
-  return payload.has_value() ? Decode(std::string(*payload)) : ErrorDetail{};
+  if (!payload.has_value()) {
+    return ErrorDetail{};
+  }
+  const std::string text{*payload};
+  return Decode(text);
 }
 
 absl::Status WithOutcome(const absl::Status& status, Outcome outcome) {
--- a/src/base/log_line.h
+++ b/src/base/log_line.h
@@ -22,7 +22,8 @@
   /// @brief Appends one pair whose value is any whole number.
   template <std::integral Integer>
   LogLine& Add(std::string_view key, Integer value) {
-    return this->Add(key, std::string_view(std::to_string(value)));
+    const std::string text_value = std::to_string(value);
+    return this->Add(key, std::string_view{text_value});
   }
 
   /// @brief The line as it would be written.
--- a/src/base/served_model.h
+++ b/src/base/served_model.h
@@ -12,7 +12,9 @@
   std::string adapter;  ///< empty: the bare model
   std::string version;
 
-  friend auto operator<=>(const ServedModel&, const ServedModel&) = default;
+  // clang-tidy 14 takes the comparison's own 0 for a null pointer.
+  friend auto operator<=>(  // NOLINTNEXTLINE(modernize-use-nullptr)
+      const ServedModel&, const ServedModel&) = default;
 };
 
 }  // namespace meadowthread
--- a/src/exchange/exchange_message.cc
+++ b/src/exchange/exchange_message.cc
@@ -9,6 +9,8 @@
 namespace meadowthread {
 namespace {
 
+constexpr std::size_t kMaxOutlook = 64;
+
 using nlohmann::json;
 
 constexpr char kDecodeStep[] = "exchange_decode";
@@ -89,10 +91,17 @@
 }
 
 json LoadJson(const EngineLoadNote& note) {
-  return {{"engine", note.engine},
-          {"in_flight", note.in_flight},
-          {"reserved_tokens", note.reserved_tokens},
-          {"as_of_unix_ms", note.as_of_unix_ms}};
+  json value = {{"engine", note.engine},
+                {"in_flight", note.in_flight},
+                {"reserved_tokens", note.reserved_tokens},
+                {"as_of_unix_ms", note.as_of_unix_ms}};
+  if (note.held_tokens > 0) {
+    value["held_tokens"] = note.held_tokens;
+  }
+  if (!note.outlook.empty()) {
+    value["outlook"] = note.outlook;
+  }
+  return value;
 }
 
 ///////////////
@@ -245,6 +254,23 @@
   return view;
 }
 
+// A hint: one that cannot be read, or is too long, is left out.
+std::vector<std::int64_t> OutlookFrom(const json& value) {
+  std::vector<std::int64_t> outlook;
+  const auto found = value.find("outlook");
+  if (found == value.end() || !found->is_array() ||
+      found->size() > kMaxOutlook) {
+    return outlook;
+  }
+  for (const json& number : *found) {
+    if (!number.is_number_integer()) {
+      return {};
+    }
+    outlook.push_back(number.get<std::int64_t>());
+  }
+  return outlook;
+}
+
 absl::StatusOr<EngineLoadNote> LoadFrom(const json& value,
                                         std::string_view host) {
   const absl::StatusOr<std::string> engine = StringField(value, "engine");
@@ -256,9 +282,15 @@
   if (!in_flight.ok()) {
     return in_flight.status();
   }
-  return EngineLoadNote{*engine, std::string(host), *in_flight,
-                        IntOr(value, "reserved_tokens", 0),
-                        IntOr(value, "as_of_unix_ms", 0)};
+  EngineLoadNote note;
+  note.engine = *engine;
+  note.host = std::string(host);
+  note.in_flight = *in_flight;
+  note.reserved_tokens = IntOr(value, "reserved_tokens", 0);
+  note.as_of_unix_ms = IntOr(value, "as_of_unix_ms", 0);
+  note.held_tokens = IntOr(value, "held_tokens", 0);
+  note.outlook = OutlookFrom(value);
+  return note;
 }
 
 absl::StatusOr<ExchangeMessage> MessageFrom(const json& value) {
--- a/src/serve/exchange_duty.h
+++ b/src/serve/exchange_duty.h
@@ -13,6 +13,7 @@
 #include "exchange/rpc_client.h"
 #include "exchange/rpc_server.h"
 #include "hosts/host_directory.h"
+#include "serve/load_notes.h"
 #include "settings/settings.h"
 
 namespace meadowthread {
@@ -25,6 +26,11 @@
                const Clock& clock, Scheduler& scheduler, ReplicatedView& view,
                HostDirectory& hosts);
 
+  /// @brief Carries load notes too; `notes` outlives the duty.
+  void CarryLoads(LoadNotes* notes) {
+    this->exchanger.CarryLoads(notes, notes);
+  }
+
   /// @brief Listens on the control port and starts the rounds.
   absl::Status Start();
 
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -5,6 +5,7 @@
 
 #include <QCoreApplication>
 #include <QUuid>
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <utility>
@@ -119,6 +120,7 @@
   ExchangeDuty exchange;
   LearnedLengthModel lengths;
   FleetState fleet;
+  LoadNotes load_notes;
   std::unique_ptr<EngineChooser> chooser;
   Dispatcher dispatcher;
   RetryBudget retries;
@@ -156,6 +158,7 @@
       exchange(with, this->incarnation, this->clock, this->scheduler,
                this->view, this->hosts),
       fleet(this->lengths),
+      load_notes(with.host.name, this->clock, this->fleet),
       chooser(MakeChooser(with.policy)),
       dispatcher(this->fleet, *this->chooser,
                  MakeAdmissionOptions(with.policy)),
@@ -207,6 +210,11 @@
   this->gateway = std::make_unique<Gateway>(gateway_parts);
   this->server =
       std::make_unique<HttpServer>(this->gateway.get(), MakeServerLimits(with));
+  this->exchange.CarryLoads(&this->load_notes);
+  this->hosts.AddListener([this] {
+    this->limits.SetHosts(static_cast<int>(
+        std::max<std::size_t>(1, this->hosts.OfRole(HostRole::kEntry).size())));
+  });
   this->view.AddListener([this](const ViewChange& change) {
     if (change.kind != kTemplatesKind) {
       this->engines.Refresh();
--- /dev/null
+++ b/src/serve/load_notes.cc
@@ -0,0 +1,105 @@
+#include "serve/load_notes.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace meadowthread {
+namespace {
+
+// Notes are made for all peers at once: the policy tells an engine's last
+// stream's end a single time.
+constexpr std::int64_t kRefreshMs = 250;
+// So long an engine without own work is still told of, in case a message with
+// the news was lost.
+constexpr std::int64_t kIdleNoteMs = 2'000;
+
+}  // namespace
+
+namespace detail {
+
+std::vector<std::int64_t> OutlookOf(const MemoryForecast& forecast) {
+  std::vector<std::int64_t> outlook;
+  for (const float mean : forecast.mean) {
+    outlook.push_back(std::lround(mean));
+  }
+  for (const float variance : forecast.variance) {
+    outlook.push_back(std::lround(std::sqrt(std::max(0.0F, variance))));
+  }
+  return outlook;
+}
+
+bool ReadOutlook(std::span<const std::int64_t> outlook,
+                 MemoryForecast* forecast) {
+  if (outlook.size() != 2 * kHorizonCount) {
+    return false;
+  }
+  for (std::size_t i = 0; i < kHorizonCount; ++i) {
+    const auto deviation = static_cast<float>(outlook[kHorizonCount + i]);
+    forecast->mean[i] = static_cast<float>(outlook[i]);
+    forecast->variance[i] = deviation * deviation;
+  }
+  return true;
+}
+
+}  // namespace detail
+
+void LoadNotes::Refresh() {
+  const std::int64_t now = this->clock.WallMs();
+  if (now - this->refreshed_ms < kRefreshMs) {
+    return;
+  }
+  this->refreshed_ms = now;
+  std::vector<EngineLoadNote> fresh;
+  for (const PeerLoad& load : this->fleet.OwnLoad(this->host, now)) {
+    EngineLoadNote note;
+    note.engine = load.engine;
+    note.host = this->host;
+    note.in_flight = load.in_flight;
+    note.reserved_tokens = std::lround(load.forecast.PeakMean());
+    note.as_of_unix_ms = load.as_of_unix_ms;
+    note.held_tokens = load.kv_held;
+    note.outlook = detail::OutlookOf(load.forecast);
+    fresh.push_back(std::move(note));
+  }
+  for (const EngineLoadNote& old : this->notes) {
+    const bool told = std::any_of(fresh.begin(), fresh.end(),
+                                  [&old](const EngineLoadNote& note) {
+                                    return note.engine == old.engine;
+                                  });
+    const bool idle = old.in_flight == 0;
+    if (!told && idle && now - old.as_of_unix_ms < kIdleNoteMs) {
+      fresh.push_back(old);
+    }
+  }
+  std::sort(fresh.begin(), fresh.end(),
+            [](const EngineLoadNote& a, const EngineLoadNote& b) {
+              return a.reserved_tokens > b.reserved_tokens;
+            });
+  this->notes = std::move(fresh);
+}
+
+std::vector<EngineLoadNote> LoadNotes::NotesFor(std::string_view /*peer*/,
+                                                std::size_t limit) {
+  this->Refresh();
+  const std::size_t count = std::min(limit, this->notes.size());
+  return {this->notes.begin(),
+          this->notes.begin() + static_cast<std::ptrdiff_t>(count)};
+}
+
+void LoadNotes::OnNotes(std::string_view from,
+                        std::span<const EngineLoadNote> told) {
+  const std::int64_t now = this->clock.WallMs();
+  for (const EngineLoadNote& note : told) {
+    PeerLoad load;
+    load.peer = std::string(from);
+    load.engine = note.engine;
+    load.as_of_unix_ms = note.as_of_unix_ms;
+    load.in_flight = static_cast<int>(note.in_flight);
+    load.kv_held = note.held_tokens;
+    if (detail::ReadOutlook(note.outlook, &load.forecast)) {
+      this->fleet.NotePeerLoad(load, now);
+    }
+  }
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/serve/tests/load_notes_test.cc
@@ -0,0 +1,78 @@
+#include "serve/load_notes.h"
+
+#include <criterion/criterion.h>
+
+#include "policy/length_model.h"
+
+namespace meadowthread {
+namespace {
+
+constexpr std::int64_t kNow = 1'000'000;
+
+/// @brief A fleet of one engine, as one host sees it.
+struct Side {
+  explicit Side(std::string_view host)
+      : fleet(this->lengths), notes(host, this->clock, this->fleet) {
+    this->fleet.SetEngine({"e1", "pasig-hall", true, false}, kNow);
+    LoadReport report;
+    report.engine = "e1";
+    report.as_of_unix_ms = kNow;
+    report.kv_capacity = 10'000;
+    this->fleet.ApplyReport(report, kNow);
+  }
+
+  LearnedLengthModel lengths;
+  ManualClock clock{kNow};
+  FleetState fleet;
+  LoadNotes notes;
+};
+
+WorkItem Work() {
+  WorkItem work;
+  work.request = "r-1";
+  work.workspace = "makati";
+  work.model = "reconcile";
+  work.prompt_tokens = 100;
+  work.max_output_tokens = 500;
+  return work;
+}
+
+Test(a_load_note, brings_a_hosts_work_into_its_peers_forecast) {
+  Side one("entry-1");
+  Side two("entry-2");
+  one.fleet.NoteSent(Work(), "e1", kNow);
+  const auto notes = one.notes.NotesFor("entry-2", 16);
+  cr_assert(notes.size() == 1);
+  cr_assert(two.fleet.Forecast(0, kNow).PeakMean() < 1.0);
+  two.notes.OnNotes("entry-1", notes);
+  const double told = two.fleet.Forecast(0, kNow).PeakMean();
+  const double own = one.fleet.Forecast(0, kNow).PeakMean();
+  cr_assert(own > 100.0);
+  cr_assert(told > own - 2.0 && told < own + 2.0);
+  cr_assert(two.fleet.InFlight(0, kNow) == 1);
+}
+
+Test(a_load_note, tells_that_the_work_has_ended) {
+  Side one("entry-1");
+  Side two("entry-2");
+  one.fleet.NoteSent(Work(), "e1", kNow);
+  two.notes.OnNotes("entry-1", one.notes.NotesFor("entry-2", 16));
+  one.clock.Advance(300);
+  one.fleet.NoteEnded("r-1", StreamEnd::kComplete, kNow + 300);
+  two.notes.OnNotes("entry-1", one.notes.NotesFor("entry-2", 16));
+  cr_assert(two.fleet.InFlight(0, kNow + 300) == 0);
+}
+
+Test(a_load_note, with_an_outlook_of_another_length_is_passed_over) {
+  Side two("entry-2");
+  EngineLoadNote note;
+  note.engine = "e1";
+  note.in_flight = 5;
+  note.as_of_unix_ms = kNow;
+  note.outlook = {1, 2, 3};
+  two.notes.OnNotes("entry-1", {&note, 1});
+  cr_assert(two.fleet.InFlight(0, kNow) == 0);
+}
+
+}  // namespace
+}  // namespace meadowthread
