--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -99,6 +99,7 @@
  private:
   void Every(std::int64_t period_ms, const std::function<void()>& task);
   bool IsWatcher() const;
+  void TakeHosts();
   void FollowMark();
   void EndIfDrained();
   std::string StatusJson() const;
@@ -211,15 +212,13 @@
   this->server =
       std::make_unique<HttpServer>(this->gateway.get(), MakeServerLimits(with));
   this->exchange.CarryLoads(&this->load_notes);
-  this->hosts.AddListener([this] {
-    this->limits.SetHosts(static_cast<int>(
-        std::max<std::size_t>(1, this->hosts.OfRole(HostRole::kEntry).size())));
-  });
+  this->hosts.AddListener([this] { this->TakeHosts(); });
   this->view.AddListener([this](const ViewChange& change) {
     if (change.kind != kTemplatesKind) {
       this->engines.Refresh();
     }
     if (change.kind == kMarksKind) {
+      this->TakeHosts();
       this->FollowMark();
     }
   });
@@ -285,6 +284,19 @@
   return before < this->settings.platform.watchers;
 }
 
+// Limits are shared by the entry hosts, and each engine has a preferred one.
+void HostProcess::Parts::TakeHosts() {
+  std::vector<std::string> names;
+  for (const HostEntry* entry : this->hosts.OfRole(HostRole::kEntry)) {
+    if (!this->gate.IsMarked(entry->name)) {
+      names.push_back(entry->name);
+    }
+  }
+  this->limits.SetHosts(
+      static_cast<int>(std::max<std::size_t>(1, names.size())));
+  this->fleet.SetHosts(this->settings.host.name, names);
+}
+
 ///////////////////
 // Planned stops
 ///////////////////
