--- a/src/configuration/tests/replicated_view_test.cc
+++ b/src/configuration/tests/replicated_view_test.cc
@@ -230,6 +230,7 @@
   peer.List(0, 10'000, all);
   host.List(0, 10'000, all);
   std::vector<StoredObject> gone;
+  gone.reserve(all.size());
   for (const StoredObject& object : all) {
     gone.push_back(GoneAt(object.name, object.version + 10'000));
   }
--- a/src/engine/engine_client.cc
+++ b/src/engine/engine_client.cc
@@ -6,7 +6,7 @@
 namespace meadowthread {
 namespace {
 
-constexpr std::size_t kMaxControlBytes = 1024 * 1024;
+constexpr std::size_t kMaxControlBytes = std::size_t{1024} * 1024;
 constexpr int kOk = 200;
 
 std::string GenerationUrl(const EngineAddress& engine,
--- a/src/engine/engine_stream.cc
+++ b/src/engine/engine_stream.cc
@@ -9,8 +9,8 @@
 namespace meadowthread {
 namespace {
 
-constexpr std::size_t kMaxEventBytes = 256 * 1024;
-constexpr std::size_t kMaxErrorBytes = 16 * 1024;
+constexpr std::size_t kMaxEventBytes = std::size_t{256} * 1024;
+constexpr std::size_t kMaxErrorBytes = std::size_t{16} * 1024;
 constexpr int kOk = 200;
 constexpr int kFirstError = 400;
 constexpr std::int64_t kMsPerSecond = 1000;
@@ -138,7 +138,7 @@
     ErrorDetail detail = DetailOf(end.status);
     detail.peer = this->engine;
     close.status =
-        MakeError(end.status.code(), detail, std::string(end.status.message()));
+        MakeError(end.status.code(), detail, std::string{end.status.message()});
   }
   return close;
 }
--- a/src/gateway/caller_stream.h
+++ b/src/gateway/caller_stream.h
@@ -24,8 +24,8 @@
 
 /// @brief Bounds towards one caller.
 struct CallerBounds {
-  std::int64_t slow_caller_bytes = 1024 * 1024;
-  std::int64_t whole_answer_bytes = 8 * 1024 * 1024;
+  std::int64_t slow_caller_bytes = std::int64_t{1024} * 1024;
+  std::int64_t whole_answer_bytes = std::int64_t{8} * 1024 * 1024;
 };
 
 /// @brief Gives one answer to its caller.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -48,7 +48,7 @@
       .Add("code", static_cast<int>(detail.id))
       .Add("step", detail.step)
       .Add("outcome", OutcomeName(detail.outcome))
-      .Add("why", std::string(status.message()))
+      .Add("why", std::string{status.message()})
       .Write();
 }
 
@@ -181,8 +181,8 @@
     SendProblem(*writer, status, id);
     return;
   }
-  const std::string_view rest =
-      std::string_view(request.path).substr(kServicesPrefix.size());
+  std::string_view rest = request.path;
+  rest.remove_prefix(kServicesPrefix.size());
   ServiceCall call;
   call.request = id;
   call.workspace = caller->workspace;
@@ -238,7 +238,7 @@
   if (!caller.ok()) {
     return caller.status();
   }
-  const absl::Status ready = this->parts.gate.MayTakeWork();
+  absl::Status ready = this->parts.gate.MayTakeWork();
   if (!ready.ok()) {
     return ready;
   }
--- a/src/gateway/generation_session_stream.cc
+++ b/src/gateway/generation_session_stream.cc
@@ -200,7 +200,7 @@
       .Add("engine", this->engine.engine)
       .Add("outcome", OutcomeName(outcome))
       .Add("against_engine", SpeaksAgainstEngine(failure) ? "yes" : "no")
-      .Add("why", std::string(cause.message()))
+      .Add("why", std::string{cause.message()})
       .Write();
   if (outcome == Outcome::kUnknown) {
     this->earlier = Outcome::kUnknown;
--- a/src/gateway/service_forwarder.cc
+++ b/src/gateway/service_forwarder.cc
@@ -14,8 +14,8 @@
 namespace meadowthread {
 namespace {
 
-constexpr std::size_t kMaxAnswerBytes = 8 * 1024 * 1024;
-constexpr std::size_t kMaxRecordedBytes = 512 * 1024;
+constexpr std::size_t kMaxAnswerBytes = std::size_t{8} * 1024 * 1024;
+constexpr std::size_t kMaxRecordedBytes = std::size_t{512} * 1024;
 constexpr int kMaxAttempts = 3;
 
 // Methods that HTTP itself declares idempotent.
@@ -199,7 +199,7 @@
   detail.peer = backend;
   this->TryAgainOrFail(pending,
                        MakeError(fetched.end.status.code(), detail,
-                                 std::string(fetched.end.status.message())),
+                                 std::string{fetched.end.status.message()}),
                        outcome);
 }
 
--- a/src/gateway/session_parts.h
+++ b/src/gateway/session_parts.h
@@ -61,7 +61,7 @@
   std::int64_t resume_expiry_ms = 600'000;
   std::int64_t orphan_timeout_ms = 30'000;
   std::int64_t slow_caller_timeout_ms = 60'000;
-  std::int64_t kept_result_bytes = 512 * 1024;
+  std::int64_t kept_result_bytes = std::int64_t{512} * 1024;
   int max_resumes = 5;  ///< of one generation, without a token in between
 };
 
--- a/src/hosts/host_list_poller.cc
+++ b/src/hosts/host_list_poller.cc
@@ -6,7 +6,7 @@
 namespace meadowthread {
 namespace {
 
-constexpr std::size_t kMaxBytes = 16 * 1024 * 1024;
+constexpr std::size_t kMaxBytes = std::size_t{16} * 1024 * 1024;
 constexpr std::int64_t kTimeoutMs = 2000;
 constexpr int kOk = 200;
 
@@ -52,7 +52,7 @@
     this->failing = !status.ok();
     LogLine line("host-list");
     line.Add("state", status.ok() ? "readable" : "unreadable")
-        .Add("why", std::string(status.message()))
+        .Add("why", std::string{status.message()})
         .Write();
   }
 }
--- a/src/net/connection_guard.cc
+++ b/src/net/connection_guard.cc
@@ -79,7 +79,8 @@
   if (at < 0) {
     return;
   }
-  const qsizetype start = at + qsizetype(sizeof("\r\ncontent-length:") - 1);
+  const qsizetype start =
+      at + static_cast<qsizetype>(sizeof("\r\ncontent-length:") - 1);
   const qsizetype stop = lower.indexOf("\r\n", start);
   const qint64 length =
       lower.mid(start, stop < 0 ? -1 : stop - start).trimmed().toLongLong();
--- a/src/net/curl_multi.cc
+++ b/src/net/curl_multi.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // Idle connections kept for reuse; streams in progress don't count here.
-constexpr long kIdleConnections = 256;
+constexpr long kIdleConnections = 256;  // NOLINT(google-runtime-int): libcurl's
 constexpr std::size_t kMostEvents = 256;
 
 std::uint32_t EventsOf(int what) {
@@ -188,6 +188,7 @@
   return 0;
 }
 
+// NOLINTNEXTLINE(google-runtime-int): libcurl's signature
 int CurlMulti::OnTimer(CURLM* /*multi*/, long timeout_ms, void* self) {
   auto* multi = static_cast<CurlMulti*>(self);
   if (timeout_ms < 0) {
--- a/src/net/curl_multi.h
+++ b/src/net/curl_multi.h
@@ -42,6 +42,7 @@
 
   static int OnSocket(CURL* easy, curl_socket_t socket, int what, void* self,
                       void* socket_data);
+  // NOLINTNEXTLINE(google-runtime-int): libcurl's signature
   static int OnTimer(CURLM* multi, long timeout_ms, void* self);
 
   CURLM* multi;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -35,8 +35,8 @@
 
 /// @brief Bounds on what a caller may send.
 struct ServerLimits {
-  std::int64_t max_header_bytes = 32 * 1024;
-  std::int64_t max_body_bytes = 1024 * 1024;
+  std::int64_t max_header_bytes = std::int64_t{32} * 1024;
+  std::int64_t max_body_bytes = std::int64_t{1024} * 1024;
   std::int64_t body_timeout_ms = 10'000;
 };
 
--- a/src/policy/tests/length_model_test.cc
+++ b/src/policy/tests/length_model_test.cc
@@ -8,8 +8,8 @@
 namespace meadowthread {
 namespace {
 
-const LengthKey reports{"lab", "report", "m"};
-const LengthKey tags{"lab", "tag", "m"};
+const LengthKey kReports{"lab", "report", "m"};
+const LengthKey kTags{"lab", "tag", "m"};
 
 void ObserveMany(LearnedLengthModel& model, const LengthKey& key, int count,
                  std::int64_t tokens) {
@@ -20,40 +20,40 @@
 
 Test(a_length_model, starts_with_a_wide_guess) {
   LearnedLengthModel model;
-  const auto curve = model.CurveOf(reports);
+  const auto curve = model.CurveOf(kReports);
   cr_assert(curve->SurvivalAfter(0, 1'000) > 0.1);
   cr_assert(curve->SurvivalAfter(0, 16) < 1.0);
 }
 
 Test(a_length_model, learns_each_template_apart) {
   LearnedLengthModel model;
-  ObserveMany(model, reports, 200, 3'000);
-  ObserveMany(model, tags, 200, 20);
-  cr_assert(model.CurveOf(reports)->SurvivalAfter(0, 1'000) > 0.9);
-  cr_assert(model.CurveOf(tags)->SurvivalAfter(0, 1'000) < 0.1);
+  ObserveMany(model, kReports, 200, 3'000);
+  ObserveMany(model, kTags, 200, 20);
+  cr_assert(model.CurveOf(kReports)->SurvivalAfter(0, 1'000) > 0.9);
+  cr_assert(model.CurveOf(kTags)->SurvivalAfter(0, 1'000) < 0.1);
 }
 
 Test(a_length_model, lends_a_new_template_what_its_model_knows) {
   LearnedLengthModel model;
-  ObserveMany(model, reports, 500, 3'000);
+  ObserveMany(model, kReports, 500, 3'000);
   const LengthKey unseen{"other", "unseen", "m"};
   cr_assert(model.CurveOf(unseen)->SurvivalAfter(0, 1'000) > 0.8);
 }
 
 Test(a_length_model, expects_more_of_what_has_run_long) {
   LearnedLengthModel model;
-  ObserveMany(model, reports, 100, 100);
-  ObserveMany(model, reports, 100, 4'000);
-  const auto curve = model.CurveOf(reports);
+  ObserveMany(model, kReports, 100, 100);
+  ObserveMany(model, kReports, 100, 4'000);
+  const auto curve = model.CurveOf(kReports);
   cr_assert(curve->ExpectedRemaining(500, 0) > curve->ExpectedRemaining(0, 0));
   cr_assert(curve->TailQuantile(500, 0.5) > 2'000);
 }
 
 Test(a_length_model, follows_a_drift) {
   LearnedLengthModel model;
-  ObserveMany(model, reports, 1'000, 100);
-  ObserveMany(model, reports, 600, 4'000);
-  cr_assert(model.CurveOf(reports)->SurvivalAfter(0, 1'000) > 0.85);
+  ObserveMany(model, kReports, 1'000, 100);
+  ObserveMany(model, kReports, 600, 4'000);
+  cr_assert(model.CurveOf(kReports)->SurvivalAfter(0, 1'000) > 0.85);
 }
 
 Test(a_length_model, holds_no_more_keys_than_it_may) {
@@ -62,11 +62,11 @@
   LearnedLengthModel model(options);
   for (int i = 0; i < 1'000; ++i) {
     model.Observe({"w" + std::to_string(i), "t", "m"}, 50);
-    ObserveMany(model, reports, 1, 3'000);
+    ObserveMany(model, kReports, 1, 3'000);
   }
   cr_assert(model.KeyCount() == 100);
   // What is observed all the time is not what goes.
-  cr_assert(model.CurveOf(reports)->SurvivalAfter(0, 1'000) > 0.9);
+  cr_assert(model.CurveOf(kReports)->SurvivalAfter(0, 1'000) > 0.9);
 }
 
 Test(a_length_curve, agrees_with_its_sample) {
@@ -80,9 +80,9 @@
     const auto tokens = static_cast<std::int64_t>(lengths(random)) + 1;
     longer += tokens > 1'000 ? 1 : 0;
     sum += static_cast<double>(tokens);
-    model.Observe(reports, tokens);
+    model.Observe(kReports, tokens);
   }
-  const auto curve = model.CurveOf(reports);
+  const auto curve = model.CurveOf(kReports);
   const double share = static_cast<double>(longer) / kCount;
   cr_assert(std::abs(curve->Survival(1'000) - share) < 0.02);
   const double mean = sum / kCount;
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -242,7 +242,7 @@
   this->feeder.Start();
   this->ownership.Start();
   this->placement.Start();
-  const absl::Status exchanging = this->exchange.Start();
+  absl::Status exchanging = this->exchange.Start();
   if (!exchanging.ok()) {
     return exchanging;
   }
@@ -384,7 +384,7 @@
       {"host", this->settings.host.name},
       {"incarnation", this->incarnation},
       {"ready", ready.ok()},
-      {"why_not_ready", std::string(ready.message())},
+      {"why_not_ready", std::string{ready.message()}},
       {"configuration_revision", digest.revision},
       {"confirmed_unix_ms", digest.confirmed.unix_ms},
       {"confirmed_by", digest.confirmed.by},
--- a/src/serve/placement_duty.cc
+++ b/src/serve/placement_duty.cc
@@ -65,6 +65,7 @@
     }
   }
   std::vector<NeededModel> list;
+  list.reserve(needed.size());
   for (const auto& [key, model] : needed) {
     list.push_back(model);
   }
--- a/src/store/tests/http_object_store_test.cc
+++ b/src/store/tests/http_object_store_test.cc
@@ -153,10 +153,10 @@
       "{\"revision\":\"1\",\"items\":[]}",
       "{\"revision\":-1,\"items\":[]}",
       "{\"revision\":1,\"items\":[7]}",
-      R"({"revision":9,"items":[{"kind":"leases","name":"h","version":8,)"
-      R"("value":""}]})",
-      R"({"revision":9,"items":[{"kind":"marks","name":"h","version":10,)"
-      R"("value":""}]})",
+      R"({"revision":9,
+          "items":[{"kind":"leases","name":"h","version":8,"value":""}]})",
+      R"({"revision":9,
+          "items":[{"kind":"marks","name":"h","version":10,"value":""}]})",
       R"({"revision":9,"items":[{"kind":"marks","name":"h","version":8}]})"};
   for (const std::string& body : bodies) {
     Fixture f;
--- a/tests/process/caller.cc
+++ b/tests/process/caller.cc
@@ -9,13 +9,14 @@
 
 using nlohmann::json;
 
-constexpr std::size_t kAnswerLimit = 64 * 1024 * 1024;
+constexpr std::size_t kEventLimit = std::size_t{1024} * 1024;
+constexpr std::size_t kAnswerLimit = std::size_t{64} * 1024 * 1024;
 
 }  // namespace
 
 void StreamingCaller::Begin(const HttpRequest& http) {
   this->Leave();
-  this->parser = SseParser(1024 * 1024);
+  this->parser = SseParser(kEventLimit);
   this->body.clear();
   this->over = false;
   this->done = false;
--- a/tests/process/caller.h
+++ b/tests/process/caller.h
@@ -66,7 +66,7 @@
 
   HttpClient& client;
   HttpCallId call = 0;
-  SseParser parser{1024 * 1024};
+  SseParser parser{std::size_t{1024} * 1024};
   std::string body;
   std::string request;
   nlohmann::json problem;
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -42,7 +42,9 @@
 }  // namespace
 
 Fleet::Fleet(const FleetPlan& plan) : plan(plan) {
-  this->host_ports = FreePorts(2 * plan.hosts);
+  const std::vector<int> ports = FreePorts(2 * plan.hosts);
+  this->host_ports.assign(ports.begin(), ports.begin() + plan.hosts);
+  this->control_ports.assign(ports.begin() + plan.hosts, ports.end());
   this->hosts.resize(plan.hosts);
 }
 
@@ -114,8 +116,8 @@
 std::string Fleet::SettingsOf(int n) const {
   return absl::StrCat(
       "host: {name: entry-", n, ", zone: hall-", n % 3,
-      ", region: manila, address: 127.0.0.1, port: ", this->host_ports[2 * n],
-      ", control_port: ", this->host_ports[2 * n + 1], "}\n",
+      ", region: manila, address: 127.0.0.1, port: ", this->host_ports[n],
+      ", control_port: ", this->control_ports[n], "}\n",
       "platform: {object_api: \"", this->StoreUrl(), "\", host_list: \"",
       Local(this->host_list->Port()), "/hosts\", host_list_period_ms: 200}\n",
       "answers: {resume_key_file: ",
@@ -126,11 +128,9 @@
       this->plan.half);
 }
 
-std::string Fleet::HostUrl(int n) const {
-  return Local(this->host_ports[2 * n]);
-}
+std::string Fleet::HostUrl(int n) const { return Local(this->host_ports[n]); }
 std::string Fleet::ControlUrl(int n) const {
-  return Local(this->host_ports[2 * n + 1]);
+  return Local(this->control_ports[n]);
 }
 std::string Fleet::EngineUrl(int n) const {
   return Local(this->engine_ports[n]);
@@ -248,8 +248,8 @@
     list.push_back({{"name", absl::StrCat("entry-", n)},
                     {"role", "entry"},
                     {"address", "127.0.0.1"},
-                    {"port", this->host_ports[2 * n]},
-                    {"control_port", this->host_ports[2 * n + 1]},
+                    {"port", this->host_ports[n]},
+                    {"control_port", this->control_ports[n]},
                     {"zone", absl::StrCat("hall-", n % 3)},
                     {"region", "manila"},
                     {"state", "live"}});
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -27,7 +27,7 @@
   bool check_fence = true;
   bool placement = false;
   std::string not_repeatable = "{requests: keyed, key_form: opaque}";
-  std::string half = "";  ///< further lines of the hosts' settings
+  std::string half;  ///< further lines of the hosts' settings
 };
 
 inline constexpr char kKey[] = "makati-key";
@@ -81,7 +81,8 @@
 
   FleetPlan plan;
   QTemporaryDir folder;
-  std::vector<int> host_ports;  ///< callers and control, in turn
+  std::vector<int> host_ports;
+  std::vector<int> control_ports;
   CurlClient client;
   std::unique_ptr<Process> store;
   std::unique_ptr<Process> host_list;
