--- a/src/configuration/nearest_name.cc
+++ b/src/base/nearest_name.cc
@@ -1,4 +1,4 @@
-#include "configuration/nearest_name.h"
+#include "base/nearest_name.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -10,7 +10,9 @@
 
 // Longer names are no slip of the pen, and the cost grows with their length.
 constexpr std::size_t kMaxNameLength = 64;
+constexpr std::size_t kShortestPart = 3;
 
+// Levenshtein's distance, one row at a time.
 std::size_t EditDistance(std::string_view left, std::string_view right) {
   std::vector<std::size_t> row(right.size() + 1);
   std::iota(row.begin(), row.end(), std::size_t{0});
@@ -26,6 +28,12 @@
   return row.back();
 }
 
+// A name that only lacks its beginning or end was surely meant.
+bool IsPartOf(std::string_view part, std::string_view name) {
+  return part.size() >= kShortestPart &&
+         name.find(part) != std::string_view::npos;
+}
+
 }  // namespace
 
 std::string_view NearestName(std::string_view misspelt,
@@ -36,7 +44,8 @@
   std::string_view nearest;
   std::size_t least = std::max<std::size_t>(2, misspelt.size() / 2) + 1;
   for (const std::string_view name : known) {
-    const std::size_t distance = EditDistance(misspelt, name);
+    const std::size_t distance =
+        IsPartOf(misspelt, name) ? 1 : EditDistance(misspelt, name);
     if (distance < least) {
       least = distance;
       nearest = name;
--- a/src/cli/command_registry.cc
+++ b/src/cli/command_registry.cc
@@ -4,7 +4,7 @@
 
 #include "absl/strings/str_format.h"
 #include "absl/strings/str_split.h"
-#include "settings/nearest_name.h"
+#include "base/nearest_name.h"
 
 namespace meadowthread {
 namespace {
@@ -68,7 +68,9 @@
     console.err << "meadowthread " << words.front()
                 << ": say which of these is meant\n";
   } else if (!words.empty()) {
-    const std::string nearest = NearestName(words.front(), first_words);
+    const std::vector<std::string_view> names(first_words.begin(),
+                                              first_words.end());
+    const std::string nearest{NearestName(words.front(), names)};
     console.err << "meadowthread: there is no command '" << words.front()
                 << (nearest.empty() ? "'" : "'; the nearest is '" + nearest)
                 << (nearest.empty() ? "\n" : "'\n");
--- a/src/configuration/yaml_reader.cc
+++ b/src/configuration/yaml_reader.cc
@@ -7,7 +7,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "configuration/nearest_name.h"
+#include "base/nearest_name.h"
 
 namespace meadowthread {
 namespace detail {
--- a/src/settings/yaml_section.cc
+++ b/src/settings/yaml_section.cc
@@ -9,7 +9,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "settings/nearest_name.h"
+#include "base/nearest_name.h"
 
 namespace meadowthread {
 namespace {
@@ -283,7 +283,9 @@
 }
 
 void YamlSection::ReportUnknown(const YAML::Node& key) {
-  const std::string nearest = NearestName(key.Scalar(), this->known);
+  const std::vector<std::string_view> names(this->known.begin(),
+                                            this->known.end());
+  const std::string nearest{NearestName(key.Scalar(), names)};
   std::string message = "is not a known field";
   if (!nearest.empty()) {
     absl::StrAppend(&message, "; the nearest is '", nearest, "'");
