--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -20,12 +20,12 @@
 #include "net/curl_client.h"
 #include "net/http_server.h"
 #include "net/qt_scheduler.h"
-#include "nlohmann/json.hpp"
 #include "policy/length_model.h"
 #include "serve/engine_watch.h"
 #include "serve/exchange_duty.h"
 #include "serve/host_gate.h"
 #include "serve/host_metrics.h"
+#include "serve/host_status.h"
 #include "serve/ownership_duty.h"
 #include "serve/placement_duty.h"
 #include "serve/policy_parts.h"
@@ -357,45 +357,24 @@
 //////////////////////
 
 std::string HostProcess::Parts::StatusJson() const {
-  const ViewDigest digest = this->view.Digest(kTemplatesKind);
-  const absl::Status ready = this->gate.MayTakeWork();
-  nlohmann::json waits = nlohmann::json::array();
-  if (this->stopping) {
-    for (const RunningRequest& running :
-         this->gateway->RunningRequests(kShownRunning)) {
-      waits.push_back({{"request", running.request},
-                       {"phase", std::string(SessionPhaseName(running.phase))},
-                       {"tokens_delivered", running.tokens_delivered}});
-    }
-  }
-  std::size_t queued = 0;
+  HostStatus status;
+  status.host = this->settings.host.name;
+  status.incarnation = this->incarnation;
+  status.ready = this->gate.MayTakeWork();
+  status.templates = this->view.Digest(kTemplatesKind);
+  status.streams = this->gateway->Running();
   for (const Urgency urgency :
        {Urgency::kUrgent, Urgency::kNormal, Urgency::kBatch}) {
-    queued += this->dispatcher.Queue().Queued(urgency);
+    status.queued += this->dispatcher.Queue().Queued(urgency);
   }
-  nlohmann::json problems = nlohmann::json::array();
-  for (const CatalogProblem& problem : this->catalog.Problems()) {
-    problems.push_back({{"template", problem.template_name},
-                        {"version", problem.version},
-                        {"in_force_version", problem.in_force_version},
-                        {"message", problem.message}});
+  status.mark = this->gate.Mark().mark;
+  if (this->stopping) {
+    status.stop_waits_for = this->gateway->RunningRequests(kShownRunning);
   }
-  const nlohmann::json status = {
-      {"host", this->settings.host.name},
-      {"incarnation", this->incarnation},
-      {"ready", ready.ok()},
-      {"why_not_ready", std::string{ready.message()}},
-      {"configuration_revision", digest.revision},
-      {"confirmed_unix_ms", digest.confirmed.unix_ms},
-      {"confirmed_by", digest.confirmed.by},
-      {"streams", this->gateway->Running()},
-      {"queued", queued},
-      {"mark", std::string(HostMarkName(this->gate.Mark().mark))},
-      {"stop_waits_for", waits},
-      {"engines", this->fleet.EngineCount()},
-      {"engines_usable", this->engines.UsableEngines()},
-      {"template_problems", problems}};
-  return status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  status.engines = this->fleet.EngineCount();
+  status.engines_usable = this->engines.UsableEngines();
+  status.problems = this->catalog.Problems();
+  return HostStatusJson(status);
 }
 
 void HostProcess::Parts::SetGauges() {
