Claims: forwarded over the control port to the shard's preferred host

Cause: StoreClaimService could forward, but no host gave it a forwarder, so every host wrote every shard's head.

Ruled out: a call limit as long as the operation's (30 s for a result): after forward_limit_ms (300 ms) the router writes the log itself, so a longer call to a frozen host would only hold a worker thread. For the same reason claims have an RpcClient of their own (8 threads) and don't share the exchange's 4. A grant sent whole: the answer names only the nonce, and the grant is made of what was asked, so that no answer can alter it.

--- a/src/claims/claim_entry.cc
+++ b/src/claims/claim_entry.cc
@@ -112,6 +112,15 @@
   return EntryJson(entry).dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+absl::StatusOr<ClaimEntry> DecodeEntry(std::string_view text,
+                                       std::string_view name) {
+  ClaimEntry entry;
+  if (!EntryOf(json::parse(text, nullptr, false), &entry)) {
+    return Malformed(name);
+  }
+  return entry;
+}
+
 std::string EncodeSegment(const ClaimSegment& segment) {
   const json frame = {{"segment", segment.number},
                       {"prior_ms", segment.prior_ms},
--- a/src/claims/claim_entry.h
+++ b/src/claims/claim_entry.h
@@ -57,6 +57,12 @@
 /// @brief An entry as it stands in a segment's document.
 std::string EncodeEntry(const ClaimEntry& entry);
 
+/// @brief Reads an entry; kStoreMalformed where it is none. Its `encoded` is
+/// left empty, as the reader may change it before writing it.
+/// @param[in] name where it came from, named in errors
+absl::StatusOr<ClaimEntry> DecodeEntry(std::string_view text,
+                                       std::string_view name);
+
 /// @brief A segment as a JSON document.
 std::string EncodeSegment(const ClaimSegment& segment);
 
--- /dev/null
+++ b/src/serve/claim_forwarding.cc
@@ -0,0 +1,68 @@
+#include "serve/claim_forwarding.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "claims/forward_messages.h"
+
+namespace meadowthread {
+RpcClaimForwarder::RpcClaimForwarder(std::string_view self_name,
+                                     std::int64_t call_limit_ms,
+                                     const ClaimForwardingParts& with)
+    : self(self_name), limit_ms(call_limit_ms), parts(with) {}
+
+std::string RpcClaimForwarder::PreferredHost(std::uint32_t shard) const {
+  std::vector<std::string> names;
+  for (const HostEntry* entry : this->parts.hosts.OfRole(HostRole::kEntry)) {
+    const bool takes_part = !entry->leaving && entry->control_port > 0 &&
+                            !this->parts.is_marked(entry->name);
+    if (takes_part) {
+      names.push_back(entry->name);
+    }
+  }
+  const std::string_view host = RendezvousHost(shard, names);
+  return host == this->self ? "" : std::string(host);
+}
+
+// After the limit the router writes the log itself, so that a longer call would
+// only hold a worker thread. The same goes for a host that has left the list.
+void RpcClaimForwarder::Forward(std::string_view host, const ForwardedOp& op,
+                                const ForwardDone& done) {
+  const HostEntry* entry = this->parts.hosts.Find(host);
+  if (entry == nullptr) {
+    return;
+  }
+  const RpcPeer peer = {entry->name, entry->address,
+                        static_cast<std::uint16_t>(entry->control_port)};
+  const std::int64_t left_ms = op.limit_ms - this->parts.clock.WallMs();
+  this->parts.channel.Call(peer, kClaimMethod, EncodeForwardedOp(op),
+                           std::min(left_ms, this->limit_ms),
+                           [op, done](const absl::StatusOr<std::string>& text) {
+                             if (!text.ok()) {
+                               done(text.status());
+                               return;
+                             }
+                             done(DecodeForwardedAnswer(op, *text));
+                           });
+}
+
+void RegisterClaimMethod(RpcServer* server, StoreClaimService* claims) {
+  server->RegisterDeferred(kClaimMethod, [claims](std::string_view params,
+                                                  const RpcReply& reply) {
+    const absl::StatusOr<ForwardedOp> op = DecodeForwardedOp(params);
+    if (!op.ok()) {
+      reply(op.status());
+      return;
+    }
+    claims->TakeForwarded(
+        *op, [op = *op, reply](const absl::StatusOr<ForwardedAnswer>& answer) {
+          if (!answer.ok()) {
+            reply(answer.status());
+            return;
+          }
+          reply(EncodeForwardedAnswer(op, *answer));
+        });
+  });
+}
+
+}  // namespace meadowthread
--- a/src/serve/exchange_duty.h
+++ b/src/serve/exchange_duty.h
@@ -31,6 +31,9 @@
   /// @brief Peers that answered when last asked.
   int PeersAlive() const { return this->directory.Counts().alive; }
 
+  /// @brief For further methods, to be registered before Start.
+  RpcServer& Server() { return this->server; }
+
   ExchangeStats Stats() const { return this->exchanger.Stats(); }
 
  private:
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -21,6 +21,7 @@
 #include "net/qt_scheduler.h"
 #include "nlohmann/json.hpp"
 #include "policy/length_model.h"
+#include "serve/claim_forwarding.h"
 #include "serve/engine_watch.h"
 #include "serve/exchange_duty.h"
 #include "serve/host_gate.h"
@@ -38,6 +39,7 @@
 constexpr std::int64_t kTickPeriodMs = 1000;
 constexpr std::int64_t kRotatePeriodMs = 60'000;
 constexpr std::size_t kShownRunning = 20;
+constexpr int kClaimThreads = 8;
 constexpr std::array<std::string_view, 3> kViewKinds = {
     kMarksKind, kOwnershipKind, kTemplatesKind};
 
@@ -69,6 +71,14 @@
   return claims;
 }
 
+// Claims have a client of their own: while a preferred host is frozen, calls to
+// it hold their threads for the time limit, and the exchange is not to wait.
+RpcClientSettings MakeClaimChannelSettings() {
+  RpcClientSettings settings;
+  settings.threads = kClaimThreads;
+  return settings;
+}
+
 }  // namespace
 
 absl::StatusOr<SecretKeys> ReadSecretKeys(const Settings& settings) {
@@ -125,6 +135,8 @@
   WorkspaceLimits limits;
   EngineClient engine_client;
   EngineWatch engines;
+  RpcClient claim_channel;
+  RpcClaimForwarder claim_forwarder;
   StoreClaimService claims;
   ResumeTokenCodec tokens;
   HostMetrics metrics;
@@ -168,8 +180,15 @@
                  return this->ownership.MayUseEngine(engine) &&
                         !this->gate.IsMarked(engine);
                }}),
+      claim_channel(MakeClaimChannelSettings(), this->clock),
+      claim_forwarder(with.host.name, MakeClaimSettings(with).forward_limit_ms,
+                      {this->clock, this->hosts, this->claim_channel,
+                       [this](std::string_view host) {
+                         return this->gate.IsMarked(host);
+                       }}),
       claims({&this->store, &this->scheduler, &this->clock,
-              MakeClaimSettings(with)}),
+              MakeClaimSettings(with)},
+             &this->claim_forwarder),
       tokens(keys.resume_keys),
       gate({with.host.name, this->clock, this->view, this->hosts,
             with.configuration.stale_limit_ms, this->incarnation,
@@ -207,6 +226,7 @@
   this->gateway = std::make_unique<Gateway>(gateway_parts);
   this->server =
       std::make_unique<HttpServer>(this->gateway.get(), MakeServerLimits(with));
+  RegisterClaimMethod(&this->exchange.Server(), &this->claims);
   this->view.AddListener([this](const ViewChange& change) {
     if (change.kind != kTemplatesKind) {
       this->engines.Refresh();
--- a/tests/process/claims_test.cc
+++ b/tests/process/claims_test.cc
@@ -1,5 +1,10 @@
 #include <criterion/criterion.h>
 
+#include <array>
+
+#include "claims/claim_entry.h"
+#include "claims/claim_forwarder.h"
+#include "claims/claim_key.h"
 #include "process/fleet.h"
 
 // A request marked not repeatable runs at most once, whatever fails.
@@ -29,6 +34,41 @@
   return Call(fleet.Client(), request);
 }
 
+constexpr int kShards = 8;
+const std::array<std::string, 3> kHosts = {"entry-0", "entry-1", "entry-2"};
+
+FleetPlan PlanOfThree() {
+  FleetPlan plan = Plan();
+  plan.hosts = 3;
+  return plan;
+}
+
+/// @brief The host that is to write the claim of a key of the workspace.
+int PreferredOf(const std::string& key) {
+  const std::uint32_t shard = ShardOf("makati", key, kShards);
+  const std::string_view host = RendezvousHost(shard, kHosts);
+  return static_cast<int>(std::ranges::find(kHosts, host) - kHosts.begin());
+}
+
+/// @brief The host that wrote the claim of a key; empty: none did.
+std::string WriterOf(Fleet& fleet, const std::string& key) {
+  HttpRequest request;
+  request.url = fleet.StoreUrl() + "/objects/claims?since=0";
+  const json list = JsonOf(Call(fleet.Client(), request));
+  for (const json& item : list["items"]) {
+    const auto segment =
+        DecodeSegment(item["value"].get<std::string>(), "segment");
+    cr_assert(segment.ok());
+    for (const ClaimEntry& entry : segment->entries) {
+      if (entry.kind == EntryKind::kClaim &&
+          entry.key_hash == KeyHash("makati", key)) {
+        return entry.host;
+      }
+    }
+  }
+  return "";
+}
+
 Test(a_note_with_a_key, runs_once_and_gives_every_retry_the_same_answer) {
   const TestApplication application;
   Fleet fleet(Plan());
@@ -158,6 +198,55 @@
   cr_assert(first_ran || second_ran || fleet.TotalRuns() == 0);
 }
 
+Test(a_note_with_a_key, is_claimed_by_its_preferred_host_wherever_it_is_sent) {
+  const TestApplication application;
+  Fleet fleet(PlanOfThree());
+  fleet.Start();
+  std::array<bool, 3> wrote_for_another = {};
+  int sent = 0;
+  // a host that answers late is passed by, so each gets many chances
+  cr_assert(WaitFor([&] {
+    const std::string key = "k-" + std::to_string(++sent);
+    const int preferred = PreferredOf(key);
+    const int other = (preferred + 1 + sent % 2) % 3;
+    const json answer = JsonOf(Note(fleet, other, key, "[tokens=2] note"));
+    cr_assert(answer.contains("choices"), "%s", answer.dump().c_str());
+    const std::string writer = WriterOf(fleet, key);
+    cr_assert(writer == kHosts[preferred] || writer == kHosts[other], "%s",
+              writer.c_str());
+    wrote_for_another[preferred] |= writer == kHosts[preferred];
+    return wrote_for_another == std::array<bool, 3>{true, true, true};
+  }));
+  cr_assert(fleet.TotalRuns() == sent, "%d of %d", fleet.TotalRuns(), sent);
+}
+
+Test(a_note_with_a_key, is_served_while_its_preferred_host_is_frozen) {
+  const TestApplication application;
+  Fleet fleet(PlanOfThree());
+  fleet.Start();
+  const int preferred = PreferredOf("k-1");
+  const int other = (preferred + 1) % 3;
+  fleet.Host(preferred).Freeze();
+  const auto retry = [&fleet](int host) {
+    return JsonOf(Note(fleet, host, "k-1", "[tokens=12] note"));
+  };
+  json first;
+  cr_assert(WaitFor([&] {
+    first = retry(other);
+    return first.contains("choices");
+  }));
+  cr_assert(WriterOf(fleet, "k-1") == kHosts[other]);
+  // thawed, it takes up what was sent to it, to no effect
+  fleet.Host(preferred).Thaw();
+  json second;
+  cr_assert(WaitFor([&] {
+    second = retry(preferred);
+    return second.contains("choices");
+  }));
+  cr_assert(second["choices"][0]["text"] == first["choices"][0]["text"]);
+  cr_assert(fleet.TotalRuns() == 1);
+}
+
 Test(a_call_of_a_plain_service, marked_not_repeatable_is_made_once) {
   const TestApplication application;
   Fleet fleet(Plan());
