--- a/tests/process/process.cc
+++ b/tests/process/process.cc
@@ -1,5 +1,7 @@
 #include "process/process.h"
 
+#include <sys/prctl.h>
+
 #include <QCoreApplication>
 #include <QDeadlineTimer>
 #include <QEventLoop>
@@ -41,6 +43,10 @@
                      this->log +=
                          this->process->readAllStandardError().toStdString();
                    });
+  // A test that fails or is cut off runs no destructors; its processes end all
+  // the same.
+  this->process->setChildProcessModifier(
+      [] { ::prctl(PR_SET_PDEATHSIG, SIGKILL); });
   this->process->start(
       QString::fromStdString(MEADOWTHREAD_BIN_DIR "/" + program), arguments);
   this->process->waitForStarted();
