--- a/src/claims/forward_messages.cc
+++ b/src/claims/forward_messages.cc
@@ -157,7 +157,7 @@
     return absl::OkStatus();
   }
   absl::Status error;
-  const absl::Status read = ReadError(value.value("error", json()), &error);
+  absl::Status read = ReadError(value.value("error", json()), &error);
   if (read.ok()) {
     answer->claim = error;
   }
--- a/src/cli/tests/status_test.cc
+++ b/src/cli/tests/status_test.cc
@@ -6,10 +6,10 @@
 namespace meadowthread {
 namespace {
 
-const std::vector<std::string> arguments_of_status = {"--object-api",
-                                                      "http://h"};
-const std::vector<std::string> arguments_as_json = {"--object-api", "http://h",
-                                                    "--output", "json"};
+const std::vector<std::string> kArgumentsOfStatus = {"--object-api",
+                                                     "http://h"};
+const std::vector<std::string> kArgumentsAsJson = {"--object-api", "http://h",
+                                                   "--output", "json"};
 
 RunRecord Status(FakeWorld& world, const std::vector<std::string>& arguments) {
   FakeConnector connector(world);
@@ -30,7 +30,7 @@
 
 Test(the_status, tells_each_host_and_what_its_stop_waits_for) {
   FakeWorld world;
-  const RunRecord run = Status(TwoHosts(world), arguments_of_status);
+  const RunRecord run = Status(TwoHosts(world), kArgumentsOfStatus);
   cr_assert(run.code == ExitCode::kOk);
   cr_assert(Contains(run.out, "entry-1  makati-hall  live    stopping  no"));
   cr_assert(Contains(run.out, "200 ms"));
@@ -40,7 +40,7 @@
 Test(the_status, tells_an_unreachable_host_by_its_status_object) {
   FakeWorld world;
   TwoHosts(world).Put("status", "entry-2", R"({"ready":true,"streams":7})");
-  const RunRecord run = Status(world, arguments_as_json);
+  const RunRecord run = Status(world, kArgumentsAsJson);
   const auto hosts = nlohmann::json::parse(run.out)["hosts"];
   cr_assert(hosts[1]["host"] == "entry-2");
   cr_assert(hosts[1]["trouble"] == "unreachable: refused");
@@ -53,7 +53,7 @@
   world.Put("status", "entry-9", "{}");
   world.Put("status", "entry-8", "not json");
   const auto hosts =
-      nlohmann::json::parse(Status(world, arguments_as_json).out)["hosts"];
+      nlohmann::json::parse(Status(world, kArgumentsAsJson).out)["hosts"];
   cr_assert(hosts[0]["source"] == "none");
   cr_assert(hosts[1]["listed"] == "not_listed");
 }
@@ -61,12 +61,12 @@
 Test(the_status, is_told_as_far_as_it_can_be_read) {
   FakeWorld world;
   TwoHosts(world).store.SetDown(true);
-  const RunRecord half = Status(world, arguments_of_status);
+  const RunRecord half = Status(world, kArgumentsOfStatus);
   cr_assert(half.code == ExitCode::kOk);
   cr_assert(Contains(half.out, "note: the status objects could not be read"));
   world.hosts = NoAnswer();
   world.replies.clear();
-  cr_assert(Status(world, arguments_of_status).code == ExitCode::kUnavailable);
+  cr_assert(Status(world, kArgumentsOfStatus).code == ExitCode::kUnavailable);
 }
 
 }  // namespace
--- a/src/placement/tests/engine_table_test.cc
+++ b/src/placement/tests/engine_table_test.cc
@@ -7,7 +7,7 @@
 namespace meadowthread {
 namespace {
 
-const DesiredState with_m{"mixed", {{"m", "", "1"}}};
+const DesiredState kWithM{"mixed", {{"m", "", "1"}}};
 
 LoadReport Report(std::int64_t as_of_ms, const DesiredState& state) {
   LoadReport report;
@@ -43,7 +43,7 @@
   void Order() {
     EngineChange change;
     change.engine = "e";
-    change.desired = with_m;
+    change.desired = kWithM;
     this->table.Order(change);
   }
 
@@ -72,8 +72,8 @@
   cr_assert(scene.Send(OrderOutcome::kUnknown) == 0);
   scene.clock.Advance(5'000);
   cr_assert(scene.Send(OrderOutcome::kApplied) == 1);
-  cr_assert(scene.Engine().ordered == with_m);
-  scene.Hear(with_m);
+  cr_assert(scene.Engine().ordered == kWithM);
+  scene.Hear(kWithM);
   cr_assert(scene.table.Settle().carried_out == 1);
   cr_assert(!scene.Engine().ordered.has_value() && !scene.Engine().settled);
   scene.clock.Advance(30'000);
--- a/src/placement/tests/ownership_mover_test.cc
+++ b/src/placement/tests/ownership_mover_test.cc
@@ -14,7 +14,7 @@
 namespace meadowthread {
 namespace {
 
-const OwnedId workspace_a{OwnedKind::kWorkspace, "a"};
+const OwnedId kWorkspaceA{OwnedKind::kWorkspace, "a"};
 
 /// An entry host as far as a hand-over sees it.
 struct Host {
@@ -89,7 +89,7 @@
 
 MoveRequest ToNorte() {
   MoveRequest request;
-  request.id = workspace_a;
+  request.id = kWorkspaceA;
   request.next_owner = "norte";
   request.next_address = "https://norte";
   request.operation = "op-1";
@@ -123,21 +123,21 @@
 Test(a_move, waits_for_work_in_flight_and_then_raises_the_epoch) {
   Scene scene;
   scene.old_host.Turn();
-  cr_assert(scene.old_host.tracker.Begin(workspace_a).ok());
+  cr_assert(scene.old_host.tracker.Begin(kWorkspaceA).ok());
   scene.Tick();  // marks
   scene.old_host.Turn();
-  cr_assert(!scene.old_host.tracker.Begin(workspace_a).ok());
+  cr_assert(!scene.old_host.tracker.Begin(kWorkspaceA).ok());
   scene.Tick();
   cr_assert(scene.mover->Progress().waiting_for ==
             std::vector<std::string>{"old"});
-  scene.old_host.tracker.End(workspace_a);
+  scene.old_host.tracker.End(kWorkspaceA);
   scene.old_host.Turn();
   scene.Tick();
   scene.Tick();
   cr_assert(scene.Phase() == MovePhase::kDone);
   cr_assert(scene.mover->Progress().epoch == 2);
   scene.new_host.Turn();
-  cr_assert(scene.new_host.tracker.Begin(workspace_a).ok());
+  cr_assert(scene.new_host.tracker.Begin(kWorkspaceA).ok());
 }
 
 Test(a_move, waits_for_a_host_that_has_not_seen_the_mark) {
@@ -149,7 +149,7 @@
     scene.Tick();
   }
   cr_assert(scene.Phase() == MovePhase::kDraining);
-  cr_assert(scene.old_host.tracker.Begin(workspace_a).ok());
+  cr_assert(scene.old_host.tracker.Begin(kWorkspaceA).ok());
 }
 
 Test(a_move, is_seen_by_a_host_that_starts_too_late_to_be_waited_for) {
@@ -160,9 +160,9 @@
   scene.Tick();  // lists, finds no host, and hands over
   scene.old_host.Tell();
   scene.store.Settle();
-  cr_assert(!scene.old_host.tracker.Begin(workspace_a).ok());
+  cr_assert(!scene.old_host.tracker.Begin(kWorkspaceA).ok());
   scene.old_host.Turn();
-  cr_assert(!scene.old_host.tracker.Begin(workspace_a).ok());
+  cr_assert(!scene.old_host.tracker.Begin(kWorkspaceA).ok());
 }
 
 Test(a_move, takes_no_confirmation_of_an_earlier_drain) {
@@ -176,7 +176,7 @@
                     [](auto&&) {});
     scene.old_host.Look();
     scene.store.Settle();
-    cr_assert(scene.old_host.tracker.Begin(workspace_a).ok());
+    cr_assert(scene.old_host.tracker.Begin(kWorkspaceA).ok());
   }
   scene.Restart();
   scene.Tick();  // marks
@@ -264,7 +264,7 @@
         host.Tell();
         break;
       case 2:
-        if (host.tracker.Begin(workspace_a).ok()) {
+        if (host.tracker.Begin(kWorkspaceA).ok()) {
           ++this->in_flight[index];
           ++this->started[index % 2];
         }
@@ -272,7 +272,7 @@
       default:
         if (this->in_flight[index] > 0) {
           --this->in_flight[index];
-          host.tracker.End(workspace_a);
+          host.tracker.End(kWorkspaceA);
         }
     }
   }
--- a/src/placement/tests/ownership_test.cc
+++ b/src/placement/tests/ownership_test.cc
@@ -8,7 +8,7 @@
 namespace meadowthread {
 namespace {
 
-const OwnedId workspace_a{OwnedKind::kWorkspace, "a"};
+const OwnedId kWorkspaceA{OwnedKind::kWorkspace, "a"};
 
 OwnershipSettings Half(std::string_view name) {
   OwnershipSettings settings;
@@ -62,8 +62,8 @@
 }
 
 Test(a_missing_object, means_the_half_named_in_the_settings) {
-  cr_assert(Fresh("lukot").view.MayStart(workspace_a).ok());
-  const absl::Status refused = Fresh("norte").view.MayStart(workspace_a);
+  cr_assert(Fresh("lukot").view.MayStart(kWorkspaceA).ok());
+  const absl::Status refused = Fresh("norte").view.MayStart(kWorkspaceA);
   cr_assert(DetailOf(refused).id == ErrorId::kOwnedElsewhere);
   cr_assert(DetailOf(refused).outcome == Outcome::kNotRun);
   cr_assert(DetailOf(refused).peer == "https://lukot");
@@ -75,30 +75,30 @@
   const StoredObject draining = Stored(Draining("lukot", "norte"), 7);
   old_half.view.Apply(draining);
   new_half.view.Apply(draining);
-  const ErrorDetail refused = DetailOf(old_half.view.MayStart(workspace_a));
+  const ErrorDetail refused = DetailOf(old_half.view.MayStart(kWorkspaceA));
   cr_assert(refused.id == ErrorId::kOwnedElsewhere);
   cr_assert(refused.peer == "https://norte");
-  cr_assert(!new_half.view.MayStart(workspace_a).ok());
+  cr_assert(!new_half.view.MayStart(kWorkspaceA).ok());
   const StoredObject moved = Stored(Owned("norte"), 9);
   old_half.view.Apply(moved);
   new_half.view.Apply(moved);
-  cr_assert(!old_half.view.MayStart(workspace_a).ok());
-  cr_assert(new_half.view.MayStart(workspace_a).ok());
+  cr_assert(!old_half.view.MayStart(kWorkspaceA).ok());
+  cr_assert(new_half.view.MayStart(kWorkspaceA).ok());
 }
 
 Test(a_view, never_goes_back_to_an_older_version) {
   Fresh half("lukot");
   half.view.Apply(Stored(Owned("norte"), 9));
   half.view.Apply(Stored(Owned("lukot"), 4));
-  cr_assert(!half.view.MayStart(workspace_a).ok());
+  cr_assert(!half.view.MayStart(kWorkspaceA).ok());
 }
 
 Test(a_view, starts_nothing_before_the_host_is_registered) {
   ManualClock clock(50'000);
   OwnershipView view(Half("lukot"), clock);
   view.Confirm(50'000);
-  cr_assert(view.Look(workspace_a).verdict == OwnershipVerdict::kUnregistered);
-  const ErrorDetail refused = DetailOf(view.MayStart(workspace_a));
+  cr_assert(view.Look(kWorkspaceA).verdict == OwnershipVerdict::kUnregistered);
+  const ErrorDetail refused = DetailOf(view.MayStart(kWorkspaceA));
   cr_assert(refused.id == ErrorId::kHostNotReady);
   cr_assert(refused.outcome == Outcome::kNotRun);
 }
@@ -108,27 +108,27 @@
   OwnershipView view(Half("lukot"), clock);
   view.SetRegistered();
   view.Confirm(50'000);  // may have been sent before
-  cr_assert(view.Look(workspace_a).verdict == OwnershipVerdict::kUnread);
+  cr_assert(view.Look(kWorkspaceA).verdict == OwnershipVerdict::kUnread);
   view.Confirm(50'001);
-  cr_assert(view.MayStart(workspace_a).ok());
+  cr_assert(view.MayStart(kWorkspaceA).ok());
   view.SetUnregistered();
-  cr_assert(!view.MayStart(workspace_a).ok());
+  cr_assert(!view.MayStart(kWorkspaceA).ok());
   view.SetRegistered();
   view.Confirm(50'002);
-  cr_assert(view.MayStart(workspace_a).ok());
+  cr_assert(view.MayStart(kWorkspaceA).ok());
 }
 
 Test(a_view, goes_on_through_an_outage_of_the_platform) {
   Fresh half("lukot");
   half.clock.Advance(86'400'000);
-  cr_assert(half.view.MayStart(workspace_a).ok());
+  cr_assert(half.view.MayStart(kWorkspaceA).ok());
 }
 
 Test(a_view, needs_no_registration_without_another_half) {
   ManualClock clock(50'000);
   OwnershipSettings settings = Half("lukot");
   settings.has_other_half = false;
-  cr_assert(OwnershipView(settings, clock).MayStart(workspace_a).ok());
+  cr_assert(OwnershipView(settings, clock).MayStart(kWorkspaceA).ok());
 }
 
 Test(an_object_that_cannot_be_read, lets_neither_half_act) {
@@ -136,9 +136,9 @@
     Fresh half(name);
     half.view.Apply(Stored(Owned("lukot"), 3));
     half.view.Apply({"ownership", "workspace.a", 4, "{}", false});
-    cr_assert(half.view.Look(workspace_a).verdict ==
+    cr_assert(half.view.Look(kWorkspaceA).verdict ==
               OwnershipVerdict::kUnreadable);
-    cr_assert(!half.view.MayStart(workspace_a).ok());
+    cr_assert(!half.view.MayStart(kWorkspaceA).ok());
   }
 }
 
--- a/src/policy/length_model.cc
+++ b/src/policy/length_model.cc
@@ -84,13 +84,13 @@
   if (own.curve != nullptr && !stale) {
     return own.curve;
   }
-  static const std::array<float, kLengthBuckets> first = FirstPrior();
+  static const std::array<float, kLengthBuckets> kFirst = FirstPrior();
   const auto weight = static_cast<float>(this->options.prior_weight);
   std::array<float, kLengthBuckets> mixed = {};
   for (std::size_t i = 0; i < kLengthBuckets; ++i) {
-    float base = first[i];
+    float base = kFirst[i];
     if (prior != nullptr && prior->total > 0.0F) {
-      // The first prior stays in with one observation's weight.
+      // The kFirst prior stays in with one observation's weight.
       base = (prior->weights[i] + base) / (prior->total + 1.0F);
     }
     mixed[i] = own.weights[i] + weight * base;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -20,9 +20,9 @@
 
 /// In the order of ChooserKind.
 const std::array<std::string, 4>& ChooserNames() {
-  static const std::array<std::string, 4> names = {
+  static const std::array<std::string, 4> kNames = {
       "memory_aware", "round_robin", "least_load", "power_of_two"};
-  return names;
+  return kNames;
 }
 
 void Read(YamlSection section, HostSettings* host) {
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -1,5 +1,7 @@
 #include "process/fleet.h"
 
+#include <unistd.h>
+
 #include <QCryptographicHash>
 #include <QFile>
 #include <QTcpServer>
@@ -21,14 +23,23 @@
 
 std::string Local(int port) { return absl::StrCat("http://127.0.0.1:", port); }
 
-/// @brief Ports that were free a moment ago, none twice.
+// Below the range from which the kernel takes ports for outgoing connections,
+// and apart for each test's process: a port that was merely free a moment ago
+// is taken by another test before a host listens on it.
+constexpr int kFirstPort = 10'240;
+constexpr int kPortsPerTest = 20;
+constexpr int kTestsApart = 1'000;
+
+/// @brief Ports for this test's hosts, none twice.
 std::vector<int> FreePorts(int count) {
-  std::vector<std::unique_ptr<QTcpServer>> servers;
   std::vector<int> ports;
-  for (int i = 0; i < count; ++i) {
-    servers.push_back(std::make_unique<QTcpServer>());
-    servers.back()->listen(QHostAddress::LocalHost, 0);
-    ports.push_back(servers.back()->serverPort());
+  int port = kFirstPort + (::getpid() % kTestsApart) * kPortsPerTest;
+  while (static_cast<int>(ports.size()) < count) {
+    QTcpServer probe;
+    if (probe.listen(QHostAddress::LocalHost, static_cast<quint16>(port))) {
+      ports.push_back(port);
+    }
+    ++port;
   }
   return ports;
 }
