Reading the whole change: logic that stood twice, work in the wrong place, dead code

Stood twice: the JSON of an error's detail in base, claims and exchange (now ErrorDetailJson); the error about a request's field in json_fields and caller_request (FieldError); the list of entry hosts that may get work in four places (HostGate::LiveEntryHosts); a session's deadline four times (DeadlineUnixMs); taking a call out of libcurl's hands, and what follows an action, twice (Take, Settle); the stand-ins' fault control three times (ApplyFaultControl). Dead: Dispatcher::Choose (retries go through the queue), CurlClient::ActiveCalls, tests of a depth that is always 0. Behaviour: as before, but that the object stand-in looks at its watches after a refused control call too. Not mended: ConnectionGuard writes its problem JSON beside gateway/problem (its error.code is a number there, a string here), and overlaps BoundedListener.

--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "absl/strings/cord.h"
+#include "base/error_json.h"
 #include "nlohmann/json.hpp"
 
 namespace meadowthread {
@@ -14,13 +15,8 @@
 
 // The payload is JSON so that it survives being printed by Status::ToString.
 std::string Encode(const ErrorDetail& detail) {
-  const json value = {{"id", static_cast<int>(detail.id)},
-                      {"outcome", static_cast<int>(detail.outcome)},
-                      {"step", detail.step},
-                      {"peer", detail.peer},
-                      {"field", detail.field},
-                      {"retry_after_ms", detail.retry_after_ms}};
-  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+  return ErrorDetailJson(detail).dump(-1, ' ', false,
+                                      json::error_handler_t::replace);
 }
 
 ErrorDetail Decode(const std::string& text) {
--- a/src/base/json_fields.cc
+++ b/src/base/json_fields.cc
@@ -1,7 +1,6 @@
 #include "base/json_fields.h"
 
 #include "absl/strings/str_cat.h"
-#include "base/error.h"
 
 namespace meadowthread {
 namespace {
@@ -16,6 +15,8 @@
   return found == object.end() ? nullptr : &*found;
 }
 
+}  // namespace
+
 absl::Status FieldError(ErrorId id, std::string_view field,
                         std::string_view what) {
   ErrorDetail detail;
@@ -28,8 +29,6 @@
       absl::StrCat("field '", std::string(field), "' ", std::string(what)));
 }
 
-}  // namespace
-
 absl::StatusOr<json> ParseObject(std::string_view text, std::string_view step,
                                  std::string_view peer) {
   json value = json::parse(text, nullptr, false);
--- a/src/base/json_fields.h
+++ b/src/base/json_fields.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "absl/status/statusor.h"
+#include "base/error.h"
 #include "nlohmann/json.hpp"
 
 namespace meadowthread {
@@ -19,6 +20,11 @@
                                            std::string_view step,
                                            std::string_view peer);
 
+/// @brief An error about a field of a request: not run, step "parse".
+/// @param[in] what follows the field's name, such as "is missing"
+absl::Status FieldError(ErrorId id, std::string_view field,
+                        std::string_view what);
+
 /// @brief A string field; an error names it where it is missing or no string.
 absl::StatusOr<std::string> StringField(const nlohmann::json& object,
                                         std::string_view field);
--- a/src/claims/forward_messages.cc
+++ b/src/claims/forward_messages.cc
@@ -5,7 +5,7 @@
 #include <utility>
 #include <variant>
 
-#include "base/error.h"
+#include "base/error_json.h"
 #include "base/json_fields.h"
 #include "nlohmann/json.hpp"
 
@@ -81,16 +81,10 @@
 };
 
 json ErrorJson(const absl::Status& status) {
-  const ErrorDetail detail = DetailOf(status);
-  const absl::string_view message = status.message();
-  return {{"status", static_cast<int>(status.code())},
-          {"message", std::string(message.data(), message.size())},
-          {"id", static_cast<int>(detail.id)},
-          {"outcome", static_cast<int>(detail.outcome)},
-          {"step", detail.step},
-          {"peer", detail.peer},
-          {"field", detail.field},
-          {"retry_after_ms", detail.retry_after_ms}};
+  json value = ErrorDetailJson(DetailOf(status));
+  value["status"] = static_cast<int>(status.code());
+  value["message"] = std::string{status.message()};
+  return value;
 }
 
 // An error answer is never a success: code 0 is malformed.
--- a/src/exchange/rpc_error.cc
+++ b/src/exchange/rpc_error.cc
@@ -1,6 +1,6 @@
 #include "exchange/rpc_error.h"
 
-#include "base/error.h"
+#include "base/error_json.h"
 #include "base/json_fields.h"
 
 namespace meadowthread {
@@ -8,14 +8,8 @@
 using nlohmann::json;
 
 std::string RpcErrorData(const absl::Status& status) {
-  const ErrorDetail detail = DetailOf(status);
-  const json data = {{"status", static_cast<int>(status.code())},
-                     {"id", static_cast<int>(detail.id)},
-                     {"outcome", static_cast<int>(detail.outcome)},
-                     {"step", detail.step},
-                     {"peer", detail.peer},
-                     {"field", detail.field},
-                     {"retry_after_ms", detail.retry_after_ms}};
+  json data = ErrorDetailJson(DetailOf(status));
+  data["status"] = static_cast<int>(status.code());
   return data.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
--- a/src/gateway/caller_request.cc
+++ b/src/gateway/caller_request.cc
@@ -1,7 +1,6 @@
 #include "gateway/caller_request.h"
 
 #include "absl/strings/str_cat.h"
-#include "base/error.h"
 #include "base/json_fields.h"
 #include "nlohmann/json.hpp"
 
@@ -13,14 +12,7 @@
 constexpr std::int64_t kMostTokens = 1'000'000;
 
 absl::Status Invalid(std::string_view field, std::string_view what) {
-  ErrorDetail detail;
-  detail.id = ErrorId::kFieldInvalid;
-  detail.outcome = Outcome::kNotRun;
-  detail.step = "parse";
-  detail.field = std::string(field);
-  return MakeError(
-      absl::StatusCode::kInvalidArgument, detail,
-      absl::StrCat("field '", std::string(field), "' ", std::string(what)));
+  return FieldError(ErrorId::kFieldInvalid, field, what);
 }
 
 // Content is a string, or a list of parts of which the text ones count.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -227,8 +227,7 @@
     mode = arrival.start.terms.whole_delivery ? DeliveryMode::kStreamedWhole
                                               : DeliveryMode::kStreamed;
   }
-  this->AddSession(arrival.start, std::move(writer), mode);
-  this->sessions.rbegin()->second->Begin();
+  this->AddSession(arrival.start, std::move(writer), mode).Begin();
 }
 
 absl::Status Gateway::Check(AnswerForm form, const ServerRequest& request,
@@ -279,7 +278,9 @@
   terms.at_most_once = NeedsClaim(service, key);
   terms.key_form = service.not_repeatable.key_form;
   start.idempotency_key = std::string(key);
-  start.body_digest = BodyDigest(request.body);
+  if (terms.at_most_once) {
+    start.body_digest = BodyDigest(request.body);
+  }
   if (terms.at_most_once && key.empty()) {
     return Refuse(ErrorId::kIdempotencyKeyMissing, "route", "Idempotency-Key",
                   "this workspace's requests may not be repeated: they need "
@@ -365,29 +366,31 @@
   start.asked.form = claims->form;
   start.asked.model = claims->model;
   start.terms.workspace = caller->workspace;
-  this->AddSession(start, std::move(writer), DeliveryMode::kStreamed);
-  this->sessions.rbegin()->second->BeginResumed(*claims, last_index + 1);
+  this->AddSession(start, std::move(writer), DeliveryMode::kStreamed)
+      .BeginResumed(*claims, last_index + 1);
 }
 
 /////////////
 // Sessions
 /////////////
 
-void Gateway::AddSession(const SessionStart& start,
-                         std::unique_ptr<ResponseWriter> writer,
-                         DeliveryMode mode) {
+GenerationSession& Gateway::AddSession(const SessionStart& start,
+                                       std::unique_ptr<ResponseWriter> writer,
+                                       DeliveryMode mode) {
   AnswerHead head;
   head.form = start.asked.form;
   head.request = start.request;
   head.model = start.asked.model;
   head.created_unix_s = start.arrived_ms / 1000;
-  SessionParts session_parts = this->parts.session;
+  const SessionParts& session_parts = this->parts.session;
   const std::uint64_t id = ++this->last_session;
   auto caller = std::make_unique<CallerStream>(std::move(writer), head, mode,
                                                session_parts.options.bounds);
-  this->sessions.emplace(id, std::make_unique<GenerationSession>(
-                                 session_parts, start, std::move(caller)));
   this->by_request[start.request] = id;
+  const auto added =
+      this->sessions.emplace(id, std::make_unique<GenerationSession>(
+                                     session_parts, start, std::move(caller)));
+  return *added.first->second;
 }
 
 GenerationSession* Gateway::FindSession(std::string_view request) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -90,8 +90,9 @@
   absl::Status CheckTerms(const ServerRequest& request, Arrival* arrival) const;
   absl::Status AdmitToLimits(SessionStart* start);
   absl::Status BeginWork(const SessionStart& start);
-  void AddSession(const SessionStart& start,
-                  std::unique_ptr<ResponseWriter> writer, DeliveryMode mode);
+  GenerationSession& AddSession(const SessionStart& start,
+                                std::unique_ptr<ResponseWriter> writer,
+                                DeliveryMode mode);
   GenerationSession* FindSession(std::string_view request);
   void DropEnded();
 
--- a/src/gateway/generation_session.cc
+++ b/src/gateway/generation_session.cc
@@ -100,8 +100,7 @@
   request.key = this->start.idempotency_key;
   request.key_form = this->start.terms.key_form;
   request.body_digest = this->start.body_digest;
-  request.deadline_unix_ms =
-      this->start.arrived_ms + this->start.terms.deadline_ms;
+  request.deadline_unix_ms = this->DeadlineUnixMs();
   this->parts.claims.Claim(
       request,
       [this, alive = this->alive](const absl::StatusOr<ClaimAnswer>& answer) {
@@ -183,6 +182,13 @@
 // Placing and sending
 ////////////////////////
 
+// 0: none.
+std::int64_t GenerationSession::DeadlineUnixMs() const {
+  return this->start.terms.deadline_ms > 0
+             ? this->start.arrived_ms + this->start.terms.deadline_ms
+             : 0;
+}
+
 WorkItem GenerationSession::MakeWork() const {
   WorkItem work;
   work.request = this->start.request;
@@ -194,10 +200,7 @@
   work.prompt_tokens = EstimateTokens(this->start.asked.prompt);
   work.max_output_tokens = this->start.terms.max_output_tokens;
   work.arrived_ms = this->start.arrived_ms;
-  work.deadline_ms =
-      this->start.terms.deadline_ms > 0
-          ? this->start.arrived_ms + this->start.terms.deadline_ms
-          : 0;
+  work.deadline_ms = this->DeadlineUnixMs();
   work.urgency = this->start.terms.urgency;
   work.prefix_hash = PrefixHash(this->start.asked.prompt);
   return work;
@@ -300,10 +303,7 @@
   request.prompt = this->start.asked.prompt;
   request.max_tokens = this->start.terms.max_output_tokens;
   request.priority = decision.priority;
-  request.deadline_unix_ms =
-      this->start.terms.deadline_ms > 0
-          ? this->start.arrived_ms + this->start.terms.deadline_ms
-          : 0;
+  request.deadline_unix_ms = this->DeadlineUnixMs();
   request.orphan_timeout_ms = this->parts.options.orphan_timeout_ms;
   this->RetireStream();
   this->stream = this->parts.engines.Start(this->engine, request, *this);
--- a/src/gateway/generation_session.h
+++ b/src/gateway/generation_session.h
@@ -106,6 +106,7 @@
   void Send(const Decision& decision);
   void LogRoute(const Decision& decision) const;
   WorkItem MakeWork() const;
+  std::int64_t DeadlineUnixMs() const;
 
   // Failing and trying again
   void RetryElsewhere(AttemptFailure failure, const absl::Status& cause,
--- a/src/gateway/generation_session_stream.cc
+++ b/src/gateway/generation_session_stream.cc
@@ -215,12 +215,8 @@
 // Allowed where the last attempt has certainly not run, or may be repeated.
 void GenerationSession::SendAgain(const absl::Status& cause, Outcome outcome) {
   const std::int64_t now = this->parts.clock.WallMs();
-  const std::int64_t deadline =
-      this->start.terms.deadline_ms > 0
-          ? this->start.arrived_ms + this->start.terms.deadline_ms
-          : 0;
-  const RetryAnswer answer = this->parts.retries.Ask({this->attempts, deadline},
-                                                     now, this->parts.random());
+  const RetryAnswer answer = this->parts.retries.Ask(
+      {this->attempts, this->DeadlineUnixMs()}, now, this->parts.random());
   if (answer.verdict != RetryVerdict::kRetry || this->caller_gone) {
     LogLine line("retry-refused");
     line.Add("request", this->start.request)
--- a/src/net/curl_client.cc
+++ b/src/net/curl_client.cc
@@ -17,8 +17,4 @@
   this->multi->SetPaused(call, paused);
 }
 
-std::size_t CurlClient::ActiveCalls() const {
-  return this->multi->ActiveCalls();
-}
-
 }  // namespace meadowthread
--- a/src/net/curl_client.h
+++ b/src/net/curl_client.h
@@ -26,9 +26,6 @@
   void Cancel(HttpCallId call) override;
   void SetPaused(HttpCallId call, bool paused) override;
 
-  /// @brief Calls in progress.
-  std::size_t ActiveCalls() const;
-
  private:
   std::unique_ptr<detail::CurlMulti> multi;
 };
--- a/src/net/curl_multi.cc
+++ b/src/net/curl_multi.cc
@@ -50,8 +50,7 @@
   this->timer.setTimerType(Qt::PreciseTimer);
   QObject::connect(&this->timer, &QTimer::timeout, this, [this] {
     this->Act(CURL_SOCKET_TIMEOUT, 0);
-    this->FinishCalls();
-    this->RemoveSilenced();
+    this->Settle();
   });
 }
 
@@ -92,7 +91,7 @@
   }
   found->second->Silence();
   if (this->depth == 0) {
-    this->Remove(id);
+    this->Take(id);
   } else {
     this->silenced.push_back(id);
   }
@@ -127,10 +126,13 @@
   for (int i = 0; i < count; ++i) {
     this->Act(events[i].data.fd, SelectionOf(events[i].events));
   }
-  if (this->depth == 0) {
-    this->FinishCalls();
-    this->RemoveSilenced();
-  }
+  this->Settle();
+}
+
+// What could not be done while libcurl was on the stack.
+void CurlMulti::Settle() {
+  this->FinishCalls();
+  this->RemoveSilenced();
 }
 
 void CurlMulti::FinishCalls() {
@@ -143,29 +145,26 @@
     curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &self);
     const HttpCallId id = reinterpret_cast<CurlCall*>(self)->Id();
     const CURLcode code = message->data.result;
-    const auto found = this->calls.find(id);
-    const std::unique_ptr<CurlCall> call = std::move(found->second);
-    this->calls.erase(found);
-    curl_multi_remove_handle(this->multi, call->Easy());
-    call->End(code);
+    this->Take(id)->End(code);
   }
 }
 
 void CurlMulti::RemoveSilenced() {
   const std::vector<HttpCallId> doomed = std::exchange(this->silenced, {});
   for (const HttpCallId id : doomed) {
-    this->Remove(id);
+    this->Take(id);
   }
 }
 
-void CurlMulti::Remove(HttpCallId id) {
+std::unique_ptr<CurlCall> CurlMulti::Take(HttpCallId id) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) {
-    return;
+    return nullptr;
   }
-  const std::unique_ptr<CurlCall> call = std::move(found->second);
+  std::unique_ptr<CurlCall> call = std::move(found->second);
   this->calls.erase(found);
   curl_multi_remove_handle(this->multi, call->Easy());
+  return call;
 }
 
 void CurlMulti::Watch(curl_socket_t socket, int what) {
--- a/src/net/curl_multi.h
+++ b/src/net/curl_multi.h
@@ -30,13 +30,14 @@
   HttpCallId Start(const HttpRequest& request, HttpHandler* handler);
   void Cancel(HttpCallId id);
   void SetPaused(HttpCallId id, bool paused);
-  std::size_t ActiveCalls() const { return this->calls.size(); }
 
  private:
   void Act(curl_socket_t socket, int events);
+  void Settle();
   void FinishCalls();
   void RemoveSilenced();
-  void Remove(HttpCallId id);
+  /// @brief Takes a call out of libcurl's hands; null where it is gone.
+  std::unique_ptr<CurlCall> Take(HttpCallId id);
   void Watch(curl_socket_t socket, int what);
   void TakeEvents();
 
--- a/src/policy/dispatcher.cc
+++ b/src/policy/dispatcher.cc
@@ -75,15 +75,6 @@
   return this->queue.Expire(now_ms, random);
 }
 
-Decision Dispatcher::Choose(const WorkItem& work, std::int64_t now_ms,
-                            std::uint64_t random) {
-  Decision decision = this->chooser.Choose(work, this->fleet, now_ms, random);
-  if (decision.engine.has_value()) {
-    this->fleet.NoteSent(work, *decision.engine, now_ms);
-  }
-  return decision;
-}
-
 bool Dispatcher::Cancel(std::string_view request) {
   return this->queue.Remove(request);
 }
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -52,10 +52,6 @@
   /// @brief Queued work that is not worth waiting for any more.
   std::vector<GivenUp> Expire(std::int64_t now_ms, std::uint64_t random);
 
-  /// @brief Chooses anew for work that must not wait (a retry).
-  Decision Choose(const WorkItem& work, std::int64_t now_ms,
-                  std::uint64_t random);
-
   /// @brief Takes a queued request out (its caller went away).
   bool Cancel(std::string_view request);
 
--- a/src/serve/claim_forwarding.cc
+++ b/src/serve/claim_forwarding.cc
@@ -11,16 +11,18 @@
                                      const ClaimForwardingParts& with)
     : self(self_name), limit_ms(call_limit_ms), parts(with) {}
 
-std::string RpcClaimForwarder::PreferredHost(std::uint32_t shard) const {
-  std::vector<std::string> names;
-  for (const HostEntry* entry : this->parts.hosts.OfRole(HostRole::kEntry)) {
-    const bool takes_part = !entry->leaving && entry->control_port > 0 &&
-                            !this->parts.is_marked(entry->name);
-    if (takes_part) {
-      names.push_back(entry->name);
+void RpcClaimForwarder::SetHosts(std::span<const std::string> names) {
+  this->hosts.clear();
+  for (const std::string& name : names) {
+    const HostEntry* entry = this->parts.hosts.Find(name);
+    if (entry != nullptr && entry->control_port > 0) {
+      this->hosts.push_back(name);
     }
   }
-  const std::string_view host = RendezvousHost(shard, names);
+}
+
+std::string RpcClaimForwarder::PreferredHost(std::uint32_t shard) const {
+  const std::string_view host = RendezvousHost(shard, this->hosts);
   return host == this->self ? "" : std::string(host);
 }
 
--- a/src/serve/claim_forwarding.h
+++ b/src/serve/claim_forwarding.h
@@ -2,9 +2,10 @@
 #define MEADOWTHREAD_SERVE_CLAIM_FORWARDING_H_
 
 #include <cstdint>
-#include <functional>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/clock.h"
 #include "claims/claim_forwarder.h"
@@ -22,8 +23,6 @@
   const Clock& clock;
   const HostDirectory& hosts;
   RpcChannel& channel;
-  /// Whether a host is not to get new work.
-  std::function<bool(std::string_view host)> is_marked;
 };
 
 /// @brief Sends claims to other entry hosts' control ports.
@@ -34,6 +33,10 @@
   RpcClaimForwarder(std::string_view self, std::int64_t limit_ms,
                     const ClaimForwardingParts& parts);
 
+  /// @brief Takes the hosts among which shards are shared out. Told at each
+  /// change, so that a claim costs no look at every host's mark.
+  void SetHosts(std::span<const std::string> names);
+
   std::string PreferredHost(std::uint32_t shard) const override;
   void Forward(std::string_view host, const ForwardedOp& op,
                const ForwardDone& done) override;
@@ -42,6 +45,7 @@
   std::string self;
   std::int64_t limit_ms;
   ClaimForwardingParts parts;
+  std::vector<std::string> hosts;
 };
 
 /// @brief Answers other hosts' forwarders on the control port.
--- a/src/serve/host_gate.cc
+++ b/src/serve/host_gate.cc
@@ -58,6 +58,16 @@
          (entry != nullptr && entry->leaving);
 }
 
+std::vector<std::string> HostGate::LiveEntryHosts() const {
+  std::vector<std::string> names;
+  for (const HostEntry* entry : this->parts.hosts.OfRole(HostRole::kEntry)) {
+    if (!this->IsMarked(entry->name)) {
+      names.push_back(entry->name);
+    }
+  }
+  return names;
+}
+
 MarkDocument HostGate::Mark() const {
   MarkDocument mark = this->marks.MarkOf(this->parts.host);
   const HostEntry* entry = this->parts.hosts.Find(this->parts.host);
--- a/src/serve/host_gate.h
+++ b/src/serve/host_gate.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "configuration/marks.h"
@@ -48,6 +49,9 @@
   /// its mark or the host list.
   bool IsMarked(std::string_view host) const;
 
+  /// @brief The entry hosts that may get work, by name; this one included.
+  std::vector<std::string> LiveEntryHosts() const;
+
   /// @brief Milliseconds since the newest confirmed read of every kind; -1
   /// where some kind has never been confirmed.
   std::int64_t ViewAgeMs() const;
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -186,10 +186,7 @@
                }}),
       claim_channel(MakeClaimChannelSettings(), this->clock),
       claim_forwarder(with.host.name, MakeClaimSettings(with).forward_limit_ms,
-                      {this->clock, this->hosts, this->claim_channel,
-                       [this](std::string_view host) {
-                         return this->gate.IsMarked(host);
-                       }}),
+                      {this->clock, this->hosts, this->claim_channel}),
       claims({&this->store, &this->scheduler, &this->clock,
               MakeClaimSettings(with)},
              &this->claim_forwarder),
@@ -294,27 +291,25 @@
 // The live entry hosts that come first by a hash of their names read the
 // platform; the exchange tells the others.
 bool HostProcess::Parts::IsWatcher() const {
-  const std::string& self = this->settings.host.name;
-  const std::uint64_t own = XXH64(self.data(), self.size(), 0);
-  int before = 0;
-  for (const HostEntry* entry : this->hosts.OfRole(HostRole::kEntry)) {
-    const std::uint64_t rank = XXH64(entry->name.data(), entry->name.size(), 0);
-    before += rank < own && !this->gate.IsMarked(entry->name) ? 1 : 0;
-  }
+  const auto rank_of = [](const std::string& name) {
+    return XXH64(name.data(), name.size(), 0);
+  };
+  const std::uint64_t own = rank_of(this->settings.host.name);
+  const std::vector<std::string> names = this->gate.LiveEntryHosts();
+  const auto before = std::count_if(
+      names.begin(), names.end(),
+      [&](const std::string& name) { return rank_of(name) < own; });
   return before < this->settings.platform.watchers;
 }
 
-// Limits are shared by the entry hosts, and each engine has a preferred one.
+// Limits are shared by the entry hosts, each engine has a preferred one, and so
+// has each shard of the claims.
 void HostProcess::Parts::TakeHosts() {
-  std::vector<std::string> names;
-  for (const HostEntry* entry : this->hosts.OfRole(HostRole::kEntry)) {
-    if (!this->gate.IsMarked(entry->name)) {
-      names.push_back(entry->name);
-    }
-  }
+  const std::vector<std::string> names = this->gate.LiveEntryHosts();
   this->limits.SetHosts(
       static_cast<int>(std::max<std::size_t>(1, names.size())));
   this->fleet.SetHosts(this->settings.host.name, names);
+  this->claim_forwarder.SetHosts(names);
 }
 
 ///////////////////
--- a/src/serve/placement_duty.cc
+++ b/src/serve/placement_duty.cc
@@ -96,12 +96,7 @@
 }
 
 std::span<const std::string> PlacementDuty::LiveHosts() {
-  this->live_hosts.clear();
-  for (const HostEntry* entry : this->parts.hosts.OfRole(HostRole::kEntry)) {
-    if (!this->parts.gate.IsMarked(entry->name)) {
-      this->live_hosts.push_back(entry->name);
-    }
-  }
+  this->live_hosts = this->parts.gate.LiveEntryHosts();
   return this->live_hosts;
 }
 
--- a/standins/backend/backend_service.cc
+++ b/standins/backend/backend_service.cc
@@ -3,6 +3,8 @@
 #include <QTimer>
 #include <chrono>
 
+#include "http/fault_control.h"
+
 namespace meadowthread::standins {
 
 void BackendFaults::Merge(const nlohmann::json& change) {
@@ -30,18 +32,9 @@
     exchange->Send(JsonReply(200, this->RecordJson()));
     return;
   }
-  const nlohmann::json change =
-      nlohmann::json::parse(request.body, nullptr, false);
-  if (!request.PathIs({"standin", "faults"}) || !change.is_object()) {
-    exchange->Send(ErrorReply(400, "malformed", "not a control call"));
-    return;
-  }
-  try {
+  ApplyFaultControl(request, exchange, [this](const nlohmann::json& change) {
     this->faults.Merge(change);
-    exchange->Send(JsonReply(200, {{"applied", true}}));
-  } catch (const nlohmann::json::exception& error) {
-    exchange->Send(ErrorReply(400, "malformed", error.what()));
-  }
+  });
 }
 
 void BackendService::Serve(const Request& request,
--- a/standins/engine/engine_service.cc
+++ b/standins/engine/engine_service.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "engine/engine_wire.h"
+#include "http/fault_control.h"
 
 namespace meadowthread::standins {
 namespace {
@@ -269,18 +270,9 @@
         JsonReply(200, this->record.ToJson(this->model, this->orders)));
     return;
   }
-  const nlohmann::json change =
-      nlohmann::json::parse(request.body, nullptr, false);
-  if (!request.PathIs({"standin", "faults"}) || !change.is_object()) {
-    exchange->Send(ErrorReply(400, "malformed", "not a control call"));
-    return;
-  }
-  try {
+  ApplyFaultControl(request, exchange, [this](const nlohmann::json& change) {
     this->ApplyFaults(change);
-    exchange->Send(JsonReply(200, {{"applied", true}}));
-  } catch (const nlohmann::json::exception& error) {
-    exchange->Send(ErrorReply(400, "malformed", error.what()));
-  }
+  });
 }
 
 void EngineService::ApplyFaults(const nlohmann::json& change) {
--- a/standins/objects/object_service.cc
+++ b/standins/objects/object_service.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "http/fault_control.h"
 #include "objects/object_wire.h"
 
 namespace meadowthread::standins {
@@ -48,13 +49,7 @@
     exchange->Send(JsonReply(200, body));
     return;
   }
-  const nlohmann::json change =
-      nlohmann::json::parse(request.body, nullptr, false);
-  if (!request.PathIs({"standin", "faults"}) || !change.is_object()) {
-    exchange->Send(ErrorReply(400, "malformed", "not a control call"));
-    return;
-  }
-  try {
+  ApplyFaultControl(request, exchange, [this](const nlohmann::json& change) {
     this->faults.Merge(change);
     if (change.value("compact", false)) {
       this->table.Compact();
@@ -62,10 +57,7 @@
     if (change.value("release_delayed", false)) {
       this->ReleaseDelayed();
     }
-    exchange->Send(JsonReply(200, {{"applied", true}}));
-  } catch (const nlohmann::json::exception& error) {
-    exchange->Send(ErrorReply(400, "malformed", error.what()));
-  }
+  });
   this->ServeWatches();
 }
 
