--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "net/curl_client.h"
+#include "net/pooled_client.h"
 #include "nlohmann/json.hpp"
 #include "process/caller.h"
 #include "process/process.h"
@@ -52,7 +52,7 @@
   std::string StoreUrl() const;
   Process& Host(int n) { return *this->hosts.at(n); }
   Process& Engines() { return *this->engines; }
-  CurlClient& Client() { return this->client; }
+  PooledClient& Client() { return this->client; }
 
   bool IsReady(int n);
   nlohmann::json Status(int n);
@@ -83,7 +83,7 @@
   QTemporaryDir folder;
   std::vector<int> host_ports;
   std::vector<int> control_ports;
-  CurlClient client;
+  PooledClient client;
   std::unique_ptr<Process> store;
   std::unique_ptr<Process> host_list;
   std::unique_ptr<Process> engines;
