--- a/src/net/client_connection.cc
+++ b/src/net/client_connection.cc
@@ -79,7 +79,7 @@
   parts.target =
       slash == std::string_view::npos ? "/" : std::string(url.substr(slash));
   if (parts.target.front() == '?') {
-    parts.target.insert(0, "/");
+    parts.target = "/" + parts.target;
   }
   parts.port = parts.tls ? kHttpsPort : kHttpPort;
   const std::size_t colon = parts.authority.rfind(':');
