--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -282,7 +282,7 @@
     if (event.id >= 0 && event.id <= this->last_id) {
       continue;
     }
-    if (event.id >= 0 && this->resumes > 0 && event.id > this->last_id + 1) {
+    if (this->last_id >= 0 && event.id > this->last_id + 1) {
       this->CancelCall();
       this->BreakOff("the next engine left events out");
       return;
