--- a/src/base/log_line.cc
+++ b/src/base/log_line.cc
@@ -37,4 +37,6 @@
 
 void LogLine::Write() const { LOG(INFO) << this->text; }
 
+void LogLine::WriteImportant() const { LOG(WARNING) << this->text; }
+
 }  // namespace meadowthread
--- a/src/base/log_line.h
+++ b/src/base/log_line.h
@@ -29,9 +29,13 @@
   /// @brief The line as it would be written.
   const std::string& Text() const { return this->text; }
 
-  /// @brief Writes the line to the log at level INFO.
+  /// @brief Writes the line to the log: a routine decision.
   void Write() const;
 
+  /// @brief Writes the line to the log: a failure, or a changed belief. It is
+  /// kept before routine where the log is bounded.
+  void WriteImportant() const;
+
  private:
   std::string text;
 };
--- a/src/configuration/view_feeder.cc
+++ b/src/configuration/view_feeder.cc
@@ -157,7 +157,7 @@
   LogLine line("watch");
   line.Add("kind", this->kind).Add("stalled", stalled ? "yes" : "no");
   line.Add("why", why).Add("revision", this->view.Digest(this->kind).revision);
-  line.Write();
+  line.WriteImportant();
 }
 
 // When the answer was made is known only between bounds. Of a list: after it
--- a/src/exchange/load_datagrams.cc
+++ b/src/exchange/load_datagrams.cc
@@ -159,7 +159,7 @@
     bytes.resize(static_cast<std::size_t>(size));
     absl::StatusOr<LoadDatagram> read = DecodeLoads(bytes);
     if (!read.ok()) {
-      LogLine("loads-malformed").Add("bytes", size).Write();
+      LogLine("loads-malformed").Add("bytes", size).WriteImportant();
       continue;
     }
     for (EngineLoadNote& note : read->notes) {
--- a/src/main/main.cc
+++ b/src/main/main.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/log_writer.h"
 #include "cli/check_command.h"
 #include "cli/command_registry.h"
 #include "cli/explain_command.h"
@@ -25,11 +26,14 @@
 namespace {
 
 // Hosts have no disks, so that nothing is ever logged to files. Commands'
-// results are their output; only serve logs its decisions.
+// results are their output; only hosts log their decisions there.
 void SetUpLogging(const char* program, bool serves) {
   FLAGS_logtostderr = true;
   FLAGS_minloglevel = serves ? google::GLOG_INFO : google::GLOG_WARNING;
   google::InitGoogleLogging(program);
+  if (serves) {
+    LogToStandardOutput();
+  }
 }
 
 int RunMain(std::span<const std::string> words) {
--- a/src/main/serve_command.cc
+++ b/src/main/serve_command.cc
@@ -33,7 +33,7 @@
       "runs an entry host between callers and model engines",
       "Checks the settings whole, then serves until SIGTERM or SIGINT, which "
       "is a planned\nstop: the host becomes unready, takes nothing new and "
-      "ends once what runs has\nended. Logs go to the standard error, one "
+      "ends once what runs has\nended. Logs go to the standard output, one "
       "key=value line a decision.",
       {"meadowthread check entry-1.yaml && meadowthread serve --settings "
        "entry-1.yaml"}};
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -183,7 +183,7 @@
     LogLine("connection-refused")
         .Add("peer", socket->Peer())
         .Add("connections", this->connections.size())
-        .Write();
+        .WriteImportant();
     return;
   }
   auto connection =
--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -178,7 +178,7 @@
   line.Add("peer", this->peer)
       .Add("code", static_cast<int>(refusal.id))
       .Add("why", refusal.what)
-      .Write();
+      .WriteImportant();
   this->phase = Phase::kAnswering;
   this->close_after = true;
   ErrorDetail detail;
--- a/src/relay/backend_health.cc
+++ b/src/relay/backend_health.cc
@@ -44,7 +44,7 @@
         .Add("id", id)
         .Add("in_a_row", record.unreachable)
         .Add("for_ms", aside_ms)
-        .Write();
+        .WriteImportant();
   } else {
     record.unreachable = 0;
     (result == AttemptResult::kGood ? record.good : record.failed) += 1.0;
--- a/src/relay/backend_list.cc
+++ b/src/relay/backend_list.cc
@@ -26,7 +26,7 @@
         .Add("service", entry.service)
         .Add("address", entry.address)
         .Add("change", "added")
-        .Write();
+        .WriteImportant();
     this->Tell(BackendChange::kAdded, backend);
   }
   if (entry.leaving && !was_leaving) {
@@ -60,7 +60,7 @@
       .Add("id", id)
       .Add("change", "lapsed")
       .Add("store_back_ms", since_ms)
-      .Write();
+      .WriteImportant();
   this->scheduler.After(
       kRelistMs - since_ms,
       [this, gone = std::string(id), guard = std::weak_ptr<bool>(this->alive)] {
@@ -88,7 +88,7 @@
       .Add("service", backend->entry.service)
       .Add("change", "leaving")
       .Add("why", why)
-      .Write();
+      .WriteImportant();
   this->Tell(BackendChange::kLeaving, *backend);
 }
 
--- a/src/relay/call_session.cc
+++ b/src/relay/call_session.cc
@@ -323,7 +323,7 @@
       .Add("outcome", left ? "unknown" : "not_run")
       .Add("took_ms", now_ms - attempt.SentMs())
       .Add("why", std::string(end.status.message()))
-      .Write();
+      .WriteImportant();
   this->may_have_run = this->may_have_run || left;
   if (!left) {
     ++this->unreachable;
@@ -359,7 +359,7 @@
       LogLine("retry-refused")
           .Add("request", this->request.id)
           .Add("why", RetryVerdictName(answer.verdict))
-          .Write();
+          .WriteImportant();
       return false;
     }
   }
@@ -404,6 +404,18 @@
   return MakeError(absl::StatusCode::kUnavailable, detail, what);
 }
 
+void CallSession::Observe(std::string_view outcome, std::string_view reason) {
+  RelayEnd told;
+  told.route = this->terms.route;
+  told.service = this->terms.service;
+  told.outcome = std::string(outcome);
+  told.reason = std::string(reason);
+  told.attempts = static_cast<int>(this->tried.size());
+  told.total_ms = this->parts.clock.MonotonicMs() - this->begun_ms;
+  told.first_ms = told.total_ms;
+  this->parts.observer.OnRequestEnded(told);
+}
+
 void CallSession::Abandon() {
   if (std::exchange(this->ended, true)) {
     return;
@@ -421,6 +433,7 @@
       .Add("attempts", this->tried.size())
       .Add("total_ms", this->parts.clock.MonotonicMs() - this->begun_ms)
       .Write();
+  this->Observe("caller_gone", "");
 }
 
 void CallSession::End(const absl::StatusOr<HttpResponse>& result) {
@@ -446,8 +459,10 @@
       .Add("status", result.ok() ? result->http_status : 0)
       .Add("code", result.ok() ? 0 : static_cast<int>(detail.id))
       .Add("attempts", this->tried.size())
-      .Add("total_ms", now_ms - this->begun_ms)
-      .Write();
+      .Add("total_ms", now_ms - this->begun_ms);
+  result.ok() ? line.Write() : line.WriteImportant();
+  this->Observe(result.ok() ? "complete" : OutcomeName(detail.outcome),
+                result.ok() ? "" : detail.step);
   const CallDone told = std::move(this->done);
   told(result);
 }
--- a/src/relay/call_session.h
+++ b/src/relay/call_session.h
@@ -56,6 +56,7 @@
   void EndOrWait(const absl::StatusOr<HttpResponse>& result);
   void End(const absl::StatusOr<HttpResponse>& result);
   void GiveUpAtDeadline();
+  void Observe(std::string_view outcome, std::string_view reason);
   absl::Status Problem(ErrorId id, Outcome outcome, std::string_view step,
                        std::string_view what) const;
   std::int64_t LeftMs() const;
--- a/src/relay/departures.cc
+++ b/src/relay/departures.cc
@@ -132,7 +132,7 @@
       .Add("listed_runs", state.ok() ? state->runs.size() : 0)
       .Add("told", state.ok() ? "yes" : "no")
       .Add("stays_ms", departure->ends_ms - now_ms)
-      .Write();
+      .WriteImportant();
 }
 
 void Departures::Step(const std::string& engine) {
--- a/src/relay/plan_in_force.cc
+++ b/src/relay/plan_in_force.cc
@@ -99,7 +99,7 @@
       .Add("revision", at_revision)
       .Add("routes", this->index->plan.routes.size())
       .Add("keys", this->index->keys.size())
-      .Write();
+      .WriteImportant();
   for (const Listener& listener : this->listeners) {
     listener();
   }
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -77,7 +77,12 @@
       .Add("step", detail.step)
       .Add("why", std::string(why.message()))
       .Add("retry_after_ms", detail.retry_after_ms)
-      .Write();
+      .WriteImportant();
+  RelayEnd told;
+  told.outcome = "refused";
+  told.reason = detail.step;
+  told.attempts = 0;
+  this->parts.observer.OnRequestEnded(told);
   Problem problem;
   problem.status = why;
   problem.request = std::string(request);
--- a/src/relay/relay_parts.h
+++ b/src/relay/relay_parts.h
@@ -11,6 +11,7 @@
 #include "relay/backend_health.h"
 #include "relay/backend_list.h"
 #include "relay/backend_wire.h"
+#include "relay/relay_observer.h"
 #include "relay/retry_budgets.h"
 
 namespace meadowthread {
@@ -24,6 +25,7 @@
   BackendList& backends;
   BackendHealth& health;
   RetryBudgets& budgets;
+  RelayObserver& observer;
   std::mt19937_64& random;
 };
 
--- a/src/relay/run_move.cc
+++ b/src/relay/run_move.cc
@@ -64,7 +64,7 @@
             .Add("result", MoveResultName(answer.result))
             .Add("events", answer.events)
             .Add("took_ms", this->clock.MonotonicMs() - this->ordered_ms)
-            .Write();
+            .WriteImportant();
         if (stop) {
           this->OnStopped(answer);
         } else {
--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -216,6 +216,7 @@
   http.connect_timeout_ms = kConnectMs;
   http.send_once = true;
   http.reuse_idle_ms = 0;
+  ++this->sendings;
   this->call = this->parts.client.Start(http, this);
 }
 
@@ -261,6 +262,7 @@
 void StreamSession::PassOn(std::vector<CutEvent>* cut) {
   const std::int64_t now_ms = this->parts.clock.MonotonicMs();
   if (this->phase == StreamPhase::kBetween) {
+    ++this->moves;
     LogLine("resumed")
         .Add("request", this->request.id)
         .Add("engine", this->engine)
@@ -365,7 +367,7 @@
       .Add("request", this->request.id)
       .Add("engine", this->engine)
       .Add("status", this->head.http_status)
-      .Write();
+      .WriteImportant();
   this->LeaveEngine(AttemptResult::kGood);
   ++this->resumes;
   const RetryAnswer answer =
@@ -388,7 +390,7 @@
       .Add("outcome", left ? "unknown" : "not_run")
       .Add("events", this->events)
       .Add("why", std::string(end.status.message()))
-      .Write();
+      .WriteImportant();
   this->LeaveEngine(left ? AttemptResult::kFailed
                          : AttemptResult::kUnreachable);
   if (!left && this->resumes < kMostUnreachable) {
@@ -476,7 +478,7 @@
       .Add("request", this->request.id)
       .Add("engine", this->engine)
       .Add("end", static_cast<int>(end))
-      .Write();
+      .WriteImportant();
 }
 
 std::string StreamSession::CopyName() const {
@@ -501,7 +503,7 @@
       .Add("status", end.http_status)
       .Add("not_run", not_run ? "yes" : "no")
       .Add("why", std::string(end.status.message()))
-      .Write();
+      .WriteImportant();
   if (not_run && this->ResumeAtSource()) {
     return;
   }
@@ -653,11 +655,22 @@
       .Add("resumes", this->resumes)
       .Add("first_event_ms", this->first_event_ms)
       .Add("longest_gap_ms", this->longest_gap_ms)
-      .Add("total_ms", this->parts.clock.MonotonicMs() - this->begun_ms)
-      .Write();
+      .Add("total_ms", this->parts.clock.MonotonicMs() - this->begun_ms);
+  outcome == "complete" ? line.Write() : line.WriteImportant();
+  RelayEnd told;
+  told.route = this->terms.route;
+  told.service = this->terms.service;
+  told.outcome = std::string(outcome);
+  told.reason = std::string(why);
+  told.attempts = this->sendings;
+  told.moves = this->moves;
+  told.first_ms = this->first_event_ms;
+  told.longest_gap_ms = this->longest_gap_ms;
+  told.total_ms = this->parts.clock.MonotonicMs() - this->begun_ms;
+  this->parts.observer.OnRequestEnded(told);
   if (this->ended) {
-    const std::function<void()> told = std::move(this->ended);
-    told();
+    const std::function<void()> over = std::move(this->ended);
+    over();
   }
 }
 
--- a/src/serve/host_entries.cc
+++ b/src/serve/host_entries.cc
@@ -77,7 +77,7 @@
       LogLine("host-entry-malformed")
           .Add("host", object->name)
           .Add("why", std::string(host.status().message()))
-          .Write();
+          .WriteImportant();
     }
   }
   if (this->listener) {
@@ -100,7 +100,7 @@
                       LogLine("host-entry")
                           .Add("host", this->self.name)
                           .Add("version", *written)
-                          .Write();
+                          .WriteImportant();
                       return;
                     }
                     // An earlier life's entry stands there, or nobody knows.
@@ -150,7 +150,7 @@
                          LogLine("host-entry-stays")
                              .Add("why",
                                   std::string(removed.status().message()))
-                             .Write();
+                             .WriteImportant();
                        }
                        done();
                      });
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -12,6 +12,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "base/log_line.h"
+#include "base/log_writer.h"
 #include "claims/store_claim_service.h"
 #include "configuration/service_catalog.h"
 #include "configuration/view_feeder.h"
@@ -264,7 +265,10 @@
   if (!exchanging.ok()) {
     return exchanging;
   }
-  this->Every(kDrainPeriodMs, [this] { this->gateway->DrainQueue(); });
+  this->Every(kDrainPeriodMs, [this] {
+    this->gateway->DrainQueue();
+    FlushLog();
+  });
   this->Every(kTickPeriodMs, [this] {
     this->gateway->TickSessions();
     this->FollowMark();
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -13,6 +13,7 @@
 
 #include "base/error.h"
 #include "base/log_line.h"
+#include "base/log_writer.h"
 #include "configuration/replicated_view.h"
 #include "configuration/view_feeder.h"
 #include "exchange/load_datagrams.h"
@@ -25,6 +26,7 @@
 #include "serve/exchange_duty.h"
 #include "serve/host_entries.h"
 #include "serve/load_notes.h"
+#include "serve/relay_metrics.h"
 #include "serve/steady_clock.h"
 #include "serve/termination.h"
 
@@ -35,6 +37,8 @@
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
 constexpr int kExitUsage = 2;
+constexpr std::string_view kMetricsPath = "/metrics";
+constexpr std::int64_t kRotatePeriodMs = 60'000;
 constexpr std::int64_t kDrainPeriodMs = 20;
 // The balancer asks each second and takes a host out after two questions
 // without a yes: for so long new connections still come to a stopping host.
@@ -104,6 +108,24 @@
   std::function<bool()> is_ready;
 };
 
+/// @brief Tells a text at one path.
+class TextService final : public HttpService {
+ public:
+  TextService(std::string_view path, std::function<std::string()> text)
+      : path(path), text(std::move(text)) {}
+
+  void Serve(const ServerRequest& request,
+             std::unique_ptr<ResponseWriter> writer) override {
+    const bool found = request.path == this->path;
+    SendText(*writer, found ? kOk : kNotFound,
+             found ? this->text() : "not found\n");
+  }
+
+ private:
+  std::string path;
+  std::function<std::string()> text;
+};
+
 }  // namespace
 
 /// @brief The slices of one host, in the order in which they depend on each
@@ -122,6 +144,7 @@
   void TakeBackend(const StoredObject& object);
   void TakeBackendChange(BackendChange change, const Backend& backend);
   void TakeHosts(const std::vector<EntryHost>& hosts);
+  std::string MetricsText();
   void ApplyBounds();
   void Every(std::int64_t period_ms, const std::function<void()>& task);
   void EndIfDrained();
@@ -146,6 +169,7 @@
   BackendList backends;
   BackendHealth health;
   RetryBudgets budgets;
+  RelayMetrics metrics;
   LearnedLengthModel lengths;
   FleetState fleet;
   LoadNotes load_notes;
@@ -155,8 +179,10 @@
   std::unique_ptr<EngineControl> control;
   Relay relay;
   ReadyService ready_service;
+  TextService metrics_service;
   HttpServer server;
   HttpServer ready_server;
+  HttpServer metrics_server;
   std::int64_t stop_ms = -1;  ///< monotonic; -1: not stopping
   bool left = false;
 };
@@ -191,14 +217,17 @@
       dispatcher(this->fleet, this->chooser),
       control(on.MakeControl(this->client)),
       relay({this->clock, this->scheduler, this->client, on.Backends(),
-             this->backends, this->health, this->budgets, this->random},
+             this->backends, this->health, this->budgets, this->metrics,
+             this->random},
             {this->dispatcher, this->fleet}, *this->control, on.Callers(),
             this->plan),
       ready_service(
           on.ReadyPath(),
           [this] { return this->stop_ms < 0 && this->plan.Plan() != nullptr; }),
+      metrics_service(kMetricsPath, [this] { return this->MetricsText(); }),
       server(&this->relay, ServerLimits{}),
-      ready_server(&this->ready_service, ServerLimits{}) {
+      ready_server(&this->ready_service, ServerLimits{}),
+      metrics_server(&this->metrics_service, ServerLimits{}) {
   this->ApplyBounds();
   this->view.AddListener(
       [this](const ViewChange& change) { this->TakeView(change); });
@@ -237,18 +266,27 @@
       return status;
     }
   }
+  if (this->settings.listen.metrics_port > 0) {
+    const absl::Status told =
+        listen(this->metrics_server, this->settings.listen.metrics_port);
+    if (!told.ok()) {
+      return told;
+    }
+  }
   this->feeder.Start();
   this->entries.Announce();
+  this->Every(kRotatePeriodMs, [this] { this->metrics.Rotate(); });
   this->Every(kDrainPeriodMs, [this] {
     this->relay.DrainQueue();
     this->EndIfDrained();
+    FlushLog();
   });
   LogLine("started")
       .Add("host", host.name)
       .Add("address", host.address)
       .Add("port", host.port)
       .Add("zone", host.zone)
-      .Write();
+      .WriteImportant();
   return absl::OkStatus();
 }
 
@@ -287,7 +325,7 @@
         .Add("revision", object.version)
         .Add("field", DetailOf(read.status()).field)
         .Add("why", std::string(read.status().message()))
-        .Write();
+        .WriteImportant();
     return;
   }
   this->plan.Take(*std::move(read), object.version);
@@ -305,7 +343,7 @@
         .Add("id", object.name)
         .Add("field", DetailOf(entry.status()).field)
         .Add("why", std::string(entry.status().message()))
-        .Write();
+        .WriteImportant();
     return;
   }
   this->backends.Set(*entry);
@@ -375,6 +413,39 @@
   this->budgets.SetHosts(static_cast<int>(known.size()));
 }
 
+std::string RelayHost::Parts::MetricsText() {
+  const auto set = [this](std::string_view what, auto value) {
+    this->metrics.SetState(what, static_cast<double>(value));
+  };
+  const std::int64_t now_ms = this->clock.WallMs();
+  for (const ViewDigest& digest : this->view.Digests()) {
+    set("age_ms_" + digest.kind, now_ms - digest.confirmed.unix_ms);
+    set("revision_" + digest.kind, digest.revision);
+  }
+  set("ready", this->stop_ms < 0 && this->plan.Plan() != nullptr ? 1 : 0);
+  set("running", this->relay.Running());
+  set("connections", this->server.Connections());
+  set("backends", this->backends.Count());
+  set("peers_alive", this->exchange.PeersAlive());
+  for (const Urgency urgency :
+       {Urgency::kUrgent, Urgency::kNormal, Urgency::kBatch}) {
+    set("queued_" + std::string(UrgencyName(urgency)),
+        this->dispatcher.Queue().Queued(urgency));
+  }
+  if (const ServicePlan* const in_force = this->plan.Plan()) {
+    for (const ServiceRule& service : in_force->services) {
+      set("retries_saved_" + service.name,
+          this->budgets.Of(service.name).Saved());
+    }
+  }
+  const ClientStats& sent = this->client.Stats();
+  set("connects", sent.connects);
+  set("reuses", sent.reuses);
+  set("answers_passed_over", sent.answers_passed);
+  set("log_lines_dropped", LogLinesDropped());
+  return this->metrics.Text();
+}
+
 /////////////
 // Its bounds
 /////////////
@@ -411,7 +482,7 @@
   this->settings.bounds = with.bounds;
   this->budgets.SetBounds(RetryBoundsOf(with));
   this->ApplyBounds();
-  LogLine("reloaded").Add("host", this->settings.host.name).Write();
+  LogLine("reloaded").Add("host", this->settings.host.name).WriteImportant();
 }
 
 ///////////////////
@@ -430,7 +501,7 @@
   LogLine("stop-asked")
       .Add("host", this->settings.host.name)
       .Add("running", this->relay.Running())
-      .Write();
+      .WriteImportant();
   this->scheduler.After(std::max<std::int64_t>(0, grace_ms - kLastWordMs),
                         [this] { this->Leave("time_is_up"); });
 }
@@ -451,7 +522,7 @@
       .Add("host", this->settings.host.name)
       .Add("why", why)
       .Add("running", this->relay.Running())
-      .Write();
+      .WriteImportant();
   QCoreApplication::quit();
 }
 
--- a/src/settings/relay_settings.cc
+++ b/src/settings/relay_settings.cc
@@ -30,6 +30,7 @@
                    Presence::kRequired);
   section.Integer("loads_port", 1, kLastPort, &listen->loads_port,
                   Presence::kRequired);
+  section.Integer("metrics_port", 0, kLastPort, &listen->metrics_port);
   section.Finish();
 }
 
--- a/src/settings/relay_settings.h
+++ b/src/settings/relay_settings.h
@@ -14,6 +14,7 @@
 struct RelayListenSettings {
   int ready_port = 0;  ///< answers whether it takes traffic
   int loads_port = 0;  ///< UDP: load notes of other hosts
+  int metrics_port = 0;  ///< tells counters and gauges; 0: nowhere
 
   friend bool operator==(const RelayListenSettings&,
                          const RelayListenSettings&) = default;
--- a/tests/process/process.cc
+++ b/tests/process/process.cc
@@ -97,6 +97,6 @@
   return port;
 }
 
-std::string Process::Log() { return this->log; }
+std::string Process::Log() { return this->out + this->log; }
 
 }  // namespace meadowthread::tests
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -35,7 +35,7 @@
   /// @brief The n-th `ready` line's port, waited for.
   int Port(int n = 0);
 
-  /// @brief What it wrote to standard error so far.
+  /// @brief What it wrote so far, its log among it.
   std::string Log();
 
  private:
