Some hosts watch the store and tell the others; loads are told when they change

Change: four hosts or one in twelve watch, changes of engines go from host to host by datagram (fan-out 4), notes are sent on change within 18 KB/s.

--- /dev/null
+++ b/src/exchange/datagrams.cc
@@ -0,0 +1,155 @@
+#include "exchange/datagrams.h"
+
+#include <QHostAddress>
+#include <algorithm>
+#include <utility>
+
+#include "base/error.h"
+#include "base/log_line.h"
+
+namespace meadowthread {
+namespace {
+
+using nlohmann::json;
+
+// What IP and UDP add to each datagram.
+constexpr std::int64_t kHeaderBytes = 28;
+constexpr qint64 kMostDatagramBytes = 60'000;
+constexpr std::size_t kFields = 3;
+constexpr double kMsPerSecond = 1000.0;
+// Bytes saved up for a moment in which much changes at once, in seconds' worth.
+constexpr double kBurstSeconds = 2.0;
+
+absl::Status Malformed() {
+  ErrorDetail detail;
+  detail.id = ErrorId::kPeerMalformed;
+  detail.step = "read-datagram";
+  return MakeError(absl::StatusCode::kInvalidArgument, detail,
+                   "the datagram is none of this product's");
+}
+
+QHostAddress AddressOf(std::string_view text) {
+  return QHostAddress(
+      QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size())));
+}
+
+}  // namespace
+
+std::string EncodeDatagram(const Datagram& datagram) {
+  const std::vector<std::uint8_t> bytes = json::to_cbor(
+      json::array({datagram.topic, datagram.host, datagram.payload}));
+  return {bytes.begin(), bytes.end()};
+}
+
+absl::StatusOr<Datagram> DecodeDatagram(std::string_view bytes) {
+  json value = json::from_cbor(bytes, true, false);
+  const bool fits = value.is_array() && value.size() == kFields &&
+                    value[0].is_string() && value[1].is_string();
+  if (!fits) {
+    return Malformed();
+  }
+  return Datagram{value[0].get<std::string>(), value[1].get<std::string>(),
+                  std::move(value[2])};
+}
+
+DatagramHub::DatagramHub(std::string_view host, std::int64_t bytes_per_second,
+                         std::uint64_t seed, const Clock& clock)
+    : host(host),
+      bytes_per_second(bytes_per_second),
+      clock(clock),
+      random(seed),
+      refilled_ms(clock.MonotonicMs()) {}
+
+void DatagramHub::Register(std::string_view topic, const Handler& handler) {
+  this->handlers[std::string(topic)] = handler;
+}
+
+absl::Status DatagramHub::Start(std::string_view address, std::uint16_t port) {
+  if (!this->socket.bind(AddressOf(address), port)) {
+    ErrorDetail detail;
+    detail.id = ErrorId::kSettingsInvalid;
+    detail.step = "listen";
+    detail.field = "listen.loads_port";
+    detail.peer = std::string(address);
+    return MakeError(absl::StatusCode::kUnavailable, detail,
+                     this->socket.errorString().toStdString());
+  }
+  QObject::connect(&this->socket, &QUdpSocket::readyRead, &this->socket,
+                   [this] { this->Take(); });
+  return absl::OkStatus();
+}
+
+void DatagramHub::SetPeers(std::span<const DatagramPeer> with) {
+  this->peers.clear();
+  for (const DatagramPeer& peer : with) {
+    if (peer.name != this->host) {
+      this->peers.push_back(peer);
+    }
+  }
+}
+
+void DatagramHub::Refill() {
+  const std::int64_t now_ms = this->clock.MonotonicMs();
+  const auto since = static_cast<double>(now_ms - this->refilled_ms);
+  const auto rate = static_cast<double>(this->bytes_per_second);
+  this->allowance = std::min(rate * kBurstSeconds,
+                             this->allowance + since * rate / kMsPerSecond);
+  this->refilled_ms = now_ms;
+}
+
+void DatagramHub::SendTo(const DatagramPeer& peer, const std::string& bytes) {
+  this->socket.writeDatagram(bytes.data(), static_cast<qint64>(bytes.size()),
+                             AddressOf(peer.address), peer.port);
+  this->allowance -= static_cast<double>(std::ssize(bytes) + kHeaderBytes);
+}
+
+bool DatagramHub::SendToAll(std::string_view topic, const json& payload) {
+  this->Refill();
+  if (this->allowance <= 0.0) {
+    return false;
+  }
+  const std::string bytes =
+      EncodeDatagram({std::string(topic), this->host, payload});
+  for (const DatagramPeer& peer : this->peers) {
+    this->SendTo(peer, bytes);
+  }
+  return true;
+}
+
+void DatagramHub::SendToSome(std::string_view topic, const json& payload,
+                             std::size_t count) {
+  this->Refill();
+  const std::string bytes =
+      EncodeDatagram({std::string(topic), this->host, payload});
+  std::vector<DatagramPeer> drawn;
+  std::sample(this->peers.begin(), this->peers.end(), std::back_inserter(drawn),
+              static_cast<std::ptrdiff_t>(count), this->random);
+  for (const DatagramPeer& peer : drawn) {
+    this->SendTo(peer, bytes);
+  }
+}
+
+void DatagramHub::Take() {
+  while (this->socket.hasPendingDatagrams()) {
+    std::string bytes(
+        static_cast<std::size_t>(std::clamp<qint64>(
+            this->socket.pendingDatagramSize(), 0, kMostDatagramBytes)),
+        '\0');
+    const qint64 size = this->socket.readDatagram(
+        bytes.data(), static_cast<qint64>(bytes.size()));
+    if (size < 0) {
+      return;
+    }
+    bytes.resize(static_cast<std::size_t>(size));
+    const absl::StatusOr<Datagram> read = DecodeDatagram(bytes);
+    const auto found = read.ok() ? this->handlers.find(read->topic)
+                                 : this->handlers.end();
+    if (found == this->handlers.end()) {
+      LogLine("datagram-malformed").Add("bytes", size).WriteImportant();
+      continue;
+    }
+    found->second(read->host, read->payload);
+  }
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/exchange/view_datagrams.cc
@@ -0,0 +1,91 @@
+#include "exchange/view_datagrams.h"
+
+#include <algorithm>
+
+#include "base/error.h"
+#include "base/json_fields.h"
+#include "base/log_line.h"
+
+namespace meadowthread {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kTopic[] = "items";
+// Peers told by each host to whom a change is news: with four, all but two in a
+// hundred hear of it so; rounds bring the rest.
+constexpr std::size_t kFanout = 4;
+// Beyond this a change is a whole read, which every host makes for itself.
+constexpr std::size_t kMostItems = 8;
+// What goes into one packet of most networks.
+constexpr std::size_t kMostBytes = 1'200;
+constexpr std::size_t kItemFields = 5;
+
+std::size_t SizeOf(std::span<const StoredObject> items) {
+  std::size_t bytes = 0;
+  for (const StoredObject& item : items) {
+    bytes += item.name.size() + item.value.size();
+  }
+  return bytes;
+}
+
+}  // namespace
+
+json ItemsJson(std::span<const StoredObject> items) {
+  json payload = json::array();
+  for (const StoredObject& item : items) {
+    payload.push_back(
+        {item.kind, item.name, item.version, item.deleted, item.value});
+  }
+  return payload;
+}
+
+absl::StatusOr<std::vector<StoredObject>> ItemsFrom(const json& payload) {
+  std::vector<StoredObject> items;
+  for (const json& one : payload) {
+    const bool fits = one.is_array() && one.size() == kItemFields &&
+                      one[0].is_string() && one[1].is_string() &&
+                      one[2].is_number_integer() && one[3].is_boolean() &&
+                      one[4].is_string();
+    if (!fits) {
+      ErrorDetail detail;
+      detail.id = ErrorId::kPeerMalformed;
+      detail.step = "read-items";
+      return MakeError(absl::StatusCode::kInvalidArgument, detail,
+                       "not a list of objects");
+    }
+    StoredObject item;
+    item.kind = one[0].get<std::string>();
+    item.name = one[1].get<std::string>();
+    item.version = one[2].get<std::int64_t>();
+    item.deleted = one[3].get<bool>();
+    item.value = one[4].get<std::string>();
+    items.push_back(std::move(item));
+  }
+  return items;
+}
+
+ViewDatagrams::ViewDatagrams(std::span<const std::string> kinds,
+                             ReplicatedView& view, DatagramHub& hub)
+    : kinds(kinds.begin(), kinds.end()), view(view), hub(hub) {
+  hub.Register(kTopic, [this](std::string_view host, const json& payload) {
+    const absl::StatusOr<std::vector<StoredObject>> items = ItemsFrom(payload);
+    if (!items.ok()) {
+      LogLine("items-malformed").Add("host", host).WriteImportant();
+      return;
+    }
+    this->view.ApplyItems(*items);
+  });
+  view.AddListener([this](const ViewChange& change) { this->Tell(change); });
+}
+
+void ViewDatagrams::Tell(const ViewChange& change) {
+  const bool told = std::find(this->kinds.begin(), this->kinds.end(),
+                              change.kind) != this->kinds.end();
+  if (told && change.items.size() <= kMostItems &&
+      SizeOf(change.items) <= kMostBytes) {
+    this->hub.SendToSome(kTopic, ItemsJson(change.items), kFanout);
+  }
+}
+
+}  // namespace meadowthread
--- a/src/serve/exchange_duty.cc
+++ b/src/serve/exchange_duty.cc
@@ -1,6 +1,7 @@
 #include "serve/exchange_duty.h"
 
 #include <QHostAddress>
+#include <algorithm>
 #include <random>
 #include <string>
 #include <vector>
@@ -42,7 +43,10 @@
           MakeExchangeSettings(settings.exchange), NewSeed(),
           {this->source, this->directory, this->client, scheduler, clock}) {
   view.AddListener([this](const ViewChange& change) {
-    this->exchanger.NoteChange(change.kind);
+    if (std::find(this->out_of_news.begin(), this->out_of_news.end(),
+                  change.kind) == this->out_of_news.end()) {
+      this->exchanger.NoteChange(change.kind);
+    }
   });
 }
 
--- a/src/serve/exchange_duty.h
+++ b/src/serve/exchange_duty.h
@@ -2,6 +2,9 @@
 #define MEADOWTHREAD_SERVE_EXCHANGE_DUTY_H_
 
 #include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "base/clock.h"
@@ -34,6 +37,16 @@
   /// @brief Listens on the control port and starts the rounds.
   absl::Status Start();
 
+  /// @brief Kinds whose changes are told otherwise: rounds alone carry them.
+  void KeepOutOfNews(std::string_view kind) {
+    this->out_of_news.emplace_back(kind);
+  }
+
+  /// @brief Whether a peer answered when it was last asked, as far as known.
+  bool Answers(std::string_view name) const {
+    return !this->directory.IsSuspected(name);
+  }
+
   /// @brief Peers that answered when last asked.
   int PeersAlive() const { return this->directory.Counts().alive; }
 
@@ -47,6 +60,7 @@
 
   HostSettings host;
   HostDirectory& hosts;
+  std::vector<std::string> out_of_news;
   RpcClient client;
   RpcServer server;
   PeerDirectory directory;
--- a/src/serve/load_notes.cc
+++ b/src/serve/load_notes.cc
@@ -8,7 +8,7 @@
 
 // Notes are made for all peers at once: the policy tells an engine's last
 // stream's end a single time.
-constexpr std::int64_t kRefreshMs = 100;
+constexpr std::int64_t kRefreshMs = 20;
 // So long an engine without own work is still told of, in case a message with
 // the news was lost.
 constexpr std::int64_t kIdleNoteMs = 2'000;
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -1,6 +1,7 @@
 #include "serve/relay_host.h"
 
 #include <glog/logging.h>
+#include <xxhash.h>
 
 #include <QCoreApplication>
 #include <algorithm>
@@ -16,7 +17,9 @@
 #include "base/log_writer.h"
 #include "configuration/replicated_view.h"
 #include "configuration/view_feeder.h"
+#include "exchange/datagrams.h"
 #include "exchange/load_datagrams.h"
+#include "exchange/view_datagrams.h"
 #include "net/http_server.h"
 #include "net/pooled_client.h"
 #include "net/qt_scheduler.h"
@@ -39,6 +42,12 @@
 constexpr int kExitUsage = 2;
 constexpr std::string_view kMetricsPath = "/metrics";
 constexpr std::int64_t kRotatePeriodMs = 60'000;
+// Of a node's 29 KB a second for control, what the exchange's calls leave.
+constexpr std::int64_t kDatagramBytesPerSecond = 18'000;
+// Hosts that watch the store. A third of the hosts may lose it at once: with
+// four, or one in twelve where there are many, some still see it.
+constexpr std::ptrdiff_t kLeastWatchers = 4;
+constexpr double kWatcherPart = 0.085;
 constexpr std::int64_t kDrainPeriodMs = 20;
 // The balancer asks each second and takes a host out after two questions
 // without a yes: for so long new connections still come to a stopping host.
@@ -64,6 +73,9 @@
   options.answer_margin_ms = 1'000;
   options.pace_ms = 20;
   options.most_backoff_ms = 800;
+  options.idle_ms = 300;
+  // A watch confirms a view at the latest when its wait is over.
+  options.self_watch_ms = 5'000;
   return options;
 }
 
@@ -144,6 +156,7 @@
   void TakeBackend(const StoredObject& object);
   void TakeBackendChange(BackendChange change, const Backend& backend);
   void TakeHosts(const std::vector<EntryHost>& hosts);
+  bool IsWatcher() const;
   std::string MetricsText();
   void ApplyBounds();
   void Every(std::int64_t period_ms, const std::function<void()>& task);
@@ -173,7 +186,9 @@
   LearnedLengthModel lengths;
   FleetState fleet;
   LoadNotes load_notes;
+  DatagramHub hub;
   LoadDatagrams load_datagrams;
+  ViewDatagrams view_datagrams;
   PressureChooser chooser;
   Dispatcher dispatcher;
   std::unique_ptr<EngineControl> control;
@@ -195,7 +210,7 @@
       view(this->clock, this->kinds),
       feeder(this->kinds, *this->store, this->view, this->scheduler,
              this->clock, MakeFeederOptions(with.host.name, this->random()),
-             [] { return true; }),
+             [this] { return this->IsWatcher(); }),
       exchange(ExchangeSettingsOf(with), this->clock.WallMs(), this->clock,
                this->scheduler, this->view, this->hosts),
       entries(on.Kinds().hosts,
@@ -207,8 +222,11 @@
       // Engines say themselves how long they are slow, and live for minutes.
       fleet(this->lengths, FleetOptions{0}),
       load_notes(with.host.name, this->clock, this->fleet),
-      load_datagrams(with.host.name, LoadDatagramSettings{}, this->load_notes,
-                     this->load_notes, this->clock, this->scheduler),
+      hub(with.host.name, kDatagramBytesPerSecond, this->random(), this->clock),
+      load_datagrams(this->hub, this->load_notes, this->load_notes,
+                     this->clock, this->scheduler),
+      view_datagrams(std::vector<std::string>{on.Kinds().backends}, this->view,
+                     this->hub),
       chooser([&with] {
         PressureOptions options;
         options.zone = with.host.zone;
@@ -241,6 +259,7 @@
   });
   this->entries.SetListener(
       [this](const std::vector<EntryHost>& known) { this->TakeHosts(known); });
+  this->exchange.KeepOutOfNews(on.Kinds().backends);
   this->feeder.OnAnsweredAgain([this](std::string_view kind) {
     if (kind == this->kinds[1]) {
       this->backends.NoteStoreBack();
@@ -257,7 +276,7 @@
   const std::array<absl::Status, 4> started = {
       listen(this->server, host.port),
       listen(this->ready_server, this->settings.listen.ready_port),
-      this->load_datagrams.Start(
+      this->hub.Start(
           host.address,
           static_cast<std::uint16_t>(this->settings.listen.loads_port)),
       this->exchange.Start()};
@@ -273,6 +292,7 @@
       return told;
     }
   }
+  this->load_datagrams.Start();
   this->feeder.Start();
   this->entries.Announce();
   this->Every(kRotatePeriodMs, [this] { this->metrics.Rotate(); });
@@ -392,10 +412,34 @@
   }
 }
 
+// Calls to the store cost, so some hosts watch it and tell the others: those
+// that come first by a hash of their names among those that answer. A host that
+// no peer answers reads for itself.
+bool RelayHost::Parts::IsWatcher() const {
+  const auto rank_of = [](const std::string& name) {
+    return XXH64(name.data(), name.size(), 0);
+  };
+  const std::string& self = this->settings.host.name;
+  const std::uint64_t own = rank_of(self);
+  const std::vector<const HostEntry*> known =
+      this->hosts.OfRole(HostRole::kEntry);
+  const int peers = this->exchange.PeersAlive();
+  const auto watchers =
+      std::max(kLeastWatchers,
+               static_cast<std::ptrdiff_t>(kWatcherPart *
+                                           static_cast<double>(known.size())));
+  const auto before = std::count_if(
+      known.begin(), known.end(), [&](const HostEntry* host) {
+        return host->name != self && this->exchange.Answers(host->name) &&
+               rank_of(host->name) < own;
+      });
+  return peers == 0 || before < watchers;
+}
+
 void RelayHost::Parts::TakeHosts(const std::vector<EntryHost>& known) {
   HostList list;
   list.as_of_unix_ms = this->clock.WallMs();
-  std::vector<LoadPeer> loads;
+  std::vector<DatagramPeer> loads;
   for (const EntryHost& host : known) {
     HostEntry entry;
     entry.name = host.name;
@@ -409,7 +453,7 @@
         {host.name, host.address, static_cast<std::uint16_t>(host.loads_port)});
   }
   this->hosts.Apply(list);
-  this->load_datagrams.SetPeers(loads);
+  this->hub.SetPeers(loads);
   this->budgets.SetHosts(static_cast<int>(known.size()));
 }
 
