--- a/src/exchange/load_datagrams.cc
+++ b/src/exchange/load_datagrams.cc
@@ -13,8 +13,8 @@
 constexpr char kTopic[] = "loads";
 // How soon a change is told: several that come together go together.
 constexpr std::int64_t kStepMs = 25;
-// Told again without a change, well before peers pass old notes over.
-constexpr std::int64_t kAgainMs = 900;
+// All is told again, twice before peers pass old notes over.
+constexpr std::int64_t kAllAgainMs = 3'000;
 constexpr std::size_t kMostNotes = 48;
 constexpr std::size_t kNoteFields = 5;
 
@@ -90,25 +90,34 @@
 
 void LoadDatagrams::Start() { this->Step(); }
 
-bool LoadDatagrams::SameWork(const std::vector<EngineLoadNote>& left,
-                             const std::vector<EngineLoadNote>& right) {
-  return std::is_permutation(
-      left.begin(), left.end(), right.begin(), right.end(),
-      [](const EngineLoadNote& one, const EngineLoadNote& other) {
-        return one.engine == other.engine &&
-               one.in_flight == other.in_flight &&
-               one.reading_tokens == other.reading_tokens;
-      });
+// Engines whose work has ended stay among the source's notes for a while, with
+// nothing in flight.
+std::vector<EngineLoadNote> LoadDatagrams::Changed(
+    const std::vector<EngineLoadNote>& notes) const {
+  std::vector<EngineLoadNote> changed;
+  for (const EngineLoadNote& note : notes) {
+    const bool same =
+        std::any_of(this->told.begin(), this->told.end(),
+                    [&note](const EngineLoadNote& old) {
+                      return old.engine == note.engine &&
+                             old.in_flight == note.in_flight &&
+                             old.reading_tokens == note.reading_tokens;
+                    });
+    if (!same) {
+      changed.push_back(note);
+    }
+  }
+  return changed;
 }
 
 void LoadDatagrams::Step() {
   const std::int64_t now_ms = this->clock.MonotonicMs();
   std::vector<EngineLoadNote> notes = this->source.NotesFor("", kMostNotes);
-  const bool again = !notes.empty() && now_ms - this->told_ms >= kAgainMs;
-  if ((again || !SameWork(notes, this->told)) &&
-      this->hub.SendToAll(kTopic, LoadsJson(notes))) {
+  const bool all = now_ms - this->all_told_ms >= kAllAgainMs;
+  const std::vector<EngineLoadNote> news = all ? notes : this->Changed(notes);
+  if (!news.empty() && this->hub.SendToAll(kTopic, LoadsJson(news))) {
     this->told = std::move(notes);
-    this->told_ms = now_ms;
+    this->all_told_ms = all ? now_ms : this->all_told_ms;
   }
   this->scheduler.After(kStepMs,
                         [this, guard = std::weak_ptr<bool>(this->alive)] {
--- a/src/exchange/load_datagrams.h
+++ b/src/exchange/load_datagrams.h
@@ -22,8 +22,8 @@
 absl::StatusOr<std::vector<EngineLoadNote>> LoadsFrom(
     std::string_view host, const nlohmann::json& payload);
 
-/// @brief Tells all other hosts what this one has at each engine: at once when
-/// it changes, and from time to time, as datagrams may be lost.
+/// @brief Tells all other hosts what this one has at each engine: what changed
+/// at once, and all of it from time to time, as datagrams may be lost.
 class LoadDatagrams {
  public:
   /// @param[in] hub,source,sink,clock,scheduler outlive this
@@ -36,8 +36,9 @@
 
  private:
   void Step();
-  static bool SameWork(const std::vector<EngineLoadNote>& left,
-                       const std::vector<EngineLoadNote>& right);
+  /// @brief The notes that differ from what was told.
+  std::vector<EngineLoadNote> Changed(
+      const std::vector<EngineLoadNote>& notes) const;
 
   DatagramHub& hub;
   LoadSource& source;
@@ -45,7 +46,7 @@
   const Clock& clock;
   Scheduler& scheduler;
   std::vector<EngineLoadNote> told;
-  std::int64_t told_ms = 0;
+  std::int64_t all_told_ms = 0;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/policy/fleet_state.cc
+++ b/src/policy/fleet_state.cc
@@ -12,8 +12,6 @@
 constexpr std::int64_t kForecastAgeMs = 100;
 // Ended streams are kept for as long as reports may lag.
 constexpr std::int64_t kEndedKeptMs = 5'000;
-// What a peer said longer ago than this is passed over.
-constexpr std::int64_t kPeerAgeMs = 3'000;
 // Engines that join a fleet older than this come into service slowly.
 constexpr std::int64_t kFleetStartMs = 10'000;
 constexpr double kSlowStartFloor = 0.1;
@@ -313,7 +311,7 @@
     return;
   }
   std::erase_if(engine->peers, [&](const PeerLoad& known) {
-    return known.as_of_unix_ms + kPeerAgeMs < now_ms;
+    return known.as_of_unix_ms + this->options.peer_age_ms < now_ms;
   });
   engine->cached_ms = -1;
   for (PeerLoad& known : engine->peers) {
@@ -417,7 +415,7 @@
   int unexplained = engine.others_running;
   std::int64_t unexplained_kv = engine.others_kv;
   for (const PeerLoad& peer : engine.peers) {
-    if (peer.as_of_unix_ms + kPeerAgeMs < now_ms) {
+    if (peer.as_of_unix_ms + this->options.peer_age_ms < now_ms) {
       continue;
     }
     forecast.AddScaled(peer.forecast, 1.0F);
@@ -443,7 +441,7 @@
   const Engine& engine = *this->engines[index];
   std::int64_t tokens = OwnReading(engine);
   for (const PeerLoad& peer : engine.peers) {
-    if (peer.as_of_unix_ms + kPeerAgeMs >= now_ms) {
+    if (peer.as_of_unix_ms + this->options.peer_age_ms >= now_ms) {
       tokens += peer.reading;
     }
   }
@@ -454,7 +452,7 @@
   const Engine& engine = *this->engines[index];
   int told = 0;
   for (const PeerLoad& peer : engine.peers) {
-    if (peer.as_of_unix_ms + kPeerAgeMs >= now_ms) {
+    if (peer.as_of_unix_ms + this->options.peer_age_ms >= now_ms) {
       told += peer.in_flight;
     }
   }
--- a/src/policy/fleet_state.h
+++ b/src/policy/fleet_state.h
@@ -32,6 +32,8 @@
 struct FleetOptions {
   /// How long an engine that joins or comes back is filled slowly; 0: at once.
   std::int64_t slow_start_ms = 10'000;
+  /// What a peer said longer ago than this is passed over.
+  std::int64_t peer_age_ms = 3'000;
 };
 
 /// @brief What this host knows of the engines and of its own work on them.
--- a/src/policy/pressure_chooser.cc
+++ b/src/policy/pressure_chooser.cc
@@ -1,6 +1,7 @@
 #include "policy/pressure_chooser.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace meadowthread {
 namespace {
@@ -72,6 +73,13 @@
          scored[near].cost <= scored[0].cost + this->options.near_equal) {
     ++near;
   }
+  // Hosts that see the same state a moment late would all send to the same
+  // best engine before any of them hears of the others.
+  const auto spread = static_cast<std::size_t>(std::lround(this->unseen)) + 1;
+  while (near < std::min(spread, scored.size()) &&
+         scored[near].fits == scored[0].fits) {
+    ++near;
+  }
   std::swap(scored[0], scored[random % near]);
   Decision decision;
   for (std::size_t i = 0; i < std::min(scored.size(), kExplained); ++i) {
--- a/src/policy/pressure_chooser.h
+++ b/src/policy/pressure_chooser.h
@@ -42,6 +42,11 @@
   explicit PressureChooser(PressureOptions options)
       : options(std::move(options)) {}
 
+  /// @brief Says how many requests of other hosts, not told of yet, have been
+  /// sent on average when this host chooses: over so many of the best engines
+  /// it spreads its own.
+  void SetUnseen(double requests) { this->unseen = requests; }
+
   /// @complexity O(engines that serve the work)
   Decision Choose(const WorkItem& work, const FleetState& fleet,
                   std::int64_t now_ms, std::uint64_t random) override;
@@ -63,6 +68,7 @@
                 std::vector<Scored>& scored, std::uint64_t random) const;
 
   PressureOptions options;
+  double unseen = 0.0;
 };
 
 }  // namespace meadowthread
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -175,6 +175,7 @@
 
 void Relay::ServeStream(RelayRequest request, RelayTerms terms,
                         std::unique_ptr<ResponseWriter> writer) {
+  ++this->stats.streams;
   const std::uint64_t number = ++this->last_number;
   const ServiceRule* const service = this->plan.FindService(terms.service);
   const std::int64_t tokens_per_event =
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -21,6 +21,7 @@
 /// @brief Counts since the start.
 struct RelayStats {
   std::int64_t requests = 0;
+  std::int64_t streams = 0;
   std::int64_t refused = 0;  ///< before any backend server was chosen
 };
 
--- /dev/null
+++ b/src/relay/tests/moves_test.cc
@@ -0,0 +1,180 @@
+// Moving a run: each row of the table in docs/design/moving-runs.md.
+#include <deque>
+
+#include "relay/departures.h"
+#include "relay/event_cutter.h"
+#include "relay/run_move.h"
+
+#include <criterion/criterion.h>
+
+namespace meadowthread {
+namespace {
+
+struct FakeControl final : public EngineControl {
+  void Move(const MoveOrder& order, const MoveDone& done) override {
+    this->orders.push_back(order);
+    this->waiting.push_back(done);
+  }
+  void DropCopy(std::string_view, std::string_view handle) override {
+    this->dropped.emplace_back(handle);
+  }
+  void ReadState(std::string_view, std::int64_t, const StateDone&) override {}
+
+  void Answer(MoveResult result, const std::string& handle = "") {
+    const MoveDone done = this->waiting.front();
+    this->waiting.pop_front();
+    done({result, handle, 5});
+  }
+  std::vector<MoveOrder> orders;
+  std::deque<MoveDone> waiting;
+  std::vector<std::string> dropped;
+};
+
+struct Owner final : public RunMoveOwner {
+  void OnMoveReady(const Continuation& from,
+                   const std::string& target) override {
+    this->ready.push_back(from);
+    this->targets.push_back(target);
+  }
+  void OnMoveOver(MoveEnd end) override { this->ends.push_back(end); }
+  std::vector<Continuation> ready;
+  std::vector<std::string> targets;
+  std::vector<MoveEnd> ends;
+};
+
+struct Fixture {
+  ManualClock clock{1'000};
+  FakeControl control;
+  Owner owner;
+  std::unique_ptr<RunMove> move = std::make_unique<RunMove>(
+      control, clock, owner,
+      MovePlan{"r-1", "10.0.0.1:80", "target", "10.0.0.2:80", 3'500});
+  Fixture() { move->Begin(); }
+};
+
+Test(a_move, copies_while_the_run_goes_on_then_stops_it) {
+  Fixture f;
+  cr_assert(f.control.orders.size() == 1 && !f.control.orders[0].stop);
+  cr_assert(!f.move->MayHaveStopped());
+  f.control.Answer(MoveResult::kCopied, "h1");
+  cr_assert(f.control.orders.size() == 2 && f.control.orders[1].stop);
+  cr_assert(f.move->MayHaveStopped());
+  f.control.Answer(MoveResult::kCopied, "h2");
+  // two engines must never work on one run: its stream has to end first
+  cr_assert(f.owner.ready.empty());
+  f.move->NoteStreamEnded();
+  cr_assert(f.owner.ready.size() == 1 && f.owner.targets[0] == "target");
+  cr_assert(f.owner.ready[0].handle == "h2");
+  cr_assert(f.owner.ready[0].source == "10.0.0.1:80");
+  f.move.reset();
+  cr_assert(f.control.dropped.empty(), "a used handle is not freed");
+}
+
+Test(a_move, whose_stream_ends_before_its_answer_waits_for_the_answer) {
+  Fixture f;
+  f.control.Answer(MoveResult::kCopied, "h1");
+  f.move->NoteStreamEnded();
+  cr_assert(f.owner.ready.empty());
+  f.control.Answer(MoveResult::kCopied, "h2");
+  cr_assert(f.owner.ready.size() == 1);
+}
+
+Test(a_move, without_room_at_the_target_leaves_the_run_where_it_is) {
+  for (const MoveResult result :
+       {MoveResult::kNoRoom, MoveResult::kBusy, MoveResult::kUnknown}) {
+    Fixture f;
+    f.control.Answer(result);
+    cr_assert(f.owner.ends.size() == 1);
+    cr_assert(f.owner.ends[0] == MoveEnd::kNotMoved);
+    cr_assert(f.control.orders.size() == 1, "nothing is stopped");
+  }
+}
+
+Test(a_move, of_a_run_that_ended_is_over) {
+  Fixture f;
+  f.control.Answer(MoveResult::kNoRun);
+  cr_assert(f.owner.ends[0] == MoveEnd::kRunEnded);
+  Fixture g;
+  g.control.Answer(MoveResult::kCopied, "h1");
+  g.control.Answer(MoveResult::kNoRun);
+  cr_assert(g.owner.ends[0] == MoveEnd::kRunEnded);
+  g.move.reset();
+  cr_assert(g.control.dropped == std::vector<std::string>{"h1"});
+}
+
+Test(a_move, that_stopped_the_run_without_room_goes_back_to_the_source) {
+  Fixture f;
+  f.control.Answer(MoveResult::kCopied, "h1");
+  f.control.Answer(MoveResult::kNoRoom, "h2");
+  f.move->NoteStreamEnded();
+  cr_assert(f.owner.ready.size() == 1 && f.owner.ready[0].handle == "h2");
+  cr_assert(f.owner.targets[0].empty(), "the source keeps the memory");
+}
+
+Test(a_move, whose_stop_is_unanswered_goes_on_from_the_first_copy) {
+  Fixture f;
+  f.control.Answer(MoveResult::kCopied, "h1");
+  f.control.Answer(MoveResult::kUnknown);
+  cr_assert(f.owner.ready.empty() && f.owner.ends.empty());
+  f.move->NoteStreamEnded();
+  cr_assert(f.owner.ready.size() == 1 && f.owner.ready[0].handle == "h1");
+  cr_assert(f.owner.targets[0] == "target");
+}
+
+Test(a_move, given_up_frees_its_copy_and_hears_no_late_answer) {
+  Fixture f;
+  f.control.Answer(MoveResult::kCopied, "h1");
+  f.move.reset();
+  cr_assert(f.control.dropped == std::vector<std::string>{"h1"});
+  f.control.Answer(MoveResult::kCopied, "h2");
+  cr_assert(f.owner.ready.empty());
+}
+
+Test(turns_at_a_leaving_engine, are_the_same_for_every_host) {
+  const std::vector<EngineRun> all = {
+      {"c", 3'500, 9}, {"a", 1'750, 9}, {"b", 3'500, 9}};
+  const auto first = TurnsOf(all, {{"a", 1'750, 9}, {"c", 3'500, 9}}, 17.5);
+  const auto second = TurnsOf(all, {{"b", 3'500, 9}}, 17.5);
+  cr_assert(first.size() == 2 && second.size() == 1);
+  cr_assert(first[0].request == "a" && first[0].starts_in_ms == 0);
+  cr_assert(second[0].starts_in_ms >= 100 && second[0].starts_in_ms < 130);
+  cr_assert(first[1].request == "c");
+  cr_assert(first[1].starts_in_ms >= second[0].starts_in_ms + 200);
+}
+
+Test(turns_at_a_leaving_engine, are_given_to_runs_that_it_did_not_list) {
+  const auto turns = TurnsOf({}, {{"x", 3'500, 0}}, 17.5);
+  cr_assert(turns.size() == 1 && turns[0].starts_in_ms == 0);
+}
+
+Test(a_stream_of_events, is_cut_without_changing_a_byte) {
+  const std::string whole =
+      "id: 0\ndata: a\n\nid: 1\r\ndata: b\r\n\r\n: comment\n\nid:2\ndata: c\n\n";
+  for (std::size_t step = 1; step <= whole.size(); ++step) {
+    EventCutter cutter(1'000);
+    std::vector<CutEvent> events;
+    for (std::size_t at = 0; at < whole.size(); at += step) {
+      cr_assert(cutter.Feed(whole.substr(at, step), &events));
+    }
+    std::string joined;
+    for (const CutEvent& event : events) {
+      joined += event.bytes;
+    }
+    cr_assert(joined == whole && cutter.Rest().empty());
+    cr_assert(events.size() == 4);
+    cr_assert(events[0].id == 0 && events[1].id == 1 && events[2].id == -1 &&
+              events[3].id == 2);
+  }
+}
+
+Test(a_stream_of_events, torn_in_one_keeps_it_back) {
+  EventCutter cutter(1'000);
+  std::vector<CutEvent> events;
+  cutter.Feed("id: 0\ndata: a\n\nid: 1\ndata: hal", &events);
+  cr_assert(events.size() == 1 && cutter.Rest() == "id: 1\ndata: hal");
+  EventCutter small(10);
+  cr_assert(!small.Feed("data: more than ten bytes", &events));
+}
+
+}  // namespace
+}  // namespace meadowthread
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -6,6 +6,7 @@
 #include <QCoreApplication>
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <functional>
 #include <random>
 #include <string>
@@ -44,6 +45,16 @@
 constexpr std::int64_t kRotatePeriodMs = 60'000;
 // Of a node's 29 KB a second for control, what the exchange's calls leave.
 constexpr std::int64_t kDatagramBytesPerSecond = 18'000;
+// Peers tell all of their load each three seconds: two may be lost.
+constexpr std::int64_t kPeerAgeMs = 7'000;
+// A note of one engine's load on its way to one peer, headers included.
+constexpr double kNoteBytes = 90.0;
+// Changes of a host's load for each of its streams: begun, first event, ended.
+constexpr double kNotesPerStream = 3.0;
+// Until a change is told at all: a step of the notes' timer and the way.
+constexpr double kNoteDelayMs = 30.0;
+constexpr double kRateWindowMs = 10'000.0;
+constexpr std::int64_t kSpreadPeriodMs = 1'000;
 // Hosts that watch the store. A third of the hosts may lose it at once: with
 // four, or one in twelve where there are many, some still see it.
 constexpr std::ptrdiff_t kLeastWatchers = 4;
@@ -158,6 +169,7 @@
   void TakeHosts(const std::vector<EntryHost>& hosts);
   bool IsWatcher() const;
   std::string MetricsText();
+  void SpreadChoices();
   void ApplyBounds();
   void Every(std::int64_t period_ms, const std::function<void()>& task);
   void EndIfDrained();
@@ -199,6 +211,8 @@
   HttpServer ready_server;
   HttpServer metrics_server;
   std::int64_t stop_ms = -1;  ///< monotonic; -1: not stopping
+  std::int64_t streams_counted = 0;
+  double streams_lately = 0.0;  ///< begun here, decaying
   bool left = false;
 };
 
@@ -220,7 +234,7 @@
       backends(this->clock, this->scheduler),
       budgets(RetryBoundsOf(with)),
       // Engines say themselves how long they are slow, and live for minutes.
-      fleet(this->lengths, FleetOptions{0}),
+      fleet(this->lengths, FleetOptions{0, kPeerAgeMs}),
       load_notes(with.host.name, this->clock, this->fleet),
       hub(with.host.name, kDatagramBytesPerSecond, this->random(), this->clock),
       load_datagrams(this->hub, this->load_notes, this->load_notes,
@@ -296,6 +310,7 @@
   this->feeder.Start();
   this->entries.Announce();
   this->Every(kRotatePeriodMs, [this] { this->metrics.Rotate(); });
+  this->Every(kSpreadPeriodMs, [this] { this->SpreadChoices(); });
   this->Every(kDrainPeriodMs, [this] {
     this->relay.DrainQueue();
     this->EndIfDrained();
@@ -490,6 +505,26 @@
   return this->metrics.Text();
 }
 
+// How many streams other hosts have begun that are not told of yet: their rate,
+// taken to be this host's, over the time that a note takes. Where notes would
+// pass the bound of bytes, they wait for it.
+void RelayHost::Parts::SpreadChoices() {
+  const double decay =
+      std::exp(-static_cast<double>(kSpreadPeriodMs) / kRateWindowMs);
+  const auto begun = static_cast<double>(
+      this->relay.Stats().streams - std::exchange(this->streams_counted,
+                                                  this->relay.Stats().streams));
+  this->streams_lately = this->streams_lately * decay + begun;
+  const double per_ms = this->streams_lately / kRateWindowMs;
+  const auto peers = static_cast<double>(this->hub.Peers());
+  const double bytes_per_ms = per_ms * kNotesPerStream * kNoteBytes * peers;
+  constexpr double kAllowedPerMs =
+      static_cast<double>(kDatagramBytesPerSecond) / kMsPerSecond;
+  const double delay_ms =
+      kNoteDelayMs * std::max(1.0, 4.0 * bytes_per_ms / kAllowedPerMs);
+  this->chooser.SetUnseen(per_ms * peers * delay_ms);
+}
+
 /////////////
 // Its bounds
 /////////////
