Moves: turns at a leaving engine from what hosts tell each other, with gaps that take up late notices

The engine's own list of its runs is some hundred ms old and each host read another one, and hosts heard of the leaving up to 0.5 s apart. Ruled out: the stop's own bytes (10 ms where nothing is ahead). Change: turns follow from the load notes that hosts exchange anyway, one run of a host at a time, gaps of 15 to 110 ms as the window allows; the call for an engine's report is gone.

--- a/src/base/log_writer.cc
+++ b/src/base/log_writer.cc
@@ -28,8 +28,9 @@
     this->level = this->per_second;
   } else {
     const auto since = static_cast<double>(now_ms - this->filled_ms);
-    this->level = std::min(
-        this->per_second, this->level + since * this->per_second / kMsPerSecond);
+    this->level =
+        std::min(this->per_second,
+                 this->level + since * this->per_second / kMsPerSecond);
   }
   this->filled_ms = now_ms;
   if (this->level < 1.0) {
@@ -86,9 +87,9 @@
   if (!due || this->held.size() > this->bounds.held_bytes) {
     return;
   }
-  this->Hold(absl::StrCat("event=log-dropped lines=",
-                          this->dropped - this->dropped_told,
-                          " since_start=", this->dropped));
+  this->Hold(absl::StrCat(
+      "event=log-dropped lines=", this->dropped - this->dropped_told,
+      " since_start=", this->dropped));
   this->dropped_told = this->dropped;
   this->told_ms = now_ms;
 }
--- a/src/exchange/datagrams.cc
+++ b/src/exchange/datagrams.cc
@@ -142,8 +142,8 @@
     }
     bytes.resize(static_cast<std::size_t>(size));
     const absl::StatusOr<Datagram> read = DecodeDatagram(bytes);
-    const auto found = read.ok() ? this->handlers.find(read->topic)
-                                 : this->handlers.end();
+    const auto found =
+        read.ok() ? this->handlers.find(read->topic) : this->handlers.end();
     if (found == this->handlers.end()) {
       LogLine("datagram-malformed").Add("bytes", size).WriteImportant();
       continue;
--- a/src/exchange/load_datagrams.cc
+++ b/src/exchange/load_datagrams.cc
@@ -21,9 +21,8 @@
 bool ReadNote(const json& value, EngineLoadNote* note) {
   const bool fits =
       value.is_array() && value.size() == kNoteFields && value[0].is_string() &&
-      std::all_of(value.begin() + 1, value.end(), [](const json& one) {
-        return one.is_number_integer();
-      });
+      std::all_of(value.begin() + 1, value.end(),
+                  [](const json& one) { return one.is_number_integer(); });
   if (!fits) {
     return false;
   }
@@ -68,11 +67,7 @@
 LoadDatagrams::LoadDatagrams(DatagramHub& hub, LoadSource& source,
                              LoadSink& sink, const Clock& clock,
                              Scheduler& scheduler)
-    : hub(hub),
-      source(source),
-      sink(sink),
-      clock(clock),
-      scheduler(scheduler) {
+    : hub(hub), source(source), sink(sink), clock(clock), scheduler(scheduler) {
   // As of now: how old a note is must not rest on another host's clock.
   hub.Register(kTopic, [this](std::string_view host, const json& payload) {
     absl::StatusOr<std::vector<EngineLoadNote>> notes =
@@ -96,13 +91,12 @@
     const std::vector<EngineLoadNote>& notes) const {
   std::vector<EngineLoadNote> changed;
   for (const EngineLoadNote& note : notes) {
-    const bool same =
-        std::any_of(this->told.begin(), this->told.end(),
-                    [&note](const EngineLoadNote& old) {
-                      return old.engine == note.engine &&
-                             old.in_flight == note.in_flight &&
-                             old.reading_tokens == note.reading_tokens;
-                    });
+    const bool same = std::any_of(
+        this->told.begin(), this->told.end(),
+        [&note](const EngineLoadNote& old) {
+          return old.engine == note.engine && old.in_flight == note.in_flight &&
+                 old.reading_tokens == note.reading_tokens;
+        });
     if (!same) {
       changed.push_back(note);
     }
--- a/src/policy/fleet_state.cc
+++ b/src/policy/fleet_state.cc
@@ -448,6 +448,22 @@
   return tokens;
 }
 
+std::vector<PeerLoad> FleetState::PeersAt(std::string_view engine,
+                                          std::int64_t now_ms) const {
+  std::vector<PeerLoad> peers;
+  const auto found = this->by_name.find(engine);
+  if (found == this->by_name.end()) {
+    return peers;
+  }
+  for (const PeerLoad& peer : this->engines[found->second]->peers) {
+    if (peer.as_of_unix_ms + this->options.peer_age_ms >= now_ms &&
+        peer.in_flight > 0) {
+      peers.push_back(peer);
+    }
+  }
+  return peers;
+}
+
 int FleetState::InFlight(EngineIndex index, std::int64_t now_ms) const {
   const Engine& engine = *this->engines[index];
   int told = 0;
--- a/src/policy/fleet_state.h
+++ b/src/policy/fleet_state.h
@@ -134,6 +134,10 @@
   /// @brief Prompt tokens that the engine has yet to read, as far as known.
   std::int64_t ReadingTokens(EngineIndex index, std::int64_t now_ms) const;
 
+  /// @brief What other hosts told of their work on the engine.
+  std::vector<PeerLoad> PeersAt(std::string_view engine,
+                                std::int64_t now_ms) const;
+
   /// @brief Requests believed to be on the engine now.
   int InFlight(EngineIndex index, std::int64_t now_ms) const;
 
--- a/src/relay/departures.cc
+++ b/src/relay/departures.cc
@@ -9,16 +9,18 @@
 namespace meadowthread {
 namespace {
 
-// The engine is asked once how long it stays and what runs on it; moving
-// without the answer is better than waiting longer.
-constexpr std::int64_t kAskMs = 250;
 // How often what is left to move is looked at.
-constexpr std::int64_t kStepMs = 25;
-// An engine that does not tell is expected to stay this long.
-constexpr std::int64_t kUsualStayMs = 2'000;
+constexpr std::int64_t kStepMs = 10;
+// Runs still there this long after the engine said that it leaves are no
+// longer looked after: it ends them itself, or has stayed after all.
 constexpr std::int64_t kLongestStayMs = 30'000;
-// Between two runs on the same link: a stop with its small rest fits in.
-constexpr double kTurnGapMs = 15.0;
+// All runs should be off within this: engines that are taken away stay a
+// second and a half at least.
+constexpr double kWindowMs = 1'300.0;
+// Hosts hear of the leaving at different times. The gap between two runs takes
+// that up, so that one's last step does not wait behind the next one's copy.
+constexpr double kLeastGapMs = 15.0;
+constexpr double kMostGapMs = 110.0;
 // A link whose speed nobody told: one report's memory in about 200 ms.
 constexpr double kUsualTokensPerMs = 17.0;
 // Moves to another zone take twice as long on the link.
@@ -26,43 +28,38 @@
 
 }  // namespace
 
-std::vector<MoveTurn> TurnsOf(std::vector<EngineRun> runs,
-                              const std::vector<EngineRun>& own,
-                              double tokens_per_ms) {
-  for (const EngineRun& mine : own) {
-    const bool listed = std::any_of(
-        runs.begin(), runs.end(),
-        [&mine](const EngineRun& run) { return run.request == mine.request; });
-    if (!listed) {
-      runs.push_back(mine);
-    }
-  }
-  // Any order does that all hosts find alike; identifiers are drawn at random.
-  std::sort(runs.begin(), runs.end(),
-            [](const EngineRun& left, const EngineRun& right) {
-              return left.request < right.request;
+MoveTurn TurnOf(std::string_view self, std::vector<HostRuns> hosts,
+                double tokens_per_ms) {
+  std::sort(hosts.begin(), hosts.end(),
+            [](const HostRuns& left, const HostRuns& right) {
+              return left.host < right.host;
             });
-  std::vector<MoveTurn> turns;
-  double at_ms = 0.0;
-  for (const EngineRun& run : runs) {
-    const bool is_own = std::any_of(
-        own.begin(), own.end(),
-        [&run](const EngineRun& mine) { return run.request == mine.request; });
-    if (is_own) {
-      turns.push_back({run.request, static_cast<std::int64_t>(at_ms)});
+  double copies_ms = 0.0;
+  int runs = 0;
+  for (const HostRuns& one : hosts) {
+    copies_ms += static_cast<double>(one.memory_tokens) / tokens_per_ms;
+    runs += one.runs;
+  }
+  const double gap_ms = std::clamp((kWindowMs - copies_ms) / std::max(1, runs),
+                                   kLeastGapMs, kMostGapMs);
+  double starts_ms = 0.0;
+  for (const HostRuns& one : hosts) {
+    if (one.host == self) {
+      break;
     }
-    at_ms +=
-        static_cast<double>(run.memory_tokens) / tokens_per_ms + kTurnGapMs;
+    starts_ms += static_cast<double>(one.memory_tokens) / tokens_per_ms +
+                 gap_ms * one.runs;
   }
-  return turns;
+  return {static_cast<std::int64_t>(starts_ms),
+          static_cast<std::int64_t>(gap_ms)};
 }
 
-Departures::Departures(const RelayParts& parts, const StreamParts& stream_parts,
-                       EngineControl& control, const PlanInForce& plan,
+Departures::Departures(std::string_view host, const RelayParts& parts,
+                       const StreamParts& stream_parts, const PlanInForce& plan,
                        RunsAt runs_at)
-    : parts(parts),
+    : host(host),
+      parts(parts),
       stream_parts(stream_parts),
-      control(control),
       plan(plan),
       runs_at(std::move(runs_at)) {}
 
@@ -85,56 +82,44 @@
       this->runs_at(engine.entry.id).empty()) {
     return;
   }
-  const std::int64_t now_ms = this->parts.clock.MonotonicMs();
   Departure& departure = this->departures[engine.entry.id];
   departure.engine = engine.entry.id;
   departure.address = engine.entry.address;
   departure.service = engine.entry.service;
   departure.zone = engine.entry.zone;
-  departure.begun_ms = now_ms;
-  departure.ends_ms = now_ms + kUsualStayMs;
-  this->control.ReadState(
-      departure.address, kAskMs,
-      [this, id = departure.engine, guard = std::weak_ptr<bool>(this->alive)](
-          const absl::StatusOr<EngineState>& state) {
-        if (guard.expired()) {
-          return;
-        }
-        const auto found = this->departures.find(id);
-        if (found != this->departures.end()) {
-          this->Plan(&found->second, state);
-          this->Step(id);
-        }
-      });
+  this->Plan(&departure);
+  this->Step(engine.entry.id);
 }
 
-void Departures::Plan(Departure* departure,
-                      const absl::StatusOr<EngineState>& state) {
+void Departures::Plan(Departure* departure) {
   const std::int64_t now_ms = this->parts.clock.MonotonicMs();
-  std::vector<EngineRun> own;
+  HostRuns own;
+  own.host = this->host;
   for (const StreamSession* const session : this->runs_at(departure->engine)) {
-    own.push_back(
-        {session->Request().id, session->MemoryTokens(), session->Events()});
-  }
-  std::vector<EngineRun> runs;
-  if (state.ok()) {
-    runs = state->runs;
-    const std::int64_t stay_ms = state->leaves_in_ms.value_or(kUsualStayMs);
-    departure->ends_ms = now_ms + std::min(stay_ms, kLongestStayMs);
+    ++own.runs;
+    own.memory_tokens += session->MemoryTokens();
   }
-  for (const MoveTurn& turn :
-       TurnsOf(std::move(runs), own, this->TokensPerMs(departure->service))) {
-    departure->turns[turn.request] = now_ms + turn.starts_in_ms;
+  std::vector<HostRuns> all = {own};
+  for (const PeerLoad& peer : this->stream_parts.fleet.PeersAt(
+           departure->engine, this->parts.clock.WallMs())) {
+    all.push_back({peer.peer, peer.in_flight, peer.kv_held});
   }
-  LogLine line("departure");
-  line.Add("engine", departure->engine)
-      .Add("own_runs", own.size())
-      .Add("listed_runs", state.ok() ? state->runs.size() : 0)
-      .Add("told", state.ok() ? "yes" : "no")
-      .Add("stays_ms", departure->ends_ms - now_ms)
+  const MoveTurn turn =
+      TurnOf(this->host, all, this->TokensPerMs(departure->service));
+  departure->begun_ms = now_ms;
+  departure->next_ms = now_ms + turn.starts_in_ms;
+  departure->gap_ms = turn.gap_ms;
+  LogLine("departure")
+      .Add("engine", departure->engine)
+      .Add("own_runs", own.runs)
+      .Add("own_tokens", own.memory_tokens)
+      .Add("hosts", all.size())
+      .Add("starts_in_ms", turn.starts_in_ms)
+      .Add("gap_ms", turn.gap_ms)
       .WriteImportant();
 }
 
+// One run at a time: the next one's copy would hold up this one's last step.
 void Departures::Step(const std::string& engine) {
   const auto found = this->departures.find(engine);
   if (found == this->departures.end()) {
@@ -143,20 +128,21 @@
   Departure& departure = found->second;
   const std::int64_t now_ms = this->parts.clock.MonotonicMs();
   const std::vector<StreamSession*> sessions = this->runs_at(engine);
-  const bool over =
-      sessions.empty() || now_ms > departure.ends_ms + kLongestStayMs;
-  if (over) {
+  if (sessions.empty() || now_ms > departure.begun_ms + kLongestStayMs) {
     this->departures.erase(found);
     return;
   }
+  const bool moving =
+      std::any_of(sessions.begin(), sessions.end(),
+                  [](const StreamSession* one) { return one->IsMoving(); });
+  if (moving) {
+    departure.next_ms = std::max(departure.next_ms, now_ms + departure.gap_ms);
+  }
   for (StreamSession* const session : sessions) {
-    if (session->Phase() != StreamPhase::kStreaming || session->IsMoving()) {
-      continue;
-    }
-    // One that had not begun when the turns were dealt goes at once.
-    const auto turn = departure.turns.find(session->Request().id);
-    if (turn == departure.turns.end() || turn->second <= now_ms) {
-      this->MoveOne(departure, *session);
+    if (!moving && now_ms >= departure.next_ms &&
+        session->Phase() == StreamPhase::kStreaming &&
+        this->MoveOne(departure, *session)) {
+      break;
     }
   }
   this->parts.scheduler.After(
@@ -167,11 +153,9 @@
       });
 }
 
-void Departures::MoveOne(const Departure& departure, StreamSession& session) {
+bool Departures::MoveOne(const Departure& departure, StreamSession& session) {
   const std::string target = this->ChooseTarget(departure, session);
-  if (!target.empty()) {
-    session.MoveTo(target);
-  }
+  return !target.empty() && session.MoveTo(target);
 }
 
 std::string Departures::ChooseTarget(const Departure& departure,
--- a/src/relay/departures.h
+++ b/src/relay/departures.h
@@ -9,27 +9,31 @@
 #include <string_view>
 #include <vector>
 
-#include "relay/engine_control.h"
 #include "relay/plan_in_force.h"
 #include "relay/relay_parts.h"
 #include "relay/stream_session.h"
 
 namespace meadowthread {
 
-/// @brief One run's turn to be moved off an engine.
+/// @brief What one host has running on an engine that leaves.
+struct HostRuns {
+  std::string host;
+  int runs = 0;
+  std::int64_t memory_tokens = 0;  ///< of all of them
+};
+
+/// @brief When one host may move its runs off an engine.
 struct MoveTurn {
-  std::string request;
   std::int64_t starts_in_ms = 0;
+  std::int64_t gap_ms = 0;  ///< between its runs, besides their copying
 };
 
-/// @brief Shares an engine's link among the runs on it: every host computes
-/// the same turns from the engine's own list, without asking each other.
-/// @param[in] runs as the engine tells
-/// @param[in] own requests of this host, those the engine did not list too
+/// @brief Shares an engine's link among the hosts that have runs on it: each
+/// computes the same turns from what they tell each other all the time.
+/// @param[in] hosts all of them, this one included
 /// @param[in] tokens_per_ms how fast memory leaves the engine
-std::vector<MoveTurn> TurnsOf(std::vector<EngineRun> runs,
-                              const std::vector<EngineRun>& own,
-                              double tokens_per_ms);
+MoveTurn TurnOf(std::string_view self, std::vector<HostRuns> hosts,
+                double tokens_per_ms);
 
 /// @brief Takes this host's runs off engines that leave.
 class Departures {
@@ -37,9 +41,11 @@
   using RunsAt =
       std::function<std::vector<StreamSession*>(std::string_view engine)>;
 
+  /// @param[in] host this one's name
   /// @param[in] runs_at the streams that an engine has
-  Departures(const RelayParts& parts, const StreamParts& stream_parts,
-             EngineControl& control, const PlanInForce& plan, RunsAt runs_at);
+  Departures(std::string_view host, const RelayParts& parts,
+             const StreamParts& stream_parts, const PlanInForce& plan,
+             RunsAt runs_at);
   Departures(const Departures&) = delete;
   Departures& operator=(const Departures&) = delete;
 
@@ -53,20 +59,20 @@
     std::string service;
     std::string zone;
     std::int64_t begun_ms = 0;
-    std::int64_t ends_ms = 0;                   ///< when the engine is gone
-    std::map<std::string, std::int64_t> turns;  ///< request to start, monotonic
+    std::int64_t next_ms = 0;  ///< when the next run may be moved
+    std::int64_t gap_ms = 0;
   };
 
-  void Plan(Departure* departure, const absl::StatusOr<EngineState>& state);
+  void Plan(Departure* departure);
   void Step(const std::string& engine);
-  void MoveOne(const Departure& departure, StreamSession& session);
+  bool MoveOne(const Departure& departure, StreamSession& session);
   std::string ChooseTarget(const Departure& departure,
                            const StreamSession& session) const;
   double TokensPerMs(std::string_view service) const;
 
+  std::string host;
   const RelayParts& parts;
   const StreamParts& stream_parts;
-  EngineControl& control;
   const PlanInForce& plan;
   RunsAt runs_at;
   std::map<std::string, Departure, std::less<>> departures;
--- a/src/relay/engine_control.h
+++ b/src/relay/engine_control.h
@@ -3,12 +3,8 @@
 
 #include <cstdint>
 #include <functional>
-#include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
-
-#include "absl/status/statusor.h"
 
 namespace meadowthread {
 
@@ -40,29 +36,10 @@
   std::int64_t events = 0;  ///< of the stream, made up to the copy
 };
 
-/// @brief A run at an engine, as the engine tells.
-struct EngineRun {
-  std::string request;
-  std::int64_t memory_tokens = 0;
-  std::int64_t events = 0;
-};
-
-/// @brief What an engine tells of itself; it describes the recent past.
-struct EngineState {
-  bool leaving = false;
-  std::optional<std::int64_t> leaves_in_ms;  ///< where the engine knows
-  int running = 0;
-  int waiting = 0;
-  std::int64_t memory_used = 0;
-  std::int64_t memory_total = 0;
-  std::vector<EngineRun> runs;
-};
-
 /// @brief Calls to model engines beside the requests themselves.
 class EngineControl {
  public:
   using MoveDone = std::function<void(const MoveAnswer&)>;
-  using StateDone = std::function<void(const absl::StatusOr<EngineState>&)>;
 
   virtual ~EngineControl() = default;
 
@@ -71,10 +48,6 @@
   /// @brief Frees a copy that will not be used, at both of its ends.
   /// @param[in] source IP:PORT of the engine that made it
   virtual void DropCopy(std::string_view source, std::string_view handle) = 0;
-
-  /// @brief Reads an engine's state. It costs: not to be asked on a timer.
-  virtual void ReadState(std::string_view address, std::int64_t limit_ms,
-                         const StateDone& done) = 0;
 };
 
 }  // namespace meadowthread
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -26,16 +26,16 @@
   std::unique_ptr<ResponseWriter> writer;
 };
 
-Relay::Relay(const RelayParts& parts, const StreamParts& stream_parts,
-             EngineControl& control, const CallerWire& callers,
-             const PlanInForce& plan)
+Relay::Relay(std::string_view host, const RelayParts& parts,
+             const StreamParts& stream_parts, EngineControl& control,
+             const CallerWire& callers, const PlanInForce& plan)
     : parts(parts),
       stream_parts(stream_parts),
       control(control),
       callers(callers),
       plan(plan),
       departures(
-          this->parts, this->stream_parts, control, plan,
+          host, this->parts, this->stream_parts, plan,
           [this](std::string_view engine) { return this->StreamsAt(engine); }) {
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -29,10 +29,11 @@
 /// exactly once.
 class Relay final : public HttpService {
  public:
+  /// @param[in] host this one's name
   /// @param[in] parts,stream_parts,control,callers,plan outlive the relay
-  Relay(const RelayParts& parts, const StreamParts& stream_parts,
-        EngineControl& control, const CallerWire& callers,
-        const PlanInForce& plan);
+  Relay(std::string_view host, const RelayParts& parts,
+        const StreamParts& stream_parts, EngineControl& control,
+        const CallerWire& callers, const PlanInForce& plan);
   ~Relay() override;
   Relay(const Relay&) = delete;
   Relay& operator=(const Relay&) = delete;
--- a/src/relay/relay_observer.h
+++ b/src/relay/relay_observer.h
@@ -11,10 +11,11 @@
 struct RelayEnd {
   std::string route;
   std::string service;
-  std::string outcome;  ///< complete, answered, not_run, unknown, interrupted...
-  std::string reason;   ///< empty where it is complete
+  std::string
+      outcome;         ///< complete, answered, not_run, unknown, interrupted...
+  std::string reason;  ///< empty where it is complete
   int attempts = 1;
-  int moves = 0;  ///< a stream's, to other engines
+  int moves = 0;                     ///< a stream's, to other engines
   std::int64_t first_ms = -1;        ///< to the answer or the first event
   std::int64_t longest_gap_ms = -1;  ///< between two events; -1: no stream
   std::int64_t total_ms = 0;
--- a/src/relay/stream_session.h
+++ b/src/relay/stream_session.h
@@ -124,8 +124,8 @@
   std::int64_t events = 0;    ///< passed on
   std::int64_t last_id = -1;  ///< of the last event passed on
   int sendings = 0;
-  int moves = 0;               ///< that went on with events
-  int resumes = 0;             ///< further sendings of any ground
+  int moves = 0;    ///< that went on with events
+  int resumes = 0;  ///< further sendings of any ground
   std::optional<Continuation> resumed_from;
   std::unique_ptr<RunMove> move;
   std::vector<std::unique_ptr<RunMove>> old_moves;
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -237,8 +237,8 @@
       fleet(this->lengths, FleetOptions{0, kPeerAgeMs}),
       load_notes(with.host.name, this->clock, this->fleet),
       hub(with.host.name, kDatagramBytesPerSecond, this->random(), this->clock),
-      load_datagrams(this->hub, this->load_notes, this->load_notes,
-                     this->clock, this->scheduler),
+      load_datagrams(this->hub, this->load_notes, this->load_notes, this->clock,
+                     this->scheduler),
       view_datagrams(std::vector<std::string>{on.Kinds().backends}, this->view,
                      this->hub),
       chooser([&with] {
@@ -248,7 +248,8 @@
       }()),
       dispatcher(this->fleet, this->chooser),
       control(on.MakeControl(this->client)),
-      relay({this->clock, this->scheduler, this->client, on.Backends(),
+      relay(with.host.name,
+            {this->clock, this->scheduler, this->client, on.Backends(),
              this->backends, this->health, this->budgets, this->metrics,
              this->random},
             {this->dispatcher, this->fleet}, *this->control, on.Callers(),
@@ -290,9 +291,8 @@
   const std::array<absl::Status, 4> started = {
       listen(this->server, host.port),
       listen(this->ready_server, this->settings.listen.ready_port),
-      this->hub.Start(
-          host.address,
-          static_cast<std::uint16_t>(this->settings.listen.loads_port)),
+      this->hub.Start(host.address, static_cast<std::uint16_t>(
+                                        this->settings.listen.loads_port)),
       this->exchange.Start()};
   for (const absl::Status& status : started) {
     if (!status.ok()) {
@@ -439,12 +439,11 @@
   const std::vector<const HostEntry*> known =
       this->hosts.OfRole(HostRole::kEntry);
   const int peers = this->exchange.PeersAlive();
-  const auto watchers =
-      std::max(kLeastWatchers,
-               static_cast<std::ptrdiff_t>(kWatcherPart *
-                                           static_cast<double>(known.size())));
-  const auto before = std::count_if(
-      known.begin(), known.end(), [&](const HostEntry* host) {
+  const auto watchers = std::max(
+      kLeastWatchers, static_cast<std::ptrdiff_t>(
+                          kWatcherPart * static_cast<double>(known.size())));
+  const auto before =
+      std::count_if(known.begin(), known.end(), [&](const HostEntry* host) {
         return host->name != self && this->exchange.Answers(host->name) &&
                rank_of(host->name) < own;
       });
@@ -512,8 +511,8 @@
   const double decay =
       std::exp(-static_cast<double>(kSpreadPeriodMs) / kRateWindowMs);
   const auto begun = static_cast<double>(
-      this->relay.Stats().streams - std::exchange(this->streams_counted,
-                                                  this->relay.Stats().streams));
+      this->relay.Stats().streams -
+      std::exchange(this->streams_counted, this->relay.Stats().streams));
   this->streams_lately = this->streams_lately * decay + begun;
   const double per_ms = this->streams_lately / kRateWindowMs;
   const auto peers = static_cast<double>(this->hub.Peers());
--- a/src/serve/relay_metrics.cc
+++ b/src/serve/relay_metrics.cc
@@ -18,14 +18,13 @@
           {"meadowthread_relay_requests_total",
            "Requests by how they ended.",
            {"route", "service", "outcome", "reason"}})),
-      attempts(this->registry.AddCounter(
-          {"meadowthread_relay_attempts_total",
-           "Sendings to backend servers.",
-           {"service"}})),
-      moves(this->registry.AddCounter(
-          {"meadowthread_relay_moves_total",
-           "Streams that went on at another engine.",
-           {"service"}})),
+      attempts(this->registry.AddCounter({"meadowthread_relay_attempts_total",
+                                          "Sendings to backend servers.",
+                                          {"service"}})),
+      moves(
+          this->registry.AddCounter({"meadowthread_relay_moves_total",
+                                     "Streams that went on at another engine.",
+                                     {"service"}})),
       first(this->registry.AddSummary(
           {"meadowthread_relay_first_seconds",
            "Arrival to the answer, or to a stream's first event.",
@@ -37,9 +36,8 @@
       total(this->registry.AddSummary({"meadowthread_relay_total_seconds",
                                        "Arrival to the end.",
                                        {"route"}})),
-      state(this->registry.AddGauge({"meadowthread_relay_state",
-                                     "State of this host.",
-                                     {"what"}})) {}
+      state(this->registry.AddGauge(
+          {"meadowthread_relay_state", "State of this host.", {"what"}})) {}
 
 void RelayMetrics::OnRequestEnded(const RelayEnd& end) {
   const std::array<std::string, 4> how = {end.route, end.service, end.outcome,
--- a/src/settings/relay_settings.h
+++ b/src/settings/relay_settings.h
@@ -12,8 +12,8 @@
 
 /// @brief Where this host listens besides HostSettings; ports on its address.
 struct RelayListenSettings {
-  int ready_port = 0;  ///< answers whether it takes traffic
-  int loads_port = 0;  ///< UDP: load notes of other hosts
+  int ready_port = 0;    ///< answers whether it takes traffic
+  int loads_port = 0;    ///< UDP: load notes of other hosts
   int metrics_port = 0;  ///< tells counters and gauges; 0: nowhere
 
   friend bool operator==(const RelayListenSettings&,
