--- a/src/relay/tests/moves_test.cc
+++ b/src/relay/tests/departures_test.cc
@@ -1,9 +1,10 @@
 // Moving a run: each row of the table in docs/design/moving-runs.md.
+#include "relay/departures.h"
+
 #include <criterion/criterion.h>
 
 #include <deque>
 
-#include "relay/departures.h"
 #include "relay/event_cutter.h"
 #include "relay/run_move.h"
 
--- a/src/relay/tests/plan_test.cc
+++ b/src/relay/tests/plan_in_force_test.cc
@@ -1,9 +1,9 @@
 // Which route a request takes, under which terms, and what is refused.
+#include "relay/plan_in_force.h"
+
 #include <criterion/criterion.h>
 
 #include "base/error.h"
-#include "relay/plan_in_force.h"
-
 namespace meadowthread {
 namespace {
 
--- a/src/relay/tests/backends_test.cc
+++ b/src/relay/tests/retry_budgets_test.cc
@@ -1,11 +1,11 @@
 // Which backend servers may be sent to, by their entries and by their deeds.
+#include "relay/retry_budgets.h"
+
 #include <criterion/criterion.h>
 
 #include "base/manual_scheduler.h"
 #include "relay/backend_health.h"
 #include "relay/backend_list.h"
-#include "relay/retry_budgets.h"
-
 namespace meadowthread {
 namespace {
 
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -4,7 +4,6 @@
 
 #include <QCryptographicHash>
 #include <QFile>
-#include <QTcpServer>
 #include <set>
 
 #include "absl/strings/str_cat.h"
@@ -23,27 +22,6 @@
 
 std::string Local(int port) { return absl::StrCat("http://127.0.0.1:", port); }
 
-// Below the range from which the kernel takes ports for outgoing connections,
-// and apart for each test's process: a port that was merely free a moment ago
-// is taken by another test before a host listens on it.
-constexpr int kFirstPort = 10'240;
-constexpr int kPortsPerTest = 20;
-constexpr int kTestsApart = 1'000;
-
-/// @brief Ports for this test's hosts, none twice.
-std::vector<int> FreePorts(int count) {
-  std::vector<int> ports;
-  int port = kFirstPort + (::getpid() % kTestsApart) * kPortsPerTest;
-  while (static_cast<int>(ports.size()) < count) {
-    QTcpServer probe;
-    if (probe.listen(QHostAddress::LocalHost, static_cast<quint16>(port))) {
-      ports.push_back(port);
-    }
-    ++port;
-  }
-  return ports;
-}
-
 void WriteFile(const QString& path, const std::string& text) {
   QFile file(path);
   file.open(QIODevice::WriteOnly);
--- a/tests/process/process.cc
+++ b/tests/process/process.cc
@@ -5,6 +5,8 @@
 #include <QCoreApplication>
 #include <QDeadlineTimer>
 #include <QEventLoop>
+#include <QHostAddress>
+#include <QTcpServer>
 #include <QThread>
 #include <csignal>
 
@@ -17,8 +19,28 @@
 constexpr int kLimitMs = 60'000;
 constexpr int kSliceMs = 5;
 
+// Below the range from which the kernel takes ports for outgoing connections,
+// and apart for each test's process: a port that was merely free a moment ago
+// is taken by another test before a host listens on it.
+constexpr int kFirstPort = 10'240;
+constexpr int kPortsPerTest = 20;
+constexpr int kTestsApart = 1'000;
+
 }  // namespace
 
+std::vector<int> FreePorts(int count) {
+  std::vector<int> ports;
+  int port = kFirstPort + (::getpid() % kTestsApart) * kPortsPerTest;
+  while (static_cast<int>(ports.size()) < count) {
+    QTcpServer probe;
+    if (probe.listen(QHostAddress::LocalHost, static_cast<quint16>(port))) {
+      ports.push_back(port);
+    }
+    ++port;
+  }
+  return ports;
+}
+
 bool WaitFor(const std::function<bool()>& done) {
   const QDeadlineTimer limit(kLimitMs);
   while (!done()) {
@@ -72,6 +94,7 @@
 
 void Process::Freeze() { this->Signal(SIGSTOP); }
 void Process::Thaw() { this->Signal(SIGCONT); }
+void Process::Reload() { this->Signal(SIGHUP); }
 void Process::AskToStop() { this->Signal(SIGTERM); }
 
 bool Process::IsRunning() const {
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -14,6 +14,9 @@
 /// @return whether it became true; a test fails on false, never on being slow
 bool WaitFor(const std::function<bool()>& done);
 
+/// @brief Ports for this test's hosts, none twice.
+std::vector<int> FreePorts(int count);
+
 /// @brief One process that a test started; ended by its id, at the latest when
 /// the test ends.
 class Process {
@@ -29,6 +32,8 @@
   void Thaw();
   /// @brief SIGTERM.
   void AskToStop();
+  /// @brief SIGHUP.
+  void Reload();
   bool IsRunning() const;
   int ExitCode() const { return this->process->exitCode(); }
 
--- /dev/null
+++ b/tests/process/relay_fleet.cc
@@ -0,0 +1,230 @@
+#include "process/relay_fleet.h"
+
+#include <QFile>
+#include <algorithm>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "relay/event_cutter.h"
+
+namespace meadowthread::tests {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kPortsPerHost = 5;  // callers, ready, control, loads, metrics
+constexpr std::size_t kEventLimit = 1'000'000;
+constexpr int kTokensInEvent = 4;
+
+std::string Local(int port) { return absl::StrCat("http://127.0.0.1:", port); }
+
+json Route(const std::string& name, const std::string& kind,
+           const std::string& service, int attempts) {
+  return {{"name", name},
+          {"host", "shop.example"},
+          {"path_prefix", "/" + name + "/"},
+          {"kind", kind},
+          {"timeout_ms", 20'000},
+          {"target_latency_ms", 400},
+          {"priority", 1},
+          {"service", service},
+          {"max_attempts", attempts}};
+}
+
+}  // namespace
+
+void EventCaller::Ask(const HttpRequest& request) {
+  this->call = this->client.Start(request, this);
+}
+
+void EventCaller::Leave() {
+  if (this->call != 0) {
+    this->client.Cancel(this->call);
+    this->call = 0;
+  }
+}
+
+void EventCaller::OnHead(int status, std::span<const HttpHeader> /*head*/) {
+  this->http_status = status;
+}
+
+void EventCaller::OnEnd(const HttpEnd& ended) {
+  this->call = 0;
+  this->over = true;
+  this->end = ended;
+}
+
+int EventCaller::Events() const {
+  EventCutter cutter(kEventLimit);
+  std::vector<CutEvent> events;
+  cutter.Feed(this->body, &events);
+  int next = 0;
+  for (const CutEvent& event : events) {
+    const std::string expected =
+        absl::StrCat("id: ", next, "\ndata: w", next, "\n\n");
+    if (event.bytes != expected) {
+      return -1;
+    }
+    ++next;
+  }
+  return next;
+}
+
+RelayFleet::RelayFleet(int hosts, int engines, int event_ms)
+    : host_count(hosts),
+      engines(engines),
+      event_ms(event_ms),
+      ports(FreePorts(kPortsPerHost * hosts)) {
+  this->hosts.resize(static_cast<std::size_t>(hosts));
+}
+
+void RelayFleet::StartPlatform() {
+  this->platform =
+      std::make_unique<Process>("meadowthread-users-standin",
+                                QStringList{QString::number(this->engines), "2",
+                                            QString::number(this->event_ms)});
+  this->platform->Port(1);
+}
+
+std::string RelayFleet::Settings(int n, bool second_door) const {
+  const int* const at = this->ports.data() + kPortsPerHost * n;
+  return absl::StrCat(
+      "host: {name: entry-", n, ", zone: hall, region: manila}\n",
+      "listen: {callers: \"127.0.0.1:", at[0], "\", ready: \"127.0.0.1:", at[1],
+      "\", control: \"127.0.0.1:", at[2], "\", loads_port: ", at[3],
+      ", metrics_port: ", at[4], "}\n", "store: \"",
+      Local(this->platform->Port(second_door ? 1 : 0)), "\"\n",
+      "bounds: {grace_s: 6}\n");
+}
+
+void RelayFleet::StartHost(int n, bool second_door) {
+  const QString path = this->folder.filePath(QString("relay-%1.yaml").arg(n));
+  QFile file(path);
+  file.open(QIODevice::WriteOnly);
+  file.write(QByteArray::fromStdString(this->Settings(n, second_door)));
+  file.close();
+  this->hosts[static_cast<std::size_t>(n)] = std::make_unique<Process>(
+      "meadowthread", QStringList{"relay", "--settings", path});
+}
+
+void RelayFleet::Start() {
+  this->StartPlatform();
+  this->PutConfig(1, {"key-1", "key-2"});
+  for (int n = 0; n < this->host_count; ++n) {
+    this->StartHost(n);
+  }
+  WaitFor([this] { return this->AreReady(); });
+}
+
+json RelayFleet::Control(const std::string& path, const json& body) {
+  HttpRequest request;
+  request.method = "POST";
+  request.url = Local(this->platform->Port(0)) + "/standin/" + path;
+  request.body = body.dump();
+  return JsonOf(tests::Call(this->client, request));
+}
+
+void RelayFleet::PutConfig(int version, const std::vector<std::string>& keys) {
+  const json engine = {{"slots", 24},
+                       {"kv_capacity_tokens", 34'000},
+                       {"kv_token_bytes", 327'680},
+                       {"link_mbps", 47'000.0},
+                       {"moves", true},
+                       {"stride", kTokensInEvent},
+                       {"models", json::array({{{"name", "m"}}})}};
+  this->Control(
+      "config",
+      {{"version", version},
+       {"routes",
+        {Route("confirm", "unsafe", "app", 1),
+         Route("status", "safe", "app", 2),
+         Route("report", "stream", "pool", 1)}},
+       {"services",
+        {{{"name", "pool"}, {"engine", engine}}, {{"name", "app"}}}},
+       {"limits", {{"max_body_bytes", 100'000}, {"idle_timeout_ms", 15'000}}},
+       {"tenants", json::array({{{"name", "makati"}, {"api_keys", keys}}})}});
+}
+
+bool RelayFleet::IsReady(int n) {
+  HttpRequest request;
+  request.url = Local(this->ports.at(kPortsPerHost * n + 1)) + "/v1/ready";
+  request.total_timeout_ms = 2'000;
+  return tests::Call(this->client, request).response.http_status == 200;
+}
+
+bool RelayFleet::AreReady() {
+  for (int n = 0; n < this->host_count; ++n) {
+    if (!this->IsReady(n)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+HttpRequest RelayFleet::Call(int host, const std::string& method,
+                             const std::string& path, const std::string& id,
+                             const std::string& key) const {
+  HttpRequest request;
+  request.method = method;
+  request.url = Local(this->ports.at(kPortsPerHost * host)) + path;
+  request.headers = {{"Host", "shop.example"},
+                     {"Request-Id", id},
+                     {"Deadline-Ms", "15000"},
+                     {"Authorization", "Bearer " + key},
+                     {"Tenant", "forged"}};
+  request.send_once = true;
+  request.reuse_idle_ms = 0;
+  return request;
+}
+
+HttpRequest RelayFleet::Stream(int host, const std::string& id,
+                               int events) const {
+  HttpRequest request = this->Call(host, "POST", "/report/x", id);
+  request.headers.push_back({"Model", "m"});
+  request.headers.push_back(
+      {"Token-Counts", absl::StrCat("3000,", events * kTokensInEvent)});
+  request.body = "a prompt";
+  return request;
+}
+
+int RelayFleet::StatusOf(const HttpRequest& request) {
+  return tests::Call(this->client, request).response.http_status;
+}
+
+int RelayFleet::Runs(const std::string& id) {
+  int runs = 0;
+  const json record = this->Control("record", json::object());
+  for (const json& run : record["runs"]) {
+    runs += run["request"] == id ? 1 : 0;
+  }
+  return runs;
+}
+
+int RelayFleet::FirstRuns(const std::string& id) {
+  int runs = 0;
+  const json record = this->Control("record", json::object());
+  for (const json& run : record["runs"]) {
+    runs += run["request"] == id && run["resumed"] == false ? 1 : 0;
+  }
+  return runs;
+}
+
+std::string RelayFleet::EngineOf(const std::string& id) {
+  std::string engine;
+  const json record = this->Control("record", json::object());
+  for (const json& run : record["runs"]) {
+    if (run["request"] == id) {
+      engine = run["server"];
+    }
+  }
+  return engine;
+}
+
+std::string RelayFleet::Metrics(int n) {
+  HttpRequest request;
+  request.url = Local(this->ports.at(kPortsPerHost * n + 4)) + "/metrics";
+  return tests::Call(this->client, request).response.body;
+}
+
+}  // namespace meadowthread::tests
--- /dev/null
+++ b/tests/process/relay_fleet.h
@@ -0,0 +1,96 @@
+#ifndef MEADOWTHREAD_TESTS_PROCESS_RELAY_FLEET_H_
+#define MEADOWTHREAD_TESTS_PROCESS_RELAY_FLEET_H_
+
+#include <QTemporaryDir>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/pooled_client.h"
+#include "nlohmann/json.hpp"
+#include "process/caller.h"
+#include "process/fleet.h"
+#include "process/process.h"
+
+namespace meadowthread::tests {
+
+/// @brief A generation as its caller sees it.
+class EventCaller final : public HttpHandler {
+ public:
+  explicit EventCaller(HttpClient& client) : client(client) {}
+  ~EventCaller() override { this->Leave(); }
+  EventCaller(const EventCaller&) = delete;
+  EventCaller& operator=(const EventCaller&) = delete;
+
+  void Ask(const HttpRequest& request);
+  void Leave();
+
+  void OnHead(int status, std::span<const HttpHeader> head) override;
+  void OnData(std::string_view data) override { this->body.append(data); }
+  void OnEnd(const HttpEnd& ended) override;
+
+  bool IsOver() const { return this->over; }
+  bool IsWhole() const { return this->over && this->end.status.ok(); }
+  int Status() const { return this->http_status; }
+  /// @brief Events that came, each exactly the next one; -1 where one is not.
+  int Events() const;
+
+ private:
+  HttpClient& client;
+  HttpCallId call = 0;
+  int http_status = 0;
+  std::string body;
+  bool over = false;
+  HttpEnd end;
+};
+
+/// @brief The users' platform's stand-in and relay hosts as processes.
+class RelayFleet {
+ public:
+  /// @param[in] engines model engines, each event of a stream `event_ms` apart
+  RelayFleet(int hosts, int engines, int event_ms);
+
+  /// @brief Starts the stand-in, puts a configuration, starts every host and
+  /// waits until they are ready.
+  void Start();
+  void StartPlatform();
+  /// @param[in] second_door the host comes to the store by its second door
+  void StartHost(int n, bool second_door = false);
+
+  nlohmann::json Control(const std::string& path, const nlohmann::json& body);
+  /// @brief The configuration with these keys of the one workspace.
+  void PutConfig(int version, const std::vector<std::string>& keys);
+
+  bool IsReady(int n);
+  bool AreReady();
+  Process& Host(int n) { return *this->hosts.at(n); }
+  PooledClient& Client() { return this->client; }
+
+  HttpRequest Call(int host, const std::string& method, const std::string& path,
+                   const std::string& id,
+                   const std::string& key = "key-1") const;
+  HttpRequest Stream(int host, const std::string& id, int events) const;
+  int StatusOf(const HttpRequest& request);
+  /// @brief Runs of a request, and of those the ones that were no resumption.
+  int Runs(const std::string& id);
+  int FirstRuns(const std::string& id);
+  /// @brief The engine that a stream runs on, empty where none does.
+  std::string EngineOf(const std::string& id);
+  std::string Metrics(int n);
+
+ private:
+  std::string Settings(int n, bool second_door) const;
+
+  int host_count;
+  int engines;
+  int event_ms;
+  QTemporaryDir folder;
+  std::vector<int> ports;
+  PooledClient client;
+  std::unique_ptr<Process> platform;
+  std::vector<std::unique_ptr<Process>> hosts;
+};
+
+}  // namespace meadowthread::tests
+
+#endif  // MEADOWTHREAD_TESTS_PROCESS_RELAY_FLEET_H_
