--- a/src/cli/document_check.cc
+++ b/src/cli/document_check.cc
@@ -8,6 +8,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "configuration/template_document.h"
+#include "settings/relay_settings.h"
 #include "settings/settings.h"
 
 namespace meadowthread {
@@ -16,6 +17,9 @@
 constexpr std::array<std::string_view, 11> kSettingsFields = {
     "host",     "platform", "half",      "callers",       "answers", "policy",
     "exchange", "claims",   "placement", "configuration", "tls"};
+// Fields that only a relay host's settings have.
+constexpr std::array<std::string_view, 4> kRelayFields = {"listen", "store",
+                                                          "retries", "bounds"};
 constexpr std::array<std::string_view, 8> kTemplateFields = {
     "name",     "parameters",     "models", "urgency",
     "delivery", "not_repeatable", "limits", "workspaces"};
@@ -36,6 +40,9 @@
   if (!document.IsMap()) {
     return DocumentKind::kNeither;
   }
+  if (CountKnown(document, kRelayFields) > 0) {
+    return DocumentKind::kRelaySettings;
+  }
   const int of_settings = CountKnown(document, kSettingsFields);
   const int of_template = CountKnown(document, kTemplateFields);
   if (of_settings == of_template) {
@@ -61,6 +68,8 @@
   switch (kind) {
     case DocumentKind::kSettings:
       return "settings";
+    case DocumentKind::kRelaySettings:
+      return "relay settings";
     case DocumentKind::kTemplate:
       return "template";
     case DocumentKind::kNeither:
@@ -80,6 +89,8 @@
   }
   if (checked.kind == DocumentKind::kSettings) {
     checked.problems = Converted(ParseSettings(text).problems);
+  } else if (checked.kind == DocumentKind::kRelaySettings) {
+    checked.problems = Converted(ParseRelaySettings(text).problems);
   } else if (checked.kind == DocumentKind::kTemplate) {
     return CheckTemplate(text);
   } else {
--- a/src/cli/document_check.h
+++ b/src/cli/document_check.h
@@ -10,7 +10,7 @@
 namespace meadowthread {
 
 /// @brief What an operator writes.
-enum class DocumentKind { kSettings, kTemplate, kNeither };
+enum class DocumentKind { kSettings, kRelaySettings, kTemplate, kNeither };
 
 /// @brief The kind's name in output.
 std::string_view DocumentKindName(DocumentKind kind);
--- a/src/cli/tests/check_test.cc
+++ b/src/cli/tests/check_test.cc
@@ -36,6 +36,13 @@
   cr_assert(json["problems"].back()["field"] == "platfrom");
 }
 
+Test(a_checked_document, is_told_as_a_relay_hosts_settings) {
+  const RunRecord run = Check("host: {name: e}\nlisten: {}\nstore: x\n", true);
+  const auto json = nlohmann::json::parse(run.out);
+  cr_assert(json["kind"] == "relay settings" && json["exit_code"] == 3);
+  cr_assert(json["problems"].size() == 7);
+}
+
 Test(a_checked_document, that_is_valid_says_what_it_is) {
   const RunRecord run = Check(
       "name: tags\n"
--- a/src/relay/departures.cc
+++ b/src/relay/departures.cc
@@ -28,8 +28,8 @@
 // A copy that is on its way to an engine is told as a prompt to be read there,
 // and holds up the next one on the engine's link.
 constexpr double kCopyOnItsWayCost = 0.4;
-// Two engines often leave at once, and their hosts would all choose the emptiest
-// one: moves are spread over this many more.
+// Two engines often leave at once, and their hosts would all choose the
+// emptiest one: moves are spread over this many more.
 constexpr double kOtherMoves = 2.0;
 
 }  // namespace
