--- a/src/base/tests/log_writer_test.cc
+++ b/src/base/tests/log_writer_test.cc
@@ -81,7 +81,7 @@
   ManualClock clock(1'000);
   LogBounds bounds;
   bounds.routine_per_second = 1e9;
-  bounds.held_bytes = 64 * 1024;
+  bounds.held_bytes = std::size_t{64} * 1024;
   LogWriter writer(to.ends[1], bounds, clock);
   // Many times what a pipe holds: were one write to wait, this never ended.
   const std::string line =
--- a/src/net/message_reader.cc
+++ b/src/net/message_reader.cc
@@ -227,7 +227,7 @@
     this->problem = "the head is longer than its limit";
     return ReadState::kHeadTooLarge;
   }
-  const std::string_view head = std::string_view(this->pending).substr(0, size);
+  const std::string_view head{this->pending.data(), size};
   const std::string_view found = HeadProblem(head);
   return found.empty() ? ReadState::kMore : this->Malformed(found);
 }
