A host behind a long change reads the store itself

Ruled out: the store (watchers had it). Change: of a change too long for a datagram its revision is told; a host still behind 150 ms later reads at once.

--- a/src/configuration/tests/view_feeder_test.cc
+++ b/src/configuration/tests/view_feeder_test.cc
@@ -123,6 +123,29 @@
   cr_assert(f.view.DeltaSince("templates", 1, 1000).full == false);
 }
 
+// Named for the finding on grown lukot, trouble-2: a configuration of 200 KB
+// was too long for the exchange, and hosts that do not watch kept the one
+// before it.
+Test(a_host_that_need_not_watch, reads_at_once_where_it_is_told_to) {
+  Fixture f;
+  f.Write("x", 0);
+  f.feeder.Start();
+  f.Run(50);
+  f.is_watcher = false;
+  // a view confirmed a moment ago gives no ground to read
+  f.Run(1'500);
+  f.Write("x", 1);
+  f.Run(1'500);
+  cr_assert(f.VersionOf("x") == 1);
+  f.feeder.Hurry();
+  f.Run(1'500);
+  cr_assert(f.VersionOf("x") == 2);
+  // and once only
+  f.Write("x", 2);
+  f.Run(1'500);
+  cr_assert(f.VersionOf("x") == 2);
+}
+
 Test(a_watching_host, lists_anew_where_its_revision_is_gone) {
   Fixture f;
   f.feeder.Start();
--- a/src/configuration/view_feeder.cc
+++ b/src/configuration/view_feeder.cc
@@ -47,11 +47,17 @@
   if (this->clock.MonotonicMs() - this->proved_ms >= this->options.repair_ms) {
     return true;
   }
+  if (this->hurried) {
+    return true;
+  }
   const Confirmation confirmed = this->view.Digest(this->kind).confirmed;
   const std::int64_t age_ms = this->clock.WallMs() - confirmed.unix_ms;
   return this->is_watcher() || age_ms >= this->options.self_watch_ms;
 }
 
+// A host that does not watch looks every `idle_ms` whether it must read.
+void KindFeeder::Hurry() { this->hurried = true; }
+
 KindFeeder::ReadKind KindFeeder::Choose() const {
   if (this->must_list) {
     return ReadKind::kWhole;
@@ -121,6 +127,7 @@
     return;
   }
   this->state.failures = 0;
+  this->hurried = false;
   this->SetStalled(false, "answered");
   if (read.kind != ReadKind::kWatch) {
     this->must_list = false;
@@ -212,6 +219,14 @@
   }
 }
 
+void ViewFeeder::Hurry(std::string_view kind) {
+  for (const auto& feeder : this->feeders) {
+    if (feeder->State().kind == kind) {
+      feeder->Hurry();
+    }
+  }
+}
+
 void ViewFeeder::OnAnsweredAgain(
     const std::function<void(std::string_view kind)>& told) {
   for (const auto& feeder : this->feeders) {
--- a/src/configuration/view_feeder.h
+++ b/src/configuration/view_feeder.h
@@ -61,6 +61,10 @@
   /// @brief Starts reading; goes on until this is destroyed.
   void Start();
 
+  /// @brief Something newer is known to be there: this host reads it itself,
+  /// whether or not it is one that watches.
+  void Hurry();
+
   /// @brief Calls `told` when reading goes on after it had stalled.
   void OnAnsweredAgain(const std::function<void()>& told) {
     this->answered_again = told;
@@ -105,6 +109,7 @@
   std::uint64_t reads = 0;  ///< the number of the call awaited, if any
   bool pending = false;
   bool must_list = true;
+  bool hurried = false;              ///< until the next answer that is taken
   std::int64_t proved_revision = 0;  ///< what lists, not watches, have shown
   std::int64_t proved_ms = 0;
   std::shared_ptr<int> alive = std::make_shared<int>(0);
@@ -122,6 +127,9 @@
 
   void Start();
 
+  /// @brief As KindFeeder::Hurry, for one kind.
+  void Hurry(std::string_view kind);
+
   /// @brief Calls `told` with a kind whose reading goes on after a stall,
   /// before what was read is taken over.
   void OnAnsweredAgain(const std::function<void(std::string_view kind)>& told);
--- /dev/null
+++ b/src/exchange/tests/view_datagrams_test.cc
@@ -0,0 +1,130 @@
+// Datagrams between hosts: loads, small changes, revisions of long ones.
+#include "exchange/view_datagrams.h"
+
+#include <criterion/criterion.h>
+
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QUdpSocket>
+#include <array>
+
+#include "exchange/load_datagrams.h"
+#include "net/qt_scheduler.h"
+
+namespace meadowthread {
+namespace {
+
+constexpr std::array<std::string_view, 1> kKinds = {"servers"};
+
+struct Host {
+  Host(const std::string& name, const Clock& clock, Scheduler& scheduler)
+      : hub(name, 100'000, 1, clock),
+        view(clock, kKinds),
+        datagrams(std::vector<std::string>{"servers"}, this->view, this->hub,
+                  scheduler, [this](std::string_view) { ++this->behind; }) {}
+
+  void Start() {
+    QUdpSocket probe;
+    probe.bind(QHostAddress::LocalHost, 0);
+    this->port = probe.localPort();
+    probe.close();
+    cr_assert(this->hub.Start("127.0.0.1", this->port).ok());
+  }
+  std::int64_t VersionOf(std::string_view name) const {
+    const StoredObject* const object = this->view.Find("servers", name);
+    return object == nullptr ? 0 : object->version;
+  }
+  std::uint16_t port = 0;
+  int behind = 0;
+  DatagramHub hub;
+  ReplicatedView view;
+  ViewDatagrams datagrams;
+};
+
+struct Fixture {
+  Fixture() {
+    a.Start();
+    b.Start();
+    const std::vector<DatagramPeer> peers = {{"a", "127.0.0.1", a.port},
+                                             {"b", "127.0.0.1", b.port}};
+    a.hub.SetPeers(peers);
+    b.hub.SetPeers(peers);
+  }
+  bool Until(const std::function<bool()>& condition) {
+    constexpr std::int64_t kGenerousMs = 20'000;
+    const std::int64_t end_ms = clock.MonotonicMs() + kGenerousMs;
+    while (!condition() && clock.MonotonicMs() < end_ms) {
+      QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 20);
+    }
+    return condition();
+  }
+  int argc = 0;
+  QCoreApplication application{this->argc, nullptr};
+  SystemClock clock;
+  QtScheduler scheduler;
+  Host a{"a", clock, scheduler};
+  Host b{"b", clock, scheduler};
+};
+
+StoredObject Object(const std::string& name, std::int64_t version,
+                    std::size_t size) {
+  return {"servers", name, version, std::string(size, 'x'), false};
+}
+
+Test(a_small_change, goes_from_host_to_host_at_once) {
+  Fixture f;
+  const std::array<StoredObject, 1> change = {Object("i-1", 7, 300)};
+  f.a.view.ApplyItems(change);
+  cr_assert(f.Until([&] { return f.b.VersionOf("i-1") == 7; }));
+  cr_assert(f.b.behind == 0);
+}
+
+Test(a_long_change, is_told_by_its_revision_and_read_where_it_does_not_come) {
+  Fixture f;
+  const std::array<StoredObject, 1> change = {Object("main", 9, 200'000)};
+  f.a.view.ApplyItems(change);
+  cr_assert(f.Until([&] { return f.b.behind == 1; }));
+  cr_assert(f.b.VersionOf("main") == 0 && f.a.behind == 0);
+  // where it has come meanwhile, nobody reads it
+  const std::array<StoredObject, 1> next = {Object("main", 10, 200'000)};
+  f.a.view.ApplyItems(next);
+  f.b.view.ApplyItems(next);
+  const std::int64_t start_ms = f.clock.MonotonicMs();
+  f.Until([&] { return f.clock.MonotonicMs() > start_ms + 300; });
+  cr_assert(f.b.behind == 1);
+}
+
+Test(bytes_that_are_no_datagram, are_passed_over) {
+  Fixture f;
+  QUdpSocket stranger;
+  for (const std::string& bytes :
+       {std::string("x"), std::string("\xff\x00\xfe", 3), std::string(),
+        EncodeDatagram({"items", "s", nlohmann::json::array({7})}),
+        EncodeDatagram({"revision", "s", nlohmann::json("no list")}),
+        EncodeDatagram({"nothing", "s", nlohmann::json::array()})}) {
+    stranger.writeDatagram(bytes.data(), static_cast<qint64>(bytes.size()),
+                           QHostAddress::LocalHost, f.b.port);
+  }
+  const std::array<StoredObject, 1> change = {Object("i-1", 7, 300)};
+  f.a.view.ApplyItems(change);
+  cr_assert(f.Until([&] { return f.b.VersionOf("i-1") == 7; }));
+}
+
+Test(load_notes, read_back_as_they_were_sent) {
+  EngineLoadNote note;
+  note.engine = "i-7";
+  note.host = "a";
+  note.in_flight = 2;
+  note.reserved_tokens = 8'000;
+  note.held_tokens = 6'100;
+  note.reading_tokens = 3'000;
+  const auto read = LoadsFrom("a", LoadsJson({note}));
+  cr_assert(read.ok() && read->size() == 1 && read->front() == note);
+  cr_assert(!LoadsFrom("a", nlohmann::json::array({1})).ok());
+  cr_assert(!LoadsFrom("a", nlohmann::json::array(
+                                {nlohmann::json::array({"i", 1, 2, 3})}))
+                 .ok());
+}
+
+}  // namespace
+}  // namespace meadowthread
--- a/src/exchange/view_datagrams.cc
+++ b/src/exchange/view_datagrams.cc
@@ -1,6 +1,7 @@
 #include "exchange/view_datagrams.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/error.h"
 #include "base/json_fields.h"
@@ -12,6 +13,9 @@
 using nlohmann::json;
 
 constexpr char kTopic[] = "items";
+constexpr char kRevisionTopic[] = "revision";
+// The exchange's own news brings a change of usual size within this.
+constexpr std::int64_t kBehindMs = 150;
 // Peers told by each host to whom a change is news: with four, all but two in a
 // hundred hear of it so; rounds bring the rest.
 constexpr std::size_t kFanout = 4;
@@ -66,8 +70,13 @@
 }
 
 ViewDatagrams::ViewDatagrams(std::span<const std::string> kinds,
-                             ReplicatedView& view, DatagramHub& hub)
-    : kinds(kinds.begin(), kinds.end()), view(view), hub(hub) {
+                             ReplicatedView& view, DatagramHub& hub,
+                             Scheduler& scheduler, Behind behind)
+    : kinds(kinds.begin(), kinds.end()),
+      view(view),
+      hub(hub),
+      scheduler(scheduler),
+      behind(std::move(behind)) {
   hub.Register(kTopic, [this](std::string_view host, const json& payload) {
     const absl::StatusOr<std::vector<StoredObject>> items = ItemsFrom(payload);
     if (!items.ok()) {
@@ -76,16 +85,68 @@
     }
     this->view.ApplyItems(*items);
   });
+  hub.Register(kRevisionTopic, [this](std::string_view host,
+                                      const json& payload) {
+    const bool fits = payload.is_array() && payload.size() == 2 &&
+                      payload[0].is_string() && payload[1].is_number_integer();
+    if (!fits) {
+      LogLine("revision-malformed").Add("host", host).WriteImportant();
+      return;
+    }
+    this->TakeRevision(payload);
+  });
   view.AddListener([this](const ViewChange& change) { this->Tell(change); });
 }
 
+std::int64_t ViewDatagrams::RevisionOf(std::string_view kind) const {
+  std::int64_t revision = 0;
+  for (const StoredObject* const object : this->view.Live(kind)) {
+    revision = std::max(revision, object->version);
+  }
+  return revision;
+}
+
 void ViewDatagrams::Tell(const ViewChange& change) {
   const bool told = std::find(this->kinds.begin(), this->kinds.end(),
                               change.kind) != this->kinds.end();
-  if (told && change.items.size() <= kMostItems &&
-      SizeOf(change.items) <= kMostBytes) {
+  if (!told || change.items.size() > kMostItems) {
+    return;
+  }
+  if (SizeOf(change.items) <= kMostBytes) {
     this->hub.SendToSome(kTopic, ItemsJson(change.items), kFanout);
+    return;
   }
+  this->TellRevision(std::string(change.kind), this->RevisionOf(change.kind));
+}
+
+void ViewDatagrams::TellRevision(const std::string& kind,
+                                 std::int64_t revision) {
+  std::int64_t& told = this->told_revisions[kind];
+  if (revision > told) {
+    told = revision;
+    this->hub.SendToSome(kRevisionTopic, json::array({kind, revision}),
+                         kFanout);
+  }
+}
+
+void ViewDatagrams::TakeRevision(const json& payload) {
+  const std::string kind = payload[0].get<std::string>();
+  const auto revision = payload[1].get<std::int64_t>();
+  if (this->RevisionOf(kind) >= revision) {
+    return;
+  }
+  this->TellRevision(kind, revision);
+  this->scheduler.After(kBehindMs, [this, kind, revision,
+                                    guard = std::weak_ptr<bool>(this->alive)] {
+    if (!guard.expired() && this->RevisionOf(kind) < revision) {
+      LogLine("behind")
+          .Add("kind", kind)
+          .Add("own", this->RevisionOf(kind))
+          .Add("told", revision)
+          .WriteImportant();
+      this->behind(kind);
+    }
+  });
 }
 
 }  // namespace meadowthread
--- a/src/relay/call_session.cc
+++ b/src/relay/call_session.cc
@@ -322,7 +322,7 @@
       .Add("engine", attempt.BackendId())
       .Add("outcome", left ? "unknown" : "not_run")
       .Add("took_ms", now_ms - attempt.SentMs())
-      .Add("why", std::string(end.status.message()))
+      .Add("why", std::string{end.status.message()})
       .WriteImportant();
   this->may_have_run = this->may_have_run || left;
   if (!left) {
@@ -340,7 +340,7 @@
   detail.peer = attempt.BackendId();
   detail.retry_after_ms = left ? -1 : kNoServerRetryMs;
   this->EndOrWait(
-      MakeError(end.status.code(), detail, std::string(end.status.message())));
+      MakeError(end.status.code(), detail, std::string{end.status.message()}));
 }
 
 // What never left the host is no second sending to any server, and takes
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -75,7 +75,7 @@
       .Add("request", request)
       .Add("code", static_cast<int>(detail.id))
       .Add("step", detail.step)
-      .Add("why", std::string(why.message()))
+      .Add("why", std::string{why.message()})
       .Add("retry_after_ms", detail.retry_after_ms)
       .WriteImportant();
   RelayEnd told;
--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -389,7 +389,7 @@
       .Add("engine", this->engine)
       .Add("outcome", left ? "unknown" : "not_run")
       .Add("events", this->events)
-      .Add("why", std::string(end.status.message()))
+      .Add("why", std::string{end.status.message()})
       .WriteImportant();
   this->LeaveEngine(left ? AttemptResult::kFailed
                          : AttemptResult::kUnreachable);
@@ -502,7 +502,7 @@
       .Add("engine", this->engine)
       .Add("status", end.http_status)
       .Add("not_run", not_run ? "yes" : "no")
-      .Add("why", std::string(end.status.message()))
+      .Add("why", std::string{end.status.message()})
       .WriteImportant();
   if (not_run && this->ResumeAtSource()) {
     return;
--- a/src/serve/host_entries.cc
+++ b/src/serve/host_entries.cc
@@ -76,7 +76,7 @@
     } else {
       LogLine("host-entry-malformed")
           .Add("host", object->name)
-          .Add("why", std::string(host.status().message()))
+          .Add("why", std::string{host.status().message()})
           .WriteImportant();
     }
   }
@@ -149,7 +149,7 @@
                        if (!removed.ok()) {
                          LogLine("host-entry-stays")
                              .Add("why",
-                                  std::string(removed.status().message()))
+                                  std::string{removed.status().message()})
                              .WriteImportant();
                        }
                        done();
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -239,8 +239,10 @@
       hub(with.host.name, kDatagramBytesPerSecond, this->random(), this->clock),
       load_datagrams(this->hub, this->load_notes, this->load_notes, this->clock,
                      this->scheduler),
-      view_datagrams(std::vector<std::string>{on.Kinds().backends}, this->view,
-                     this->hub),
+      view_datagrams(
+          std::vector<std::string>{on.Kinds().backends, on.Kinds().plan},
+          this->view, this->hub, this->scheduler,
+          [this](std::string_view kind) { this->feeder.Hurry(kind); }),
       chooser([&with] {
         PressureOptions options;
         options.zone = with.host.zone;
@@ -359,7 +361,7 @@
     LogLine("plan-refused")
         .Add("revision", object.version)
         .Add("field", DetailOf(read.status()).field)
-        .Add("why", std::string(read.status().message()))
+        .Add("why", std::string{read.status().message()})
         .WriteImportant();
     return;
   }
@@ -377,7 +379,7 @@
     LogLine("backend-refused")
         .Add("id", object.name)
         .Add("field", DetailOf(entry.status()).field)
-        .Add("why", std::string(entry.status().message()))
+        .Add("why", std::string{entry.status().message()})
         .WriteImportant();
     return;
   }
