--- a/src/relay/departures.cc
+++ b/src/relay/departures.cc
@@ -25,12 +25,6 @@
 constexpr double kUsualTokensPerMs = 17.0;
 // Moves to another zone take twice as long on the link.
 constexpr double kOtherZoneCost = 0.3;
-// A copy that is on its way to an engine is told as a prompt to be read there,
-// and holds up the next one on the engine's link.
-constexpr double kCopyOnItsWayCost = 0.4;
-// Two engines often leave at once, and their hosts would all choose the
-// emptiest one: moves are spread over this many more.
-constexpr double kOtherMoves = 2.0;
 
 }  // namespace
 
@@ -169,9 +163,7 @@
   PressureOptions options;
   options.zone = departure.zone;
   options.zone_cost = kOtherZoneCost;
-  options.reading_weight = kCopyOnItsWayCost;
   PressureChooser chooser(options);
-  chooser.SetUnseen(kOtherMoves);
   WorkItem work;
   work.request = session.Request().id;
   work.workspace = session.Terms().workspace;
