While the store can't tell, engines are asked themselves whether they leave

Ruled out: the move itself (all moves of announced leavings went through). Change: where the view of the engines is stalled or unconfirmed for 4.5 s, a host asks those that have streams of it each 300 ms; what one says of itself stands until its entry goes. Test a_stream::goes_on_elsewhere_when_its_ engine_leaves_while_the_store_is_down.

--- a/src/relay/backend_list.cc
+++ b/src/relay/backend_list.cc
@@ -33,8 +33,8 @@
     this->Leave(&backend, "draining");
     return;
   }
-  // Lapsed and listed anew: it lives.
-  backend.leaving = entry.leaving;
+  // Lapsed and listed anew, it lives; what it said itself of leaving stands.
+  backend.leaving = entry.leaving || backend.said_so;
   if (!is_new) {
     this->Tell(BackendChange::kChanged, backend);
   }
@@ -74,6 +74,14 @@
       });
 }
 
+void BackendList::NoteLeaving(std::string_view id) {
+  const auto found = this->backends.find(id);
+  if (found != this->backends.end()) {
+    found->second.said_so = true;
+    this->Leave(&found->second, "its_own_report");
+  }
+}
+
 void BackendList::NoteStoreBack() {
   this->store_back_ms = this->clock.MonotonicMs();
 }
--- a/src/relay/backend_list.h
+++ b/src/relay/backend_list.h
@@ -32,6 +32,7 @@
   std::int64_t warm_at_ms = 0;  ///< monotonic
   bool listed = true;
   bool leaving = false;  ///< gets nothing new
+  bool said_so = false;  ///< told of leaving by itself, not by its entry
 };
 
 /// @brief What a change was about.
@@ -63,6 +64,9 @@
   /// @brief Takes that an entry is listed no more.
   void Remove(std::string_view id);
 
+  /// @brief The server itself says that it leaves, and its entry does not yet.
+  void NoteLeaving(std::string_view id);
+
   /// @brief The store answers again after it had been away.
   void NoteStoreBack();
 
--- a/src/relay/engine_control.h
+++ b/src/relay/engine_control.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include "absl/status/statusor.h"
+
 namespace meadowthread {
 
 /// @brief Asks an engine to copy a run's memory to another one.
@@ -36,10 +38,16 @@
   std::int64_t events = 0;  ///< of the stream, made up to the copy
 };
 
+/// @brief What an engine tells of itself; it describes the recent past.
+struct EngineState {
+  bool leaving = false;
+};
+
 /// @brief Calls to model engines beside the requests themselves.
 class EngineControl {
  public:
   using MoveDone = std::function<void(const MoveAnswer&)>;
+  using StateDone = std::function<void(const absl::StatusOr<EngineState>&)>;
 
   virtual ~EngineControl() = default;
 
@@ -48,6 +56,11 @@
   /// @brief Frees a copy that will not be used, at both of its ends.
   /// @param[in] source IP:PORT of the engine that made it
   virtual void DropCopy(std::string_view source, std::string_view handle) = 0;
+
+  /// @brief Asks an engine for its own state. It costs: only where nobody else
+  /// can tell.
+  /// @param[in] address IP:PORT
+  virtual void ReadState(std::string_view address, const StateDone& done) = 0;
 };
 
 }  // namespace meadowthread
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -239,6 +239,32 @@
   this->departures.Begin(engine);
 }
 
+void Relay::AskEngines() {
+  std::set<std::string> engines;
+  for (const auto& [number, session] : this->streams) {
+    engines.insert(session->Engine());
+  }
+  for (const std::string& engine : engines) {
+    const Backend* const backend = this->parts.backends.Find(engine);
+    if (backend == nullptr || backend->leaving ||
+        !this->asked.insert(engine).second) {
+      continue;
+    }
+    this->control.ReadState(
+        backend->entry.address,
+        [this, engine, guard = std::weak_ptr<bool>(this->alive)](
+            const absl::StatusOr<EngineState>& state) {
+          if (guard.expired()) {
+            return;
+          }
+          this->asked.erase(engine);
+          if (state.ok() && state->leaving) {
+            this->parts.backends.NoteLeaving(engine);
+          }
+        });
+  }
+}
+
 void Relay::BeginStop(std::int64_t ends_ms) { this->stop_ends_ms = ends_ms; }
 
 // Sessions end within their own calls, so they are destroyed a turn later.
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -48,6 +49,10 @@
   /// @brief An engine leaves: its streams go on elsewhere.
   void OnEngineLeaves(const Backend& engine);
 
+  /// @brief Asks the engines that have streams of this host whether they leave;
+  /// to be called again and again while the store can't tell.
+  void AskEngines();
+
   /// @brief A planned stop: from now on only requests that will have ended by
   /// `ends_ms` (monotonic) are taken.
   void BeginStop(std::int64_t ends_ms);
@@ -92,6 +97,7 @@
   std::vector<std::unique_ptr<Call>> ended_calls;
   std::vector<std::unique_ptr<StreamSession>> ended_streams;
   bool sweep_planned = false;
+  std::set<std::string> asked;  ///< engines whose answer is awaited
   std::int64_t stop_ends_ms = -1;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/relay/tests/departures_test.cc
+++ b/src/relay/tests/departures_test.cc
@@ -20,6 +20,8 @@
     this->dropped.emplace_back(handle);
   }
 
+  void ReadState(std::string_view, const StateDone&) override {}
+
   void Answer(MoveResult result, const std::string& handle = "") {
     const MoveDone done = this->waiting.front();
     this->waiting.pop_front();
--- a/src/relay/tests/retry_budgets_test.cc
+++ b/src/relay/tests/retry_budgets_test.cc
@@ -88,6 +88,17 @@
   cr_assert(f.Usable() == 0);
 }
 
+Test(a_server, that_says_itself_that_it_leaves_gets_nothing_new) {
+  Fixture f;
+  f.Set("a");
+  f.list.NoteLeaving("a");
+  cr_assert(f.Usable() == 0);
+  cr_assert(f.changes.back() == BackendChange::kLeaving);
+  // and its entry, written before, does not bring it back
+  f.Set("a");
+  cr_assert(f.Usable() == 0);
+}
+
 Test(an_address, that_another_life_took_over_is_the_living_ones) {
   Fixture f;
   f.Set("old");
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -55,6 +55,12 @@
 constexpr double kNoteDelayMs = 30.0;
 constexpr double kRateWindowMs = 10'000.0;
 constexpr std::int64_t kSpreadPeriodMs = 1'000;
+// While the store can't tell, engines are asked themselves. They stay for about
+// two seconds, and their word is half a second old.
+constexpr std::int64_t kAskPeriodMs = 300;
+// A view of the engines that nobody confirmed for this long: watches end after
+// three seconds at the latest, and peers tell it within one more.
+constexpr std::int64_t kSilentMs = 4'500;
 // Hosts that watch the store. A third of the hosts may lose it at once: with
 // four, or one in twelve where there are many, some still see it.
 constexpr std::ptrdiff_t kLeastWatchers = 4;
@@ -170,6 +176,7 @@
   bool IsWatcher() const;
   std::string MetricsText();
   void SpreadChoices();
+  bool IsStoreSilent() const;
   void ApplyBounds();
   void Every(std::int64_t period_ms, const std::function<void()>& task);
   void EndIfDrained();
@@ -313,6 +320,11 @@
   this->entries.Announce();
   this->Every(kRotatePeriodMs, [this] { this->metrics.Rotate(); });
   this->Every(kSpreadPeriodMs, [this] { this->SpreadChoices(); });
+  this->Every(kAskPeriodMs, [this] {
+    if (this->IsStoreSilent()) {
+      this->relay.AskEngines();
+    }
+  });
   this->Every(kDrainPeriodMs, [this] {
     this->relay.DrainQueue();
     this->EndIfDrained();
@@ -506,6 +518,18 @@
   return this->metrics.Text();
 }
 
+bool RelayHost::Parts::IsStoreSilent() const {
+  const std::string_view kind = this->kinds[1];
+  const std::vector<FeederState> states = this->feeder.States();
+  const bool stalled =
+      std::any_of(states.begin(), states.end(), [kind](const FeederState& one) {
+        return one.kind == kind && one.stalled;
+      });
+  const std::int64_t age_ms =
+      this->clock.WallMs() - this->view.Digest(kind).confirmed.unix_ms;
+  return stalled || age_ms > kSilentMs;
+}
+
 // How many streams other hosts have begun that are not told of yet: their rate,
 // taken to be this host's, over the time that a note takes. Where notes would
 // pass the bound of bytes, they wait for it.
--- a/tests/process/relay_fleet_test.cc
+++ b/tests/process/relay_fleet_test.cc
@@ -110,6 +110,25 @@
   cr_assert(fleet.FirstRuns("r-1") == 1 && fleet.Runs("r-1") == 2);
 }
 
+// Named for the finding on a drawn day of recogida: while the store was silent,
+// engines left without a word in it and took 23 reports with them.
+Test(a_stream,
+     goes_on_elsewhere_when_its_engine_leaves_while_the_store_is_down) {
+  const TestApplication application;
+  RelayFleet fleet(2, 3, 10);
+  fleet.Start();
+  EventCaller caller(fleet.Client());
+  caller.Ask(fleet.Stream(0, "r-1", 1'000));
+  cr_assert(WaitFor([&] { return caller.Events() > 20; }));
+  fleet.Control("faults", {{"down", true}});
+  const std::string first = fleet.EngineOf("r-1");
+  fleet.Control("drain", {{"id", first}, {"told", false}});
+  cr_assert(WaitFor([&] { return fleet.EngineOf("r-1") != first; }));
+  fleet.Control("die", {{"id", first}});
+  cr_assert(WaitFor([&] { return caller.IsOver(); }));
+  cr_assert(caller.IsWhole() && caller.Events() == 1'000);
+}
+
 Test(a_stream, whose_engine_dies_never_looks_whole) {
   const TestApplication application;
   RelayFleet fleet(1, 1, 10);
