--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -59,8 +59,8 @@
 // two seconds, and their word is half a second old.
 constexpr std::int64_t kAskPeriodMs = 300;
 // A view of the engines that nobody confirmed for this long: watches end after
-// three seconds at the latest, and peers tell it within one more.
-constexpr std::int64_t kSilentMs = 4'500;
+// a second and a half at the latest, and peers tell it within one more.
+constexpr std::int64_t kSilentMs = 3'000;
 // Hosts that watch the store. A third of the hosts may lose it at once: with
 // four, or one in twelve where there are many, some still see it.
 constexpr std::ptrdiff_t kLeastWatchers = 4;
@@ -86,13 +86,13 @@
   options.seed = seed;
   // A connection that a cut has silenced is noticed after a watch's wait: the
   // configuration has to be in force soon after the cut has healed.
-  options.wait_ms = 3'000;
+  options.wait_ms = 1'500;
   options.answer_margin_ms = 1'000;
   options.pace_ms = 20;
   options.most_backoff_ms = 800;
   options.idle_ms = 300;
   // A watch confirms a view at the latest when its wait is over.
-  options.self_watch_ms = 5'000;
+  options.self_watch_ms = 3'500;
   return options;
 }
 
