--- a/src/relay/backend_list.h
+++ b/src/relay/backend_list.h
@@ -20,7 +20,7 @@
   std::string service;
   std::string address;  ///< IP:PORT
   std::string zone;
-  int slots = 0;
+  int batch_slots = 0;
   bool leaving = false;
   std::int64_t slow_for_ms = 0;  ///< after this entry was read
   std::vector<std::string> models;
--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -26,7 +26,6 @@
 // this part of the time in which its first event is wanted.
 constexpr double kForceAfterPart = 0.3;
 constexpr std::int64_t kForceDefaultMs = 500;
-constexpr int kMostResumes = 12;
 constexpr int kOk = 200;
 constexpr int kFirstFailure = 500;
 constexpr std::string_view kEventStreamType = "text/event-stream";
@@ -411,127 +410,6 @@
                "the engine broke off", -1);
 }
 
-///////////////
-// Moving it
-///////////////
-
-bool StreamSession::MoveTo(const std::string& target) {
-  const Backend* const source = this->parts.backends.Find(this->engine);
-  const Backend* const to = this->parts.backends.Find(target);
-  if (this->phase != StreamPhase::kStreaming || this->move != nullptr ||
-      this->resumes >= kMostResumes || source == nullptr || to == nullptr) {
-    return false;
-  }
-  MovePlan plan;
-  plan.run = this->request.id;
-  plan.source_address = source->entry.address;
-  plan.target = target;
-  plan.target_address = to->entry.address;
-  plan.memory_tokens = this->MemoryTokens();
-  // The copy takes memory there from the first order on.
-  WorkItem copy = this->MakeWork();
-  copy.request = this->CopyName();
-  copy.prompt_tokens = plan.memory_tokens;
-  this->stream_parts.fleet.NoteSent(copy, target, this->parts.clock.WallMs());
-  this->move = std::make_unique<RunMove>(this->control, this->parts.clock,
-                                         *this, std::move(plan));
-  this->move->Begin();
-  return true;
-}
-
-void StreamSession::OnMoveReady(const Continuation& continuation,
-                                const std::string& target) {
-  Continuation from = continuation;
-  from.last_event = this->last_id;
-  ++this->resumes;
-  this->DropCopyNote();
-  this->old_moves.push_back(std::move(this->move));
-  const std::string& at = target.empty() ? this->engine : target;
-  const Backend* const backend = this->parts.backends.Find(at);
-  if (backend == nullptr) {
-    this->BreakOff("the engine that holds the copy is gone");
-    return;
-  }
-  LogLine("move-resumes")
-      .Add("request", this->request.id)
-      .Add("engine", at)
-      .Add("after_event", this->last_id)
-      .Write();
-  if (this->noted && at != this->engine) {
-    this->stream_parts.fleet.NoteMoved(this->request.id, at,
-                                       this->parts.clock.WallMs());
-  }
-  this->Send(*backend, from);
-}
-
-void StreamSession::OnMoveOver(MoveEnd end) {
-  this->DropCopyNote();
-  this->old_moves.push_back(std::move(this->move));
-  if (this->held_end.has_value()) {
-    // Its stream has ended and nothing is there to go on with.
-    const HttpEnd held = *this->held_end;
-    this->held_end.reset();
-    this->OnBroken(held);
-    return;
-  }
-  LogLine("move-over")
-      .Add("request", this->request.id)
-      .Add("engine", this->engine)
-      .Add("end", static_cast<int>(end))
-      .WriteImportant();
-}
-
-std::string StreamSession::CopyName() const {
-  return absl::StrCat("copy/", this->request.id);
-}
-
-void StreamSession::DropCopyNote() {
-  this->stream_parts.fleet.NoteEnded(this->CopyName(), StreamEnd::kCut,
-                                     this->parts.clock.WallMs());
-}
-
-// The engine that should go on did not: the source has stopped and keeps the
-// memory for some seconds.
-void StreamSession::OnResumeFailed(const HttpEnd& end, AnswerMeaning read) {
-  const bool not_run =
-      !end.request_may_have_left ||
-      (end.status.ok() && (read == AnswerMeaning::kNotRun ||
-                           read == AnswerMeaning::kOtherInstance));
-  LogLine("resume-failed")
-      .Add("request", this->request.id)
-      .Add("engine", this->engine)
-      .Add("status", end.http_status)
-      .Add("not_run", not_run ? "yes" : "no")
-      .Add("why", std::string{end.status.message()})
-      .WriteImportant();
-  if (not_run && this->ResumeAtSource()) {
-    return;
-  }
-  this->LeaveEngine(AttemptResult::kFailed);
-  this->BreakOff("the run could not go on");
-}
-
-bool StreamSession::ResumeAtSource() {
-  const std::string& source = this->resumed_from->source;
-  const Backend* const now_at = this->parts.backends.Find(this->engine);
-  if (this->resumes >= kMostResumes || now_at == nullptr ||
-      now_at->entry.address == source) {
-    return false;
-  }
-  const Backend* const back = this->parts.backends.FindAddress(source);
-  if (back == nullptr) {
-    return false;
-  }
-  ++this->resumes;
-  const Continuation from = *this->resumed_from;
-  if (this->noted) {
-    this->stream_parts.fleet.NoteMoved(this->request.id, back->entry.id,
-                                       this->parts.clock.WallMs());
-  }
-  this->Send(*back, from);
-  return true;
-}
-
 ///////////
 // Ending
 ///////////
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -1,6 +1,5 @@
 #include "serve/relay_host.h"
 
-#include <glog/logging.h>
 #include <xxhash.h>
 
 #include <QCoreApplication>
@@ -32,15 +31,11 @@
 #include "serve/load_notes.h"
 #include "serve/relay_metrics.h"
 #include "serve/steady_clock.h"
-#include "serve/termination.h"
+#include "serve/text_service.h"
 
 namespace meadowthread {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kUnavailable = 503;
-constexpr int kNotFound = 404;
-constexpr int kExitUsage = 2;
 constexpr std::string_view kMetricsPath = "/metrics";
 constexpr std::int64_t kRotatePeriodMs = 60'000;
 // Of a node's 29 KB a second for control, what the exchange's calls leave.
@@ -107,54 +102,6 @@
   return {settings.retries.per_request, settings.retries.extra};
 }
 
-void SendText(ResponseWriter& writer, int http_status, std::string_view text) {
-  WholeResponse response;
-  response.http_status = http_status;
-  response.content_type = "text/plain";
-  response.body = std::string(text);
-  writer.SendWhole(response);
-}
-
-/// @brief Answers the balancer's question.
-class ReadyService final : public HttpService {
- public:
-  ReadyService(std::string_view path, std::function<bool()> is_ready)
-      : path(path), is_ready(std::move(is_ready)) {}
-
-  void Serve(const ServerRequest& request,
-             std::unique_ptr<ResponseWriter> writer) override {
-    if (request.path != this->path) {
-      SendText(*writer, kNotFound, "not found\n");
-      return;
-    }
-    const bool ready = this->is_ready();
-    SendText(*writer, ready ? kOk : kUnavailable,
-             ready ? "ready\n" : "not ready\n");
-  }
-
- private:
-  std::string path;
-  std::function<bool()> is_ready;
-};
-
-/// @brief Tells a text at one path.
-class TextService final : public HttpService {
- public:
-  TextService(std::string_view path, std::function<std::string()> text)
-      : path(path), text(std::move(text)) {}
-
-  void Serve(const ServerRequest& request,
-             std::unique_ptr<ResponseWriter> writer) override {
-    const bool found = request.path == this->path;
-    SendText(*writer, found ? kOk : kNotFound,
-             found ? this->text() : "not found\n");
-  }
-
- private:
-  std::string path;
-  std::function<std::string()> text;
-};
-
 }  // namespace
 
 /// @brief The slices of one host, in the order in which they depend on each
@@ -643,38 +590,4 @@
   this->parts->Reload(settings);
 }
 
-int RunRelay(const RelaySettings& settings, std::string_view settings_file,
-             RelayPlatform& platform) {
-  int argument_count = 1;
-  char program[] = "meadowthread";
-  char* arguments[] = {program, nullptr};
-  QCoreApplication application(argument_count, arguments);
-  std::unique_ptr<RelayHost> host;
-  const Termination termination(
-      [&host] {
-        if (host != nullptr) {
-          host->Stop();
-        }
-      },
-      [&host, settings_file] {
-        const ParsedRelaySettings read = LoadRelaySettings(settings_file);
-        if (host == nullptr || !read.IsValid()) {
-          LOG(ERROR) << "event=reload-refused why=" << read.Status().message();
-          return;
-        }
-        host->Reload(read.settings);
-      });
-  host = std::make_unique<RelayHost>(settings, platform);
-  const absl::Status started = host->Start();
-  if (!started.ok()) {
-    LOG(ERROR) << "event=start-failed step=" << DetailOf(started).step
-               << " peer=" << DetailOf(started).peer
-               << " why=" << started.message();
-    return kExitUsage;
-  }
-  const int code = QCoreApplication::exec();
-  host.reset();
-  return code;
-}
-
 }  // namespace meadowthread
