--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -256,7 +256,7 @@
     }
   }
   if (this->settings.listen.metrics_port > 0) {
-    const absl::Status told =
+    absl::Status told =
         listen(this->metrics_server, this->settings.listen.metrics_port);
     if (!told.ok()) {
       return told;
