Reading the whole change: three pieces of logic that stood twice

Cause: the deadline of a request, the ranking of scored engines and the start of a host's event loop were each written twice with the relay. Change: DeadlineMs, detail::RankNear, detail::StartAndRun; RunRuleName beside its type. No behaviour changes.

--- a/src/policy/chooser.h
+++ b/src/policy/chooser.h
@@ -1,6 +1,8 @@
 #ifndef MEADOWTHREAD_POLICY_CHOOSER_H_
 #define MEADOWTHREAD_POLICY_CHOOSER_H_
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -65,6 +67,22 @@
 /// @brief A decision without an engine.
 Decision NoEngine(DecisionReason reason, std::int64_t retry_after_ms);
 
+/// @brief Sorts what was scored, best first: what fits, then what costs less.
+/// @return how many at the front are as good as the best within `near_equal`
+/// @complexity O(n log n)
+template <typename Scored>
+std::size_t RankNear(std::vector<Scored>& scored, double near_equal) {
+  std::sort(scored.begin(), scored.end(), [](const Scored& a, const Scored& b) {
+    return a.fits != b.fits ? a.fits : a.cost < b.cost;
+  });
+  std::size_t near = 0;
+  while (near < scored.size() && scored[near].fits == scored[0].fits &&
+         scored[near].cost <= scored[0].cost + near_equal) {
+    ++near;
+  }
+  return near;
+}
+
 /// @brief Sets NotServed or NoneUsable by what serves the work.
 Decision NothingUsable(const WorkItem& work, const FleetState& fleet);
 
--- a/src/policy/memory_aware_chooser.cc
+++ b/src/policy/memory_aware_chooser.cc
@@ -133,14 +133,7 @@
                                      const FleetState& fleet,
                                      std::vector<Scored>& scored,
                                      std::uint64_t random) const {
-  std::sort(scored.begin(), scored.end(), [](const Scored& a, const Scored& b) {
-    return a.fits != b.fits ? a.fits : a.cost < b.cost;
-  });
-  std::size_t near = 0;
-  while (near < scored.size() && scored[near].fits == scored[0].fits &&
-         scored[near].cost <= scored[0].cost + kNearEqual) {
-    ++near;
-  }
+  const std::size_t near = detail::RankNear(scored, kNearEqual);
   std::swap(scored[0], scored[random % near]);
   Decision decision;
   const std::size_t shown = std::min(scored.size(), kExplained);
--- a/src/policy/pressure_chooser.cc
+++ b/src/policy/pressure_chooser.cc
@@ -65,14 +65,7 @@
 Decision PressureChooser::Pick(const WorkItem& work, const FleetState& fleet,
                                std::vector<Scored>& scored,
                                std::uint64_t random) const {
-  std::sort(scored.begin(), scored.end(), [](const Scored& a, const Scored& b) {
-    return a.fits != b.fits ? a.fits : a.cost < b.cost;
-  });
-  std::size_t near = 0;
-  while (near < scored.size() && scored[near].fits == scored[0].fits &&
-         scored[near].cost <= scored[0].cost + this->options.near_equal) {
-    ++near;
-  }
+  std::size_t near = detail::RankNear(scored, this->options.near_equal);
   // Hosts that see the same state a moment late would all send to the same
   // best engine before any of them hears of the others.
   const auto spread = static_cast<std::size_t>(std::lround(this->unseen)) + 1;
--- a/src/relay/call_session.cc
+++ b/src/relay/call_session.cc
@@ -101,12 +101,7 @@
       terms(std::move(terms)),
       done(std::move(done)),
       begun_ms(parts.clock.MonotonicMs()) {
-  std::int64_t limit_ms =
-      this->terms.timeout_ms > 0 ? this->terms.timeout_ms : kDefaultLimitMs;
-  if (this->request.allowed_ms > 0) {
-    limit_ms = std::min(limit_ms, this->request.allowed_ms);
-  }
-  this->deadline_ms = this->request.begun_ms + limit_ms;
+  this->deadline_ms = DeadlineMs(this->request, this->terms, kDefaultLimitMs);
 }
 
 CallSession::~CallSession() = default;
--- a/src/relay/plan_in_force.cc
+++ b/src/relay/plan_in_force.cc
@@ -45,18 +45,6 @@
 
 }  // namespace
 
-std::string_view RunRuleName(RunRule rule) {
-  switch (rule) {
-    case RunRule::kRepeatable:
-      return "repeatable";
-    case RunRule::kOnce:
-      return "once";
-    case RunRule::kStream:
-      return "stream";
-  }
-  return "once";
-}
-
 /// @brief A plan with its tables; they point into it.
 struct PlanInForce::Index {
   ServicePlan plan;
--- /dev/null
+++ b/src/relay/relay_request.cc
@@ -0,0 +1,29 @@
+#include "relay/relay_request.h"
+
+#include <algorithm>
+
+namespace meadowthread {
+
+std::string_view RunRuleName(RunRule rule) {
+  switch (rule) {
+    case RunRule::kRepeatable:
+      return "repeatable";
+    case RunRule::kOnce:
+      return "once";
+    case RunRule::kStream:
+      return "stream";
+  }
+  return "once";
+}
+
+std::int64_t DeadlineMs(const RelayRequest& request, const RelayTerms& terms,
+                        std::int64_t default_limit_ms) {
+  std::int64_t limit_ms =
+      terms.timeout_ms > 0 ? terms.timeout_ms : default_limit_ms;
+  if (request.allowed_ms > 0) {
+    limit_ms = std::min(limit_ms, request.allowed_ms);
+  }
+  return request.begun_ms + limit_ms;
+}
+
+}  // namespace meadowthread
--- a/src/relay/relay_request.h
+++ b/src/relay/relay_request.h
@@ -61,6 +61,12 @@
   std::string version;                 ///< of the configuration, for logs
 };
 
+/// @brief Until when a request may be held, monotonic: the shorter of what its
+/// route and its caller allow.
+/// @param[in] default_limit_ms for a route that sets no limit
+std::int64_t DeadlineMs(const RelayRequest& request, const RelayTerms& terms,
+                        std::int64_t default_limit_ms);
+
 }  // namespace meadowthread
 
 #endif  // MEADOWTHREAD_RELAY_RELAY_REQUEST_H_
--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -12,6 +12,8 @@
 namespace meadowthread {
 namespace {
 
+// A caller that tells no limit, on a route without one: streams of the longest
+// answers take most of a minute.
 constexpr std::int64_t kDefaultLimitMs = 60'000;
 constexpr std::int64_t kConnectMs = 250;
 constexpr int kMostUnreachable = 3;
@@ -55,12 +57,7 @@
       ended(std::move(ended)),
       cutter(kMostEventBytes),
       begun_ms(parts.clock.MonotonicMs()) {
-  std::int64_t limit_ms =
-      this->terms.timeout_ms > 0 ? this->terms.timeout_ms : kDefaultLimitMs;
-  if (this->request.allowed_ms > 0) {
-    limit_ms = std::min(limit_ms, this->request.allowed_ms);
-  }
-  this->deadline_ms = this->request.begun_ms + limit_ms;
+  this->deadline_ms = DeadlineMs(this->request, this->terms, kDefaultLimitMs);
 }
 
 StreamSession::~StreamSession() { this->CancelCall(); }
--- /dev/null
+++ b/src/serve/detail/start_and_run.h
@@ -0,0 +1,35 @@
+#ifndef MEADOWTHREAD_SERVE_DETAIL_START_AND_RUN_H_
+#define MEADOWTHREAD_SERVE_DETAIL_START_AND_RUN_H_
+
+#include <glog/logging.h>
+
+#include <QCoreApplication>
+#include <memory>
+
+#include "base/error.h"
+
+namespace meadowthread::detail {
+
+/// @brief The exit code of a process whose settings or start were refused.
+inline constexpr int kExitUsage = 2;
+
+/// @brief Starts a host and runs the event loop until it ends; the host is gone
+/// before this returns, while the loop's objects still stand.
+/// @return the process's exit code
+template <typename Host>
+int StartAndRun(std::unique_ptr<Host>& host) {
+  const absl::Status started = host->Start();
+  if (!started.ok()) {
+    LOG(ERROR) << "event=start-failed step=" << DetailOf(started).step
+               << " peer=" << DetailOf(started).peer
+               << " why=" << started.message();
+    return kExitUsage;
+  }
+  const int code = QCoreApplication::exec();
+  host.reset();
+  return code;
+}
+
+}  // namespace meadowthread::detail
+
+#endif  // MEADOWTHREAD_SERVE_DETAIL_START_AND_RUN_H_
--- a/src/serve/run_relay.cc
+++ b/src/serve/run_relay.cc
@@ -2,16 +2,11 @@
 
 #include <QCoreApplication>
 
-#include "base/error.h"
+#include "serve/detail/start_and_run.h"
 #include "serve/relay_host.h"
 #include "serve/termination.h"
 
 namespace meadowthread {
-namespace {
-
-constexpr int kExitUsage = 2;
-
-}  // namespace
 
 int RunRelay(const RelaySettings& settings, std::string_view settings_file,
              RelayPlatform& platform) {
@@ -35,16 +30,7 @@
         host->Reload(read.settings);
       });
   host = std::make_unique<RelayHost>(settings, platform);
-  const absl::Status started = host->Start();
-  if (!started.ok()) {
-    LOG(ERROR) << "event=start-failed step=" << DetailOf(started).step
-               << " peer=" << DetailOf(started).peer
-               << " why=" << started.message();
-    return kExitUsage;
-  }
-  const int code = QCoreApplication::exec();
-  host.reset();
-  return code;
+  return detail::StartAndRun(host);
 }
 
 }  // namespace meadowthread
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -4,14 +4,13 @@
 
 #include <QCoreApplication>
 
-#include "base/error.h"
+#include "serve/detail/start_and_run.h"
 #include "serve/host_process.h"
 #include "serve/termination.h"
 
 namespace meadowthread {
 namespace {
 
-constexpr int kExitUsage = 2;
 constexpr int kNoStopAsked = 0;
 
 }  // namespace
@@ -32,19 +31,10 @@
   const absl::StatusOr<SecretKeys> keys = ReadSecretKeys(settings);
   if (!keys.ok()) {
     LOG(ERROR) << keys.status().message();
-    return kExitUsage;
+    return detail::kExitUsage;
   }
   host = std::make_unique<HostProcess>(settings, *keys);
-  const absl::Status started = host->Start();
-  if (!started.ok()) {
-    LOG(ERROR) << "event=start-failed step=" << DetailOf(started).step
-               << " peer=" << DetailOf(started).peer
-               << " why=" << started.message();
-    return kExitUsage;
-  }
-  const int code = QCoreApplication::exec();
-  host.reset();
-  return code;
+  return detail::StartAndRun(host);
 }
 
 }  // namespace meadowthread
