--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -48,6 +48,9 @@
 constexpr double kNotesPerStream = 3.0;
 // Until a change is told at all: a step of the notes' timer and the way.
 constexpr double kNoteDelayMs = 30.0;
+// Streams begin in bursts, so notes are taken to wait from a quarter of the
+// bound of bytes on. A guess: only the whole of the spreading was measured.
+constexpr double kNotesBoundFactor = 4.0;
 constexpr double kRateWindowMs = 10'000.0;
 constexpr std::int64_t kSpreadPeriodMs = 1'000;
 // While the store can't tell, engines are asked themselves. They stay for about
@@ -71,6 +74,8 @@
 constexpr std::int64_t kMsPerSecond = 1'000;
 // Descriptors kept for listeners, the store, peers and files.
 constexpr int kKeptDescriptors = 400;
+// A host with fewer descriptors still serves a few callers.
+constexpr int kLeastConnections = 16;
 // Of the memory, for requests that are not whole yet.
 constexpr std::int64_t kHeldMemoryPart = 5;
 constexpr std::int64_t kMebibyte = std::int64_t{1} << 20;
@@ -493,7 +498,8 @@
   constexpr double kAllowedPerMs =
       static_cast<double>(kDatagramBytesPerSecond) / kMsPerSecond;
   const double delay_ms =
-      kNoteDelayMs * std::max(1.0, 4.0 * bytes_per_ms / kAllowedPerMs);
+      kNoteDelayMs *
+      std::max(1.0, kNotesBoundFactor * bytes_per_ms / kAllowedPerMs);
   this->chooser.SetUnseen(per_ms * peers * delay_ms);
 }
 
@@ -505,7 +511,7 @@
   ServerLimits limits;
   const RelayBoundSettings& bounds = this->settings.bounds;
   limits.max_connections = static_cast<std::size_t>(
-      std::max(16, (bounds.descriptors - kKeptDescriptors) / 2));
+      std::max(kLeastConnections, (bounds.descriptors - kKeptDescriptors) / 2));
   limits.max_held_bytes = bounds.memory_mb * kMebibyte / kHeldMemoryPart;
   if (const ServicePlan* const in_force = this->plan.Plan()) {
     const CallerBounds& told = in_force->bounds;
