policy: streams are put on and taken off engines in one place; ended ones stay bounded

Cause: sending, moving and ending each kept the same counts by themselves, and the freshness of a peer's word stood five times. Ended streams were dropped only where a report of the engine came; engines of the users' platform send none, so the list grew by 16 bytes a stream for as long as the engine lived. Change: Attach, Detach, IsFresh, HeldBy, DropOldEnded. Test: a_fleet_state::keeps_no_old_streams_of_an_engine_that_never_reports, which failed with the drop at a stream's end taken out.

--- a/src/policy/fleet_state.cc
+++ b/src/policy/fleet_state.cc
@@ -187,23 +187,16 @@
   if (found == this->by_name.end()) {
     return;
   }
-  Engine& target = *this->engines[found->second];
   auto stream = std::make_unique<Stream>();
   stream->request = work.request;
   stream->key = LengthKeyOf(work);
   stream->curve = this->lengths.CurveOf(stream->key);
   stream->outlook = {work.prompt_tokens, 0, work.max_output_tokens};
-  stream->sent_ms = now_ms;
-  stream->noted_ms = now_ms;
-  const auto position = static_cast<std::uint32_t>(target.streams.size());
-  this->streams[work.request] = StreamPlace{found->second, position};
-  target.view.own_kv += work.prompt_tokens;
-  ++target.view.own_in_flight;
-  ++target.view.own_since_report;
+  Engine& target = *this->engines[found->second];
   if (target.cached_ms >= 0) {
     target.cached.AddStream(stream->outlook, *stream->curve);
   }
-  target.streams.push_back(std::move(stream));
+  this->Attach(std::move(stream), found->second, now_ms);
   this->prefixes.Stored(work.prefix_hash, found->second);
 }
 
@@ -227,26 +220,9 @@
   if (found == this->streams.end() || target == this->by_name.end()) {
     return;
   }
-  const StreamPlace place = found->second;
-  Engine& from = *this->engines[place.engine];
-  std::unique_ptr<Stream> stream = std::move(from.streams[place.position]);
-  const std::int64_t held =
-      stream->outlook.prompt_tokens + stream->outlook.generated;
-  from.ended.push_back({now_ms, held});
-  from.view.own_kv -= held;
-  --from.view.own_in_flight;
-  from.cached_ms = -1;
-  this->RemoveStream(from, place.position);
-  Engine& to = *this->engines[target->second];
-  stream->sent_ms = now_ms;
-  stream->noted_ms = now_ms;
-  found->second = {target->second,
-                   static_cast<std::uint32_t>(to.streams.size())};
-  to.view.own_kv += held;
-  ++to.view.own_in_flight;
-  ++to.view.own_since_report;
-  to.cached_ms = -1;
-  to.streams.push_back(std::move(stream));
+  std::unique_ptr<Stream> stream = this->Detach(found->second, now_ms);
+  this->engines[target->second]->cached_ms = -1;
+  this->Attach(std::move(stream), target->second, now_ms);
 }
 
 void FleetState::NoteEnded(std::string_view request, StreamEnd end,
@@ -255,20 +231,40 @@
   if (found == this->streams.end()) {
     return;
   }
-  const StreamPlace place = found->second;
+  const std::unique_ptr<Stream> stream = this->Detach(found->second, now_ms);
   this->streams.erase(found);
-  Engine& engine = *this->engines[place.engine];
-  const Stream& stream = *engine.streams[place.position];
-  const std::int64_t held =
-      stream.outlook.prompt_tokens + stream.outlook.generated;
   if (end == StreamEnd::kComplete) {
-    this->lengths.Observe(stream.key, stream.outlook.generated);
+    this->lengths.Observe(stream->key, stream->outlook.generated);
   }
+}
+
+void FleetState::Attach(std::unique_ptr<Stream> stream, EngineIndex to,
+                        std::int64_t now_ms) {
+  Engine& engine = *this->engines[to];
+  stream->sent_ms = now_ms;
+  stream->noted_ms = now_ms;
+  this->streams[stream->request] =
+      StreamPlace{to, static_cast<std::uint32_t>(engine.streams.size())};
+  engine.view.own_kv += HeldBy(*stream);
+  ++engine.view.own_in_flight;
+  ++engine.view.own_since_report;
+  engine.streams.push_back(std::move(stream));
+}
+
+// Where no report of the engine ever comes, what ended there long ago is
+// dropped here.
+std::unique_ptr<FleetState::Stream> FleetState::Detach(StreamPlace place,
+                                                       std::int64_t now_ms) {
+  Engine& engine = *this->engines[place.engine];
+  std::unique_ptr<Stream> stream = std::move(engine.streams[place.position]);
+  const std::int64_t held = HeldBy(*stream);
+  DropOldEnded(engine, now_ms);
   engine.ended.push_back({now_ms, held});
   engine.view.own_kv -= held;
   --engine.view.own_in_flight;
   engine.cached_ms = -1;
   this->RemoveStream(engine, place.position);
+  return stream;
 }
 
 void FleetState::RemoveStream(Engine& engine, std::uint32_t position) {
@@ -280,6 +276,16 @@
   list.pop_back();
 }
 
+void FleetState::DropOldEnded(Engine& engine, std::int64_t now_ms) {
+  std::erase_if(engine.ended, [now_ms](const EndedStream& ended) {
+    return ended.ended_ms + kEndedKeptMs < now_ms;
+  });
+}
+
+std::int64_t FleetState::HeldBy(const Stream& stream) {
+  return stream.outlook.prompt_tokens + stream.outlook.generated;
+}
+
 std::int64_t FleetState::OwnReading(const Engine& engine) {
   std::int64_t tokens = 0;
   for (const auto& stream : engine.streams) {
@@ -311,7 +317,7 @@
     return;
   }
   std::erase_if(engine->peers, [&](const PeerLoad& known) {
-    return known.as_of_unix_ms + this->options.peer_age_ms < now_ms;
+    return !this->IsFresh(known, now_ms);
   });
   engine->cached_ms = -1;
   for (PeerLoad& known : engine->peers) {
@@ -325,6 +331,10 @@
   engine->peers.push_back(load);
 }
 
+bool FleetState::IsFresh(const PeerLoad& load, std::int64_t now_ms) const {
+  return load.as_of_unix_ms + this->options.peer_age_ms >= now_ms;
+}
+
 std::vector<PeerLoad> FleetState::OwnLoad(std::string_view self,
                                           std::int64_t now_ms) {
   std::vector<PeerLoad> loads;
@@ -415,7 +425,7 @@
   int unexplained = engine.others_running;
   std::int64_t unexplained_kv = engine.others_kv;
   for (const PeerLoad& peer : engine.peers) {
-    if (peer.as_of_unix_ms + this->options.peer_age_ms < now_ms) {
+    if (!this->IsFresh(peer, now_ms)) {
       continue;
     }
     forecast.AddScaled(peer.forecast, 1.0F);
@@ -441,7 +451,7 @@
   const Engine& engine = *this->engines[index];
   std::int64_t tokens = OwnReading(engine);
   for (const PeerLoad& peer : engine.peers) {
-    if (peer.as_of_unix_ms + this->options.peer_age_ms >= now_ms) {
+    if (this->IsFresh(peer, now_ms)) {
       tokens += peer.reading;
     }
   }
@@ -456,8 +466,7 @@
     return peers;
   }
   for (const PeerLoad& peer : this->engines[found->second]->peers) {
-    if (peer.as_of_unix_ms + this->options.peer_age_ms >= now_ms &&
-        peer.in_flight > 0) {
+    if (this->IsFresh(peer, now_ms) && peer.in_flight > 0) {
       peers.push_back(peer);
     }
   }
@@ -468,7 +477,7 @@
   const Engine& engine = *this->engines[index];
   int told = 0;
   for (const PeerLoad& peer : engine.peers) {
-    if (peer.as_of_unix_ms + this->options.peer_age_ms >= now_ms) {
+    if (this->IsFresh(peer, now_ms)) {
       told += peer.in_flight;
     }
   }
@@ -531,9 +540,7 @@
 
 void FleetState::TakeOwnOut(Engine& engine, std::int64_t now_ms) const {
   const std::int64_t as_of = engine.view.reported_unix_ms;
-  std::erase_if(engine.ended, [&](const EndedStream& ended) {
-    return ended.ended_ms + kEndedKeptMs < now_ms;
-  });
+  DropOldEnded(engine, now_ms);
   int own = 0;
   std::int64_t own_kv = 0;
   int since = 0;
--- a/src/policy/fleet_state.h
+++ b/src/policy/fleet_state.h
@@ -190,7 +190,13 @@
   static std::int64_t OwnReading(const Engine& engine);
   void TakeOwnOut(Engine& engine, std::int64_t now_ms) const;
   void IndexModels(EngineIndex index, const std::vector<ServedModel>& models);
+  void Attach(std::unique_ptr<Stream> stream, EngineIndex to,
+              std::int64_t now_ms);
+  std::unique_ptr<Stream> Detach(StreamPlace place, std::int64_t now_ms);
   void RemoveStream(Engine& engine, std::uint32_t position);
+  static void DropOldEnded(Engine& engine, std::int64_t now_ms);
+  static std::int64_t HeldBy(const Stream& stream);
+  bool IsFresh(const PeerLoad& load, std::int64_t now_ms) const;
   void AddOthers(const Engine& engine, std::int64_t now_ms,
                  MemoryForecast& forecast) const;
 
--- a/src/policy/string_map.h
+++ b/src/policy/string_map.h
@@ -8,6 +8,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
+#include "base/absl_view.h"
 
 namespace meadowthread {
 
@@ -17,8 +18,7 @@
 struct StringViewHash {
   using is_transparent = void;
   std::size_t operator()(std::string_view text) const {
-    return absl::Hash<absl::string_view>()(
-        absl::string_view(text.data(), text.size()));
+    return absl::Hash<absl::string_view>()(AbslView(text));
   }
 };
 
--- a/src/policy/tests/fleet_state_test.cc
+++ b/src/policy/tests/fleet_state_test.cc
@@ -1,6 +1,7 @@
 #include "policy/fleet_state.h"
 
 #include <criterion/criterion.h>
+#include <malloc.h>
 
 #include <array>
 #include <string>
@@ -50,6 +51,25 @@
   cr_assert(fleet.state.View(0).own_in_flight == 0);
 }
 
+// Large blocks are counted apart from the others.
+std::size_t BytesInUse() {
+  const auto info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+// Ended streams were kept until a report came, and some engines send none.
+Test(a_fleet_state, keeps_no_old_streams_of_an_engine_that_never_reports) {
+  Fleet fleet(1);
+  constexpr int kStreams = 200'000;
+  constexpr std::size_t kAllowedBytes = 1'000'000;
+  const std::size_t before = BytesInUse();
+  for (int i = 0; i < kStreams; ++i) {
+    fleet.state.NoteSent(Work("a"), "e0", i);
+    fleet.state.NoteEnded("a", StreamEnd::kCut, i);
+  }
+  cr_assert(BytesInUse() < before + kAllowedBytes);
+}
+
 Test(a_fleet_state, passes_over_a_report_older_than_the_last) {
   Fleet fleet(1);
   LoadReport report = ReportOf(0, 100);
