--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "absl/strings/cord.h"
+#include "base/absl_view.h"
 #include "base/error_json.h"
 #include "nlohmann/json.hpp"
 
@@ -52,7 +53,7 @@
 
 absl::Status MakeError(absl::StatusCode code, const ErrorDetail& detail,
                        std::string_view message) {
-  absl::Status status(code, absl::string_view(message.data(), message.size()));
+  absl::Status status(code, AbslView(message));
   status.SetPayload(kPayloadUrl, absl::Cord(Encode(detail)));
   return status;
 }
--- a/src/base/json_fields.cc
+++ b/src/base/json_fields.cc
@@ -75,6 +75,12 @@
                                                 : std::string(fallback);
 }
 
+bool BoolOr(const json& object, std::string_view field, bool fallback) {
+  const json* value = Find(object, field);
+  return value != nullptr && value->is_boolean() ? value->get<bool>()
+                                                 : fallback;
+}
+
 std::int64_t IntOr(const json& object, std::string_view field,
                    std::int64_t fallback) {
   const json* value = Find(object, field);
--- a/src/base/json_fields.h
+++ b/src/base/json_fields.h
@@ -37,6 +37,10 @@
 std::string StringOr(const nlohmann::json& object, std::string_view field,
                      std::string_view fallback);
 
+/// @brief A boolean field, or `fallback` where it is missing or no boolean.
+bool BoolOr(const nlohmann::json& object, std::string_view field,
+            bool fallback);
+
 /// @brief An integer field, or `fallback` where it is missing or no integer.
 std::int64_t IntOr(const nlohmann::json& object, std::string_view field,
                    std::int64_t fallback);
--- /dev/null
+++ b/src/base/tests/lifetime_test.cc
@@ -0,0 +1,44 @@
+#include "base/lifetime.h"
+
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <memory>
+
+namespace meadowthread {
+namespace {
+
+class Owner {
+ public:
+  explicit Owner(int& calls) : calls(calls) {}
+
+  std::function<void(int)> Callback() {
+    return this->life.Guarded([this](int by) { this->calls += by; });
+  }
+
+ private:
+  int& calls;
+  Lifetime life;
+};
+
+Test(a_guarded_callback, runs_while_its_owner_lives) {
+  int calls = 0;
+  Owner owner(calls);
+  const auto told = owner.Callback();
+  told(1);
+  told(2);
+  cr_assert(calls == 3);
+}
+
+Test(a_guarded_callback, does_nothing_after_its_owner) {
+  int calls = 0;
+  auto owner = std::make_unique<Owner>(calls);
+  const auto told = owner->Callback();
+  // when the owner goes
+  owner.reset();
+  told(1);
+  cr_assert(calls == 0);
+}
+
+}  // namespace
+}  // namespace meadowthread
--- a/src/claims/shard_view.h
+++ b/src/claims/shard_view.h
@@ -43,7 +43,6 @@
 
   /// @brief The version of the head; 0: none exists yet.
   std::int64_t Version() const { return this->version; }
-  bool Known() const { return this->known; }
   const ClaimSegment& Head() const { return this->head; }
   const ClaimIndex& Index() const { return this->index; }
 
--- a/src/cli/log_reader.cc
+++ b/src/cli/log_reader.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "base/absl_view.h"
 
 namespace meadowthread {
 namespace {
@@ -38,8 +39,8 @@
 /// The time of glog's prefix ("I1202 14:30:25.123456 77 file.cc:3] "), which
 /// may stand behind something else, such as a process's name.
 std::string ReadTime(std::string_view prefix) {
-  const std::vector<std::string> words = absl::StrSplit(
-      absl::string_view(prefix.data(), prefix.size()), ' ', absl::SkipEmpty());
+  const std::vector<std::string> words =
+      absl::StrSplit(AbslView(prefix), ' ', absl::SkipEmpty());
   for (std::size_t i = 0; i + 1 < words.size(); ++i) {
     if (IsLevelAndDate(words[i])) {
       const std::string date = words[i].substr(words[i].size() - kShortDate);
--- a/src/cli/qt_platform.cc
+++ b/src/cli/qt_platform.cc
@@ -11,6 +11,7 @@
 #include "base/error.h"
 #include "cli/await.h"
 #include "exchange/rpc_client.h"
+#include "net/http_code.h"
 #include "net/pooled_client.h"
 #include "net/qt_scheduler.h"
 #include "store/http_object_store.h"
@@ -22,7 +23,6 @@
 constexpr std::size_t kStatusLimitBytes = std::size_t{1024} * 1024;
 constexpr std::int64_t kConnectTimeoutMs = 1000;
 constexpr int kRpcThreads = 16;
-constexpr int kHttpOk = 200;
 /// How much longer to wait than the calls' own limits, so that they answer.
 constexpr std::int64_t kWaitMarginMs = 500;
 
@@ -53,7 +53,7 @@
   if (!fetched.end.status.ok()) {
     return fetched.end.status;
   }
-  if (fetched.response.http_status != kHttpOk) {
+  if (fetched.response.http_status != http_code::kOk) {
     return PeerError(
         ErrorId::kRejectedByPeer, step, peer,
         absl::StrCat("answered HTTP status ", fetched.response.http_status));
--- a/src/cli/status_report.cc
+++ b/src/cli/status_report.cc
@@ -154,9 +154,7 @@
   HostStatus status;
   status.host = std::string(host);
   status.incarnation = TextOf(*object, "incarnation");
-  const auto ready = object->find("ready");
-  status.ready =
-      ready != object->end() && ready->is_boolean() && ready->get<bool>();
+  status.ready = BoolOr(*object, "ready", false);
   status.configuration_revision = IntOr(*object, "configuration_revision", 0);
   status.confirmed_unix_ms = IntOr(*object, "confirmed_unix_ms", 0);
   status.confirmed_by = StringOr(*object, "confirmed_by", "");
--- a/src/configuration/kind_view.h
+++ b/src/configuration/kind_view.h
@@ -60,10 +60,6 @@
   /// @brief All live objects by ascending name.
   std::vector<const StoredObject*> Live() const;
 
-  std::int64_t Watermark() const { return this->watermark; }
-  std::int64_t Floor() const { return this->floor; }
-  std::size_t Tombstones() const { return this->tombstones; }
-
  private:
   bool Take(const StoredObject& object, bool is_shown_live);
   void RemoveAbsent(std::int64_t revision, std::span<const StoredObject> items,
--- a/src/configuration/marks.cc
+++ b/src/configuration/marks.cc
@@ -69,9 +69,7 @@
   MarkDocument document;
   document.host = StringOr(*value, "host", "");
   document.mark = *mark;
-  const auto handover = value->find("handover");
-  document.handover = handover != value->end() && handover->is_boolean() &&
-                      handover->get<bool>();
+  document.handover = BoolOr(*value, "handover", false);
   document.operation = StringOr(*value, "operation", "");
   document.set_by = StringOr(*value, "set_by", "");
   document.unix_ms = IntOr(*value, "unix_ms", 0);
--- a/src/configuration/text_difference.cc
+++ b/src/configuration/text_difference.cc
@@ -8,6 +8,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "base/absl_view.h"
 
 namespace meadowthread {
 namespace {
@@ -24,7 +25,7 @@
 };
 
 Lines SplitLines(std::string_view text) {
-  return absl::StrSplit(absl::string_view(text.data(), text.size()), '\n');
+  return absl::StrSplit(AbslView(text), '\n');
 }
 
 Middle MiddleOf(const Lines& before, const Lines& after) {
--- a/src/configuration/yaml_reader.h
+++ b/src/configuration/yaml_reader.h
@@ -85,7 +85,6 @@
   void SetScope(ParameterScope new_scope) {
     this->scope = std::move(new_scope);
   }
-  const ParameterScope& Scope() const { return this->scope; }
 
   /// @brief All problems, sorted by line, none twice.
   std::vector<TemplateProblem> TakeProblems();
--- a/src/engine/engine_client.cc
+++ b/src/engine/engine_client.cc
@@ -1,18 +1,19 @@
 #include "engine/engine_client.h"
 
 #include "absl/strings/str_cat.h"
+#include "base/absl_view.h"
 #include "base/error.h"
+#include "net/http_code.h"
 
 namespace meadowthread {
 namespace {
 
 constexpr std::size_t kMaxControlBytes = std::size_t{1024} * 1024;
-constexpr int kOk = 200;
 
 std::string GenerationUrl(const EngineAddress& engine,
                           std::string_view generation) {
   return absl::StrCat(engine.base_url, "/v1/generations/",
-                      absl::string_view(generation.data(), generation.size()));
+                      AbslView(generation));
 }
 
 }  // namespace
@@ -73,7 +74,7 @@
             done(fetched.end.status);
             return;
           }
-          if (fetched.response.http_status != kOk) {
+          if (fetched.response.http_status != http_code::kOk) {
             ErrorDetail detail;
             detail.id = ErrorId::kRejectedByPeer;
             detail.step = "read-load-report";
--- a/src/engine/engine_stream.cc
+++ b/src/engine/engine_stream.cc
@@ -4,6 +4,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/error.h"
 #include "base/json_fields.h"
+#include "net/http_code.h"
 #include "nlohmann/json.hpp"
 
 namespace meadowthread {
@@ -11,8 +12,6 @@
 
 constexpr std::size_t kMaxEventBytes = std::size_t{256} * 1024;
 constexpr std::size_t kMaxErrorBytes = std::size_t{16} * 1024;
-constexpr int kOk = 200;
-constexpr int kFirstError = 400;
 constexpr std::int64_t kMsPerSecond = 1000;
 
 using nlohmann::json;
@@ -62,7 +61,7 @@
   if (this->sink == nullptr) {
     return;
   }
-  if (this->http_status != kOk) {
+  if (this->http_status != http_code::kOk) {
     if (this->error_body.size() < kMaxErrorBytes) {
       this->error_body.append(data);
     }
@@ -129,7 +128,7 @@
   close.retry_after_ms = this->retry_after_ms;
   // An error's head is a definite answer only once the answer is whole: a
   // connection cut in between leaves the matter open.
-  if (end.status.ok() && end.http_status >= kFirstError) {
+  if (end.status.ok() && end.http_status >= http_code::kFirstClientError) {
     close.rejected = true;
     const json body = json::parse(this->error_body, nullptr, false);
     close.reason = StringOr(body, "reason", absl::StrCat(end.http_status));
--- a/src/exchange/exchange_message.cc
+++ b/src/exchange/exchange_message.cc
@@ -117,11 +117,6 @@
   return number;
 }
 
-bool IsTrue(const json& object, const char* field) {
-  const auto found = object.find(field);
-  return found != object.end() && found->is_boolean() && found->get<bool>();
-}
-
 absl::StatusOr<const json*> ListField(const json& object, const char* field) {
   const auto found = object.find(field);
   if (found == object.end()) {
@@ -150,7 +145,7 @@
     return version.status();
   }
   item.version = *version;
-  item.deleted = IsTrue(value, "deleted");
+  item.deleted = BoolOr(value, "deleted", false);
   if (item.deleted) {
     return item;
   }
@@ -214,8 +209,8 @@
     return upto.status();
   }
   delta.revision = *upto;
-  delta.full = IsTrue(value, "full");
-  delta.cut = IsTrue(value, "cut");
+  delta.full = BoolOr(value, "full", false);
+  delta.cut = BoolOr(value, "cut", false);
   // A cut delta ends under the revision that was confirmed.
   if (delta.revision == digest.revision) {
     delta.confirmed_unix_ms = digest.confirmed_unix_ms;
@@ -238,7 +233,8 @@
   if (!digest.ok()) {
     return digest.status();
   }
-  ViewPart view{std::move(*digest), std::nullopt, IsTrue(value, "ask_anew")};
+  ViewPart view{std::move(*digest), std::nullopt,
+                BoolOr(value, "ask_anew", false)};
   const absl::StatusOr<const json*> items = ListField(value, "items");
   if (!items.ok()) {
     return items.status();
--- a/src/exchange/exchanger.cc
+++ b/src/exchange/exchanger.cc
@@ -202,14 +202,11 @@
   ++this->stats.calls;
   ++this->calls_in_progress;
   this->parts.directory.OnCallStarted(call.peer.name);
-  const std::weak_ptr<bool> guard = this->alive;
   this->parts.channel.Call(call.peer, kExchangeMethod, message,
                            this->settings.call_limit_ms,
-                           [this, guard, call](const auto& answer) {
-                             if (!guard.expired()) {
-                               this->OnAnswer(call, answer);
-                             }
-                           });
+                           this->life.Guarded([this, call](const auto& answer) {
+                             this->OnAnswer(call, answer);
+                           }));
 }
 
 void Exchanger::OnAnswer(const OutgoingCall& call,
@@ -359,12 +356,7 @@
 
 void Exchanger::Later(std::int64_t delay_ms,
                       const std::function<void()>& task) {
-  const std::weak_ptr<bool> guard = this->alive;
-  this->parts.scheduler.After(delay_ms, [guard, task] {
-    if (!guard.expired()) {
-      task();
-    }
-  });
+  this->parts.scheduler.After(delay_ms, this->life.Guarded([task] { task(); }));
 }
 
 }  // namespace meadowthread
--- a/src/exchange/exchanger.h
+++ b/src/exchange/exchanger.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <random>
 #include <set>
 #include <span>
@@ -15,6 +14,7 @@
 #include "absl/status/statusor.h"
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/lifetime.h"
 #include "base/scheduler.h"
 #include "exchange/exchange_budget.h"
 #include "exchange/exchange_message.h"
@@ -154,7 +154,7 @@
   int calls_in_progress = 0;
   ExchangeStats stats;
   /// Tasks and answers that come after the end find it gone.
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- a/src/exchange/load_datagrams.cc
+++ b/src/exchange/load_datagrams.cc
@@ -113,12 +113,7 @@
     this->told = std::move(notes);
     this->all_told_ms = all ? now_ms : this->all_told_ms;
   }
-  this->scheduler.After(kStepMs,
-                        [this, guard = std::weak_ptr<bool>(this->alive)] {
-                          if (!guard.expired()) {
-                            this->Step();
-                          }
-                        });
+  this->scheduler.After(kStepMs, this->life.Guarded([this] { this->Step(); }));
 }
 
 }  // namespace meadowthread
--- a/src/exchange/load_datagrams.h
+++ b/src/exchange/load_datagrams.h
@@ -2,13 +2,13 @@
 #define MEADOWTHREAD_EXCHANGE_LOAD_DATAGRAMS_H_
 
 #include <cstdint>
-#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "absl/status/statusor.h"
 #include "base/clock.h"
+#include "base/lifetime.h"
 #include "base/scheduler.h"
 #include "exchange/datagrams.h"
 #include "exchange/load_note.h"
@@ -47,7 +47,7 @@
   Scheduler& scheduler;
   std::vector<EngineLoadNote> told;
   std::int64_t all_told_ms = 0;
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- a/src/exchange/rpc_server.cc
+++ b/src/exchange/rpc_server.cc
@@ -3,12 +3,12 @@
 #include <string>
 #include <utility>
 
+#include "net/http_code.h"
+
 namespace meadowthread {
 namespace {
 
 constexpr std::string_view kPath = "/rpc";
-constexpr int kNotFound = 404;
-constexpr int kMethodNotAllowed = 405;
 
 ServerLimits LimitsOf(const RpcServerSettings& settings) {
   ServerLimits limits;
@@ -50,11 +50,11 @@
 void RpcServer::Serve(const ServerRequest& request,
                       std::unique_ptr<ResponseWriter> writer) {
   if (request.path != kPath) {
-    SendEmpty(*writer, kNotFound);
+    SendEmpty(*writer, http_code::kNotFound);
     return;
   }
   if (request.method != "POST") {
-    SendEmpty(*writer, kMethodNotAllowed);
+    SendEmpty(*writer, http_code::kMethodNotAllowed);
     return;
   }
   // Shared, as a method may answer later; the caller may be gone by then.
--- a/src/exchange/view_datagrams.cc
+++ b/src/exchange/view_datagrams.cc
@@ -136,9 +136,8 @@
     return;
   }
   this->TellRevision(kind, revision);
-  this->scheduler.After(kBehindMs, [this, kind, revision,
-                                    guard = std::weak_ptr<bool>(this->alive)] {
-    if (!guard.expired() && this->RevisionOf(kind) < revision) {
+  this->scheduler.After(kBehindMs, this->life.Guarded([this, kind, revision] {
+    if (this->RevisionOf(kind) < revision) {
       LogLine("behind")
           .Add("kind", kind)
           .Add("own", this->RevisionOf(kind))
@@ -146,7 +145,7 @@
           .WriteImportant();
       this->behind(kind);
     }
-  });
+  }));
 }
 
 }  // namespace meadowthread
--- a/src/exchange/view_datagrams.h
+++ b/src/exchange/view_datagrams.h
@@ -3,13 +3,13 @@
 
 #include <functional>
 #include <map>
-#include <memory>
 #include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "base/lifetime.h"
 #include "base/scheduler.h"
 #include "configuration/replicated_view.h"
 #include "exchange/datagrams.h"
@@ -55,7 +55,7 @@
   Scheduler& scheduler;
   Behind behind;
   std::map<std::string, std::int64_t, std::less<>> told_revisions;
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- a/src/gateway/caller_identity.cc
+++ b/src/gateway/caller_identity.cc
@@ -3,6 +3,7 @@
 #include <QCryptographicHash>
 
 #include "absl/strings/match.h"
+#include "base/absl_view.h"
 #include "base/error.h"
 
 namespace meadowthread {
@@ -34,9 +35,7 @@
 absl::StatusOr<CallerIdentity> Identify(const ServerRequest& request,
                                         const ServiceCatalog& catalog) {
   const std::string_view header = FindHeader(request.headers, "Authorization");
-  if (!absl::StartsWithIgnoreCase(
-          absl::string_view(header.data(), header.size()),
-          absl::string_view(kScheme.data(), kScheme.size()))) {
+  if (!absl::StartsWithIgnoreCase(AbslView(header), AbslView(kScheme))) {
     return UnknownKey("the request carries no 'Authorization: Bearer KEY'");
   }
   const std::string digest = Sha256Hex(header.substr(kScheme.size()));
--- a/src/gateway/caller_stream.cc
+++ b/src/gateway/caller_stream.cc
@@ -3,11 +3,11 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "net/http_code.h"
 
 namespace meadowthread {
 namespace {
 
-constexpr int kOk = 200;
 constexpr std::string_view kEventStream = "text/event-stream";
 constexpr std::string_view kKeepAliveComment = ": keep-alive\n\n";
 
@@ -48,7 +48,7 @@
       headers.push_back({"Meadowthread-Resume-Token", this->resume_token});
       this->token_told = true;
     }
-    this->writer->StartStream(kOk, kEventStream, headers);
+    this->writer->StartStream(http_code::kOk, kEventStream, headers);
     return;
   }
   if (!this->token_told && !this->resume_token.empty()) {
@@ -126,13 +126,6 @@
   this->ended = true;
 }
 
-void CallerStream::CompleteRecorded(const WholeResponse& response) {
-  if (!this->ended) {
-    this->ended = true;
-    this->writer->SendWhole(response);
-  }
-}
-
 void CallerStream::Fail(const absl::Status& status, bool safe_to_repeat) {
   if (this->ended) {
     return;
--- a/src/gateway/caller_stream.h
+++ b/src/gateway/caller_stream.h
@@ -48,9 +48,6 @@
   /// @brief The answer is whole.
   void Complete(std::string_view finish_reason, const AnswerUsage& usage);
 
-  /// @brief The answer is replaced by an already recorded one.
-  void CompleteRecorded(const WholeResponse& response);
-
   /// @brief The answer ends early; the problem is its terminal event.
   void Fail(const absl::Status& status, bool safe_to_repeat);
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -7,9 +7,11 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "base/absl_view.h"
 #include "base/log_line.h"
 #include "claims/claim_key.h"
 #include "gateway/work_estimate.h"
+#include "net/http_code.h"
 #include "nlohmann/json.hpp"
 
 namespace meadowthread {
@@ -19,7 +21,6 @@
 constexpr std::int64_t kDefaultMaxOutputTokens = 65'536;
 constexpr std::int64_t kDefaultDeadlineMs = 120'000;
 constexpr std::int64_t kFullHostRetryMs = 1000;
-constexpr int kUnavailable = 503;
 
 std::string NewRequestId() {
   return absl::StrCat(
@@ -52,15 +53,6 @@
       .Write();
 }
 
-void SendText(ResponseWriter& writer, int status, std::string_view type,
-              std::string body) {
-  WholeResponse response;
-  response.http_status = status;
-  response.content_type = std::string(type);
-  response.body = std::move(body);
-  writer.SendWhole(response);
-}
-
 bool NeedsClaim(const WorkspaceService& service, std::string_view key) {
   switch (service.not_repeatable.requests) {
     case GenerationClaims::kNone:
@@ -95,12 +87,11 @@
   ServiceCatalog::ServicePtr service;
 };
 
-Gateway::Gateway(const GatewayParts& parts)
-    : parts(parts), alive(std::make_shared<bool>(true)) {
+Gateway::Gateway(const GatewayParts& parts) : parts(parts) {
   this->parts.session.observer = this;
 }
 
-Gateway::~Gateway() { *this->alive = false; }
+Gateway::~Gateway() = default;
 
 //////////
 // Paths
@@ -117,21 +108,25 @@
     this->ServeResume(request, std::move(writer));
   } else if (path == "/v1/models" && request.method == "GET") {
     this->ServeModels(request, std::move(writer));
-  } else if (absl::StartsWith(path,
-                              absl::string_view(kServicesPrefix.data(),
-                                                kServicesPrefix.size()))) {
+  } else if (absl::StartsWith(path, AbslView(kServicesPrefix))) {
     this->ServePlainService(request, std::move(writer));
   } else if (path == "/healthz") {
-    SendText(*writer, 200, "text/plain", "ok\n");
+    writer->SendWhole({http_code::kOk, "text/plain", {}, "ok\n"});
   } else if (path == "/readyz") {
     const absl::Status ready = this->parts.gate.MayTakeWork();
-    SendText(*writer, ready.ok() ? 200 : kUnavailable, "text/plain",
-             ready.ok() ? "ready\n" : absl::StrCat(ready.message(), "\n"));
+    writer->SendWhole(
+        {ready.ok() ? http_code::kOk : http_code::kUnavailable,
+         "text/plain",
+         {},
+         ready.ok() ? "ready\n" : absl::StrCat(ready.message(), "\n")});
   } else if (path == "/metrics") {
-    SendText(*writer, 200, "text/plain; version=0.0.4",
-             this->parts.metrics_text());
+    writer->SendWhole({http_code::kOk,
+                       "text/plain; version=0.0.4",
+                       {},
+                       this->parts.metrics_text()});
   } else if (path == "/statusz") {
-    SendText(*writer, 200, "application/json", this->parts.status_json());
+    writer->SendWhole(
+        {http_code::kOk, "application/json", {}, this->parts.status_json()});
   } else {
     SendProblem(*writer,
                 Refuse(ErrorId::kNotFound, "route", "",
@@ -161,8 +156,11 @@
                         {"version", model.version}});
     }
   }
-  SendText(*writer, 200, "application/json",
-           nlohmann::json{{"object", "list"}, {"data", models}}.dump());
+  writer->SendWhole(
+      {http_code::kOk,
+       "application/json",
+       {},
+       nlohmann::json{{"object", "list"}, {"data", models}}.dump()});
 }
 
 void Gateway::ServePlainService(const ServerRequest& request,
@@ -413,12 +411,10 @@
     return;
   }
   this->drop_planned = true;
-  this->parts.session.scheduler.After(0, [this, alive = this->alive] {
-    if (*alive) {
-      this->DropEnded();
-      this->DrainQueue();
-    }
-  });
+  this->parts.session.scheduler.After(0, this->life.Guarded([this] {
+    this->DropEnded();
+    this->DrainQueue();
+  }));
 }
 
 void Gateway::OnTokenGap(std::int64_t gap_ms) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "base/lifetime.h"
 #include "gateway/caller_identity.h"
 #include "gateway/generation_session.h"
 #include "gateway/service_forwarder.h"
@@ -101,7 +102,7 @@
   std::map<std::string, std::uint64_t, std::less<>> by_request;
   std::uint64_t last_session = 0;
   bool drop_planned = false;
-  std::shared_ptr<bool> alive;
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- a/src/gateway/generation_session.cc
+++ b/src/gateway/generation_session.cc
@@ -41,7 +41,6 @@
     : parts(parts),
       start(start),
       caller(std::move(caller)),
-      alive(std::make_shared<bool>(true)),
       last_sign_ms(parts.clock.MonotonicMs()) {
   this->caller->OnGone([this] { this->OnCallerGone(); });
   this->caller->OnDrained([this] {
@@ -54,7 +53,7 @@
   });
 }
 
-GenerationSession::~GenerationSession() { *this->alive = false; }
+GenerationSession::~GenerationSession() = default;
 
 ///////////////
 // Beginnings
@@ -103,11 +102,9 @@
   request.deadline_unix_ms = this->DeadlineUnixMs();
   this->parts.claims.Claim(
       request,
-      [this, alive = this->alive](const absl::StatusOr<ClaimAnswer>& answer) {
-        if (*alive) {
-          this->OnClaimed(answer);
-        }
-      });
+      this->life.Guarded([this](const absl::StatusOr<ClaimAnswer>& answer) {
+        this->OnClaimed(answer);
+      }));
 }
 
 void GenerationSession::OnClaimed(const absl::StatusOr<ClaimAnswer>& answer) {
--- a/src/gateway/generation_session.h
+++ b/src/gateway/generation_session.h
@@ -8,6 +8,7 @@
 
 #include "answer/attempt_outcome.h"
 #include "answer/stream_assembler.h"
+#include "base/lifetime.h"
 #include "engine/engine_stream.h"
 #include "gateway/caller_request.h"
 #include "gateway/caller_stream.h"
@@ -144,7 +145,7 @@
   std::unique_ptr<EngineStream> stream;
   std::vector<std::unique_ptr<EngineStream>> retired;
   StreamAssembler assembler;
-  std::shared_ptr<bool> alive;  ///< false for callbacks that come too late
+  Lifetime life;
   /// The worst that is known of attempts which failed: a later one that has
   /// certainly not run takes nothing of it back.
   Outcome earlier = Outcome::kNotRun;
--- a/src/gateway/generation_session_stream.cc
+++ b/src/gateway/generation_session_stream.cc
@@ -229,14 +229,13 @@
     return;
   }
   this->phase = SessionPhase::kQueued;
-  this->parts.scheduler.After(answer.backoff_ms, [this, alive = this->alive] {
-    if (!*alive || this->phase != SessionPhase::kQueued) {
-      return;
-    }
+  this->parts.scheduler.After(answer.backoff_ms, this->life.Guarded([this] {
     // Through the queue: where no engine is left just now, it waits its
     // turn until its deadline.
-    this->OfferAgain();
-  });
+    if (this->phase == SessionPhase::kQueued) {
+      this->OfferAgain();
+    }
+  }));
 }
 
 void GenerationSession::ResumeSoon(const absl::Status& cause) {
@@ -246,12 +245,11 @@
     return;
   }
   const std::int64_t delay = kResumeDelayMs << (this->resumes - 1);
-  this->parts.scheduler.After(delay, [this, alive = this->alive] {
-    if (*alive && this->phase == SessionPhase::kStreaming &&
-        this->stream == nullptr) {
+  this->parts.scheduler.After(delay, this->life.Guarded([this] {
+    if (this->phase == SessionPhase::kStreaming && this->stream == nullptr) {
       this->ResumeStream();
     }
-  });
+  }));
 }
 
 void GenerationSession::ResumeStream() {
--- a/src/gateway/recorded_answer.cc
+++ b/src/gateway/recorded_answer.cc
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/error.h"
 #include "base/json_fields.h"
+#include "net/http_code.h"
 #include "nlohmann/json.hpp"
 
 namespace meadowthread {
@@ -10,8 +11,6 @@
 
 using nlohmann::json;
 
-constexpr int kOk = 200;
-
 absl::Status ReplayError(ErrorId id, std::string_view what) {
   ErrorDetail detail;
   detail.id = id;
@@ -30,7 +29,7 @@
                      {"completion_tokens", answer.usage.completion_tokens},
                      {"whole", answer.text_is_whole},
                      {"text", answer.text_is_whole ? answer.text : ""}};
-  return {kOk, "application/json",
+  return {http_code::kOk, "application/json",
           body.dump(-1, ' ', false, json::error_handler_t::replace)};
 }
 
--- a/src/hosts/host_directory.h
+++ b/src/hosts/host_directory.h
@@ -35,8 +35,6 @@
   /// @brief Live hosts of a plain service, by name.
   std::vector<const HostEntry*> OfService(std::string_view service) const;
 
-  std::int64_t AsOfUnixMs() const { return this->as_of_unix_ms; }
-
  private:
   std::map<std::string, HostEntry, std::less<>> hosts;
   std::vector<Listener> listeners;
--- a/src/hosts/host_list.cc
+++ b/src/hosts/host_list.cc
@@ -55,9 +55,7 @@
   entry.region = StringOr(value, "region", "");
   entry.leaving = StringOr(value, "state", "live") != "live";
   entry.service = StringOr(value, "service", "");
-  const auto checks = value.find("checks_fence");
-  entry.checks_fence =
-      checks != value.end() && checks->is_boolean() && checks->get<bool>();
+  entry.checks_fence = BoolOr(value, "checks_fence", false);
   return entry;
 }
 
--- a/src/hosts/host_list_poller.cc
+++ b/src/hosts/host_list_poller.cc
@@ -2,13 +2,13 @@
 
 #include "absl/strings/str_cat.h"
 #include "base/log_line.h"
+#include "net/http_code.h"
 
 namespace meadowthread {
 namespace {
 
 constexpr std::size_t kMaxBytes = std::size_t{16} * 1024 * 1024;
 constexpr std::int64_t kTimeoutMs = 2000;
-constexpr int kOk = 200;
 
 }  // namespace
 
@@ -37,7 +37,7 @@
 // what it lacks is found out by asking hosts.
 void HostListPoller::Take(const HttpFetched& fetched) {
   absl::Status status = fetched.end.status;
-  if (status.ok() && fetched.response.http_status != kOk) {
+  if (status.ok() && fetched.response.http_status != http_code::kOk) {
     status = absl::UnavailableError(
         absl::StrCat("answered ", fetched.response.http_status));
   }
--- a/src/metrics/exposition.cc
+++ b/src/metrics/exposition.cc
@@ -5,12 +5,13 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
+#include "base/absl_view.h"
 
 namespace meadowthread::detail {
 namespace {
 
 std::string Escaped(std::string_view value) {
-  return absl::StrReplaceAll(absl::string_view(value.data(), value.size()),
+  return absl::StrReplaceAll(AbslView(value),
                              {{"\\", "\\\\"}, {"\"", "\\\""}, {"\n", "\\n"}});
 }
 
--- a/src/metrics/exposition.h
+++ b/src/metrics/exposition.h
@@ -11,10 +11,6 @@
 
 namespace meadowthread {
 
-/// @brief The content type of the text that MetricRegistry::Text gives.
-inline constexpr std::string_view kMetricsContentType =
-    "text/plain; version=0.0.4; charset=utf-8";
-
 /// @brief One label of a series.
 struct MetricLabel {
   std::string name;
--- a/src/net/client_connection.cc
+++ b/src/net/client_connection.cc
@@ -8,14 +8,15 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "base/absl_view.h"
 #include "base/error.h"
+#include "net/http_code.h"
 #include "net/http_headers.h"
 
 namespace meadowthread::detail {
 namespace {
 
 constexpr std::size_t kHeadLimit = std::size_t{64} * 1024;
-constexpr int kFirstFinalStatus = 200;
 constexpr std::int64_t kMsPerSecond = 1000;
 // A peer that says how long it keeps a resting connection says it in whole
 // seconds, counted from when it sent the answer.
@@ -25,8 +26,7 @@
 
 std::int64_t RestLimitOf(const MessageHead& head) {
   const std::string_view value = FindHeader(head.headers, "Keep-Alive");
-  for (absl::string_view part :
-       absl::StrSplit(absl::string_view(value.data(), value.size()), ',')) {
+  for (absl::string_view part : absl::StrSplit(AbslView(value), ',')) {
     part = absl::StripAsciiWhitespace(part);
     std::int64_t seconds = 0;
     if (absl::StartsWithIgnoreCase(part, "timeout=") &&
@@ -141,7 +141,7 @@
     }
     if (this->reader.Head() != nullptr && !this->head_told) {
       // An interim answer is whole with its head; the final one follows.
-      if (this->reader.Head()->http_status < kFirstFinalStatus) {
+      if (this->reader.Head()->http_status < http_code::kFirstFinal) {
         state = this->reader.Next();
         continue;
       }
--- a/src/net/fetch.cc
+++ b/src/net/fetch.cc
@@ -1,9 +1,9 @@
 #include <memory>
 #include <utility>
 
-#include "absl/strings/match.h"
 #include "base/error.h"
 #include "net/http_client.h"
+#include "net/http_headers.h"
 
 namespace meadowthread {
 namespace {
@@ -71,8 +71,7 @@
 std::string_view FindHeader(std::span<const HttpHeader> headers,
                             std::string_view name) {
   for (const HttpHeader& header : headers) {
-    if (absl::EqualsIgnoreCase(header.name,
-                               absl::string_view(name.data(), name.size()))) {
+    if (SameHeader(header.name, name)) {
       return header.value;
     }
   }
--- a/src/net/http_headers.cc
+++ b/src/net/http_headers.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_split.h"
+#include "base/absl_view.h"
 
 namespace meadowthread {
 namespace {
@@ -19,19 +20,16 @@
     "Upgrade",    "Transfer-Encoding", "Proxy-Authorization",
     "Expect",     "Content-Length"};
 
-absl::string_view View(std::string_view text) {
-  return {text.data(), text.size()};
-}
-
 }  // namespace
 
 bool SameHeader(std::string_view left, std::string_view right) {
-  return absl::EqualsIgnoreCase(View(left), View(right));
+  return absl::EqualsIgnoreCase(AbslView(left), AbslView(right));
 }
 
 bool HasWord(std::string_view value, std::string_view word) {
-  for (const absl::string_view part : absl::StrSplit(View(value), ',')) {
-    if (absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(part), View(word))) {
+  for (const absl::string_view part : absl::StrSplit(AbslView(value), ',')) {
+    if (absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(part),
+                               AbslView(word))) {
       return true;
     }
   }
--- a/src/net/message_reader.cc
+++ b/src/net/message_reader.cc
@@ -298,10 +298,6 @@
   return this->state == ReadState::kWhole ? this->pending.size() : 0;
 }
 
-bool MessageReader::HasBegun() const {
-  return !this->pending.empty() || this->parser->Got().head_done;
-}
-
 ReadState MessageReader::Next() {
   this->parser = std::make_unique<detail::MessageParser>(this->kind);
   if (this->no_body) {
--- a/src/net/message_reader.h
+++ b/src/net/message_reader.h
@@ -68,14 +68,9 @@
   /// @brief Bytes that came after a whole message.
   std::size_t RestBytes() const;
 
-  /// @brief Whether any byte of the present message came.
-  bool HasBegun() const;
-
   /// @brief Goes on with the next message, with what came after this one.
   ReadState Next();
 
-  void SetHeadLimit(std::size_t limit) { this->head_limit = limit; }
-
  private:
   ReadState Parse();
   ReadState Malformed(std::string_view what);
--- a/src/net/plain_socket.cc
+++ b/src/net/plain_socket.cc
@@ -23,7 +23,7 @@
 // A peer whose host lost power or is cut off says nothing. Bytes that nobody
 // acknowledges, and probes on a silent connection, end it after this long;
 // shorter than any deadline of a generation, longer than a link's hiccups.
-constexpr unsigned kDeadPeerMs = 6'000;
+constexpr int kDeadPeerMs = 6'000;
 constexpr int kProbeAfterS = 3;
 constexpr int kProbeEveryS = 1;
 constexpr int kProbes = 3;
@@ -40,9 +40,7 @@
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterS);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kProbeEveryS);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
-  const unsigned dead_ms = kDeadPeerMs;
-  setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &dead_ms,
-             sizeof(dead_ms));
+  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kDeadPeerMs);
 }
 
 absl::Status ConnectError(const std::string& peer, std::string_view what) {
--- a/src/net/pooled_client.cc
+++ b/src/net/pooled_client.cc
@@ -38,7 +38,6 @@
 class ClientCore final : public ExchangeOwner {
  public:
   ClientCore();
-  ~ClientCore() override;
   ClientCore(const ClientCore&) = delete;
   ClientCore& operator=(const ClientCore&) = delete;
 
@@ -97,12 +96,6 @@
                    [this] { this->CheckTimes(); });
 }
 
-ClientCore::~ClientCore() {
-  this->calls.clear();
-  this->resting.clear();
-  this->retired.clear();
-}
-
 ///////////////////
 // Starting calls
 ///////////////////
--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/error.h"
 #include "base/log_line.h"
+#include "net/http_code.h"
 #include "net/http_headers.h"
 #include "net/problem.h"
 
@@ -13,9 +14,6 @@
 namespace {
 
 constexpr int kVersion11 = 11;
-constexpr int kFirstFinalStatus = 200;
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
 // A caller that sends its next requests before the present answer ends is read
 // ahead this far: beyond it, it waits in its own kernel.
 constexpr std::size_t kReadAheadBytes = std::size_t{64} * 1024;
@@ -198,8 +196,9 @@
 ///////////////////////
 
 bool ServerConnection::SendsBody(int http_status) const {
-  return !this->is_head_request && http_status >= kFirstFinalStatus &&
-         http_status != kNoContent && http_status != kNotModified;
+  return !this->is_head_request && http_status >= http_code::kFirstFinal &&
+         http_status != http_code::kNoContent &&
+         http_status != http_code::kNotModified;
 }
 
 bool ServerConnection::SendHead(const ResponseHead& head) {
@@ -213,7 +212,7 @@
   std::string text = absl::StrCat("HTTP/1.1 ", head.http_status, " ");
   text.append(ReasonPhrase(head.http_status)).append("\r\n");
   AppendHeaders(head.headers, &text);
-  if (this->length_known && head.http_status != kNoContent) {
+  if (this->length_known && head.http_status != http_code::kNoContent) {
     absl::StrAppend(&text, "Content-Length: ", *head.content_length, "\r\n");
   } else if (chunked) {
     text.append("Transfer-Encoding: chunked\r\n");
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -82,8 +82,6 @@
   /// @brief Closes it unless a request is being read or answered.
   void CloseIfIdle();
 
-  bool IsBusy() const { return this->phase == Phase::kAnswering; }
-
   // StreamSocketHandler
   void OnBytes(std::string_view bytes) override;
   void OnDrained() override;
--- a/src/placement/controller.cc
+++ b/src/placement/controller.cc
@@ -20,13 +20,12 @@
 }
 
 void PlacementController::Schedule() {
-  const std::weak_ptr<bool> guard = this->alive;
-  this->scheduler.After(this->settings.tick_ms, [this, guard] {
-    if (!guard.expired() && this->running) {
+  this->scheduler.After(this->settings.tick_ms, this->life.Guarded([this] {
+    if (this->running) {
       this->Tick();
       this->Schedule();
     }
-  });
+  }));
 }
 
 void PlacementController::Stop() {
@@ -56,15 +55,12 @@
 
 void PlacementController::ListLeases() {
   this->listing = true;
-  const std::weak_ptr<bool> guard = this->alive;
   this->context.store.List(
       kLeaseKind, this->revision,
-      [this, guard](const absl::StatusOr<ObjectList>& list) {
-        if (!guard.expired()) {
-          this->listing = false;
-          this->OnLeases(list);
-        }
-      });
+      this->life.Guarded([this](const absl::StatusOr<ObjectList>& list) {
+        this->listing = false;
+        this->OnLeases(list);
+      }));
 }
 
 void PlacementController::OnLeases(const absl::StatusOr<ObjectList>& list) {
--- a/src/placement/controller.h
+++ b/src/placement/controller.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/lifetime.h"
 #include "base/scheduler.h"
 #include "placement/group_controller.h"
 
@@ -54,7 +55,7 @@
   std::int64_t next_list_ms = 0;
   bool listing = false;
   bool running = false;
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- a/src/placement/group_controller.cc
+++ b/src/placement/group_controller.cc
@@ -114,13 +114,11 @@
 }
 
 void GroupController::SendDue() {
-  const std::weak_ptr<bool> guard = this->alive;
   for (const EngineOrder& order : this->table.TakeDue()) {
-    this->orderer.Send(order, [this, guard, order](const OrderResult& result) {
-      if (!guard.expired()) {
-        this->OnResult(order, result);
-      }
-    });
+    this->orderer.Send(
+        order, this->life.Guarded([this, order](const OrderResult& result) {
+          this->OnResult(order, result);
+        }));
   }
 }
 
@@ -145,15 +143,15 @@
 }
 
 void GroupController::ReadDue() {
-  const std::weak_ptr<bool> guard = this->alive;
   for (const EngineOrder& order : this->table.TakeReadsDue()) {
     this->engine_client.ReadLoad(
         {order.engine, order.base_url},
-        [this, guard, order](const absl::StatusOr<LoadReport>& report) {
-          if (!guard.expired() && report.ok()) {
-            this->table.TakeReport(order.engine, *report);
-          }
-        });
+        this->life.Guarded(
+            [this, order](const absl::StatusOr<LoadReport>& report) {
+              if (report.ok()) {
+                this->table.TakeReport(order.engine, *report);
+              }
+            }));
   }
 }
 
--- a/src/placement/group_controller.h
+++ b/src/placement/group_controller.h
@@ -2,11 +2,11 @@
 #define MEADOWTHREAD_PLACEMENT_GROUP_CONTROLLER_H_
 
 #include <cstdint>
-#include <memory>
 #include <optional>
 #include <vector>
 
 #include "base/clock.h"
+#include "base/lifetime.h"
 #include "engine/engine_client.h"
 #include "placement/engine_table.h"
 #include "placement/lease.h"
@@ -80,7 +80,7 @@
   std::optional<std::int64_t> held_since_ms;
   std::int64_t planned_ms = 0;
   std::vector<Shortage> shortages;  ///< of the last plan
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- a/src/placement/lease.cc
+++ b/src/placement/lease.cc
@@ -147,14 +147,12 @@
   this->busy = true;
   const std::int64_t expected =
       now.version != 0 ? now.version : now.base_version;
-  const std::weak_ptr<bool> guard = this->alive;
-  this->store.Put(kLeaseKind, this->duty, text, expected,
-                  [this, guard, nonce = now.nonce,
-                   sequence](const absl::StatusOr<std::int64_t>& answer) {
-                    if (!guard.expired()) {
-                      this->OnWritten(nonce, sequence, answer);
-                    }
-                  });
+  this->store.Put(
+      kLeaseKind, this->duty, text, expected,
+      this->life.Guarded([this, nonce = now.nonce, sequence](
+                             const absl::StatusOr<std::int64_t>& answer) {
+        this->OnWritten(nonce, sequence, answer);
+      }));
 }
 
 void Lease::OnWritten(const std::string& nonce, std::int64_t sequence,
@@ -177,13 +175,11 @@
 
 void Lease::ReadBack() {
   this->busy = true;
-  const std::weak_ptr<bool> guard = this->alive;
-  this->store.Get(kLeaseKind, this->duty,
-                  [this, guard](const absl::StatusOr<StoredObject>& answer) {
-                    if (!guard.expired()) {
-                      this->OnReadBack(answer);
-                    }
-                  });
+  this->store.Get(
+      kLeaseKind, this->duty,
+      this->life.Guarded([this](const absl::StatusOr<StoredObject>& answer) {
+        this->OnReadBack(answer);
+      }));
 }
 
 void Lease::OnReadBack(const absl::StatusOr<StoredObject>& answer) {
--- a/src/placement/lease.h
+++ b/src/placement/lease.h
@@ -2,13 +2,13 @@
 #define MEADOWTHREAD_PLACEMENT_LEASE_H_
 
 #include <cstdint>
-#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/clock.h"
+#include "base/lifetime.h"
 #include "placement/lease_document.h"
 #include "placement/nonce_source.h"
 #include "store/object_store.h"
@@ -135,7 +135,7 @@
   std::int64_t takeover_delay_ms = 0;
   bool busy = false;
   /// Answers that come after the lease is gone find this gone too.
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- a/src/placement/order_messages.cc
+++ b/src/placement/order_messages.cc
@@ -1,8 +1,10 @@
 #include "placement/order_messages.h"
 
 #include "absl/strings/numbers.h"
+#include "base/absl_view.h"
 #include "base/error.h"
 #include "base/json_fields.h"
+#include "net/http_code.h"
 #include "nlohmann/json.hpp"
 
 namespace meadowthread {
@@ -11,13 +13,6 @@
 using nlohmann::json;
 
 constexpr std::string_view kStep = "order";
-constexpr int kHttpOk = 200;
-constexpr int kHttpConflict = 409;
-constexpr int kHttpGone = 410;
-constexpr int kHttpTooMany = 429;
-constexpr int kHttpUnavailable = 503;
-constexpr int kHttpClientErrors = 400;
-constexpr int kHttpServerErrors = 500;
 constexpr std::int64_t kMsPerSecond = 1000;
 
 absl::Status OrderError(ErrorId id, std::string_view engine,
@@ -39,10 +34,7 @@
 
 OrderResult ReadOk(const json& body, std::string_view engine) {
   OrderResult result;
-  const auto applied = body.find("applied");
-  const bool is_applied =
-      applied != body.end() && applied->is_boolean() && applied->get<bool>();
-  if (is_applied) {
+  if (BoolOr(body, "applied", false)) {
     result.outcome = OrderOutcome::kApplied;
     return result;
   }
@@ -54,8 +46,7 @@
 std::int64_t RetryAfterMs(const HttpResponse& response) {
   const std::string_view text = FindHeader(response.headers, "Retry-After");
   std::int64_t seconds = 0;
-  const bool is_number =
-      absl::SimpleAtoi(absl::string_view(text.data(), text.size()), &seconds);
+  const bool is_number = absl::SimpleAtoi(AbslView(text), &seconds);
   return is_number && seconds >= 0 ? seconds * kMsPerSecond : -1;
 }
 
@@ -106,22 +97,24 @@
   const HttpResponse& response = fetched.response;
   const int status = response.http_status;
   const json body = json::parse(response.body, nullptr, false);
-  if (status == kHttpOk) {
+  if (status == http_code::kOk) {
     return ReadOk(body, engine);
   }
   OrderResult result;
   result.status =
       OrderError(ErrorId::kRejectedByPeer, engine, "the engine refused");
-  if (status == kHttpConflict) {
+  if (status == http_code::kConflict) {
     result.outcome = OrderOutcome::kStaleFence;
     result.peer_fence = IntOr(body, "fence", 0);
     result.status = OrderError(ErrorId::kOrderStale, engine, "stale fence");
-  } else if (status == kHttpGone) {
+  } else if (status == http_code::kGone) {
     result.outcome = OrderOutcome::kDeadlinePassed;
-  } else if (status == kHttpTooMany || status == kHttpUnavailable) {
+  } else if (status == http_code::kTooManyRequests ||
+             status == http_code::kUnavailable) {
     result.outcome = OrderOutcome::kThrottled;
     result.retry_after_ms = RetryAfterMs(response);
-  } else if (status >= kHttpClientErrors && status < kHttpServerErrors) {
+  } else if (status >= http_code::kFirstClientError &&
+             status < http_code::kFirstServerError) {
     result.outcome = OrderOutcome::kRejected;
   }
   return result;
--- a/src/placement/orderer.cc
+++ b/src/placement/orderer.cc
@@ -103,17 +103,14 @@
     return;
   }
   const std::int64_t fence = this->lease.Fence();
-  const std::weak_ptr<bool> guard = this->alive;
   Fetch(this->client, this->Request(order), kAnswerLimitBytes,
-        [this, guard, order, fence, done](const HttpFetched& fetched) {
-          if (guard.expired()) {
-            return;
-          }
-          const OrderResult result =
-              this->Settle(ReadOrderAnswer(fetched, order.engine), fence);
-          Log(order, fence, result);
-          done(result);
-        });
+        this->life.Guarded(
+            [this, order, fence, done](const HttpFetched& fetched) {
+              const OrderResult result =
+                  this->Settle(ReadOrderAnswer(fetched, order.engine), fence);
+              Log(order, fence, result);
+              done(result);
+            }));
 }
 
 OrderResult Orderer::Settle(const OrderResult& answer, std::int64_t fence) {
--- a/src/placement/orderer.h
+++ b/src/placement/orderer.h
@@ -3,10 +3,10 @@
 
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 
 #include "base/clock.h"
+#include "base/lifetime.h"
 #include "net/http_client.h"
 #include "placement/lease.h"
 #include "placement/order_messages.h"
@@ -50,7 +50,7 @@
   Lease& lease;
   const OwnershipView& ownership;
   const Clock& clock;
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- a/src/placement/ownership_mover.cc
+++ b/src/placement/ownership_mover.cc
@@ -23,14 +23,12 @@
     return;
   }
   this->busy = true;
-  const std::weak_ptr<bool> guard = this->alive;
-  this->store.Get(kOwnershipKind, this->object_name,
-                  [this, guard](const absl::StatusOr<StoredObject>& answer) {
-                    if (!guard.expired()) {
-                      this->busy = false;
-                      this->OnObject(answer);
-                    }
-                  });
+  this->store.Get(
+      kOwnershipKind, this->object_name,
+      this->life.Guarded([this](const absl::StatusOr<StoredObject>& answer) {
+        this->busy = false;
+        this->OnObject(answer);
+      }));
 }
 
 void OwnershipMover::OnObject(const absl::StatusOr<StoredObject>& answer) {
@@ -92,15 +90,13 @@
   // Listed only now that the mark has been seen to stand: a host that is not
   // among them reads the mark before it starts any work.
   this->busy = true;
-  const std::weak_ptr<bool> guard = this->alive;
   this->store.List(
       kStatusKind, 0,
-      [this, guard, document, version](const absl::StatusOr<ObjectList>& list) {
-        if (!guard.expired()) {
-          this->busy = false;
-          this->OnStatuses(document, version, list);
-        }
-      });
+      this->life.Guarded(
+          [this, document, version](const absl::StatusOr<ObjectList>& list) {
+            this->busy = false;
+            this->OnStatuses(document, version, list);
+          }));
 }
 
 void OwnershipMover::OnStatuses(const OwnershipDocument& document,
@@ -162,15 +158,12 @@
            document.state == OwnershipState::kDraining ? "drain" : "hand_over");
   line.Write();
   this->busy = true;
-  const std::weak_ptr<bool> guard = this->alive;
-  this->store.Put(kOwnershipKind, this->object_name, EncodeOwnership(document),
-                  version,
-                  [this, guard](const absl::StatusOr<std::int64_t>& answer) {
-                    if (!guard.expired()) {
-                      this->busy = false;
-                      this->progress.last_error = answer.status();
-                    }
-                  });
+  this->store.Put(
+      kOwnershipKind, this->object_name, EncodeOwnership(document), version,
+      this->life.Guarded([this](const absl::StatusOr<std::int64_t>& answer) {
+        this->busy = false;
+        this->progress.last_error = answer.status();
+      }));
 }
 
 void OwnershipMover::Conflict(std::string_view why) {
--- a/src/placement/ownership_mover.h
+++ b/src/placement/ownership_mover.h
@@ -2,11 +2,11 @@
 #define MEADOWTHREAD_PLACEMENT_OWNERSHIP_MOVER_H_
 
 #include <cstdint>
-#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "base/lifetime.h"
 #include "placement/ownership.h"
 #include "store/object_store.h"
 
@@ -77,7 +77,7 @@
   std::string object_name;
   MoveProgress progress;
   bool busy = false;
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- a/src/placement/ownership_view.cc
+++ b/src/placement/ownership_view.cc
@@ -91,12 +91,6 @@
          *this->confirmed_ms > *this->registered_ms;
 }
 
-std::int64_t OwnershipView::AgeMs() const {
-  return this->confirmed_ms.has_value()
-             ? this->clock.MonotonicMs() - *this->confirmed_ms
-             : -1;
-}
-
 OwnershipVerdict OwnershipView::Judge(const OwnershipDocument& document) const {
   if (document.owner != this->settings.half) {
     return OwnershipVerdict::kElsewhere;
--- a/src/placement/ownership_view.h
+++ b/src/placement/ownership_view.h
@@ -77,12 +77,6 @@
   /// incarnation: a mover no longer waits for this host.
   void SetUnregistered() { this->registered_ms.reset(); }
 
-  /// @brief Milliseconds since the last confirmation; -1: none yet.
-  std::int64_t AgeMs() const;
-
-  /// @brief Whether this host may say that anything is its half's.
-  bool IsRegistered() const { return this->registered_ms.has_value(); }
-
   /// @brief What is known now. @complexity logarithmic in the objects
   OwnershipAnswer Look(const OwnedId& id) const;
 
--- a/src/relay/backend_list.cc
+++ b/src/relay/backend_list.cc
@@ -62,16 +62,13 @@
       .Add("store_back_ms", since_ms)
       .WriteImportant();
   this->scheduler.After(
-      kRelistMs - since_ms,
-      [this, gone = std::string(id), guard = std::weak_ptr<bool>(this->alive)] {
-        const auto kept =
-            guard.expired() ? this->backends.end() : this->backends.find(gone);
-        if (!guard.expired() && kept != this->backends.end() &&
-            !kept->second.listed) {
+      kRelistMs - since_ms, this->life.Guarded([this, gone = std::string(id)] {
+        const auto kept = this->backends.find(gone);
+        if (kept != this->backends.end() && !kept->second.listed) {
           this->Leave(&kept->second, "not_listed_anew");
           this->ForgetLater(gone);
         }
-      });
+      }));
 }
 
 void BackendList::NoteLeaving(std::string_view id) {
@@ -101,18 +98,14 @@
 }
 
 void BackendList::ForgetLater(const std::string& id) {
-  this->scheduler.After(
-      kKeptMs, [this, id, guard = std::weak_ptr<bool>(this->alive)] {
-        if (guard.expired()) {
-          return;
-        }
-        const auto found = this->backends.find(id);
-        if (found != this->backends.end() && !found->second.listed) {
-          const Backend gone = found->second;
-          this->backends.erase(found);
-          this->Tell(BackendChange::kGone, gone);
-        }
-      });
+  this->scheduler.After(kKeptMs, this->life.Guarded([this, id] {
+    const auto found = this->backends.find(id);
+    if (found != this->backends.end() && !found->second.listed) {
+      const Backend gone = found->second;
+      this->backends.erase(found);
+      this->Tell(BackendChange::kGone, gone);
+    }
+  }));
 }
 
 void BackendList::Tell(BackendChange change, const Backend& backend) {
--- a/src/relay/backend_list.h
+++ b/src/relay/backend_list.h
@@ -4,12 +4,12 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/clock.h"
+#include "base/lifetime.h"
 #include "base/scheduler.h"
 
 namespace meadowthread {
@@ -20,7 +20,6 @@
   std::string service;
   std::string address;  ///< IP:PORT
   std::string zone;
-  int batch_slots = 0;
   bool leaving = false;
   std::int64_t slow_for_ms = 0;  ///< after this entry was read
   std::vector<std::string> models;
@@ -92,7 +91,7 @@
   std::map<std::string, Backend, std::less<>> backends;
   std::vector<Listener> listeners;
   std::int64_t store_back_ms = -1;
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- a/src/relay/call_session.cc
+++ b/src/relay/call_session.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/error.h"
 #include "base/log_line.h"
+#include "net/http_code.h"
 #include "net/http_headers.h"
 
 namespace meadowthread {
@@ -23,7 +24,6 @@
 // What is left must be worth sending: a shorter deadline is no offer.
 constexpr std::int64_t kLeastLeftMs = 5;
 constexpr std::size_t kMostAnswerBytes = std::size_t{8} * 1024 * 1024;
-constexpr int kFirstFailure = 500;
 // A resting connection this young was in use a moment ago; an older one may
 // have been closed or forgotten by its peer.
 constexpr std::int64_t kYoungMs = 4'000;
@@ -33,7 +33,11 @@
 constexpr std::int64_t kNoServerRetryMs = 400;
 // Weights of a server's cost beside its requests in progress.
 constexpr double kFailureCost = 12.0;
-constexpr double kZoneCost = 0.0;
+constexpr double kSlowCost = 1.0;
+// Among servers that are all set aside, those that are not go first.
+constexpr double kAsideCost = 1'000.0;
+// Costs that differ by less are alike.
+constexpr double kAlike = 0.25;
 
 }  // namespace
 
@@ -107,12 +111,11 @@
 CallSession::~CallSession() = default;
 
 void CallSession::After(std::int64_t delay_ms, void (CallSession::*task)()) {
-  this->parts.scheduler.After(
-      delay_ms, [this, task, guard = std::weak_ptr<bool>(this->alive)] {
-        if (!guard.expired() && !this->ended) {
-          (this->*task)();
-        }
-      });
+  this->parts.scheduler.After(delay_ms, this->life.Guarded([this, task] {
+    if (!this->ended) {
+      (this->*task)();
+    }
+  }));
 }
 
 void CallSession::Begin() {
@@ -133,14 +136,12 @@
 double CallSession::CostOf(const Backend& backend, std::int64_t now_ms) const {
   const std::string& id = backend.entry.id;
   double cost = this->parts.health.InProgress(id) +
-                kFailureCost * this->parts.health.FailureShare(id, now_ms) +
-                kZoneCost;
-  // Among servers that are all set aside, those that are not go first.
+                kFailureCost * this->parts.health.FailureShare(id, now_ms);
   if (!this->parts.health.MayUse(id, now_ms)) {
-    cost += 1'000.0;
+    cost += kAsideCost;
   }
   if (backend.warm_at_ms > now_ms) {
-    cost += 1.0;
+    cost += kSlowCost;
   }
   return cost;
 }
@@ -160,7 +161,6 @@
       continue;
     }
     const double cost = this->CostOf(*backend, now_ms);
-    constexpr double kAlike = 0.25;
     if (best == nullptr || cost < best_cost - kAlike) {
       best = backend;
       best_cost = cost;
@@ -227,14 +227,14 @@
     return;
   }
   const std::size_t planned_at = this->tried.size();
-  this->parts.scheduler.After(
-      kHedgeTargets * this->terms.target_latency_ms,
-      [this, planned_at, guard = std::weak_ptr<bool>(this->alive)] {
-        if (!guard.expired() && !this->ended &&
-            this->tried.size() == planned_at && !this->attempts.empty()) {
-          this->SendAgain(true);
-        }
-      });
+  this->parts.scheduler.After(kHedgeTargets * this->terms.target_latency_ms,
+                              this->life.Guarded([this, planned_at] {
+                                if (!this->ended &&
+                                    this->tried.size() == planned_at &&
+                                    !this->attempts.empty()) {
+                                  this->SendAgain(true);
+                                }
+                              }));
 }
 
 /////////////////////////////
@@ -285,7 +285,7 @@
   }
   this->may_have_run = true;
   const bool failed = meaning == AnswerMeaning::kUnsigned ||
-                      answer.http_status >= kFirstFailure;
+                      answer.http_status >= http_code::kFirstServerError;
   this->parts.health.Note(
       attempt.BackendId(),
       failed ? AttemptResult::kFailed : AttemptResult::kGood, now_ms);
@@ -399,15 +399,30 @@
   return MakeError(absl::StatusCode::kUnavailable, detail, what);
 }
 
-void CallSession::Observe(std::string_view outcome, std::string_view reason) {
+// A line and a count of how it ended; a failure's line is kept before others.
+void CallSession::TellEnd(std::string_view outcome, int http_status,
+                          const std::optional<ErrorDetail>& failure) {
+  const std::int64_t total_ms =
+      this->parts.clock.MonotonicMs() - this->begun_ms;
+  LogLine line("end");
+  line.Add("request", this->request.id)
+      .Add("workspace", this->terms.workspace)
+      .Add("route", this->terms.route)
+      .Add("service", this->terms.service)
+      .Add("outcome", outcome)
+      .Add("status", http_status)
+      .Add("code", failure.has_value() ? static_cast<int>(failure->id) : 0)
+      .Add("attempts", this->tried.size())
+      .Add("total_ms", total_ms);
+  failure.has_value() ? line.WriteImportant() : line.Write();
   RelayEnd told;
   told.route = this->terms.route;
   told.service = this->terms.service;
   told.outcome = std::string(outcome);
-  told.reason = std::string(reason);
+  told.reason = failure.has_value() ? failure->step : "";
   told.attempts = static_cast<int>(this->tried.size());
-  told.total_ms = this->parts.clock.MonotonicMs() - this->begun_ms;
-  told.first_ms = told.total_ms;
+  told.total_ms = total_ms;
+  told.first_ms = total_ms;
   this->parts.observer.OnRequestEnded(told);
 }
 
@@ -419,16 +434,7 @@
     this->parts.health.NoteOver(attempt->BackendId());
     attempt->Cancel();
   }
-  LogLine("end")
-      .Add("request", this->request.id)
-      .Add("workspace", this->terms.workspace)
-      .Add("route", this->terms.route)
-      .Add("service", this->terms.service)
-      .Add("outcome", "caller_gone")
-      .Add("attempts", this->tried.size())
-      .Add("total_ms", this->parts.clock.MonotonicMs() - this->begun_ms)
-      .Write();
-  this->Observe("caller_gone", "");
+  this->TellEnd("caller_gone", 0, std::nullopt);
 }
 
 void CallSession::End(const absl::StatusOr<HttpResponse>& result) {
@@ -444,20 +450,12 @@
                             now_ms);
     attempt->Cancel();
   }
-  const ErrorDetail detail = DetailOf(result.status());
-  LogLine line("end");
-  line.Add("request", this->request.id)
-      .Add("workspace", this->terms.workspace)
-      .Add("route", this->terms.route)
-      .Add("service", this->terms.service)
-      .Add("outcome", result.ok() ? "complete" : OutcomeName(detail.outcome))
-      .Add("status", result.ok() ? result->http_status : 0)
-      .Add("code", result.ok() ? 0 : static_cast<int>(detail.id))
-      .Add("attempts", this->tried.size())
-      .Add("total_ms", now_ms - this->begun_ms);
-  result.ok() ? line.Write() : line.WriteImportant();
-  this->Observe(result.ok() ? "complete" : OutcomeName(detail.outcome),
-                result.ok() ? "" : detail.step);
+  if (result.ok()) {
+    this->TellEnd("complete", result->http_status, std::nullopt);
+  } else {
+    const ErrorDetail detail = DetailOf(result.status());
+    this->TellEnd(OutcomeName(detail.outcome), 0, detail);
+  }
   const CallDone told = std::move(this->done);
   told(result);
 }
--- a/src/relay/call_session.h
+++ b/src/relay/call_session.h
@@ -4,11 +4,13 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "base/lifetime.h"
 #include "net/http_client.h"
 #include "relay/relay_parts.h"
 #include "relay/relay_request.h"
@@ -56,7 +58,8 @@
   void EndOrWait(const absl::StatusOr<HttpResponse>& result);
   void End(const absl::StatusOr<HttpResponse>& result);
   void GiveUpAtDeadline();
-  void Observe(std::string_view outcome, std::string_view reason);
+  void TellEnd(std::string_view outcome, int http_status,
+               const std::optional<ErrorDetail>& failure);
   absl::Status Problem(ErrorId id, Outcome outcome, std::string_view step,
                        std::string_view what) const;
   std::int64_t LeftMs() const;
@@ -75,7 +78,7 @@
   bool may_have_run = false;
   bool ended = false;
   std::int64_t begun_ms;
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- a/src/relay/departures.cc
+++ b/src/relay/departures.cc
@@ -146,11 +146,7 @@
     }
   }
   this->parts.scheduler.After(
-      kStepMs, [this, engine, guard = std::weak_ptr<bool>(this->alive)] {
-        if (!guard.expired()) {
-          this->Step(engine);
-        }
-      });
+      kStepMs, this->life.Guarded([this, engine] { this->Step(engine); }));
 }
 
 bool Departures::MoveOne(const Departure& departure, StreamSession& session) {
--- a/src/relay/departures.h
+++ b/src/relay/departures.h
@@ -4,11 +4,11 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "base/lifetime.h"
 #include "relay/plan_in_force.h"
 #include "relay/relay_parts.h"
 #include "relay/stream_session.h"
@@ -76,7 +76,7 @@
   const PlanInForce& plan;
   RunsAt runs_at;
   std::map<std::string, Departure, std::less<>> departures;
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- a/src/relay/event_cutter.cc
+++ b/src/relay/event_cutter.cc
@@ -2,6 +2,7 @@
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
+#include "base/absl_view.h"
 
 namespace meadowthread {
 namespace {
@@ -30,9 +31,7 @@
     const std::string_view line = event.substr(begin, end - begin);
     if (line.starts_with(kIdField)) {
       const std::string_view value = line.substr(kIdField.size());
-      if (!absl::SimpleAtoi(absl::StripAsciiWhitespace(
-                                absl::string_view(value.data(), value.size())),
-                            &id)) {
+      if (!absl::SimpleAtoi(absl::StripAsciiWhitespace(AbslView(value)), &id)) {
         id = -1;
       }
     }
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -252,16 +252,13 @@
     }
     this->control.ReadState(
         backend->entry.address,
-        [this, engine, guard = std::weak_ptr<bool>(this->alive)](
-            const absl::StatusOr<EngineState>& state) {
-          if (guard.expired()) {
-            return;
-          }
-          this->asked.erase(engine);
-          if (state.ok() && state->leaving) {
-            this->parts.backends.NoteLeaving(engine);
-          }
-        });
+        this->life.Guarded(
+            [this, engine](const absl::StatusOr<EngineState>& state) {
+              this->asked.erase(engine);
+              if (state.ok() && state->leaving) {
+                this->parts.backends.NoteLeaving(engine);
+              }
+            }));
   }
 }
 
@@ -273,14 +270,11 @@
     return;
   }
   this->sweep_planned = true;
-  this->parts.scheduler.After(0,
-                              [this, guard = std::weak_ptr<bool>(this->alive)] {
-                                if (!guard.expired()) {
-                                  this->sweep_planned = false;
-                                  this->ended_calls.clear();
-                                  this->ended_streams.clear();
-                                }
-                              });
+  this->parts.scheduler.After(0, this->life.Guarded([this] {
+    this->sweep_planned = false;
+    this->ended_calls.clear();
+    this->ended_streams.clear();
+  }));
 }
 
 }  // namespace meadowthread
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/lifetime.h"
 #include "net/http_server.h"
 #include "relay/call_session.h"
 #include "relay/departures.h"
@@ -99,7 +100,7 @@
   bool sweep_planned = false;
   std::set<std::string> asked;  ///< engines whose answer is awaited
   std::int64_t stop_ends_ms = -1;
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- a/src/relay/relay_request.h
+++ b/src/relay/relay_request.h
@@ -39,7 +39,6 @@
   std::vector<HttpHeader> headers;
   std::string body;
   std::string key;              ///< a secret: never logged, never passed on
-  std::string caller;           ///< the peer's address
   std::int64_t begun_ms = 0;    ///< monotonic: when its first byte came
   std::int64_t allowed_ms = 0;  ///< its caller waits this long; 0: not told
   std::optional<GenerationSize> generation;
--- a/src/relay/run_move.cc
+++ b/src/relay/run_move.cc
@@ -51,9 +51,8 @@
   order.stop = stop;
   order.limit_ms = kCopyLimitMs;
   this->control.Move(
-      order, [this, stop, guard = std::weak_ptr<bool>(this->alive)](
-                 const MoveAnswer& answer) {
-        if (guard.expired() || this->step == MoveStep::kOver) {
+      order, this->life.Guarded([this, stop](const MoveAnswer& answer) {
+        if (this->step == MoveStep::kOver) {
           return;
         }
         LogLine("move")
@@ -70,7 +69,7 @@
         } else {
           this->OnCopied(answer);
         }
-      });
+      }));
 }
 
 void RunMove::OnCopied(const MoveAnswer& answer) {
--- a/src/relay/run_move.h
+++ b/src/relay/run_move.h
@@ -2,10 +2,10 @@
 #define MEADOWTHREAD_RELAY_RUN_MOVE_H_
 
 #include <cstdint>
-#include <memory>
 #include <string>
 
 #include "base/clock.h"
+#include "base/lifetime.h"
 #include "relay/backend_wire.h"
 #include "relay/engine_control.h"
 
@@ -98,7 +98,7 @@
   bool target_has_copy = false;
   bool stream_ended = false;
   std::int64_t ordered_ms = 0;
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- a/src/relay/service_plan.h
+++ b/src/relay/service_plan.h
@@ -33,7 +33,6 @@
 
 /// @brief What is known of a service's model engines.
 struct EngineTraits {
-  int batch_slots = 0;
   std::int64_t memory_tokens = 0;
   std::int64_t token_bytes = 0;       ///< of memory, moved with a run
   double link_mbps = 0.0;             ///< on which memory is moved
--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_format.h"
 #include "base/error.h"
 #include "base/log_line.h"
+#include "net/http_code.h"
 #include "net/http_headers.h"
 
 namespace meadowthread {
@@ -28,8 +29,6 @@
 // this part of the time in which its first event is wanted.
 constexpr double kForceAfterPart = 0.3;
 constexpr std::int64_t kForceDefaultMs = 500;
-constexpr int kOk = 200;
-constexpr int kFirstFailure = 500;
 constexpr std::string_view kEventStreamType = "text/event-stream";
 
 Urgency UrgencyOf(int urgency) {
@@ -103,13 +102,12 @@
       this->parts.client.SetPaused(this->call, false);
     }
   });
-  this->parts.scheduler.After(
-      std::max<std::int64_t>(0, this->LeftMs()),
-      [this, guard = std::weak_ptr<bool>(this->alive)] {
-        if (!guard.expired() && this->phase != StreamPhase::kEnded) {
-          this->OnDeadline();
-        }
-      });
+  this->parts.scheduler.After(std::max<std::int64_t>(0, this->LeftMs()),
+                              this->life.Guarded([this] {
+                                if (this->phase != StreamPhase::kEnded) {
+                                  this->OnDeadline();
+                                }
+                              }));
   this->Offer();
 }
 
@@ -136,12 +134,11 @@
                 kForceAfterPart *
                 static_cast<double>(this->terms.target_latency_ms))
           : kForceDefaultMs;
-  this->parts.scheduler.After(
-      wait_ms, [this, guard = std::weak_ptr<bool>(this->alive)] {
-        if (!guard.expired() && this->phase == StreamPhase::kQueued) {
-          this->Force();
-        }
-      });
+  this->parts.scheduler.After(wait_ms, this->life.Guarded([this] {
+    if (this->phase == StreamPhase::kQueued) {
+      this->Force();
+    }
+  }));
 }
 
 // Engines queue by urgency themselves: from some time on a place in an engine's
@@ -224,11 +221,12 @@
                            std::span<const HttpHeader> headers) {
   this->meaning = this->parts.wire.Read(http_status, headers);
   const std::string_view type = FindHeader(headers, "Content-Type");
-  this->is_event_stream = http_status == kOk &&
+  this->is_event_stream = http_status == http_code::kOk &&
                           this->meaning == AnswerMeaning::kRan &&
                           type.starts_with(kEventStreamType);
   if (this->resumed_from.has_value()) {
-    this->head.http_status = this->is_event_stream ? kOk : http_status;
+    this->head.http_status =
+        this->is_event_stream ? http_code::kOk : http_status;
     return;
   }
   this->head.http_status = http_status;
@@ -420,7 +418,7 @@
 
 // An engine's own answer that is no stream of events: a failure as it gave it.
 void StreamSession::PassOnWhole() {
-  const bool failed = this->head.http_status >= kFirstFailure ||
+  const bool failed = this->head.http_status >= http_code::kFirstServerError ||
                       this->meaning == AnswerMeaning::kUnsigned;
   this->LeaveEngine(failed ? AttemptResult::kFailed : AttemptResult::kGood);
   if (this->meaning == AnswerMeaning::kUnsigned) {
--- a/src/relay/stream_session.h
+++ b/src/relay/stream_session.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/lifetime.h"
 #include "net/response_writer.h"
 #include "policy/work.h"
 #include "relay/event_cutter.h"
@@ -136,7 +137,7 @@
   std::int64_t first_event_ms = -1;
   std::int64_t last_event_ms = 0;
   std::int64_t longest_gap_ms = 0;
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- a/src/serve/host_entries.cc
+++ b/src/serve/host_entries.cc
@@ -88,72 +88,45 @@
 void HostEntries::Announce() { this->Write(this->version); }
 
 void HostEntries::Write(std::int64_t expected_version) {
-  this->store.Put(this->kind, this->self.name, EncodeEntryHost(this->self),
-                  expected_version,
-                  [this, guard = std::weak_ptr<bool>(this->alive)](
-                      const absl::StatusOr<std::int64_t>& written) {
-                    if (guard.expired()) {
-                      return;
-                    }
-                    if (written.ok()) {
-                      this->version = *written;
-                      LogLine("host-entry")
-                          .Add("host", this->self.name)
-                          .Add("version", *written)
-                          .WriteImportant();
-                      return;
-                    }
-                    // An earlier life's entry stands there, or nobody knows.
-                    this->ReadBack();
-                  });
+  this->store.Put(
+      this->kind, this->self.name, EncodeEntryHost(this->self),
+      expected_version,
+      this->life.Guarded([this](const absl::StatusOr<std::int64_t>& written) {
+        if (written.ok()) {
+          this->version = *written;
+          LogLine("host-entry")
+              .Add("host", this->self.name)
+              .Add("version", *written)
+              .WriteImportant();
+          return;
+        }
+        // An earlier life's entry stands there, or nobody knows.
+        this->ReadBack();
+      }));
 }
 
 void HostEntries::ReadBack() {
-  this->store.Get(this->kind, this->self.name,
-                  [this, guard = std::weak_ptr<bool>(this->alive)](
-                      const absl::StatusOr<StoredObject>& found) {
-                    if (guard.expired()) {
-                      return;
-                    }
-                    const ErrorId id = DetailOf(found.status()).id;
-                    if (!found.ok() && id != ErrorId::kNotFound) {
-                      this->AnnounceLater();
-                      return;
-                    }
-                    this->version = found.ok() ? found->version : 0;
-                    const absl::StatusOr<EntryHost> stands =
-                        found.ok() ? DecodeEntryHost(found->name, found->value)
-                                   : absl::StatusOr<EntryHost>(found.status());
-                    if (!stands.ok() || *stands != this->self) {
-                      this->AnnounceLater();
-                    }
-                  });
+  this->store.Get(
+      this->kind, this->self.name,
+      this->life.Guarded([this](const absl::StatusOr<StoredObject>& found) {
+        const ErrorId id = DetailOf(found.status()).id;
+        if (!found.ok() && id != ErrorId::kNotFound) {
+          this->AnnounceLater();
+          return;
+        }
+        this->version = found.ok() ? found->version : 0;
+        const absl::StatusOr<EntryHost> stands =
+            found.ok() ? DecodeEntryHost(found->name, found->value)
+                       : absl::StatusOr<EntryHost>(found.status());
+        if (!stands.ok() || *stands != this->self) {
+          this->AnnounceLater();
+        }
+      }));
 }
 
 void HostEntries::AnnounceLater() {
-  this->scheduler.After(kAgainMs,
-                        [this, guard = std::weak_ptr<bool>(this->alive)] {
-                          if (!guard.expired()) {
-                            this->Write(this->version);
-                          }
-                        });
-}
-
-void HostEntries::Withdraw(const std::function<void()>& done) {
-  if (this->version == 0) {
-    done();
-    return;
-  }
-  this->store.Delete(this->kind, this->self.name, this->version,
-                     [done](const absl::StatusOr<std::int64_t>& removed) {
-                       if (!removed.ok()) {
-                         LogLine("host-entry-stays")
-                             .Add("why",
-                                  std::string{removed.status().message()})
-                             .WriteImportant();
-                       }
-                       done();
-                     });
+  this->scheduler.After(
+      kAgainMs, this->life.Guarded([this] { this->Write(this->version); }));
 }
 
 }  // namespace meadowthread
--- a/src/serve/host_entries.h
+++ b/src/serve/host_entries.h
@@ -3,12 +3,12 @@
 
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "base/lifetime.h"
 #include "base/scheduler.h"
 #include "configuration/replicated_view.h"
 #include "store/object_store.h"
@@ -54,9 +54,6 @@
   /// @brief Writes this host's entry, until it lies there.
   void Announce();
 
-  /// @brief Removes it; `done` is told in any case.
-  void Withdraw(const std::function<void()>& done);
-
  private:
   void Write(std::int64_t expected_version);
   void ReadBack();
@@ -70,7 +67,7 @@
   Scheduler& scheduler;
   Listener listener;
   std::int64_t version = 0;
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- a/src/serve/ownership_duty.cc
+++ b/src/serve/ownership_duty.cc
@@ -67,11 +67,7 @@
   if (due && !this->writing) {
     this->WriteStatus(report);
   }
-  this->scheduler.After(kTickMs, [this, alive = this->alive] {
-    if (*alive) {
-      this->Tick();
-    }
-  });
+  this->scheduler.After(kTickMs, this->life.Guarded([this] { this->Tick(); }));
 }
 
 // A read counts only once the status object stands: a mover that marked
@@ -100,13 +96,12 @@
       {"incarnation", this->incarnation},
       {"unix_ms", this->clock.WallMs()},
       {"ownership", nlohmann::json::parse(report, nullptr, false)}};
-  this->store.Put(kStatusKind, this->host, status.dump(), this->status_version,
-                  [this, alive = this->alive,
-                   report](const absl::StatusOr<std::int64_t>& version) {
-                    if (*alive) {
-                      this->OnWritten(version, report);
-                    }
-                  });
+  this->store.Put(
+      kStatusKind, this->host, status.dump(), this->status_version,
+      this->life.Guarded(
+          [this, report](const absl::StatusOr<std::int64_t>& version) {
+            this->OnWritten(version, report);
+          }));
 }
 
 void OwnershipDuty::OnWritten(const absl::StatusOr<std::int64_t>& version,
@@ -130,13 +125,10 @@
   this->writing = true;
   this->store.Get(
       kStatusKind, this->host,
-      [this, alive = this->alive](const absl::StatusOr<StoredObject>& object) {
-        if (!*alive) {
-          return;
-        }
+      this->life.Guarded([this](const absl::StatusOr<StoredObject>& object) {
         this->writing = false;
         this->OnRead(object);
-      });
+      }));
 }
 
 // Found removed or written by another life of this host, a mover may not wait
--- a/src/serve/ownership_duty.h
+++ b/src/serve/ownership_duty.h
@@ -3,11 +3,11 @@
 
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 #include <string_view>
 
 #include "base/clock.h"
+#include "base/lifetime.h"
 #include "base/scheduler.h"
 #include "configuration/replicated_view.h"
 #include "placement/drain_tracker.h"
@@ -69,7 +69,7 @@
   std::int64_t registered_wall_ms = 0;  ///< 0: not registered yet
   bool writing = false;
   bool leaving = false;
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- a/src/store/object_answers.cc
+++ b/src/store/object_answers.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/json_fields.h"
+#include "net/http_code.h"
 #include "store/store_errors.h"
 
 namespace meadowthread {
@@ -12,17 +13,10 @@
 
 using nlohmann::json;
 
-constexpr int kHttpOk = 200;
-constexpr int kHttpNotFound = 404;
-constexpr int kHttpGone = 410;
-constexpr int kHttpPreconditionFailed = 412;
-constexpr int kHttpTooManyRequests = 429;
-constexpr int kHttpServiceUnavailable = 503;
-
 // The object API promises for these two that nothing was applied.
 bool IsDefiniteRefusal(int http_status) {
-  return http_status == kHttpTooManyRequests ||
-         http_status == kHttpServiceUnavailable;
+  return http_status == http_code::kTooManyRequests ||
+         http_status == http_code::kUnavailable;
 }
 
 std::optional<std::int64_t> ParseVersion(std::string_view etag) {
@@ -101,10 +95,10 @@
                                            std::string_view kind,
                                            std::string_view name) {
   const std::string peer = PeerOf(kind, name);
-  if (IsWhole(fetched, kHttpNotFound)) {
+  if (IsWhole(fetched, http_code::kNotFound)) {
     return StoreError(ErrorId::kNotFound, "get", peer);
   }
-  if (!IsWhole(fetched, kHttpOk)) {
+  if (!IsWhole(fetched, http_code::kOk)) {
     return ReadFailure(fetched, "get", peer);
   }
   const std::optional<std::int64_t> version =
@@ -123,10 +117,10 @@
 absl::StatusOr<ObjectList> ReadListAnswer(const HttpFetched& fetched,
                                           std::string_view step,
                                           std::string_view kind) {
-  if (IsWhole(fetched, kHttpGone)) {
+  if (IsWhole(fetched, http_code::kGone)) {
     return StoreError(ErrorId::kStoreRevisionGone, step, kind);
   }
-  if (!IsWhole(fetched, kHttpOk)) {
+  if (!IsWhole(fetched, http_code::kOk)) {
     return ReadFailure(fetched, step, kind);
   }
   absl::StatusOr<ObjectList> list = ParseList(fetched.response.body);
@@ -149,12 +143,12 @@
   if (IsDefiniteRefusal(http_status)) {
     return StoreError(ErrorId::kStoreUnavailable, step, peer);
   }
-  if (http_status == kHttpPreconditionFailed) {
+  if (http_status == http_code::kPreconditionFailed) {
     return StoreError(ErrorId::kStoreConflict, step, peer);
   }
   const std::optional<std::int64_t> version =
       ParseVersion(FindHeader(fetched.response.headers, "ETag"));
-  if (http_status != kHttpOk || !version.has_value()) {
+  if (http_status != http_code::kOk || !version.has_value()) {
     return StoreError(ErrorId::kStoreUnknown, step, peer);
   }
   return *version;
@@ -182,9 +176,7 @@
   object.kind = *kind;
   object.name = *name;
   object.version = *version;
-  const auto deleted = value.find("deleted");
-  object.deleted =
-      deleted != value.end() && deleted->is_boolean() && deleted->get<bool>();
+  object.deleted = BoolOr(value, "deleted", false);
   if (object.deleted) {
     return object;
   }
