The relay host by duty; streams' placing in a file of its own; one passing store for tests

Cause: src/serve/relay_host.cc (599 lines) held four things that need no host: who watches the store, how widely choices are spread, callers' limits, an engine's listing. src/relay/stream_session.cc (552) held placing beside passing on. Three tests forwarded all five calls of a store by hand. The connect limit and the bound of unreachable servers stood twice. Change: watcher_choice, choice_spread, relay_limits, engine_listing, each a plain function or class; stream_session_placing.cc; PassingStore; kBackendConnectMs. Tried: the tests' stores as MemoryStore's heirs; its Watch calls List, so two tests counted a list too many: taken back.

--- a/src/claims/tests/claim_faults_test.cc
+++ b/src/claims/tests/claim_faults_test.cc
@@ -1,38 +1,24 @@
 #include <criterion/criterion.h>
 
 #include "claims/tests/claim_fixture.h"
+#include "store/tests/passing_store.h"
 
 namespace meadowthread {
 namespace {
 
 /// @brief A client that sends each write a second time by itself and gives the
 /// second answer.
-class ResendingStore final : public ObjectStore {
+class ResendingStore final : public PassingStore {
  public:
-  explicit ResendingStore(MemoryStore* store) : store(store) {}
+  explicit ResendingStore(MemoryStore* store)
+      : PassingStore(*store), store(store) {}
 
-  void Get(std::string_view kind, std::string_view name,
-           const GetDone& done) override {
-    this->store->Get(kind, name, done);
-  }
   void Put(std::string_view kind, std::string_view name, std::string_view value,
            std::int64_t version, const PutDone& done) override {
     this->store->Put(kind, name, value, version,
                      [](const absl::StatusOr<std::int64_t>&) {});
     this->store->Put(kind, name, value, version, done);
   }
-  void Delete(std::string_view kind, std::string_view name,
-              std::int64_t version, const PutDone& done) override {
-    this->store->Delete(kind, name, version, done);
-  }
-  void List(std::string_view kind, std::int64_t since,
-            const ListDone& done) override {
-    this->store->List(kind, since, done);
-  }
-  void Watch(std::string_view kind, std::int64_t since, std::int64_t wait_ms,
-             const ListDone& done) override {
-    this->store->Watch(kind, since, wait_ms, done);
-  }
 
  private:
   MemoryStore* store;
--- a/src/configuration/tests/operator_change_test.cc
+++ b/src/configuration/tests/operator_change_test.cc
@@ -8,6 +8,7 @@
 #include "configuration/template_object.h"
 #include "configuration/text_difference.h"
 #include "store/memory_store.h"
+#include "store/tests/passing_store.h"
 
 namespace meadowthread {
 namespace {
@@ -18,8 +19,10 @@
 }
 
 // Reads show an earlier state for as long as a test likes.
-class StaleStore final : public ObjectStore {
+class StaleStore final : public PassingStore {
  public:
+  StaleStore() : PassingStore(this->memory) {}
+
   void Get(std::string_view kind, std::string_view name,
            const GetDone& done) override {
     if (this->stale_gets == 0) {
@@ -29,22 +32,6 @@
     --this->stale_gets;
     this->earlier.Get(kind, name, done);
   }
-  void Put(std::string_view kind, std::string_view name, std::string_view value,
-           std::int64_t expected_version, const PutDone& done) override {
-    this->memory.Put(kind, name, value, expected_version, done);
-  }
-  void Delete(std::string_view kind, std::string_view name,
-              std::int64_t expected_version, const PutDone& done) override {
-    this->memory.Delete(kind, name, expected_version, done);
-  }
-  void List(std::string_view kind, std::int64_t since,
-            const ListDone& done) override {
-    this->memory.List(kind, since, done);
-  }
-  void Watch(std::string_view kind, std::int64_t since, std::int64_t wait_ms,
-             const ListDone& done) override {
-    this->memory.Watch(kind, since, wait_ms, done);
-  }
   void Settle() {
     this->memory.Settle();
     this->earlier.Settle();
--- a/src/configuration/tests/view_feeder_test.cc
+++ b/src/configuration/tests/view_feeder_test.cc
@@ -8,6 +8,7 @@
 #include "base/manual_scheduler.h"
 #include "store/memory_store.h"
 #include "store/store_errors.h"
+#include "store/tests/passing_store.h"
 
 namespace meadowthread {
 namespace {
@@ -15,20 +16,10 @@
 constexpr std::array<std::string_view, 1> kKinds = {kTemplatesKind};
 
 // A store whose reads can be made to go wrong.
-class FaultyReads final : public ObjectStore {
+class FaultyReads final : public PassingStore {
  public:
-  void Get(std::string_view kind, std::string_view name,
-           const GetDone& done) override {
-    this->memory.Get(kind, name, done);
-  }
-  void Put(std::string_view kind, std::string_view name, std::string_view value,
-           std::int64_t expected_version, const PutDone& done) override {
-    this->memory.Put(kind, name, value, expected_version, done);
-  }
-  void Delete(std::string_view kind, std::string_view name,
-              std::int64_t expected_version, const PutDone& done) override {
-    this->memory.Delete(kind, name, expected_version, done);
-  }
+  FaultyReads() : PassingStore(this->memory) {}
+
   void List(std::string_view kind, std::int64_t since,
             const ListDone& done) override {
     ++this->lists;
--- a/src/relay/call_session.cc
+++ b/src/relay/call_session.cc
@@ -14,10 +14,6 @@
 
 // A caller that tells no limit, on a route without one.
 constexpr std::int64_t kDefaultLimitMs = 30'000;
-// A dead server is noticed by its silence: within a region an answer to a
-// connection takes a few milliseconds, and a lost packet costs one more try.
-constexpr std::int64_t kConnectMs = 250;
-constexpr int kMostUnreachable = 3;
 // A call that may be repeated is sent to a second server when the first has
 // not answered within this many times its target latency.
 constexpr std::int64_t kHedgeTargets = 2;
@@ -205,7 +201,7 @@
   send.workspace = this->terms.workspace;
   send.left_ms = left_ms;
   HttpRequest http = this->parts.wire.RequestFor(this->request, send);
-  http.connect_timeout_ms = kConnectMs;
+  http.connect_timeout_ms = kBackendConnectMs;
   http.send_once = true;
   const bool repeatable = this->terms.rule == RunRule::kRepeatable;
   http.reuse_idle_ms = repeatable ? kYoungMs : kYoungForOnceMs;
--- a/src/relay/relay_parts.h
+++ b/src/relay/relay_parts.h
@@ -1,6 +1,7 @@
 #ifndef MEADOWTHREAD_RELAY_RELAY_PARTS_H_
 #define MEADOWTHREAD_RELAY_RELAY_PARTS_H_
 
+#include <cstdint>
 #include <random>
 
 #include "base/clock.h"
@@ -16,6 +17,14 @@
 
 namespace meadowthread {
 
+/// @brief Longest time to connect to a backend server. A dead one is noticed by
+/// its silence: within a region an answer to a connection takes a few
+/// milliseconds, and a lost packet costs one more try.
+inline constexpr std::int64_t kBackendConnectMs = 250;
+
+/// @brief Backend servers in a row that a request may find unreachable.
+inline constexpr int kMostUnreachable = 3;
+
 /// @brief What the sessions of a relay work with; all outlive it.
 struct RelayParts {
   const Clock& clock;
--- a/src/relay/stream_session.h
+++ b/src/relay/stream_session.h
@@ -77,6 +77,9 @@
   void OnMoveOver(MoveEnd end) override;
 
  private:
+  // When to come back where no engine can be used.
+  static constexpr std::int64_t kNoEngineRetryMs = 400;
+
   void Offer();
   void Force();
   void Send(const Backend& backend, const std::optional<Continuation>& from);
--- /dev/null
+++ b/src/serve/engine_listing.cc
@@ -0,0 +1,32 @@
+#include "serve/engine_listing.h"
+
+#include <algorithm>
+#include <string>
+
+namespace meadowthread {
+
+EngineListing ListingOf(const Backend& backend, const ServiceRule* service,
+                        const Clock& clock) {
+  EngineListing listing;
+  listing.engine = backend.entry.id;
+  listing.zone = backend.entry.zone;
+  listing.leaving = backend.leaving;
+  const std::int64_t slow_ms = backend.warm_at_ms - clock.MonotonicMs();
+  listing.warm_at_ms = slow_ms > 0 ? clock.WallMs() + slow_ms : std::int64_t{0};
+  if (service != nullptr && service->engine.has_value()) {
+    listing.kv_capacity = service->engine->memory_tokens;
+    for (const std::string& model : service->engine->models) {
+      listing.models.push_back({model, "", ""});
+    }
+  }
+  for (const std::string& model : backend.entry.models) {
+    const ServedModel served = {model, "", ""};
+    if (std::find(listing.models.begin(), listing.models.end(), served) ==
+        listing.models.end()) {
+      listing.models.push_back(served);
+    }
+  }
+  return listing;
+}
+
+}  // namespace meadowthread
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -1,7 +1,5 @@
 #include "serve/relay_host.h"
 
-#include <xxhash.h>
-
 #include <QCoreApplication>
 #include <algorithm>
 #include <array>
@@ -26,12 +24,16 @@
 #include "policy/length_model.h"
 #include "policy/pressure_chooser.h"
 #include "relay/relay.h"
+#include "serve/choice_spread.h"
+#include "serve/engine_listing.h"
 #include "serve/exchange_duty.h"
 #include "serve/host_entries.h"
 #include "serve/load_notes.h"
+#include "serve/relay_limits.h"
 #include "serve/relay_metrics.h"
 #include "serve/steady_clock.h"
 #include "serve/text_service.h"
+#include "serve/watcher_choice.h"
 
 namespace meadowthread {
 namespace {
@@ -42,27 +44,12 @@
 constexpr std::int64_t kDatagramBytesPerSecond = 18'000;
 // Peers tell all of their load each three seconds: two may be lost.
 constexpr std::int64_t kPeerAgeMs = 7'000;
-// A note of one engine's load on its way to one peer, headers included.
-constexpr double kNoteBytes = 90.0;
-// Changes of a host's load for each of its streams: begun, first event, ended.
-constexpr double kNotesPerStream = 3.0;
-// Until a change is told at all: a step of the notes' timer and the way.
-constexpr double kNoteDelayMs = 30.0;
-// Streams begin in bursts, so notes are taken to wait from a quarter of the
-// bound of bytes on. A guess: only the whole of the spreading was measured.
-constexpr double kNotesBoundFactor = 4.0;
-constexpr double kRateWindowMs = 10'000.0;
-constexpr std::int64_t kSpreadPeriodMs = 1'000;
 // While the store can't tell, engines are asked themselves. They stay for about
 // two seconds, and their word is half a second old.
 constexpr std::int64_t kAskPeriodMs = 300;
 // A view of the engines that nobody confirmed for this long: watches end after
 // a second and a half at the latest, and peers tell it within one more.
 constexpr std::int64_t kSilentMs = 3'000;
-// Hosts that watch the store. A third of the hosts may lose it at once: with
-// four, or one in twelve where there are many, some still see it.
-constexpr std::ptrdiff_t kLeastWatchers = 4;
-constexpr double kWatcherPart = 0.085;
 constexpr std::int64_t kDrainPeriodMs = 20;
 // The balancer asks each second and takes a host out after two questions
 // without a yes: for so long new connections still come to a stopping host.
@@ -72,13 +59,6 @@
 // Requests taken while stopping have to end this long before that.
 constexpr std::int64_t kStopMarginMs = 600;
 constexpr std::int64_t kMsPerSecond = 1'000;
-// Descriptors kept for listeners, the store, peers and files.
-constexpr int kKeptDescriptors = 400;
-// A host with fewer descriptors still serves a few callers.
-constexpr int kLeastConnections = 16;
-// Of the memory, for requests that are not whole yet.
-constexpr std::int64_t kHeldMemoryPart = 5;
-constexpr std::int64_t kMebibyte = std::int64_t{1} << 20;
 
 FeederOptions MakeFeederOptions(const std::string& host, std::uint64_t seed) {
   FeederOptions options;
@@ -133,7 +113,6 @@
   void Every(std::int64_t period_ms, const std::function<void()>& task);
   void EndIfDrained();
   void Leave(std::string_view why);
-  EngineListing ListingOf(const Backend& backend) const;
 
   RelaySettings settings;
   RelayPlatform& platform;
@@ -160,6 +139,7 @@
   DatagramHub hub;
   LoadDatagrams load_datagrams;
   ViewDatagrams view_datagrams;
+  ChoiceSpread spread{kDatagramBytesPerSecond};
   PressureChooser chooser;
   Dispatcher dispatcher;
   std::unique_ptr<EngineControl> control;
@@ -170,8 +150,6 @@
   HttpServer ready_server;
   HttpServer metrics_server;
   std::int64_t stop_ms = -1;  ///< monotonic; -1: not stopping
-  std::int64_t streams_counted = 0;
-  double streams_lately = 0.0;  ///< begun here, decaying
   bool left = false;
 };
 
@@ -271,7 +249,7 @@
   this->feeder.Start();
   this->entries.Announce();
   this->Every(kRotatePeriodMs, [this] { this->metrics.Rotate(); });
-  this->Every(kSpreadPeriodMs, [this] { this->SpreadChoices(); });
+  this->Every(ChoiceSpread::kPeriodMs, [this] { this->SpreadChoices(); });
   this->Every(kAskPeriodMs, [this] {
     if (this->IsStoreSilent()) {
       this->relay.AskEngines();
@@ -350,32 +328,6 @@
   this->backends.Set(*entry);
 }
 
-EngineListing RelayHost::Parts::ListingOf(const Backend& backend) const {
-  EngineListing listing;
-  listing.engine = backend.entry.id;
-  listing.zone = backend.entry.zone;
-  listing.leaving = backend.leaving;
-  const std::int64_t slow_ms = backend.warm_at_ms - this->clock.MonotonicMs();
-  listing.warm_at_ms =
-      slow_ms > 0 ? this->clock.WallMs() + slow_ms : std::int64_t{0};
-  const ServiceRule* const service =
-      this->plan.FindService(backend.entry.service);
-  if (service != nullptr && service->engine.has_value()) {
-    listing.kv_capacity = service->engine->memory_tokens;
-    for (const std::string& model : service->engine->models) {
-      listing.models.push_back({model, "", ""});
-    }
-  }
-  for (const std::string& model : backend.entry.models) {
-    const ServedModel served = {model, "", ""};
-    if (std::find(listing.models.begin(), listing.models.end(), served) ==
-        listing.models.end()) {
-      listing.models.push_back(served);
-    }
-  }
-  return listing;
-}
-
 void RelayHost::Parts::TakeBackendChange(BackendChange change,
                                          const Backend& backend) {
   const std::string& id = backend.entry.id;
@@ -384,7 +336,8 @@
     this->health.Forget(id);
     return;
   }
-  const EngineListing listing = this->ListingOf(backend);
+  const EngineListing listing = ListingOf(
+      backend, this->plan.FindService(backend.entry.service), this->clock);
   if (!listing.models.empty()) {
     this->fleet.SetEngine(listing, this->clock.WallMs());
   }
@@ -393,27 +346,19 @@
   }
 }
 
-// Calls to the store cost, so some hosts watch it and tell the others: those
-// that come first by a hash of their names among those that answer. A host that
-// no peer answers reads for itself.
+// A host that no peer answers reads for itself.
 bool RelayHost::Parts::IsWatcher() const {
-  const auto rank_of = [](const std::string& name) {
-    return XXH64(name.data(), name.size(), 0);
-  };
   const std::string& self = this->settings.host.name;
-  const std::uint64_t own = rank_of(self);
   const std::vector<const HostEntry*> known =
       this->hosts.OfRole(HostRole::kEntry);
-  const int peers = this->exchange.PeersAlive();
-  const auto watchers = std::max(
-      kLeastWatchers, static_cast<std::ptrdiff_t>(
-                          kWatcherPart * static_cast<double>(known.size())));
-  const auto before =
-      std::count_if(known.begin(), known.end(), [&](const HostEntry* host) {
-        return host->name != self && this->exchange.Answers(host->name) &&
-               rank_of(host->name) < own;
-      });
-  return peers == 0 || before < watchers;
+  std::vector<std::string_view> answering;
+  for (const HostEntry* const host : known) {
+    if (host->name != self && this->exchange.Answers(host->name)) {
+      answering.push_back(host->name);
+    }
+  }
+  return this->exchange.PeersAlive() == 0 ||
+         WatchesStore(self, answering, known.size());
 }
 
 void RelayHost::Parts::TakeHosts(const std::vector<EntryHost>& known) {
@@ -482,25 +427,9 @@
   return stalled || age_ms > kSilentMs;
 }
 
-// How many streams other hosts have begun that are not told of yet: their rate,
-// taken to be this host's, over the time that a note takes. Where notes would
-// pass the bound of bytes, they wait for it.
 void RelayHost::Parts::SpreadChoices() {
-  const double decay =
-      std::exp(-static_cast<double>(kSpreadPeriodMs) / kRateWindowMs);
-  const auto begun = static_cast<double>(
-      this->relay.Stats().streams -
-      std::exchange(this->streams_counted, this->relay.Stats().streams));
-  this->streams_lately = this->streams_lately * decay + begun;
-  const double per_ms = this->streams_lately / kRateWindowMs;
-  const auto peers = static_cast<double>(this->hub.Peers());
-  const double bytes_per_ms = per_ms * kNotesPerStream * kNoteBytes * peers;
-  constexpr double kAllowedPerMs =
-      static_cast<double>(kDatagramBytesPerSecond) / kMsPerSecond;
-  const double delay_ms =
-      kNoteDelayMs *
-      std::max(1.0, kNotesBoundFactor * bytes_per_ms / kAllowedPerMs);
-  this->chooser.SetUnseen(per_ms * peers * delay_ms);
+  this->chooser.SetUnseen(
+      this->spread.Unseen(this->relay.Stats().streams, this->hub.Peers()));
 }
 
 /////////////
@@ -508,30 +437,17 @@
 /////////////
 
 void RelayHost::Parts::ApplyBounds() {
-  ServerLimits limits;
-  const RelayBoundSettings& bounds = this->settings.bounds;
-  limits.max_connections = static_cast<std::size_t>(
-      std::max(kLeastConnections, (bounds.descriptors - kKeptDescriptors) / 2));
-  limits.max_held_bytes = bounds.memory_mb * kMebibyte / kHeldMemoryPart;
-  if (const ServicePlan* const in_force = this->plan.Plan()) {
-    const CallerBounds& told = in_force->bounds;
-    const auto take = [](std::int64_t from, std::int64_t* to) {
-      if (from > 0) {
-        *to = from;
-      }
-    };
-    take(told.max_header_bytes, &limits.max_header_bytes);
-    take(told.max_body_bytes, &limits.max_body_bytes);
-    take(told.header_timeout_ms, &limits.header_timeout_ms);
-    take(told.idle_timeout_ms, &limits.idle_timeout_ms);
-    // Engines may have been listed before the services that they belong to.
-    for (const ServiceRule& service : in_force->services) {
-      for (const Backend* const backend : this->backends.Usable(service.name)) {
-        this->TakeBackendChange(BackendChange::kChanged, *backend);
-      }
+  const ServicePlan* const in_force = this->plan.Plan();
+  this->server.SetLimits(RelayLimitsOf(this->settings.bounds, in_force));
+  if (in_force == nullptr) {
+    return;
+  }
+  // Engines may have been listed before the services that they belong to.
+  for (const ServiceRule& service : in_force->services) {
+    for (const Backend* const backend : this->backends.Usable(service.name)) {
+      this->TakeBackendChange(BackendChange::kChanged, *backend);
     }
   }
-  this->server.SetLimits(limits);
 }
 
 void RelayHost::Parts::Reload(const RelaySettings& with) {
--- /dev/null
+++ b/src/serve/tests/relay_limits_test.cc
@@ -0,0 +1,39 @@
+#include "serve/relay_limits.h"
+
+#include <criterion/criterion.h>
+
+namespace meadowthread {
+namespace {
+
+RelayBoundSettings Bounds() {
+  RelayBoundSettings bounds;
+  bounds.memory_mb = 100;
+  bounds.descriptors = 2'400;
+  return bounds;
+}
+
+Test(a_hosts_limits, follow_from_its_descriptors_and_memory) {
+  const ServerLimits limits = RelayLimitsOf(Bounds(), nullptr);
+  cr_assert(limits.max_connections == 1'000);
+  constexpr std::int64_t kFifthOfMemory = std::int64_t{20} << 20;
+  cr_assert(limits.max_held_bytes == kFifthOfMemory);
+}
+
+Test(a_hosts_limits, leave_a_few_connections_where_descriptors_are_short) {
+  RelayBoundSettings bounds = Bounds();
+  bounds.descriptors = 100;
+  cr_assert(RelayLimitsOf(bounds, nullptr).max_connections == 16);
+}
+
+Test(a_hosts_limits, are_the_plans_where_it_sets_any) {
+  ServicePlan plan;
+  plan.bounds.max_body_bytes = 70'000;
+  const ServerLimits own = RelayLimitsOf(Bounds(), nullptr);
+  const ServerLimits limits = RelayLimitsOf(Bounds(), &plan);
+  cr_assert(limits.max_body_bytes == 70'000);
+  cr_assert(limits.max_header_bytes == own.max_header_bytes);
+  cr_assert(limits.idle_timeout_ms == own.idle_timeout_ms);
+}
+
+}  // namespace
+}  // namespace meadowthread
--- /dev/null
+++ b/src/serve/watcher_choice.h
@@ -0,0 +1,22 @@
+#ifndef MEADOWTHREAD_SERVE_WATCHER_CHOICE_H_
+#define MEADOWTHREAD_SERVE_WATCHER_CHOICE_H_
+
+#include <cstddef>
+#include <span>
+#include <string_view>
+
+namespace meadowthread {
+
+/// @brief Whether a host watches the store; the others are told by those that
+/// do, as calls to the store cost.
+/// @param[in] self this host's name
+/// @param[in] answering the peers that answer, this host not among them
+/// @param[in] known how many entry hosts there are in all
+/// @complexity O(answering)
+bool WatchesStore(std::string_view self,
+                  std::span<const std::string_view> answering,
+                  std::size_t known);
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_SERVE_WATCHER_CHOICE_H_
--- /dev/null
+++ b/src/store/tests/passing_store.h
@@ -0,0 +1,44 @@
+#ifndef MEADOWTHREAD_STORE_TESTS_PASSING_STORE_H_
+#define MEADOWTHREAD_STORE_TESTS_PASSING_STORE_H_
+
+#include <cstdint>
+#include <string_view>
+
+#include "store/object_store.h"
+
+namespace meadowthread {
+
+/// @brief Passes every call on: what a test's own store does not change.
+class PassingStore : public ObjectStore {
+ public:
+  /// @param[in] to outlives this store's calls
+  explicit PassingStore(ObjectStore& to) : to(to) {}
+
+  void Get(std::string_view kind, std::string_view name,
+           const GetDone& done) override {
+    this->to.Get(kind, name, done);
+  }
+  void Put(std::string_view kind, std::string_view name, std::string_view value,
+           std::int64_t expected_version, const PutDone& done) override {
+    this->to.Put(kind, name, value, expected_version, done);
+  }
+  void Delete(std::string_view kind, std::string_view name,
+              std::int64_t expected_version, const PutDone& done) override {
+    this->to.Delete(kind, name, expected_version, done);
+  }
+  void List(std::string_view kind, std::int64_t since,
+            const ListDone& done) override {
+    this->to.List(kind, since, done);
+  }
+  void Watch(std::string_view kind, std::int64_t since, std::int64_t wait_ms,
+             const ListDone& done) override {
+    this->to.Watch(kind, since, wait_ms, done);
+  }
+
+ private:
+  ObjectStore& to;
+};
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_STORE_TESTS_PASSING_STORE_H_
