Plain calls of both interfaces go by one session; one outcome table; two faults found by its tests

Cause: serve's plain services chose, sent and retried in ServiceForwarder, the relay's in CallSession; what may be said of an attempt stood in a table for the one and in conditions for the other. Sessions of the relay had no tests of their own. Ruled out: one session for generations as well; engines of our own interface name a generation that any host may read on, those of the platform move runs between engines and name none (docs/design/platform.md). They share server, client, dispatcher, fleet state and now the outcome table. Found by those tests, each failed first: (1) an answer beyond 8 MB ended the process (an error without a status); it is now cut off at its bound and told as unknown; (2) a repeatable call whose first attempt may have run and whose second reached nobody was told as not run.

--- a/src/gateway/generation_session.h
+++ b/src/gateway/generation_session.h
@@ -6,13 +6,13 @@
 #include <string>
 #include <vector>
 
-#include "answer/attempt_outcome.h"
 #include "answer/stream_assembler.h"
 #include "base/lifetime.h"
 #include "engine/engine_stream.h"
 #include "gateway/caller_request.h"
 #include "gateway/caller_stream.h"
 #include "gateway/session_parts.h"
+#include "relay/attempt_outcome.h"
 
 namespace meadowthread {
 
--- a/src/gateway/generation_session_stream.cc
+++ b/src/gateway/generation_session_stream.cc
@@ -77,8 +77,8 @@
     return;
   }
   const AttemptVerdict verdict =
-      JudgeAttempt({close, this->phase == SessionPhase::kStreaming,
-                    this->caller->Delivered()});
+      JudgeAttempt({close.may_have_left, close.rejected,
+                    this->phase == SessionPhase::kStreaming});
   absl::Status cause = close.status;
   if (cause.ok()) {
     cause = this->ErrorOf(
--- a/src/gateway/service_forwarder.h
+++ b/src/gateway/service_forwarder.h
@@ -5,19 +5,15 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
-#include <random>
 #include <string>
 #include <vector>
 
-#include "base/clock.h"
-#include "base/error.h"
+#include "base/lifetime.h"
 #include "claims/claim_service.h"
 #include "configuration/service_catalog.h"
-#include "hosts/host_directory.h"
-#include "net/http_client.h"
 #include "net/response_writer.h"
-#include "policy/retry_budget.h"
+#include "relay/call_session.h"
+#include "relay/relay_parts.h"
 
 namespace meadowthread {
 
@@ -36,20 +32,20 @@
 
 /// @brief What the forwarder works with; all of it outlives the forwarder.
 struct ForwarderParts {
-  HttpClient& client;
-  const HostDirectory& hosts;
+  RelayParts relay;
   const ServiceCatalog& catalog;  ///< says which calls may not be repeated
   ClaimService& claims;
-  RetryBudget& retries;
-  const Clock& clock;
-  std::mt19937_64& random;
   std::int64_t timeout_ms = 30'000;
 };
 
-/// @brief Routes calls to plain backend servers.
+/// @brief Puts a claim around calls that may not be repeated, and sends all of
+/// them by the relay's sessions.
 class ServiceForwarder {
  public:
-  explicit ServiceForwarder(const ForwarderParts& parts) : parts(parts) {}
+  explicit ServiceForwarder(const ForwarderParts& parts);
+  ~ServiceForwarder();
+  ServiceForwarder(const ServiceForwarder&) = delete;
+  ServiceForwarder& operator=(const ServiceForwarder&) = delete;
 
   /// @brief Forwards a call and answers it through `writer`.
   /// @param[in] ended called once the call is over
@@ -57,28 +53,28 @@
                std::function<void()> ended);
 
   /// @brief Calls in progress.
-  int Running() const { return this->running; }
+  int Running() const { return static_cast<int>(this->pending.size()); }
 
  private:
   struct Pending;
 
-  void Claim(const std::shared_ptr<Pending>& pending);
-  void OnClaimed(const std::shared_ptr<Pending>& pending,
+  void Claim(std::uint64_t number, const ServiceCall& call, KeyForm form);
+  void OnClaimed(std::uint64_t number,
                  const absl::StatusOr<ClaimAnswer>& answer);
-  void Send(const std::shared_ptr<Pending>& pending);
-  void OnAnswer(const std::shared_ptr<Pending>& pending,
-                const std::string& backend, const HttpFetched& fetched);
-  void PassOn(Pending& pending, const HttpResponse& response);
-  void TryAgainOrFail(const std::shared_ptr<Pending>& pending,
-                      const absl::Status& cause, Outcome outcome);
-  void Fail(Pending& pending, const absl::Status& status);
-  const HostEntry* Choose(const Pending& pending);
-  HttpRequest MakeRequest(const Pending& pending,
-                          const HostEntry& backend) const;
+  void OnCallerGone(std::uint64_t number);
+  void OnDone(std::uint64_t number, const absl::StatusOr<HttpResponse>& result);
+  void Send(std::uint64_t number);
+  void PassOn(std::uint64_t number, const ClaimResult& answer);
+  void Fail(std::uint64_t number, const absl::Status& status);
+  void Drop(std::uint64_t number);
+  Pending* Find(std::uint64_t number);
 
   ForwarderParts parts;
-  std::map<std::string, int, std::less<>> in_flight;  ///< by backend server
-  int running = 0;
+  std::uint64_t last_number = 0;
+  std::map<std::uint64_t, std::unique_ptr<Pending>> pending;
+  /// Over ones: their sessions' calls may still be on the stack.
+  std::vector<std::unique_ptr<Pending>> over;
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- /dev/null
+++ b/src/gateway/service_wire.cc
@@ -0,0 +1,25 @@
+#include "gateway/service_wire.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace meadowthread {
+
+HttpRequest ServiceWire::RequestFor(const RelayRequest& request,
+                                    const SendTerms& terms) const {
+  HttpRequest http;
+  http.method = request.method;
+  http.url = absl::StrCat("http://", terms.address, request.target);
+  http.headers = request.headers;
+  http.headers.push_back({"Meadowthread-Request", request.id});
+  http.body = request.body;
+  return http;
+}
+
+// They have no way to say that they did not run a call, so nothing they answer
+// is taken for that.
+AnswerMeaning ServiceWire::Read(int /*http_status*/,
+                                std::span<const HttpHeader> /*headers*/) const {
+  return AnswerMeaning::kRan;
+}
+
+}  // namespace meadowthread
--- a/src/hosts/host_directory.cc
+++ b/src/hosts/host_directory.cc
@@ -32,15 +32,4 @@
   return found;
 }
 
-std::vector<const HostEntry*> HostDirectory::OfService(
-    std::string_view service) const {
-  std::vector<const HostEntry*> found;
-  for (const HostEntry* entry : this->OfRole(HostRole::kBackend)) {
-    if (entry->service == service && !entry->leaving) {
-      found.push_back(entry);
-    }
-  }
-  return found;
-}
-
 }  // namespace meadowthread
--- a/src/hosts/host_directory.h
+++ b/src/hosts/host_directory.h
@@ -32,9 +32,6 @@
   /// @brief All hosts of a role, by name.
   std::vector<const HostEntry*> OfRole(HostRole role) const;
 
-  /// @brief Live hosts of a plain service, by name.
-  std::vector<const HostEntry*> OfService(std::string_view service) const;
-
  private:
   std::map<std::string, HostEntry, std::less<>> hosts;
   std::vector<Listener> listeners;
--- a/src/hosts/host_list.cc
+++ b/src/hosts/host_list.cc
@@ -21,10 +21,10 @@
   return MakeError(absl::StatusCode::kDataLoss, detail, what);
 }
 
-std::string Url(const std::string& address, int port) {
+std::string AuthorityOf(const std::string& address, int port) {
   const bool v6 = address.find(':') != std::string::npos;
-  return v6 ? absl::StrCat("http://[", address, "]:", port)
-            : absl::StrCat("http://", address, ":", port);
+  return v6 ? absl::StrCat("[", address, "]:", port)
+            : absl::StrCat(address, ":", port);
 }
 
 HostRole RoleOf(const std::string& name) {
@@ -61,12 +61,17 @@
 
 }  // namespace
 
+std::string HostEntry::Authority() const {
+  return AuthorityOf(this->address, this->port);
+}
+
 std::string HostEntry::BaseUrl() const {
-  return Url(this->address, this->port);
+  return absl::StrCat("http://", this->Authority());
 }
 
 std::string HostEntry::ControlUrl() const {
-  return Url(this->address, this->control_port);
+  return absl::StrCat("http://",
+                      AuthorityOf(this->address, this->control_port));
 }
 
 absl::StatusOr<HostList> DecodeHostList(std::string_view body) {
--- a/src/hosts/host_list.h
+++ b/src/hosts/host_list.h
@@ -26,6 +26,8 @@
   bool checks_fence = false;  ///< engines: refuses old fencing numbers
   std::string service;        ///< backends: the plain service it belongs to
 
+  /// @brief "ADDRESS:PORT".
+  std::string Authority() const;
   /// @brief "http://ADDRESS:PORT".
   std::string BaseUrl() const;
   /// @brief As BaseUrl, with the control port.
--- a/src/hosts/tests/host_directory_test.cc
+++ b/src/hosts/tests/host_directory_test.cc
@@ -21,7 +21,8 @@
   cr_assert(directory.Apply(*list));
   cr_assert(directory.Find("e1")->leaving);
   cr_assert(directory.Find("e1")->checks_fence);
-  cr_assert(directory.OfService("rounds").size() == 1);
+  const auto backends = directory.OfRole(HostRole::kBackend);
+  cr_assert(backends.size() == 1 && backends[0]->service == "rounds");
   cr_assert(directory.Find("b1")->BaseUrl() == "http://[::1]:9");
   cr_assert(directory.Find("h1")->ControlUrl() == "http://127.0.0.1:8081");
 }
--- a/src/answer/attempt_outcome.cc
+++ b/src/relay/attempt_outcome.cc
@@ -1,16 +1,16 @@
-#include "answer/attempt_outcome.h"
+#include "relay/attempt_outcome.h"
 
 namespace meadowthread {
 
-AttemptVerdict JudgeAttempt(const AttemptState& state) {
+AttemptVerdict JudgeAttempt(const AttemptFacts& facts) {
   AttemptVerdict verdict;
-  if (state.generation_known) {
-    // It ran. What was delivered can only go on as the same generation.
+  if (facts.run_known) {
+    // It ran. What was delivered can only go on as the same run.
     verdict.outcome = Outcome::kInterrupted;
-    verdict.may_resume = !state.close.rejected;
+    verdict.may_resume = !facts.rejected;
     return verdict;
   }
-  if (!state.close.may_have_left || state.close.rejected) {
+  if (!facts.may_have_left || facts.rejected) {
     verdict.outcome = Outcome::kNotRun;
     verdict.may_try_elsewhere = true;
     return verdict;
--- a/src/relay/backend_wire.h
+++ b/src/relay/backend_wire.h
@@ -25,6 +25,12 @@
   kUnsigned,       ///< a success that no backend server vouches for
 };
 
+/// @brief Whether the server itself says that it did not run the request.
+constexpr bool IsRejection(AnswerMeaning meaning) {
+  return meaning == AnswerMeaning::kNotRun ||
+         meaning == AnswerMeaning::kOtherInstance;
+}
+
 /// @brief A run's memory that a request goes on with.
 struct Continuation {
   std::string source;  ///< IP:PORT of the engine that made the copy
--- a/src/relay/call_session.cc
+++ b/src/relay/call_session.cc
@@ -8,6 +8,7 @@
 #include "base/log_line.h"
 #include "net/http_code.h"
 #include "net/http_headers.h"
+#include "relay/attempt_outcome.h"
 
 namespace meadowthread {
 namespace {
@@ -67,9 +68,18 @@
   void OnData(std::string_view data) override {
     if (this->answer.body.size() + data.size() <= kMostAnswerBytes) {
       this->answer.body.append(data);
-    } else {
-      this->too_long = true;
+      return;
     }
+    // The rest would only take memory: no part of it can be passed on.
+    this->Cancel();
+    ErrorDetail detail;
+    detail.id = ErrorId::kPeerMalformed;
+    detail.step = "read-answer";
+    detail.peer = this->backend;
+    this->end.status = MakeError(absl::StatusCode::kUnavailable, detail,
+                                 "the answer is longer than its bound");
+    this->end.request_may_have_left = true;
+    this->session.OnAttemptEnd(*this);
   }
 
   void OnEnd(const HttpEnd& ended) override {
@@ -82,7 +92,6 @@
   std::int64_t SentMs() const { return this->sent_ms; }
   const HttpEnd& Ended() const { return this->end; }
   HttpResponse& Answer() { return this->answer; }
-  bool IsTooLong() const { return this->too_long; }
 
  private:
   CallSession& session;
@@ -91,7 +100,6 @@
   HttpCallId call = 0;
   HttpEnd end;
   HttpResponse answer;
-  bool too_long = false;
 };
 
 CallSession::CallSession(const RelayParts& parts, RelayRequest request,
@@ -170,6 +178,12 @@
   return best;
 }
 
+// The wall clock counts here: this host may have been paused since it claimed.
+bool CallSession::IsClaimOver() const {
+  return this->terms.send_until_unix_ms > 0 &&
+         this->parts.clock.WallMs() >= this->terms.send_until_unix_ms;
+}
+
 void CallSession::Send() {
   const Backend* const backend = this->Choose();
   LogLine line("route");
@@ -190,7 +204,7 @@
     return;
   }
   const std::int64_t left_ms = this->LeftMs();
-  if (left_ms < kLeastLeftMs) {
+  if (left_ms < kLeastLeftMs || this->IsClaimOver()) {
     this->EndOrWait(this->Problem(ErrorId::kDeadlinePassed, Outcome::kNotRun,
                                   "send", "the deadline is too near to send"));
     return;
@@ -251,7 +265,7 @@
   if (attempt.Ended().request_may_have_left) {
     ++this->sent;
   }
-  if (attempt.Ended().status.ok() && !attempt.IsTooLong()) {
+  if (attempt.Ended().status.ok()) {
     this->OnAnswer(attempt);
   } else {
     this->OnBroken(attempt);
@@ -270,11 +284,11 @@
       .Add("meaning", static_cast<int>(meaning))
       .Add("took_ms", now_ms - attempt.SentMs())
       .Write();
-  if (meaning == AnswerMeaning::kNotRun ||
-      meaning == AnswerMeaning::kOtherInstance) {
+  const AttemptVerdict verdict = JudgeAttempt({true, IsRejection(meaning)});
+  if (verdict.may_try_elsewhere) {
     // A full server is not at fault; another one may have room.
     if (!this->SendAgain(true)) {
-      this->EndOrWait(this->Problem(ErrorId::kOverloaded, Outcome::kNotRun,
+      this->EndOrWait(this->Problem(ErrorId::kOverloaded, verdict.outcome,
                                     "send", "the backend server is full"));
     }
     return;
@@ -290,7 +304,7 @@
     return;
   }
   if (meaning == AnswerMeaning::kUnsigned) {
-    this->EndOrWait(this->Problem(ErrorId::kPeerMalformed, Outcome::kUnknown,
+    this->EndOrWait(this->Problem(ErrorId::kPeerMalformed, verdict.outcome,
                                   "read-answer",
                                   "the answer is not the backend server's"));
     return;
@@ -305,13 +319,14 @@
   const HttpEnd& end = attempt.Ended();
   const std::int64_t now_ms = this->parts.clock.MonotonicMs();
   const bool left = end.request_may_have_left;
+  const AttemptVerdict verdict = JudgeAttempt({left});
   this->parts.health.Note(
       attempt.BackendId(),
       left ? AttemptResult::kFailed : AttemptResult::kUnreachable, now_ms);
   LogLine("attempt-failed")
       .Add("request", this->request.id)
       .Add("engine", attempt.BackendId())
-      .Add("outcome", left ? "unknown" : "not_run")
+      .Add("outcome", OutcomeName(verdict.outcome))
       .Add("took_ms", now_ms - attempt.SentMs())
       .Add("why", std::string{end.status.message()})
       .WriteImportant();
@@ -327,9 +342,11 @@
     return;
   }
   ErrorDetail detail = DetailOf(end.status);
-  detail.outcome = left ? Outcome::kUnknown : Outcome::kNotRun;
+  // What one attempt may have done stands, whatever became of the next.
+  detail.outcome = this->may_have_run ? Outcome::kUnknown : verdict.outcome;
   detail.peer = attempt.BackendId();
-  detail.retry_after_ms = left ? -1 : kNoServerRetryMs;
+  detail.retry_after_ms =
+      detail.outcome == Outcome::kNotRun ? kNoServerRetryMs : -1;
   this->EndOrWait(
       MakeError(end.status.code(), detail, std::string{end.status.message()}));
 }
--- a/src/relay/call_session.h
+++ b/src/relay/call_session.h
@@ -46,6 +46,7 @@
   class Attempt;
 
   void Send();
+  bool IsClaimOver() const;
   const Backend* Choose() const;
   double CostOf(const Backend& backend, std::int64_t now_ms) const;
   void PlanHedge();
--- a/src/relay/relay_request.h
+++ b/src/relay/relay_request.h
@@ -58,6 +58,9 @@
   int max_attempts = 1;                ///< backend servers it may be sent to
   bool resumable = false;              ///< callers may go on after a break
   std::string version;                 ///< of the configuration, for logs
+  /// Unix time after which no byte of it may be sent any more: whoever takes
+  /// over its claim relies on that; 0: no such bound.
+  std::int64_t send_until_unix_ms = 0;
 };
 
 /// @brief Until when a request may be held, monotonic: the shorter of what its
--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -8,6 +8,7 @@
 #include "base/log_line.h"
 #include "net/http_code.h"
 #include "net/http_headers.h"
+#include "relay/attempt_outcome.h"
 
 namespace meadowthread {
 namespace {
@@ -172,8 +173,7 @@
     this->OnBroken(end);
     return;
   }
-  if (this->meaning == AnswerMeaning::kNotRun ||
-      this->meaning == AnswerMeaning::kOtherInstance) {
+  if (IsRejection(this->meaning)) {
     this->OnRejected();
     return;
   }
@@ -224,16 +224,17 @@
 
 void StreamSession::OnBroken(const HttpEnd& end) {
   const bool left = end.request_may_have_left;
+  const AttemptVerdict verdict = JudgeAttempt({left, false, this->head_sent});
   LogLine("attempt-failed")
       .Add("request", this->request.id)
       .Add("engine", this->engine)
-      .Add("outcome", left ? "unknown" : "not_run")
+      .Add("outcome", OutcomeName(verdict.outcome))
       .Add("events", this->events)
       .Add("why", std::string{end.status.message()})
       .WriteImportant();
   this->LeaveEngine(left ? AttemptResult::kFailed
                          : AttemptResult::kUnreachable);
-  if (!left && this->resumes < kMostUnreachable) {
+  if (verdict.may_try_elsewhere && this->resumes < kMostUnreachable) {
     ++this->resumes;
     this->Offer();
     return;
@@ -243,11 +244,11 @@
     return;
   }
   if (!left) {
-    this->Refuse(ErrorId::kConnectFailed, Outcome::kNotRun, "send",
+    this->Refuse(ErrorId::kConnectFailed, verdict.outcome, "send",
                  "no engine can be reached", kNoEngineRetryMs);
     return;
   }
-  this->Refuse(ErrorId::kConnectionLost, Outcome::kUnknown, "read-answer",
+  this->Refuse(ErrorId::kConnectionLost, verdict.outcome, "read-answer",
                "the engine broke off", -1);
 }
 
--- a/src/relay/stream_session_move.cc
+++ b/src/relay/stream_session_move.cc
@@ -3,6 +3,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "base/log_line.h"
+#include "relay/attempt_outcome.h"
 #include "relay/stream_session.h"
 
 namespace meadowthread {
@@ -96,10 +97,9 @@
 // The engine that should go on did not: the source has stopped and keeps the
 // memory for some seconds.
 void StreamSession::OnResumeFailed(const HttpEnd& end, AnswerMeaning read) {
-  const bool not_run =
-      !end.request_may_have_left ||
-      (end.status.ok() && (read == AnswerMeaning::kNotRun ||
-                           read == AnswerMeaning::kOtherInstance));
+  const AttemptVerdict verdict = JudgeAttempt(
+      {end.request_may_have_left, end.status.ok() && IsRejection(read), false});
+  const bool not_run = verdict.outcome == Outcome::kNotRun;
   LogLine("resume-failed")
       .Add("request", this->request.id)
       .Add("engine", this->engine)
--- a/src/relay/tests/departures_test.cc
+++ b/src/relay/tests/departures_test.cc
@@ -3,34 +3,14 @@
 
 #include <criterion/criterion.h>
 
-#include <deque>
-
 #include "relay/event_cutter.h"
 #include "relay/run_move.h"
+#include "relay/tests/relay_fixture.h"
 
 namespace meadowthread {
 namespace {
 
-struct FakeControl final : public EngineControl {
-  void Move(const MoveOrder& order, const MoveDone& done) override {
-    this->orders.push_back(order);
-    this->waiting.push_back(done);
-  }
-  void DropCopy(std::string_view, std::string_view handle) override {
-    this->dropped.emplace_back(handle);
-  }
-
-  void ReadState(std::string_view, const StateDone&) override {}
-
-  void Answer(MoveResult result, const std::string& handle = "") {
-    const MoveDone done = this->waiting.front();
-    this->waiting.pop_front();
-    done({result, handle, 5});
-  }
-  std::vector<MoveOrder> orders;
-  std::deque<MoveDone> waiting;
-  std::vector<std::string> dropped;
-};
+using testing::FakeControl;
 
 struct Owner final : public RunMoveOwner {
   void OnMoveReady(const Continuation& from,
--- /dev/null
+++ b/src/relay/tests/relay_fixture.h
@@ -0,0 +1,294 @@
+#ifndef MEADOWTHREAD_RELAY_TESTS_RELAY_FIXTURE_H_
+#define MEADOWTHREAD_RELAY_TESTS_RELAY_FIXTURE_H_
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/manual_scheduler.h"
+#include "net/http_client.h"
+#include "net/problem.h"
+#include "net/server_connection.h"
+#include "policy/dispatcher.h"
+#include "policy/length_model.h"
+#include "policy/pressure_chooser.h"
+#include "relay/engine_control.h"
+#include "relay/relay_parts.h"
+
+namespace meadowthread::testing {
+
+inline constexpr std::string_view kNotRunHeader = "Test-Not-Run";
+inline constexpr std::string_view kSignedHeader = "Test-Signed";
+
+/// @brief A client whose peers are played by the test.
+class FakeClient final : public HttpClient {
+ public:
+  HttpCallId Start(const HttpRequest& request, HttpHandler* handler) override {
+    this->sent.push_back(request);
+    this->handlers.push_back(handler);
+    return this->sent.size();
+  }
+  void Cancel(HttpCallId call) override {
+    this->handlers[call - 1] = nullptr;
+    ++this->cancelled;
+  }
+  void SetPaused(HttpCallId, bool is_paused) override {
+    this->paused = is_paused;
+  }
+
+  /// @brief Whether the n-th sending still waits for its end.
+  bool IsOpen(std::size_t n) const { return this->handlers.at(n) != nullptr; }
+
+  void Head(std::size_t n, int status, std::vector<HttpHeader> headers) {
+    this->handlers.at(n)->OnHead(status, headers);
+  }
+  void Data(std::size_t n, std::string_view bytes) {
+    if (this->IsOpen(n)) {
+      this->handlers[n]->OnData(bytes);
+    }
+  }
+  void End(std::size_t n, const HttpEnd& end) {
+    if (HttpHandler* const handler =
+            std::exchange(this->handlers.at(n), nullptr)) {
+      handler->OnEnd(end);
+    }
+  }
+
+  /// @brief The server's own whole answer.
+  void Answer(std::size_t n, int status, std::string_view body) {
+    this->Head(n, status, {{std::string(kSignedHeader), "yes"}});
+    this->Data(n, body);
+    this->End(n, Whole(status));
+  }
+  /// @brief The server's word that it did not run the request.
+  void Reject(std::size_t n) {
+    this->Head(n, 503, {{std::string(kNotRunHeader), "full"}});
+    this->End(n, Whole(503));
+  }
+  /// @param[in] left whether bytes may have left before it broke
+  void Break(std::size_t n, bool left) {
+    HttpEnd end;
+    ErrorDetail detail;
+    detail.id = left ? ErrorId::kConnectionLost : ErrorId::kConnectFailed;
+    end.status = MakeError(absl::StatusCode::kUnavailable, detail, "broke");
+    end.request_may_have_left = left;
+    this->End(n, end);
+  }
+
+  static HttpEnd Whole(int status) {
+    HttpEnd end;
+    end.http_status = status;
+    end.request_may_have_left = true;
+    return end;
+  }
+
+  std::vector<HttpRequest> sent;
+  int cancelled = 0;
+  bool paused = false;
+
+ private:
+  std::vector<HttpHandler*> handlers;
+};
+
+/// @brief A wire that shows what the sessions decided.
+class FakeWire final : public BackendWire {
+ public:
+  HttpRequest RequestFor(const RelayRequest& request,
+                         const SendTerms& terms) const override {
+    HttpRequest http;
+    http.method = request.method;
+    http.url = absl::StrCat("http://", terms.address, request.target);
+    http.headers = {{"Left", absl::StrCat(terms.left_ms)}};
+    if (terms.continuation.has_value()) {
+      http.headers.push_back(
+          {"From", absl::StrCat(terms.continuation->source, "/",
+                                terms.continuation->handle)});
+      http.headers.push_back(
+          {"After", absl::StrCat(terms.continuation->last_event)});
+    }
+    return http;
+  }
+  AnswerMeaning Read(int status,
+                     std::span<const HttpHeader> headers) const override {
+    if (!FindHeader(headers, kNotRunHeader).empty()) {
+      return AnswerMeaning::kNotRun;
+    }
+    return status == 200 && FindHeader(headers, kSignedHeader).empty()
+               ? AnswerMeaning::kUnsigned
+               : AnswerMeaning::kRan;
+  }
+};
+
+/// @brief Answers in the product's own form.
+class FakeCallers final : public CallerWire {
+ public:
+  absl::StatusOr<RelayRequest> Read(const ServerRequest&) const override {
+    return RelayRequest{};
+  }
+  WholeResponse Answer(const Problem& problem) const override {
+    return ProblemResponse(problem);
+  }
+};
+
+/// @brief Engines' answers to orders, given by the test.
+struct FakeControl final : public EngineControl {
+  void Move(const MoveOrder& order, const MoveDone& done) override {
+    this->orders.push_back(order);
+    this->waiting.push_back(done);
+  }
+  void DropCopy(std::string_view, std::string_view handle) override {
+    this->dropped.emplace_back(handle);
+  }
+  void ReadState(std::string_view, const StateDone&) override {}
+
+  void Answer(MoveResult result, const std::string& handle = "") {
+    const MoveDone done = this->waiting.front();
+    this->waiting.pop_front();
+    done({result, handle, 5});
+  }
+
+  std::vector<MoveOrder> orders;
+  std::deque<MoveDone> waiting;
+  std::vector<std::string> dropped;
+};
+
+struct FakeObserver final : public RelayObserver {
+  void OnRequestEnded(const RelayEnd& end) override {
+    this->ends.push_back(end);
+  }
+  std::vector<RelayEnd> ends;
+};
+
+/// @brief What a session of a relay works with, all of it played by the test.
+struct RelayFixture {
+  /// @param[in] servers of the service "svc", named s-1, s-2 and so on
+  explicit RelayFixture(int servers) {
+    for (int n = 1; n <= servers; ++n) {
+      BackendEntry entry;
+      entry.id = absl::StrCat("s-", n);
+      entry.service = "svc";
+      entry.address = absl::StrCat("10.0.0.", n, ":80");
+      entry.zone = "z";
+      entry.models = {"m"};
+      this->backends.Set(entry);
+      EngineListing listing{entry.id, "z", true, false};
+      listing.models = {{"m", "", ""}};
+      listing.kv_capacity = 30'000;
+      this->fleet.SetEngine(listing, this->clock.WallMs());
+    }
+  }
+
+  void Pass(std::int64_t ms) {
+    this->clock.Advance(ms);
+    this->scheduler.RunDue();
+  }
+
+  /// @brief The server that the n-th sending went to.
+  std::string ServerOf(std::size_t n) const {
+    const std::string& url = this->client.sent.at(n).url;
+    const std::size_t at = url.find("10.0.0.") + 7;
+    return absl::StrCat("s-", url.substr(at, url.find(':', at) - at));
+  }
+  std::string_view Header(std::size_t n, std::string_view name) const {
+    return FindHeader(this->client.sent.at(n).headers, name);
+  }
+
+  ManualClock clock{1'000'000};
+  ManualScheduler scheduler{&this->clock};
+  FakeClient client;
+  FakeWire wire;
+  BackendList backends{this->clock, this->scheduler};
+  BackendHealth health;
+  RetryBudgets budgets{{1.0, 100.0}};
+  FakeObserver observer;
+  std::mt19937_64 random{7};
+  RelayParts parts{this->clock,   this->scheduler, this->client,
+                   this->wire,    this->backends,  this->health,
+                   this->budgets, this->observer,  this->random};
+  LearnedLengthModel lengths;
+  FleetState fleet{this->lengths, FleetOptions{0, 7'000}};
+  PressureChooser chooser{PressureOptions{}};
+  Dispatcher dispatcher{this->fleet, this->chooser};
+  StreamParts stream_parts{this->dispatcher, this->fleet};
+  FakeControl control;
+  FakeCallers callers;
+};
+
+/// @brief A caller's connection whose far end the test sees.
+class FakeCaller final : public detail::ConnectionHost, public HttpService {
+ public:
+  FakeCaller() {
+    auto made = std::make_unique<Socket>();
+    this->socket = made.get();
+    this->socket->owner = this;
+    this->connection =
+        std::make_shared<detail::ServerConnection>(*this, std::move(made));
+    this->connection->Begin();
+    this->connection->OnBytes("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  }
+
+  std::unique_ptr<ResponseWriter> TakeWriter() {
+    return std::move(this->writer);
+  }
+  const std::string& Got() const { return this->got; }
+  /// @brief Whether the connection ended before the answer's last chunk.
+  bool IsBroken() const {
+    return this->closed && !this->got.ends_with("0\r\n\r\n");
+  }
+  void Leave() { this->connection->OnEnded(SocketEnd::kReset); }
+  /// @brief How much of what was written the caller has yet to take.
+  void SetPending(std::int64_t bytes) { this->pending = bytes; }
+  void Drain() {
+    this->pending = 0;
+    this->connection->OnDrained();
+  }
+
+  const ServerLimits& Limits() const override { return this->limits; }
+  std::int64_t NowMs() const override { return 0; }
+  HttpService& Service() override { return *this; }
+  bool IsClosing() const override { return false; }
+  bool Hold(std::int64_t) override { return true; }
+  void Release(std::int64_t) override {}
+  void Forget(StreamSocketHandler*) override {}
+  void Serve(const ServerRequest&,
+             std::unique_ptr<ResponseWriter> given) override {
+    this->writer = std::move(given);
+  }
+
+ private:
+  class Socket final : public StreamSocket {
+   public:
+    void SetHandler(StreamSocketHandler*) override {}
+    void Write(std::string_view bytes) override {
+      this->owner->got.append(bytes);
+    }
+    void SetPaused(bool) override {}
+    void CloseWhenDrained() override { this->owner->closed = true; }
+    void Abort() override { this->owner->closed = true; }
+    std::int64_t PendingBytes() const override { return this->owner->pending; }
+    std::int64_t SentBytes() const override { return 0; }
+    bool IsQuiet() const override { return true; }
+    std::string Peer() const override { return "test"; }
+    FakeCaller* owner = nullptr;
+  };
+
+  ServerLimits limits;
+  Socket* socket = nullptr;
+  std::string got;
+  bool closed = false;
+  std::int64_t pending = 0;
+  std::unique_ptr<ResponseWriter> writer;
+  std::shared_ptr<detail::ServerConnection> connection;
+};
+
+}  // namespace meadowthread::testing
+
+#endif  // MEADOWTHREAD_RELAY_TESTS_RELAY_FIXTURE_H_
--- /dev/null
+++ b/src/relay/tests/stream_session_test.cc
@@ -0,0 +1,315 @@
+// Streams: in order, whole, from one run, whatever their engines do.
+#include "relay/stream_session.h"
+
+#include <criterion/criterion.h>
+
+#include "relay/tests/relay_fixture.h"
+
+namespace meadowthread {
+namespace {
+
+using testing::FakeCaller;
+using testing::FakeClient;
+using testing::RelayFixture;
+
+std::string Event(int id) {
+  return absl::StrCat("id: ", id, "\ndata: t", id, "\n\n");
+}
+
+struct StreamStory : RelayFixture {
+  explicit StreamStory(int engines) : RelayFixture(engines) {
+    this->request.id = "r-1";
+    this->request.method = "POST";
+    this->request.target = "/x";
+    this->request.begun_ms = this->clock.MonotonicMs();
+    this->request.generation = GenerationSize{"m", 100, 100, 0};
+    this->terms.route = "route";
+    this->terms.service = "svc";
+    this->terms.rule = RunRule::kStream;
+    this->terms.timeout_ms = 10'000;
+    this->terms.target_latency_ms = 1'000;
+  }
+
+  StreamSession& Begin() {
+    this->session = std::make_unique<StreamSession>(
+        this->parts, this->stream_parts, this->control, this->callers,
+        this->request, this->terms, 4, this->caller.TakeWriter(),
+        [this] { ++this->ended; });
+    this->session->Begin();
+    return *this->session;
+  }
+
+  /// @brief The n-th sending's engine begins to stream.
+  void Open(std::size_t n) {
+    this->client.Head(n, 200,
+                      {{std::string(testing::kSignedHeader), "yes"},
+                       {"Content-Type", "text/event-stream"}});
+  }
+
+  /// @brief Its engine's copy is made, it is stopped, and its stream ends.
+  void Move(const std::string& target) {
+    cr_assert(this->session->MoveTo(target));
+    this->control.Answer(MoveResult::kCopied, "h1");
+    this->control.Answer(MoveResult::kCopied, "h2");
+    this->CloseStream(this->client.sent.size() - 1);
+  }
+
+  /// @brief The engine closes a stream without its end.
+  void CloseStream(std::size_t n) {
+    HttpEnd end = FakeClient::Whole(200);
+    end.ended_by_close = true;
+    this->client.End(n, end);
+  }
+
+  bool Got(std::string_view text) const {
+    return this->caller.Got().find(text) != std::string::npos;
+  }
+  /// @brief Times that an event reached the caller.
+  int Count(int id) const {
+    int count = 0;
+    const std::string event = Event(id);
+    for (std::size_t at = this->caller.Got().find(event);
+         at != std::string::npos; at = this->caller.Got().find(event, at + 1)) {
+      ++count;
+    }
+    return count;
+  }
+  /// @brief Whether the caller's answer ended as a whole one does.
+  bool IsWhole() const { return this->caller.Got().ends_with("0\r\n\r\n"); }
+  std::string Outcome() const { return this->observer.ends.at(0).outcome; }
+  std::string Other() const {
+    return this->session->Engine() == "s-1" ? "s-2" : "s-1";
+  }
+
+  FakeCaller caller;
+  RelayRequest request;
+  RelayTerms terms;
+  std::unique_ptr<StreamSession> session;
+  int ended = 0;
+};
+
+Test(a_stream, is_passed_on_event_by_event_and_ends_whole) {
+  StreamStory story(2);
+  story.Begin();
+  story.Open(0);
+  story.client.Data(0, Event(0) + Event(1).substr(0, 5));
+  cr_assert(story.Count(0) == 1 && !story.Got("t1"), "half an event waits");
+  story.client.Data(0, Event(1).substr(5));
+  cr_assert(story.Count(1) == 1);
+  story.client.End(0, FakeClient::Whole(200));
+  cr_assert(story.IsWhole() && story.Outcome() == "complete");
+  cr_assert(story.ended == 1 && story.client.sent.size() == 1);
+}
+
+Test(a_stream, torn_in_an_event_never_looks_whole) {
+  StreamStory story(2);
+  story.Begin();
+  story.Open(0);
+  story.client.Data(0, Event(0) + "id: 1\ndata: ha");
+  story.client.End(0, FakeClient::Whole(200));
+  cr_assert(story.caller.IsBroken() && !story.IsWhole());
+  cr_assert(!story.Got("data: ha") && story.Outcome() == "interrupted");
+}
+
+Test(a_stream, that_breaks_midway_is_broken_off_and_never_begun_anew) {
+  StreamStory story(2);
+  story.Begin();
+  story.Open(0);
+  story.client.Data(0, Event(0));
+  story.client.Break(0, true);
+  cr_assert(story.caller.IsBroken() && story.client.sent.size() == 1);
+}
+
+Test(a_stream, of_which_events_are_missing_is_broken_off) {
+  StreamStory story(2);
+  story.Begin();
+  story.Open(0);
+  story.client.Data(0, Event(0));
+  story.client.Data(0, Event(2));
+  cr_assert(story.caller.IsBroken() && story.Count(2) == 0);
+  cr_assert(!story.client.IsOpen(0), "its engine need not go on");
+}
+
+Test(a_stream, with_an_event_that_came_already_leaves_it_out) {
+  StreamStory story(2);
+  story.Begin();
+  story.Open(0);
+  story.client.Data(0, Event(0) + Event(1) + Event(1) + Event(2));
+  cr_assert(story.Count(1) == 1 && story.Count(2) == 1);
+}
+
+Test(a_stream, that_reached_no_engine_goes_to_the_next) {
+  StreamStory story(3);
+  story.Begin();
+  story.client.Break(0, false);
+  cr_assert(story.client.sent.size() == 2);
+  cr_assert(!story.caller.IsBroken());
+}
+
+Test(a_stream, cut_before_its_first_event_may_have_run) {
+  StreamStory story(3);
+  story.Begin();
+  story.client.Break(0, true);
+  cr_assert(story.client.sent.size() == 1);
+  cr_assert(story.Got("unknown") && story.Outcome() == "unknown");
+}
+
+Test(a_rejected_stream, is_told_so_at_once_with_when_to_come_back) {
+  StreamStory story(2);
+  story.Begin();
+  story.client.Reject(0);
+  cr_assert(story.client.sent.size() == 1, "its route allows one engine");
+  cr_assert(story.Got("not_run") && story.Got("Retry-After"));
+  cr_assert(story.ended == 1);
+}
+
+Test(a_stream_without_an_engine, has_not_run) {
+  StreamStory story(0);
+  story.Begin();
+  story.Pass(1'000);
+  cr_assert(story.ended == 1 && story.Got("not_run"));
+}
+
+Test(an_engines_own_failure, is_passed_on_as_it_is) {
+  StreamStory story(2);
+  story.Begin();
+  story.client.Answer(0, 500, "out of luck");
+  cr_assert(story.Got("HTTP/1.1 500") && story.Got("out of luck"));
+  cr_assert(story.Outcome() == "answered");
+}
+
+Test(a_stream_at_its_deadline, ends_at_once) {
+  {
+    StreamStory story(2);
+    story.Begin();
+    story.Pass(10'000);
+    cr_assert(story.Outcome() == "unknown" && !story.client.IsOpen(0));
+  }
+  {
+    StreamStory story(2);
+    story.Begin();
+    story.Open(0);
+    story.client.Data(0, Event(0));
+    story.Pass(10'000);
+    cr_assert(story.caller.IsBroken() && !story.client.IsOpen(0));
+  }
+}
+
+Test(a_caller_that_leaves, ends_the_run_at_its_engine) {
+  StreamStory story(2);
+  story.Begin();
+  story.Open(0);
+  story.client.Data(0, Event(0));
+  story.caller.Leave();
+  cr_assert(story.ended == 1 && !story.client.IsOpen(0));
+  cr_assert(story.Outcome() == "caller_gone");
+}
+
+Test(a_caller_that_reads_slowly, holds_its_engine_back) {
+  StreamStory story(2);
+  story.Begin();
+  story.Open(0);
+  story.caller.SetPending(std::int64_t{1024} * 1024);
+  story.client.Data(0, Event(0));
+  cr_assert(story.client.paused);
+  story.caller.Drain();
+  cr_assert(!story.client.paused);
+}
+
+Test(a_moved_stream, goes_on_behind_its_last_event) {
+  StreamStory story(2);
+  StreamSession& session = story.Begin();
+  story.Open(0);
+  story.client.Data(0, Event(0) + Event(1));
+  const std::string target = story.Other();
+  story.Move(target);
+  cr_assert(story.client.sent.size() == 2 && story.ServerOf(1) == target);
+  cr_assert(story.Header(1, "After") == "1");
+  cr_assert(story.Header(1, "From").ends_with("/h2"));
+  story.Open(1);
+  story.client.Data(1, Event(1) + Event(2));
+  cr_assert(story.Count(1) == 1 && story.Count(2) == 1);
+  story.client.End(1, FakeClient::Whole(200));
+  cr_assert(story.IsWhole() && session.Phase() == StreamPhase::kEnded);
+  cr_assert(story.observer.ends[0].moves == 1);
+}
+
+Test(a_moved_stream, waits_until_its_first_engine_has_ended_it) {
+  StreamStory story(2);
+  story.Begin();
+  story.Open(0);
+  story.client.Data(0, Event(0));
+  cr_assert(story.session->MoveTo(story.Other()));
+  story.control.Answer(MoveResult::kCopied, "h1");
+  story.control.Answer(MoveResult::kCopied, "h2");
+  cr_assert(story.client.sent.size() == 1, "two engines never work on one run");
+  story.client.Data(0, Event(1));
+  story.CloseStream(0);
+  cr_assert(story.client.sent.size() == 2);
+  cr_assert(story.Header(1, "After") == "1");
+}
+
+Test(a_moved_stream, that_its_target_rejects_goes_on_at_its_source) {
+  StreamStory story(2);
+  story.Begin();
+  story.Open(0);
+  story.client.Data(0, Event(0));
+  const std::string source = story.session->Engine();
+  story.Move(story.Other());
+  story.client.Reject(1);
+  cr_assert(story.client.sent.size() == 3 && story.ServerOf(2) == source);
+  story.Open(2);
+  story.client.Data(2, Event(1));
+  story.client.End(2, FakeClient::Whole(200));
+  cr_assert(story.IsWhole() && story.Count(1) == 1);
+}
+
+Test(a_moved_stream, that_nobody_takes_is_broken_off) {
+  StreamStory story(2);
+  story.Begin();
+  story.Open(0);
+  story.client.Data(0, Event(0));
+  story.Move(story.Other());
+  story.client.Reject(1);
+  story.client.Reject(2);
+  cr_assert(story.ended == 1 && story.caller.IsBroken());
+}
+
+// The target may be at work on it: sent back to its source, two would be.
+Test(a_moved_stream, cut_after_it_was_sent_is_not_sent_to_its_source) {
+  StreamStory story(2);
+  story.Begin();
+  story.Open(0);
+  story.client.Data(0, Event(0));
+  story.Move(story.Other());
+  story.client.Break(1, true);
+  cr_assert(story.client.sent.size() == 2 && story.caller.IsBroken());
+}
+
+Test(a_move_that_found_no_room, leaves_the_stream_as_it_was) {
+  StreamStory story(2);
+  story.Begin();
+  story.Open(0);
+  story.client.Data(0, Event(0));
+  cr_assert(story.session->MoveTo(story.Other()));
+  story.control.Answer(MoveResult::kNoRoom);
+  cr_assert(!story.session->IsMoving());
+  story.client.Data(0, Event(1));
+  story.client.End(0, FakeClient::Whole(200));
+  cr_assert(story.IsWhole() && story.Count(1) == 1);
+}
+
+Test(a_stream_that_ends_while_it_moves, is_whole_and_frees_its_copy) {
+  StreamStory story(2);
+  story.Begin();
+  story.Open(0);
+  story.client.Data(0, Event(0));
+  cr_assert(story.session->MoveTo(story.Other()));
+  story.control.Answer(MoveResult::kCopied, "h1");
+  story.client.End(0, FakeClient::Whole(200));
+  cr_assert(story.IsWhole() && story.Outcome() == "complete");
+  cr_assert(story.control.dropped == std::vector<std::string>{"h1"});
+}
+
+}  // namespace
+}  // namespace meadowthread
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -17,6 +17,8 @@
 #include "configuration/service_catalog.h"
 #include "configuration/view_feeder.h"
 #include "gateway/gateway.h"
+#include "gateway/service_backends.h"
+#include "gateway/service_wire.h"
 #include "hosts/host_list_poller.h"
 #include "net/http_server.h"
 #include "net/pooled_client.h"
@@ -31,6 +33,7 @@
 #include "serve/ownership_duty.h"
 #include "serve/placement_duty.h"
 #include "serve/policy_parts.h"
+#include "serve/relay_metrics.h"
 #include "settings/secret_file.h"
 #include "store/http_object_store.h"
 
@@ -42,6 +45,9 @@
 constexpr std::int64_t kRotatePeriodMs = 60'000;
 constexpr std::size_t kShownRunning = 20;
 constexpr int kClaimThreads = 8;
+// Over all hosts, within the budget's window, besides those that calls earn:
+// enough for each of a few servers to fail some calls at its end.
+constexpr double kExtraServiceRetries = 20.0;
 constexpr std::array<std::string_view, 3> kViewKinds = {
     kMarksKind, kOwnershipKind, kTemplatesKind};
 
@@ -147,6 +153,12 @@
   HostMetrics metrics;
   HostGate gate;
   PlacementDuty placement;
+  ServiceWire service_wire;
+  BackendList backends;
+  ServiceBackends service_backends;
+  BackendHealth health;
+  RetryBudgets service_retries;
+  RelayMetrics service_metrics;
   ServiceForwarder forwarder;
   std::unique_ptr<Gateway> gateway;
   std::unique_ptr<HttpServer> server;
@@ -206,8 +218,14 @@
                 {this->clock, this->scheduler, this->store, this->client,
                  this->catalog, this->hosts, this->engines, this->gate,
                  this->ownership.View()}),
-      forwarder({this->client, this->hosts, this->catalog, this->claims,
-                 this->retries, this->clock, this->random}) {
+      backends(this->clock, this->scheduler),
+      service_backends(this->hosts, this->backends),
+      service_retries({with.policy.retry_budget_ratio, kExtraServiceRetries}),
+      forwarder({{this->clock, this->scheduler, this->client,
+                  this->service_wire, this->backends, this->health,
+                  this->service_retries, this->service_metrics, this->random},
+                 this->catalog,
+                 this->claims}) {
   SessionParts session = {
       this->clock,   this->scheduler,  this->engine_client,
       this->engines, this->dispatcher, this->fleet,
@@ -222,7 +240,7 @@
       this->metrics,
       [this] {
         this->SetGauges();
-        return this->metrics.Text();
+        return this->metrics.Text() + this->service_metrics.Text();
       },
       [this] { return this->StatusJson(); },
       static_cast<std::size_t>(with.callers.max_streams)};
@@ -274,7 +292,10 @@
     this->FollowMark();
     this->EndIfDrained();
   });
-  this->Every(kRotatePeriodMs, [this] { this->metrics.Rotate(); });
+  this->Every(kRotatePeriodMs, [this] {
+    this->metrics.Rotate();
+    this->service_metrics.Rotate();
+  });
   LogLine line("started");
   line.Add("host", host.name)
       .Add("address", host.address)
@@ -313,6 +334,7 @@
   const std::vector<std::string> names = this->gate.LiveEntryHosts();
   this->limits.SetHosts(
       static_cast<int>(std::max<std::size_t>(1, names.size())));
+  this->service_retries.SetHosts(static_cast<int>(names.size()));
   this->fleet.SetHosts(this->settings.host.name, names);
   this->claim_forwarder.SetHosts(names);
 }
