Entries of hosts that are gone for good are taken out of the store

Ruled out: leases, which would cost a write a host every few seconds; removal by the balancer's or the platform's word, as neither tells of our hosts. Change: GoneHosts counts who was heard; the first heard host by name removes those silent for a minute while their zone is heard. A host wrongly removed sees its tombstone and writes its entry anew.

--- a/src/exchange/datagrams.cc
+++ b/src/exchange/datagrams.cc
@@ -148,6 +148,9 @@
       LogLine("datagram-malformed").Add("bytes", size).WriteImportant();
       continue;
     }
+    if (this->heard) {
+      this->heard(read->host);
+    }
     found->second(read->host, read->payload);
   }
 }
--- a/src/exchange/datagrams.h
+++ b/src/exchange/datagrams.h
@@ -57,6 +57,11 @@
 
   void SetPeers(std::span<const DatagramPeer> peers);
 
+  /// @brief Calls `told` with the sender of each datagram that could be read.
+  void OnHeard(const std::function<void(std::string_view host)>& told) {
+    this->heard = told;
+  }
+
   /// @brief Sends to all peers, where the bound allows it now.
   /// @return whether it was sent
   bool SendToAll(std::string_view topic, const nlohmann::json& payload);
@@ -79,6 +84,7 @@
   std::mt19937_64 random;
   std::vector<DatagramPeer> peers;
   std::map<std::string, Handler, std::less<>> handlers;
+  std::function<void(std::string_view host)> heard;
   QUdpSocket socket;
   double allowance = 0.0;
   std::int64_t refilled_ms = 0;
--- a/src/serve/host_entries.cc
+++ b/src/serve/host_entries.cc
@@ -61,6 +61,9 @@
       scheduler(scheduler) {
   view.AddListener([this](const ViewChange& change) {
     if (change.kind == this->kind) {
+      for (const StoredObject& object : change.items) {
+        this->StandAgain(object);
+      }
       this->TellAll();
     }
   });
@@ -85,6 +88,32 @@
   }
 }
 
+// Somebody took this host for gone: a tombstone newer than its entry.
+void HostEntries::StandAgain(const StoredObject& object) {
+  if (object.name == this->self.name && object.deleted && this->version > 0 &&
+      object.version > this->version) {
+    this->version = 0;
+    this->AnnounceLater();
+  }
+}
+
+void HostEntries::Remove(std::string_view host) {
+  const StoredObject* const entry = this->view.Find(this->kind, host);
+  if (entry == nullptr) {
+    return;
+  }
+  this->store.Delete(
+      this->kind, host, entry->version,
+      this->life.Guarded([gone = std::string(host)](
+                             const absl::StatusOr<std::int64_t>& removed) {
+        LogLine("host-entry-removed")
+            .Add("host", gone)
+            .Add("removed", removed.ok() ? "yes" : "no")
+            .Add("why", std::string{removed.status().message()})
+            .WriteImportant();
+      }));
+}
+
 void HostEntries::Announce() { this->Write(this->version); }
 
 void HostEntries::Write(std::int64_t expected_version) {
--- a/src/serve/host_entries.h
+++ b/src/serve/host_entries.h
@@ -54,11 +54,16 @@
   /// @brief Writes this host's entry, until it lies there.
   void Announce();
 
+  /// @brief Removes the entry of a host that is gone. Should that host live
+  /// after all, it writes its entry anew.
+  void Remove(std::string_view host);
+
  private:
   void Write(std::int64_t expected_version);
   void ReadBack();
   void AnnounceLater();
   void TellAll() const;
+  void StandAgain(const StoredObject& object);
 
   std::string kind;
   EntryHost self;
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -27,6 +27,7 @@
 #include "serve/choice_spread.h"
 #include "serve/engine_listing.h"
 #include "serve/exchange_duty.h"
+#include "serve/gone_hosts.h"
 #include "serve/host_entries.h"
 #include "serve/load_notes.h"
 #include "serve/relay_limits.h"
@@ -135,6 +136,7 @@
   RelayMetrics metrics;
   LearnedLengthModel lengths;
   FleetState fleet;
+  GoneHosts gone_hosts;
   LoadNotes load_notes;
   DatagramHub hub;
   LoadDatagrams load_datagrams;
@@ -172,6 +174,7 @@
       budgets(RetryBoundsOf(with)),
       // Engines say themselves how long they are slow, and live for minutes.
       fleet(this->lengths, FleetOptions{0, kPeerAgeMs}),
+      gone_hosts(with.host.name, this->clock),
       load_notes(with.host.name, this->clock, this->fleet),
       hub(with.host.name, kDatagramBytesPerSecond, this->random(), this->clock),
       load_datagrams(this->hub, this->load_notes, this->load_notes, this->clock,
@@ -213,6 +216,8 @@
   });
   this->entries.SetListener(
       [this](const std::vector<EntryHost>& known) { this->TakeHosts(known); });
+  this->hub.OnHeard(
+      [this](std::string_view host) { this->gone_hosts.NoteHeard(host); });
   this->exchange.KeepOutOfNews(on.Kinds().backends);
   this->feeder.OnAnsweredAgain([this](std::string_view kind) {
     if (kind == this->kinds[1]) {
@@ -249,6 +254,11 @@
   this->feeder.Start();
   this->entries.Announce();
   this->Every(kRotatePeriodMs, [this] { this->metrics.Rotate(); });
+  this->Every(GoneHosts::kHeardMs, [this] {
+    for (const std::string& gone : this->gone_hosts.ToRemove()) {
+      this->entries.Remove(gone);
+    }
+  });
   this->Every(ChoiceSpread::kPeriodMs, [this] { this->SpreadChoices(); });
   this->Every(kAskPeriodMs, [this] {
     if (this->IsStoreSilent()) {
@@ -378,6 +388,7 @@
         {host.name, host.address, static_cast<std::uint16_t>(host.loads_port)});
   }
   this->hosts.Apply(list);
+  this->gone_hosts.SetKnown(known);
   this->hub.SetPeers(loads);
   this->budgets.SetHosts(static_cast<int>(known.size()));
 }
