Fuzzers of what parses bytes from outside; one datagram could end a host

Cause: HTTP both ways, events, the store's and engines' answers, other hosts' datagrams and calls, settings and templates were read under tests of malformed input only. Found in its first run: a datagram with an array longer than memory made the CBOR codec throw though asked not to, which ended the process; 60 KB of opening arrays would have used up the stack. Ruled out: an own mutator (a library does it better).

--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -23,3 +23,18 @@
   target_link_libraries(${name}_tests PRIVATE ${ARG_DEPENDS} criterion)
   add_test(NAME ${name} COMMAND ${name}_tests)
 endfunction()
+
+# mt_fuzzer(NAME DEPENDS ...): a libFuzzer program fuzz_NAME of NAME_fuzzer.cc,
+# run by scripts/fuzz over the seeds in corpus/NAME beside it.
+function(mt_fuzzer name)
+  if(NOT MEADOWTHREAD_FUZZ)
+    return()
+  endif()
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  add_executable(fuzz_${name} ${name}_fuzzer.cc)
+  target_include_directories(fuzz_${name} PRIVATE ${CMAKE_SOURCE_DIR}/src
+                                                  ${CMAKE_SOURCE_DIR})
+  target_compile_options(fuzz_${name} PRIVATE -Wall -Wextra -Werror)
+  target_link_libraries(fuzz_${name} PRIVATE ${ARG_DEPENDS})
+  target_link_options(fuzz_${name} PRIVATE -fsanitize=fuzzer)
+endfunction()
--- /dev/null
+++ b/fuzz/peers_fuzzer.cc
@@ -0,0 +1,28 @@
+// What other hosts tell: datagrams, and the exchange's calls.
+#include "base/clock.h"
+#include "exchange/datagrams.h"
+#include "exchange/exchange_message.h"
+#include "exchange/load_datagrams.h"
+#include "exchange/view_datagrams.h"
+#include "fuzz/fuzz_input.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  using namespace meadowthread;  // NOLINT(google-build-using-namespace)
+  const std::string_view text = fuzz::TextOf(data, size);
+  const absl::StatusOr<Datagram> datagram = DecodeDatagram(text);
+  if (datagram.ok()) {
+    (void)LoadsFrom(datagram->host, datagram->payload);
+    const absl::StatusOr<std::vector<StoredObject>> items =
+        ItemsFrom(datagram->payload);
+    if (items.ok()) {
+      ManualClock clock{1'000};
+      const std::vector<std::string_view> kinds = {"servers", "config"};
+      ReplicatedView view(clock, kinds);
+      view.ApplyItems(*items);
+    }
+  }
+  (void)DecodeExchange(text, "peer");
+  (void)DecodeOffer(text);
+  return 0;
+}
--- /dev/null
+++ b/fuzz/settings_fuzzer.cc
@@ -0,0 +1,20 @@
+// Settings files, operators' templates and callers' bodies of our own
+// interface.
+#include "configuration/template_document.h"
+#include "fuzz/fuzz_input.h"
+#include "gateway/caller_request.h"
+#include "settings/relay_settings.h"
+#include "settings/settings.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  using namespace meadowthread;  // NOLINT(google-build-using-namespace)
+  const std::string_view text = fuzz::TextOf(data, size);
+  const ParsedRelaySettings relay = ParseRelaySettings(text);
+  fuzz::Require(!relay.IsValid() || !relay.settings.host.name.empty(),
+                "settings without a host's name pass");
+  (void)ParseTemplate(text, 1);
+  (void)ParseCallerRequest(AnswerForm::kChat, text);
+  (void)ParseCallerRequest(AnswerForm::kCompletion, text);
+  return 0;
+}
--- a/src/exchange/datagrams.cc
+++ b/src/exchange/datagrams.cc
@@ -14,7 +14,9 @@
 
 // What IP and UDP add to each datagram.
 constexpr std::int64_t kHeaderBytes = 28;
-constexpr qint64 kMostDatagramBytes = 60'000;
+// Twice the longest that hosts send. The codec takes a frame of the stack for
+// each byte that opens one more array, so a longer one could use the stack up.
+constexpr qint64 kMostDatagramBytes = 8'192;
 constexpr std::size_t kFields = 3;
 constexpr double kMsPerSecond = 1000.0;
 // Bytes saved up for a moment in which much changes at once, in seconds' worth.
@@ -42,7 +44,17 @@
 }
 
 absl::StatusOr<Datagram> DecodeDatagram(std::string_view bytes) {
-  json value = json::from_cbor(bytes, true, false);
+  if (bytes.size() > static_cast<std::size_t>(kMostDatagramBytes)) {
+    return Malformed();
+  }
+  json value;
+  try {
+    value = json::from_cbor(bytes, true, false);
+  } catch (const json::exception&) {
+    // Asked not to throw, the codec does so all the same where an array claims
+    // to be longer than memory.
+    return Malformed();
+  }
   const bool fits = value.is_array() && value.size() == kFields &&
                     value[0].is_string() && value[1].is_string();
   if (!fits) {
--- a/src/exchange/tests/view_datagrams_test.cc
+++ b/src/exchange/tests/view_datagrams_test.cc
@@ -94,6 +94,16 @@
   cr_assert(f.b.behind == 1);
 }
 
+// Found by fuzzing: the codec throws where it was asked not to, and each of
+// these ended the process.
+Test(bytes_that_are_no_datagram, cannot_end_the_process) {
+  const std::string huge = "\x83\x61h\x61t\x9b\x7f\xff\xff\xff\xff\xff\xff\xff";
+  cr_assert(!DecodeDatagram(huge).ok());
+  for (const std::size_t depth : {std::size_t{8'192}, std::size_t{60'000}}) {
+    cr_assert(!DecodeDatagram(std::string(depth, '\x81')).ok());
+  }
+}
+
 Test(bytes_that_are_no_datagram, are_passed_over) {
   Fixture f;
   QUdpSocket stranger;
