Messages are read alike in one piece and in many; turns at a leaving engine follow what hosts tell

Found by 200 s of fuzzing each: a bodiless request followed by more than a head's limit of further bytes in the same read was refused as malformed (what followed was taken for a chunk's head); trailers and extensions were bounded only where they came in pieces. Turns were reckoned from memory and a rate; copies to another zone take twice that. Change: a host begins when the hosts before it by name tell that they hold nothing there any more and nobody tells of a copy under way; at the latest when its own copies would not fit into the 1.3 s otherwise. Notes carry the copies under way.

--- a/src/exchange/load_datagrams.cc
+++ b/src/exchange/load_datagrams.cc
@@ -16,7 +16,7 @@
 // All is told again, twice before peers pass old notes over.
 constexpr std::int64_t kAllAgainMs = 3'000;
 constexpr std::size_t kMostNotes = 48;
-constexpr std::size_t kNoteFields = 5;
+constexpr std::size_t kNoteFields = 6;
 
 bool ReadNote(const json& value, EngineLoadNote* note) {
   const bool fits =
@@ -31,6 +31,7 @@
   note->reserved_tokens = value[2].get<std::int64_t>();
   note->held_tokens = value[3].get<std::int64_t>();
   note->reading_tokens = value[4].get<std::int64_t>();
+  note->moving = value[5].get<int>();
   return true;
 }
 
@@ -40,7 +41,7 @@
   json payload = json::array();
   for (const EngineLoadNote& note : notes) {
     payload.push_back({note.engine, note.in_flight, note.reserved_tokens,
-                       note.held_tokens, note.reading_tokens});
+                       note.held_tokens, note.reading_tokens, note.moving});
   }
   return payload;
 }
@@ -95,7 +96,8 @@
         this->told.begin(), this->told.end(),
         [&note](const EngineLoadNote& old) {
           return old.engine == note.engine && old.in_flight == note.in_flight &&
-                 old.reading_tokens == note.reading_tokens;
+                 old.reading_tokens == note.reading_tokens &&
+                 old.moving == note.moving;
         });
     if (!same) {
       changed.push_back(note);
--- a/src/net/message_reader.cc
+++ b/src/net/message_reader.cc
@@ -1,5 +1,6 @@
 #include "net/message_reader.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -26,6 +27,8 @@
   int encodings = 0;  ///< Transfer-Encoding headers
   std::string length;
   std::string encoding;
+  std::size_t trailer_bytes = 0;
+  std::size_t extension_bytes = 0;  ///< of the chunk with the longest ones
 };
 
 std::string ToString(string_view text) { return {text.data(), text.size()}; }
@@ -60,7 +63,8 @@
   void on_field_impl(http::field field, string_view name, string_view value,
                      error_code& /*error*/) override {
     if (this->gathered.head_done) {
-      return;  // a trailer
+      this->gathered.trailer_bytes += name.size() + value.size();
+      return;
     }
     if (field == http::field::content_length) {
       ++this->gathered.lengths;
@@ -85,8 +89,11 @@
     return body.size();
   }
 
-  void on_chunk_header_impl(std::uint64_t /*size*/, string_view /*extensions*/,
-                            error_code& /*error*/) override {}
+  void on_chunk_header_impl(std::uint64_t /*size*/, string_view extensions,
+                            error_code& /*error*/) override {
+    this->gathered.extension_bytes =
+        std::max(this->gathered.extension_bytes, extensions.size());
+  }
 
   std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, string_view body,
                                  error_code& /*error*/) override {
@@ -132,6 +139,9 @@
 namespace {
 
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
+// Of unread bytes of a message, in heads: well above what the bounds on
+// extensions and trailers let pass.
+constexpr std::size_t kMostLeftHeads = 4;
 
 // A line feed alone ends a line for some readers and not for others, and a
 // line that begins with a blank belongs to the one before it for some.
@@ -201,13 +211,20 @@
   if (got.head_done && !had_head) {
     this->state = this->CheckFraming();
   }
-  // What is left is at most the line that begins a chunk.
-  if (this->state == ReadState::kMore &&
-      this->pending.size() > this->head_limit) {
-    return this->Malformed("a chunk's head is too long");
+  // The same bounds whether they come in one piece or in many.
+  if (got.trailer_bytes > this->head_limit ||
+      got.extension_bytes > this->head_limit) {
+    return this->Malformed("a chunk's head or trailers are too long");
   }
   const bool done =
       this->parser->With([](auto& in_use) { return in_use.is_done(); });
+  // What is left of a message that is not whole is the line that begins a
+  // chunk, or its trailers with what separates them. Behind a whole one it is
+  // the next message.
+  if (this->state == ReadState::kMore && !done &&
+      this->pending.size() > kMostLeftHeads * this->head_limit) {
+    return this->Malformed("a chunk's head or trailers are too long");
+  }
   if (this->state == ReadState::kMore && done) {
     this->state = ReadState::kWhole;
   }
--- a/src/policy/fleet_state.cc
+++ b/src/policy/fleet_state.cc
@@ -311,6 +311,12 @@
   }
 }
 
+void FleetState::SetMoving(std::string_view engine, int runs) {
+  if (Engine* const found = this->FindEngine(engine)) {
+    found->moving = runs;
+  }
+}
+
 void FleetState::NotePeerLoad(const PeerLoad& load, std::int64_t now_ms) {
   Engine* const engine = this->FindEngine(load.engine);
   if (engine == nullptr) {
@@ -351,6 +357,7 @@
     load.in_flight = engine->view.own_in_flight;
     load.kv_held = engine->view.own_kv;
     load.reading = OwnReading(*engine);
+    load.moving = engine->moving;
     for (const auto& stream : engine->streams) {
       load.forecast.AddStream(stream->outlook, *stream->curve);
     }
--- a/src/policy/fleet_state.h
+++ b/src/policy/fleet_state.h
@@ -86,6 +86,10 @@
   void NoteMoved(std::string_view request, std::string_view engine,
                  std::int64_t now_ms);
 
+  /// @brief How many runs this host is moving off the engine now, to be told
+  /// to the others: a link carries one copy after the other.
+  void SetMoving(std::string_view engine, int runs);
+
   /// @brief A stream is over.
   void NoteEnded(std::string_view request, StreamEnd end, std::int64_t now_ms);
 
@@ -173,6 +177,7 @@
     bool listed_leaving = false;
     bool reported_leaving = false;
     bool told_peers = false;
+    int moving = 0;  ///< own runs being moved off it
     bool preferred = true;
     mutable MemoryForecast cached;
     mutable std::int64_t cached_ms = -1;
--- a/src/relay/departures.cc
+++ b/src/relay/departures.cc
@@ -1,6 +1,7 @@
 #include "relay/departures.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "base/log_line.h"
@@ -17,10 +18,6 @@
 // All runs should be off within this: engines that are taken away stay a
 // second and a half at least.
 constexpr double kWindowMs = 1'300.0;
-// Hosts hear of the leaving at different times. The gap between two runs takes
-// that up, so that one's last step does not wait behind the next one's copy.
-constexpr double kLeastGapMs = 15.0;
-constexpr double kMostGapMs = 110.0;
 // A link whose speed nobody told: one report's memory in about 200 ms.
 constexpr double kUsualTokensPerMs = 17.0;
 // Moves to another zone take twice as long on the link.
@@ -28,30 +25,15 @@
 
 }  // namespace
 
-MoveTurn TurnOf(std::string_view self, std::vector<HostRuns> hosts,
-                double tokens_per_ms) {
-  std::sort(hosts.begin(), hosts.end(),
-            [](const HostRuns& left, const HostRuns& right) {
-              return left.host < right.host;
-            });
-  double copies_ms = 0.0;
-  int runs = 0;
-  for (const HostRuns& one : hosts) {
-    copies_ms += static_cast<double>(one.memory_tokens) / tokens_per_ms;
-    runs += one.runs;
-  }
-  const double gap_ms = std::clamp((kWindowMs - copies_ms) / std::max(1, runs),
-                                   kLeastGapMs, kMostGapMs);
-  double starts_ms = 0.0;
-  for (const HostRuns& one : hosts) {
-    if (one.host == self) {
-      break;
-    }
-    starts_ms += static_cast<double>(one.memory_tokens) / tokens_per_ms +
-                 gap_ms * one.runs;
+bool IsTurnOf(std::string_view self, std::span<const PeerLoad> peers,
+              std::int64_t latest_ms, std::int64_t now_ms) {
+  if (now_ms >= latest_ms) {
+    return true;
   }
-  return {static_cast<std::int64_t>(starts_ms),
-          static_cast<std::int64_t>(gap_ms)};
+  return std::none_of(peers.begin(), peers.end(), [self](const PeerLoad& peer) {
+    // What a peer has there and nothing of which is held yet can't be moved.
+    return peer.moving > 0 || (peer.kv_held > 0 && peer.peer < self);
+  });
 }
 
 Departures::Departures(std::string_view host, const RelayParts& parts,
@@ -92,59 +74,54 @@
 }
 
 void Departures::Plan(Departure* departure) {
-  const std::int64_t now_ms = this->parts.clock.MonotonicMs();
-  HostRuns own;
-  own.host = this->host;
-  for (const StreamSession* const session : this->runs_at(departure->engine)) {
-    ++own.runs;
-    own.memory_tokens += session->MemoryTokens();
-  }
-  std::vector<HostRuns> all = {own};
-  for (const PeerLoad& peer : this->stream_parts.fleet.PeersAt(
-           departure->engine, this->parts.clock.WallMs())) {
-    all.push_back({peer.peer, peer.in_flight, peer.kv_held});
+  const std::vector<StreamSession*> own = this->runs_at(departure->engine);
+  double copies_ms = 0.0;
+  for (const StreamSession* const session : own) {
+    copies_ms += static_cast<double>(session->MemoryTokens()) /
+                 this->TokensPerMs(departure->service);
   }
-  const MoveTurn turn =
-      TurnOf(this->host, all, this->TokensPerMs(departure->service));
-  departure->begun_ms = now_ms;
-  departure->next_ms = now_ms + turn.starts_in_ms;
-  departure->gap_ms = turn.gap_ms;
+  departure->begun_ms = this->parts.clock.MonotonicMs();
+  departure->latest_ms =
+      departure->begun_ms +
+      static_cast<std::int64_t>(std::max(0.0, kWindowMs - copies_ms));
   LogLine("departure")
       .Add("engine", departure->engine)
-      .Add("own_runs", own.runs)
-      .Add("own_tokens", own.memory_tokens)
-      .Add("hosts", all.size())
-      .Add("starts_in_ms", turn.starts_in_ms)
-      .Add("gap_ms", turn.gap_ms)
+      .Add("own_runs", own.size())
+      .Add("copies_ms", std::lround(copies_ms))
+      .Add("hosts", this->PeersAt(departure->engine).size() + 1)
       .WriteImportant();
 }
 
+std::vector<PeerLoad> Departures::PeersAt(std::string_view engine) const {
+  return this->stream_parts.fleet.PeersAt(engine, this->parts.clock.WallMs());
+}
+
 // One run at a time: the next one's copy would hold up this one's last step.
 void Departures::Step(const std::string& engine) {
   const auto found = this->departures.find(engine);
   if (found == this->departures.end()) {
     return;
   }
-  Departure& departure = found->second;
+  const Departure& departure = found->second;
   const std::int64_t now_ms = this->parts.clock.MonotonicMs();
   const std::vector<StreamSession*> sessions = this->runs_at(engine);
   if (sessions.empty() || now_ms > departure.begun_ms + kLongestStayMs) {
+    this->stream_parts.fleet.SetMoving(engine, 0);
     this->departures.erase(found);
     return;
   }
-  const bool moving =
+  bool moving =
       std::any_of(sessions.begin(), sessions.end(),
                   [](const StreamSession* one) { return one->IsMoving(); });
-  if (moving) {
-    departure.next_ms = std::max(departure.next_ms, now_ms + departure.gap_ms);
-  }
-  for (StreamSession* const session : sessions) {
-    if (!moving && now_ms >= departure.next_ms &&
-        session->Phase() == StreamPhase::kStreaming &&
-        this->MoveOne(departure, *session)) {
-      break;
-    }
+  if (!moving && IsTurnOf(this->host, this->PeersAt(engine),
+                          departure.latest_ms, now_ms)) {
+    moving = std::any_of(sessions.begin(), sessions.end(),
+                         [this, &departure](StreamSession* one) {
+                           return one->Phase() == StreamPhase::kStreaming &&
+                                  this->MoveOne(departure, *one);
+                         });
   }
+  this->stream_parts.fleet.SetMoving(engine, moving ? 1 : 0);
   this->parts.scheduler.After(
       kStepMs, this->life.Guarded([this, engine] { this->Step(engine); }));
 }
--- a/src/relay/departures.h
+++ b/src/relay/departures.h
@@ -4,36 +4,29 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/lifetime.h"
+#include "policy/shared_work.h"
 #include "relay/plan_in_force.h"
 #include "relay/relay_parts.h"
 #include "relay/stream_session.h"
 
 namespace meadowthread {
 
-/// @brief What one host has running on an engine that leaves.
-struct HostRuns {
-  std::string host;
-  int runs = 0;
-  std::int64_t memory_tokens = 0;  ///< of all of them
-};
-
-/// @brief When one host may move its runs off an engine.
-struct MoveTurn {
-  std::int64_t starts_in_ms = 0;
-  std::int64_t gap_ms = 0;  ///< between its runs, besides their copying
-};
-
-/// @brief Shares an engine's link among the hosts that have runs on it: each
-/// computes the same turns from what they tell each other all the time.
-/// @param[in] hosts all of them, this one included
-/// @param[in] tokens_per_ms how fast memory leaves the engine
-MoveTurn TurnOf(std::string_view self, std::vector<HostRuns> hosts,
-                double tokens_per_ms);
+/// @brief Whether a host may begin to move a run off an engine whose link the
+/// runs of several hosts share.
+///
+/// Hosts go one after the other, in the order of their names: each begins when
+/// those before it have told that they have nothing left there. Of one that is
+/// behind, or can't tell, nobody waits longer than until `latest_ms`.
+/// @param[in] peers what the other hosts told of their work on the engine
+/// @param[in] latest_ms,now_ms on one clock
+bool IsTurnOf(std::string_view self, std::span<const PeerLoad> peers,
+              std::int64_t latest_ms, std::int64_t now_ms);
 
 /// @brief Takes this host's runs off engines that leave.
 class Departures {
@@ -59,8 +52,8 @@
     std::string service;
     std::string zone;
     std::int64_t begun_ms = 0;
-    std::int64_t next_ms = 0;  ///< when the next run may be moved
-    std::int64_t gap_ms = 0;
+    /// When its runs have to begin to move, whatever other hosts do.
+    std::int64_t latest_ms = 0;
   };
 
   void Plan(Departure* departure);
@@ -68,6 +61,7 @@
   bool MoveOne(const Departure& departure, StreamSession& session);
   std::string ChooseTarget(const Departure& departure,
                            const StreamSession& session) const;
+  std::vector<PeerLoad> PeersAt(std::string_view engine) const;
   double TokensPerMs(std::string_view service) const;
 
   std::string host;
