--- a/src/exchange/load_datagrams.cc
+++ b/src/exchange/load_datagrams.cc
@@ -31,7 +31,7 @@
   note->reserved_tokens = value[2].get<std::int64_t>();
   note->held_tokens = value[3].get<std::int64_t>();
   note->reading_tokens = value[4].get<std::int64_t>();
-  note->moving = value[5].get<int>();
+  note->copies = value[5].get<int>();
   return true;
 }
 
@@ -41,7 +41,7 @@
   json payload = json::array();
   for (const EngineLoadNote& note : notes) {
     payload.push_back({note.engine, note.in_flight, note.reserved_tokens,
-                       note.held_tokens, note.reading_tokens, note.moving});
+                       note.held_tokens, note.reading_tokens, note.copies});
   }
   return payload;
 }
@@ -97,7 +97,7 @@
         [&note](const EngineLoadNote& old) {
           return old.engine == note.engine && old.in_flight == note.in_flight &&
                  old.reading_tokens == note.reading_tokens &&
-                 old.moving == note.moving;
+                 old.copies == note.copies;
         });
     if (!same) {
       changed.push_back(note);
--- a/src/exchange/load_note.h
+++ b/src/exchange/load_note.h
@@ -20,7 +20,7 @@
   std::int64_t as_of_unix_ms = 0;
   std::int64_t held_tokens = 0;     ///< of the engine's memory, now
   std::int64_t reading_tokens = 0;  ///< of prompts that are not read yet
-  int moving = 0;  ///< runs that the host is copying off the engine now
+  int copies = 0;  ///< of runs, that the host has on the engine's link now
   /// What the policy expects, in its own order and units; empty: not told.
   std::vector<std::int64_t> outlook = {};
 
--- a/src/policy/fleet_state.cc
+++ b/src/policy/fleet_state.cc
@@ -311,12 +311,21 @@
   }
 }
 
-void FleetState::SetMoving(std::string_view engine, int runs) {
+void FleetState::SetCopies(std::string_view engine, int copies) {
   if (Engine* const found = this->FindEngine(engine)) {
-    found->moving = runs;
+    found->copies = copies;
   }
 }
 
+bool FleetState::IsLinkBusy(EngineIndex index, std::int64_t now_ms) const {
+  const Engine& engine = *this->engines[index];
+  return engine.copies > 0 ||
+         std::any_of(engine.peers.begin(), engine.peers.end(),
+                     [this, now_ms](const PeerLoad& peer) {
+                       return peer.copies > 0 && this->IsFresh(peer, now_ms);
+                     });
+}
+
 void FleetState::NotePeerLoad(const PeerLoad& load, std::int64_t now_ms) {
   Engine* const engine = this->FindEngine(load.engine);
   if (engine == nullptr) {
@@ -357,7 +366,7 @@
     load.in_flight = engine->view.own_in_flight;
     load.kv_held = engine->view.own_kv;
     load.reading = OwnReading(*engine);
-    load.moving = engine->moving;
+    load.copies = engine->copies;
     for (const auto& stream : engine->streams) {
       load.forecast.AddStream(stream->outlook, *stream->curve);
     }
--- a/src/policy/fleet_state.h
+++ b/src/policy/fleet_state.h
@@ -86,9 +86,9 @@
   void NoteMoved(std::string_view request, std::string_view engine,
                  std::int64_t now_ms);
 
-  /// @brief How many runs this host is moving off the engine now, to be told
-  /// to the others: a link carries one copy after the other.
-  void SetMoving(std::string_view engine, int runs);
+  /// @brief How many copies of runs this host has on the engine's link now, to
+  /// be told to the others: a link carries one after the other.
+  void SetCopies(std::string_view engine, int copies);
 
   /// @brief A stream is over.
   void NoteEnded(std::string_view request, StreamEnd end, std::int64_t now_ms);
@@ -142,6 +142,9 @@
   std::vector<PeerLoad> PeersAt(std::string_view engine,
                                 std::int64_t now_ms) const;
 
+  /// @brief Whether this host or a peer has a copy on the engine's link.
+  bool IsLinkBusy(EngineIndex index, std::int64_t now_ms) const;
+
   /// @brief Requests believed to be on the engine now.
   int InFlight(EngineIndex index, std::int64_t now_ms) const;
 
@@ -177,7 +180,7 @@
     bool listed_leaving = false;
     bool reported_leaving = false;
     bool told_peers = false;
-    int moving = 0;  ///< own runs being moved off it
+    int copies = 0;  ///< of own runs, on its link
     bool preferred = true;
     mutable MemoryForecast cached;
     mutable std::int64_t cached_ms = -1;
--- a/src/policy/pressure_chooser.cc
+++ b/src/policy/pressure_chooser.cc
@@ -55,6 +55,9 @@
   if (view.zone != this->options.zone) {
     scored.cost += this->options.zone_cost;
   }
+  if (this->options.busy_link_cost > 0.0 && fleet.IsLinkBusy(engine, now_ms)) {
+    scored.cost += this->options.busy_link_cost;
+  }
   const bool urgent = work.urgency == Urgency::kUrgent;
   const double limit =
       urgent ? this->options.urgent_limit : this->options.memory_limit;
--- a/src/policy/pressure_chooser.h
+++ b/src/policy/pressure_chooser.h
@@ -29,6 +29,9 @@
   double cold_cost = 0.35;
   /// Cost of an engine in another availability zone.
   double zone_cost = 0.02;
+  /// Cost of an engine whose link carries a copy of another run: for work that
+  /// is copied itself.
+  double busy_link_cost = 0.0;
   /// Engines within this cost of the best are picked between at random, so
   /// that hosts that see the same state do not all send to the same one.
   double near_equal = 0.03;
--- a/src/policy/shared_work.h
+++ b/src/policy/shared_work.h
@@ -18,7 +18,7 @@
   std::int64_t kv_held = 0;  ///< tokens
   /// Prompt tokens of those that have generated nothing yet.
   std::int64_t reading = 0;
-  int moving = 0;  ///< runs whose memory it is copying off the engine now
+  int copies = 0;  ///< of runs, that it has on the engine's link now
   MemoryForecast forecast;
 };
 
--- a/src/relay/departures.cc
+++ b/src/relay/departures.cc
@@ -21,7 +21,10 @@
 // A link whose speed nobody told: one report's memory in about 200 ms.
 constexpr double kUsualTokensPerMs = 17.0;
 // Moves to another zone take twice as long on the link.
-constexpr double kOtherZoneCost = 0.3;
+constexpr double kOtherZoneCost = 0.6;
+// A copy behind another one waits for about as long as one to another zone
+// takes longer, and the run's last step may come to wait as well.
+constexpr double kBusyLinkCost = 0.5;
 
 }  // namespace
 
@@ -31,8 +34,9 @@
     return true;
   }
   return std::none_of(peers.begin(), peers.end(), [self](const PeerLoad& peer) {
-    // What a peer has there and nothing of which is held yet can't be moved.
-    return peer.moving > 0 || (peer.kv_held > 0 && peer.peer < self);
+    // What it has there that is still being read can't be moved yet.
+    const bool has_runs = peer.kv_held > peer.reading;
+    return peer.copies > 0 || (has_runs && peer.peer < self);
   });
 }
 
@@ -106,26 +110,50 @@
   const std::int64_t now_ms = this->parts.clock.MonotonicMs();
   const std::vector<StreamSession*> sessions = this->runs_at(engine);
   if (sessions.empty() || now_ms > departure.begun_ms + kLongestStayMs) {
-    this->stream_parts.fleet.SetMoving(engine, 0);
     this->departures.erase(found);
+    this->TellCopies();
     return;
   }
-  bool moving =
+  const bool moving =
       std::any_of(sessions.begin(), sessions.end(),
                   [](const StreamSession* one) { return one->IsMoving(); });
   if (!moving && IsTurnOf(this->host, this->PeersAt(engine),
                           departure.latest_ms, now_ms)) {
-    moving = std::any_of(sessions.begin(), sessions.end(),
-                         [this, &departure](StreamSession* one) {
-                           return one->Phase() == StreamPhase::kStreaming &&
-                                  this->MoveOne(departure, *one);
-                         });
+    for (StreamSession* const session : sessions) {
+      if (session->Phase() == StreamPhase::kStreaming &&
+          this->MoveOne(departure, *session)) {
+        break;
+      }
+    }
   }
-  this->stream_parts.fleet.SetMoving(engine, moving ? 1 : 0);
+  this->TellCopies();
   this->parts.scheduler.After(
       kStepMs, this->life.Guarded([this, engine] { this->Step(engine); }));
 }
 
+// Both ends of a copy have it on their links. A last step is short, and what is
+// ordered after it comes behind it.
+void Departures::TellCopies() {
+  std::map<std::string, int> now;
+  for (const auto& [engine, departure] : this->departures) {
+    for (const StreamSession* const session : this->runs_at(engine)) {
+      if (session->IsCopying()) {
+        ++now[engine];
+        ++now[session->MoveTarget()];
+      }
+    }
+  }
+  for (const auto& [engine, copies] : this->copies_told) {
+    if (!now.contains(engine)) {
+      this->stream_parts.fleet.SetCopies(engine, 0);
+    }
+  }
+  for (const auto& [engine, copies] : now) {
+    this->stream_parts.fleet.SetCopies(engine, copies);
+  }
+  this->copies_told = std::move(now);
+}
+
 bool Departures::MoveOne(const Departure& departure, StreamSession& session) {
   const std::string target = this->ChooseTarget(departure, session);
   return !target.empty() && session.MoveTo(target);
@@ -136,6 +164,7 @@
   PressureOptions options;
   options.zone = departure.zone;
   options.zone_cost = kOtherZoneCost;
+  options.busy_link_cost = kBusyLinkCost;
   PressureChooser chooser(options);
   WorkItem work;
   work.request = session.Request().id;
--- a/src/relay/departures.h
+++ b/src/relay/departures.h
@@ -58,6 +58,7 @@
 
   void Plan(Departure* departure);
   void Step(const std::string& engine);
+  void TellCopies();
   bool MoveOne(const Departure& departure, StreamSession& session);
   std::string ChooseTarget(const Departure& departure,
                            const StreamSession& session) const;
@@ -70,6 +71,7 @@
   const PlanInForce& plan;
   RunsAt runs_at;
   std::map<std::string, Departure, std::less<>> departures;
+  std::map<std::string, int> copies_told;  ///< by engine, none that has none
   Lifetime life;
 };
 
--- a/src/relay/stream_session.h
+++ b/src/relay/stream_session.h
@@ -63,6 +63,12 @@
   /// @brief The engine that has the run, empty while there is none.
   const std::string& Engine() const { return this->engine; }
   bool IsMoving() const { return this->move != nullptr; }
+  /// @brief Whether its memory is copied while it runs.
+  bool IsCopying() const {
+    return this->IsMoving() && this->move->Step() == MoveStep::kCopying;
+  }
+  /// @brief The engine that it moves to; only while it moves.
+  const std::string& MoveTarget() const { return this->move->Plan().target; }
   std::int64_t Events() const { return this->events; }
   std::int64_t MemoryTokens() const;
 
--- a/src/serve/load_notes.cc
+++ b/src/serve/load_notes.cc
@@ -59,7 +59,7 @@
     note.as_of_unix_ms = load.as_of_unix_ms;
     note.held_tokens = load.kv_held;
     note.reading_tokens = load.reading;
-    note.moving = load.moving;
+    note.copies = load.copies;
     note.outlook = detail::OutlookOf(load.forecast);
     fresh.push_back(std::move(note));
   }
@@ -99,7 +99,7 @@
     load.in_flight = static_cast<int>(note.in_flight);
     load.kv_held = note.held_tokens;
     load.reading = note.reading_tokens;
-    load.moving = note.moving;
+    load.copies = note.copies;
     // Notes without an outlook tell what is reserved, which is what matters.
     if (note.outlook.empty()) {
       load.forecast.AddFlat(static_cast<double>(note.reserved_tokens));
