--- a/src/policy/pressure_chooser.cc
+++ b/src/policy/pressure_chooser.cc
@@ -49,6 +49,8 @@
       this->options.reading_weight * reading / this->options.reading_unit +
       this->options.request_weight * scored.in_flight +
       this->options.failure_weight * view.failure_share;
+  scored.cost += this->options.crowded_weight *
+                 std::max(0.0, scored.memory_part - this->options.crowded_part);
   if (view.warm_at_ms > now_ms) {
     scored.cost += this->options.cold_cost;
   }
--- a/src/policy/pressure_chooser.h
+++ b/src/policy/pressure_chooser.h
@@ -17,9 +17,14 @@
   double memory_limit = 0.92;
   /// As above for urgent work, which is short and may displace other work.
   double urgent_limit = 1.05;
+  /// Memory beyond this part costs `crowded_weight` more: an engine that is
+  /// taken away has a second and a half, in which its link carries about half
+  /// of its memory to others.
+  double crowded_part = 0.4;
+  double crowded_weight = 1.5;
   /// Cost of the prompt tokens an engine has yet to read, for each
   /// `reading_unit` of them: new work waits behind them.
-  double reading_weight = 0.12;
+  double reading_weight = 0.25;
   double reading_unit = 3'000.0;
   /// Cost of each request that runs: tokens come slower beside it.
   double request_weight = 0.01;
--- /dev/null
+++ b/src/policy/tests/pressure_chooser_test.cc
@@ -0,0 +1,158 @@
+// Which engine is under the least pressure: each part of the cost by itself.
+#include "policy/pressure_chooser.h"
+
+#include <criterion/criterion.h>
+
+#include <set>
+#include <string>
+
+#include "policy/tests/fleet_fixture.h"
+
+namespace meadowthread {
+namespace {
+
+using testing::Fleet;
+using testing::kCapacity;
+
+/// @brief Two engines, "e0" and "e1", whose outputs are known to be short.
+struct Story {
+  explicit Story(PressureOptions with = {})
+      : chooser([&with] {
+          with.zone = "z";
+          return with;
+        }()) {
+    this->fleet.Teach(this->Item("taught"), 10);
+  }
+
+  WorkItem Item(const std::string& request, std::int64_t prompt = 100) const {
+    WorkItem work = testing::Work(request);
+    work.prompt_tokens = prompt;
+    return work;
+  }
+  /// @brief Another host tells of its work on an engine.
+  void Tell(const std::string& engine, std::int64_t reserved,
+            std::int64_t reading = 0, int copies = 0) {
+    PeerLoad load;
+    load.peer = "other";
+    load.engine = engine;
+    load.as_of_unix_ms = 1;
+    load.in_flight = 1;
+    load.kv_held = reserved;
+    load.reading = reading;
+    load.copies = copies;
+    load.forecast.AddFlat(static_cast<double>(reserved));
+    this->fleet.state.NotePeerLoad(load, 1);
+  }
+  std::string Choose(const WorkItem& work) {
+    return this->chooser.Choose(work, this->fleet.state, 1, 0)
+        .engine.value_or("");
+  }
+  std::string Choose() { return this->Choose(this->Item("r")); }
+
+  Fleet fleet{2};
+  PressureChooser chooser;
+};
+
+Test(the_engine_under_least_pressure, has_the_most_memory_left) {
+  Story story;
+  story.Tell("e0", kCapacity / 4);
+  cr_assert(story.Choose() == "e1");
+}
+
+Test(the_engine_under_least_pressure, has_fewer_prompts_to_read) {
+  Story story;
+  story.Tell("e0", 1'000, 9'000);
+  story.Tell("e1", 3'000);
+  cr_assert(story.Choose() == "e1", "a little more memory, nothing to read");
+}
+
+Test(the_engine_under_least_pressure, is_not_the_one_that_fails) {
+  Story story;
+  story.fleet.state.SetFailureShare("e0", 0.5);
+  story.Tell("e1", kCapacity / 4);
+  cr_assert(story.Choose() == "e1");
+}
+
+Test(the_engine_under_least_pressure, is_not_one_in_its_slow_first_seconds) {
+  Story story;
+  EngineListing slow{"e0", "z", true, false};
+  slow.warm_at_ms = 1'000;
+  story.fleet.state.SetEngine(slow, 0);
+  cr_assert(story.Choose() == "e1");
+}
+
+Test(the_engine_under_least_pressure, is_in_the_same_zone_where_alike) {
+  PressureOptions options;
+  options.near_equal = 0.0;
+  Story story(options);
+  story.fleet.state.SetEngine({"e0", "elsewhere", true, false}, 0);
+  cr_assert(story.Choose() == "e1");
+}
+
+// An engine that is taken away can hand over about half of its memory in time.
+Test(a_crowded_engine, costs_more_than_its_memory_alone) {
+  PressureOptions plain;
+  plain.crowded_weight = 0.0;
+  for (const bool weighs_crowds : {true, false}) {
+    Story story(weighs_crowds ? PressureOptions{} : plain);
+    // e0: two thirds full; e1: a third, and a prompt of 5,500 tokens to read
+    story.Tell("e0", kCapacity * 2 / 3);
+    story.Tell("e1", kCapacity / 3, 5'500);
+    cr_assert(story.Choose() == (weighs_crowds ? "e1" : "e0"));
+  }
+}
+
+Test(a_link_with_a_copy_on_it, counts_only_for_work_that_is_copied) {
+  Story requests;
+  requests.Tell("e0", 1'000, 0, 1);
+  requests.Tell("e1", 3'000);
+  cr_assert(requests.Choose() == "e0");
+  PressureOptions moves;
+  moves.busy_link_cost = 0.5;
+  Story copies(moves);
+  copies.Tell("e0", 1'000, 0, 1);
+  copies.Tell("e1", 3'000);
+  cr_assert(copies.Choose() == "e1");
+  copies.Tell("e0", 1'000, 0, 0);
+  cr_assert(copies.Choose() == "e0", "the copy is over");
+}
+
+Test(a_link_with_a_copy_on_it, may_be_this_hosts_own) {
+  PressureOptions moves;
+  moves.busy_link_cost = 0.5;
+  Story story(moves);
+  story.Tell("e1", 3'000);
+  story.fleet.state.SetCopies("e0", 1);
+  cr_assert(story.Choose() == "e1");
+  story.fleet.state.SetCopies("e0", 0);
+  cr_assert(story.Choose() == "e0");
+}
+
+Test(work_without_room, waits_and_urgent_work_may_displace_other) {
+  Story story;
+  story.Tell("e0", kCapacity);
+  story.Tell("e1", kCapacity);
+  cr_assert(story.Choose().empty());
+  WorkItem urgent = story.Item("u");
+  urgent.urgency = Urgency::kUrgent;
+  cr_assert(!story.Choose(urgent).empty());
+  WorkItem forced = story.Item("f");
+  forced.forced = true;
+  cr_assert(!story.Choose(forced).empty(), "it has waited long enough");
+}
+
+Test(requests_of_hosts_not_heard_of_yet, spread_the_choices) {
+  Story story;
+  story.Tell("e0", kCapacity / 5);
+  story.chooser.SetUnseen(1.0);
+  std::set<std::string> chosen;
+  for (std::uint64_t random = 0; random < 8; ++random) {
+    chosen.insert(
+        *story.chooser.Choose(story.Item("r"), story.fleet.state, 1, random)
+             .engine);
+  }
+  cr_assert(chosen.size() == 2);
+}
+
+}  // namespace
+}  // namespace meadowthread
