--- a/src/policy/fleet_state.h
+++ b/src/policy/fleet_state.h
@@ -64,6 +64,10 @@
   /// @brief Takes the part of an engine's recent requests that failed.
   void SetFailureShare(std::string_view engine, double share);
 
+  /// @brief The engine could not be reached: it is a last resort until then.
+  /// @param[in] until_ms Unix time
+  void SetAside(std::string_view engine, std::int64_t until_ms);
+
   /// @brief Says which entry hosts share the engines. Each engine is
   /// preferred by one of them, the same in every host's view.
   /// @param[in] self this host's name
--- a/src/policy/pressure_chooser.cc
+++ b/src/policy/pressure_chooser.cc
@@ -51,6 +51,9 @@
       this->options.failure_weight * view.failure_share;
   scored.cost += this->options.crowded_weight *
                  std::max(0.0, scored.memory_part - this->options.crowded_part);
+  if (view.aside_until_ms > now_ms) {
+    scored.cost += this->options.aside_cost;
+  }
   if (view.warm_at_ms > now_ms) {
     scored.cost += this->options.cold_cost;
   }
--- a/src/policy/pressure_chooser.h
+++ b/src/policy/pressure_chooser.h
@@ -30,6 +30,10 @@
   double request_weight = 0.01;
   /// Cost of an engine all of whose recent requests failed.
   double failure_weight = 1.5;
+  /// Cost of an engine that could not be reached lately: one that is gone has
+  /// no load, so that nothing else keeps requests from it. Above all other
+  /// costs together, so that it is taken only where no other is left.
+  double aside_cost = 20.0;
   /// Cost of an engine in its slow first seconds.
   double cold_cost = 0.35;
   /// Cost of an engine in another availability zone.
--- a/src/policy/tests/pressure_chooser_test.cc
+++ b/src/policy/tests/pressure_chooser_test.cc
@@ -73,6 +73,22 @@
   cr_assert(story.Choose() == "e1");
 }
 
+// Named for the recorded day inc-2905 of lukot-linen: while the store was down,
+// engines that were gone drew every new stream, as they had no load, until each
+// had used up its tries: 49 were told that no engine could be reached.
+Test(an_engine_that_could_not_be_reached, is_a_last_resort_for_a_while) {
+  Story story;
+  story.Tell("e1", kCapacity / 2, 9'000);
+  story.fleet.state.SetAside("e0", 500);
+  cr_assert(story.Choose() == "e1");
+  cr_assert(*story.chooser.Choose(story.Item("r"), story.fleet.state, 500, 0)
+                    .engine == "e0",
+            "its time is over");
+  story.fleet.state.SetAside("e0", 900);
+  story.fleet.state.SetEngine({"e1", "z", true, true}, 0);
+  cr_assert(story.Choose() == "e0", "there is no other");
+}
+
 Test(the_engine_under_least_pressure, is_not_one_in_its_slow_first_seconds) {
   Story story;
   EngineListing slow{"e0", "z", true, false};
--- a/src/relay/backend_health.cc
+++ b/src/relay/backend_health.cc
@@ -50,7 +50,8 @@
     (result == AttemptResult::kGood ? record.good : record.failed) += 1.0;
   }
   if (this->listener) {
-    this->listener(id, this->FailureShare(id, now_ms));
+    this->listener({id, this->FailureShare(id, now_ms),
+                    std::max<std::int64_t>(0, record.aside_until_ms - now_ms)});
   }
 }
 
--- a/src/relay/backend_health.h
+++ b/src/relay/backend_health.h
@@ -18,13 +18,20 @@
   kUnreachable,  ///< no connection came about
 };
 
+/// @brief What is believed of a server since its last attempt.
+struct HealthNews {
+  std::string_view id;
+  double failure_share = 0.0;  ///< of its recent requests, 0 to 1
+  std::int64_t aside_ms = 0;   ///< it is set aside for so long from now on
+};
+
 /// @brief Judges backend servers by what becomes of requests sent to them:
 /// asking them costs, and their own word is not always true.
 class BackendHealth {
  public:
-  using Listener = std::function<void(std::string_view id, double failures)>;
+  using Listener = std::function<void(const HealthNews& news)>;
 
-  /// @brief Told of a server's failure share when it changes.
+  /// @brief Told after each attempt.
   void SetListener(const Listener& listener) { this->listener = listener; }
 
   void Note(std::string_view id, AttemptResult result, std::int64_t now_ms);
--- a/src/relay/tests/relay_fixture.h
+++ b/src/relay/tests/relay_fixture.h
@@ -16,7 +16,7 @@
 #include "base/manual_scheduler.h"
 #include "net/http_client.h"
 #include "net/problem.h"
-#include "net/server_connection.h"
+#include "net/tests/played_connection.h"
 #include "policy/dispatcher.h"
 #include "policy/length_model.h"
 #include "policy/pressure_chooser.h"
@@ -222,71 +222,26 @@
   FakeCallers callers;
 };
 
-/// @brief A caller's connection whose far end the test sees.
-class FakeCaller final : public detail::ConnectionHost, public HttpService {
+/// @brief A caller whose one request waits to be answered.
+class FakeCaller final : public PlayedConnection {
  public:
-  FakeCaller() {
-    auto made = std::make_unique<Socket>();
-    this->socket = made.get();
-    this->socket->owner = this;
-    this->connection =
-        std::make_shared<detail::ServerConnection>(*this, std::move(made));
-    this->connection->Begin();
-    this->connection->OnBytes("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
-  }
+  FakeCaller() { this->Feed("GET / HTTP/1.1\r\nHost: h\r\n\r\n"); }
 
   std::unique_ptr<ResponseWriter> TakeWriter() {
     return std::move(this->writer);
   }
-  const std::string& Got() const { return this->got; }
   /// @brief Whether the connection ended before the answer's last chunk.
   bool IsBroken() const {
-    return this->closed && !this->got.ends_with("0\r\n\r\n");
-  }
-  void Leave() { this->connection->OnEnded(SocketEnd::kReset); }
-  /// @brief How much of what was written the caller has yet to take.
-  void SetPending(std::int64_t bytes) { this->pending = bytes; }
-  void Drain() {
-    this->pending = 0;
-    this->connection->OnDrained();
+    return this->IsClosed() && !this->Got().ends_with("0\r\n\r\n");
   }
 
-  const ServerLimits& Limits() const override { return this->limits; }
-  std::int64_t NowMs() const override { return 0; }
-  HttpService& Service() override { return *this; }
-  bool IsClosing() const override { return false; }
-  bool Hold(std::int64_t) override { return true; }
-  void Release(std::int64_t) override {}
-  void Forget(StreamSocketHandler*) override {}
   void Serve(const ServerRequest&,
              std::unique_ptr<ResponseWriter> given) override {
     this->writer = std::move(given);
   }
 
  private:
-  class Socket final : public StreamSocket {
-   public:
-    void SetHandler(StreamSocketHandler*) override {}
-    void Write(std::string_view bytes) override {
-      this->owner->got.append(bytes);
-    }
-    void SetPaused(bool) override {}
-    void CloseWhenDrained() override { this->owner->closed = true; }
-    void Abort() override { this->owner->closed = true; }
-    std::int64_t PendingBytes() const override { return this->owner->pending; }
-    std::int64_t SentBytes() const override { return 0; }
-    bool IsQuiet() const override { return true; }
-    std::string Peer() const override { return "test"; }
-    FakeCaller* owner = nullptr;
-  };
-
-  ServerLimits limits;
-  Socket* socket = nullptr;
-  std::string got;
-  bool closed = false;
-  std::int64_t pending = 0;
   std::unique_ptr<ResponseWriter> writer;
-  std::shared_ptr<detail::ServerConnection> connection;
 };
 
 }  // namespace meadowthread::testing
--- a/src/relay/tests/retry_budgets_test.cc
+++ b/src/relay/tests/retry_budgets_test.cc
@@ -3,6 +3,8 @@
 
 #include <criterion/criterion.h>
 
+#include <vector>
+
 #include "base/manual_scheduler.h"
 #include "relay/backend_health.h"
 #include "relay/backend_list.h"
@@ -107,6 +109,17 @@
   cr_assert(f.list.FindAddress("10.0.0.1:80")->entry.id == "new");
 }
 
+Test(a_server_that_cannot_be_reached, is_told_with_how_long_it_is_set_aside) {
+  BackendHealth health;
+  std::vector<std::int64_t> aside;
+  health.SetListener(
+      [&aside](const HealthNews& news) { aside.push_back(news.aside_ms); });
+  health.Note("s", AttemptResult::kUnreachable, 1'000);
+  health.Note("s", AttemptResult::kUnreachable, 1'500);
+  health.Note("s", AttemptResult::kGood, 9'000);
+  cr_assert(aside == (std::vector<std::int64_t>{400, 800, 0}));
+}
+
 Test(a_server_that_cannot_be_reached, is_set_aside_longer_each_time) {
   BackendHealth health;
   health.Note("a", AttemptResult::kUnreachable, 0);
@@ -122,7 +135,8 @@
 Test(a_failing_server, is_told_by_its_share_of_failures_and_forgiven) {
   BackendHealth health;
   double told = 0.0;
-  health.SetListener([&told](std::string_view, double share) { told = share; });
+  health.SetListener(
+      [&told](const HealthNews& news) { told = news.failure_share; });
   for (int i = 0; i < 10; ++i) {
     health.Note("grey", AttemptResult::kFailed, 0);
     health.Note("good", AttemptResult::kGood, 0);
--- a/src/relay/tests/stream_session_test.cc
+++ b/src/relay/tests/stream_session_test.cc
@@ -39,6 +39,14 @@
     return *this->session;
   }
 
+  /// @brief Begins, and its engine sends the first event.
+  StreamSession& BeginWithEvent() {
+    StreamSession& begun = this->Begin();
+    this->Open(0);
+    this->client.Data(0, Event(0));
+    return begun;
+  }
+
   /// @brief The n-th sending's engine begins to stream.
   void Open(std::size_t n) {
     this->client.Head(n, 200,
@@ -113,18 +121,14 @@
 
 Test(a_stream, that_breaks_midway_is_broken_off_and_never_begun_anew) {
   StreamStory story(2);
-  story.Begin();
-  story.Open(0);
-  story.client.Data(0, Event(0));
+  story.BeginWithEvent();
   story.client.Break(0, true);
   cr_assert(story.caller.IsBroken() && story.client.sent.size() == 1);
 }
 
 Test(a_stream, of_which_events_are_missing_is_broken_off) {
   StreamStory story(2);
-  story.Begin();
-  story.Open(0);
-  story.client.Data(0, Event(0));
+  story.BeginWithEvent();
   story.client.Data(0, Event(2));
   cr_assert(story.caller.IsBroken() && story.Count(2) == 0);
   cr_assert(!story.client.IsOpen(0), "its engine need not go on");
@@ -187,9 +191,7 @@
   }
   {
     StreamStory story(2);
-    story.Begin();
-    story.Open(0);
-    story.client.Data(0, Event(0));
+    story.BeginWithEvent();
     story.Pass(10'000);
     cr_assert(story.caller.IsBroken() && !story.client.IsOpen(0));
   }
@@ -197,9 +199,7 @@
 
 Test(a_caller_that_leaves, ends_the_run_at_its_engine) {
   StreamStory story(2);
-  story.Begin();
-  story.Open(0);
-  story.client.Data(0, Event(0));
+  story.BeginWithEvent();
   story.caller.Leave();
   cr_assert(story.ended == 1 && !story.client.IsOpen(0));
   cr_assert(story.Outcome() == "caller_gone");
@@ -236,9 +236,7 @@
 
 Test(a_moved_stream, waits_until_its_first_engine_has_ended_it) {
   StreamStory story(2);
-  story.Begin();
-  story.Open(0);
-  story.client.Data(0, Event(0));
+  story.BeginWithEvent();
   cr_assert(story.session->MoveTo(story.Other()));
   story.control.Answer(MoveResult::kCopied, "h1");
   story.control.Answer(MoveResult::kCopied, "h2");
@@ -251,9 +249,7 @@
 
 Test(a_moved_stream, that_its_target_rejects_goes_on_at_its_source) {
   StreamStory story(2);
-  story.Begin();
-  story.Open(0);
-  story.client.Data(0, Event(0));
+  story.BeginWithEvent();
   const std::string source = story.session->Engine();
   story.Move(story.Other());
   story.client.Reject(1);
@@ -266,9 +262,7 @@
 
 Test(a_moved_stream, that_nobody_takes_is_broken_off) {
   StreamStory story(2);
-  story.Begin();
-  story.Open(0);
-  story.client.Data(0, Event(0));
+  story.BeginWithEvent();
   story.Move(story.Other());
   story.client.Reject(1);
   story.client.Reject(2);
@@ -278,9 +272,7 @@
 // The target may be at work on it: sent back to its source, two would be.
 Test(a_moved_stream, cut_after_it_was_sent_is_not_sent_to_its_source) {
   StreamStory story(2);
-  story.Begin();
-  story.Open(0);
-  story.client.Data(0, Event(0));
+  story.BeginWithEvent();
   story.Move(story.Other());
   story.client.Break(1, true);
   cr_assert(story.client.sent.size() == 2 && story.caller.IsBroken());
@@ -288,9 +280,7 @@
 
 Test(a_move_that_found_no_room, leaves_the_stream_as_it_was) {
   StreamStory story(2);
-  story.Begin();
-  story.Open(0);
-  story.client.Data(0, Event(0));
+  story.BeginWithEvent();
   cr_assert(story.session->MoveTo(story.Other()));
   story.control.Answer(MoveResult::kNoRoom);
   cr_assert(!story.session->IsMoving());
@@ -301,9 +291,7 @@
 
 Test(a_stream_that_ends_while_it_moves, is_whole_and_frees_its_copy) {
   StreamStory story(2);
-  story.Begin();
-  story.Open(0);
-  story.client.Data(0, Event(0));
+  story.BeginWithEvent();
   cr_assert(story.session->MoveTo(story.Other()));
   story.control.Answer(MoveResult::kCopied, "h1");
   story.client.End(0, FakeClient::Whole(200));
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -229,8 +229,9 @@
       [this](BackendChange change, const Backend& backend) {
         this->TakeBackendChange(change, backend);
       });
-  this->health.SetListener([this](std::string_view id, double failures) {
-    this->fleet.SetFailureShare(id, failures);
+  this->health.SetListener([this](const HealthNews& news) {
+    this->fleet.SetFailureShare(news.id, news.failure_share);
+    this->fleet.SetAside(news.id, this->clock.WallMs() + news.aside_ms);
   });
   this->entries.SetListener(
       [this](const std::vector<EntryHost>& known) { this->TakeHosts(known); });
