--- a/src/net/tests/message_reader_test.cc
+++ b/src/net/tests/message_reader_test.cc
@@ -16,7 +16,7 @@
   ReadState state = ReadState::kMore;
   for (std::size_t at = 0; at < text.size() && state == ReadState::kMore;
        at += step) {
-    state = reader.Feed(std::string_view(text).substr(at, step));
+    state = reader.Feed(std::string_view{text}.substr(at, step));
   }
   return state;
 }
