--- a/src/relay/departures.cc
+++ b/src/relay/departures.cc
@@ -70,7 +70,6 @@
   }
   Departure& departure = this->departures[engine.entry.id];
   departure.engine = engine.entry.id;
-  departure.address = engine.entry.address;
   departure.service = engine.entry.service;
   departure.zone = engine.entry.zone;
   this->Plan(&departure);
--- a/src/relay/departures.h
+++ b/src/relay/departures.h
@@ -48,7 +48,6 @@
  private:
   struct Departure {
     std::string engine;
-    std::string address;
     std::string service;
     std::string zone;
     std::int64_t begun_ms = 0;
