A claim that could not be released or recorded gets a line of the log

Cause: both ends of a claim were told to nobody; retries with its key are then told 'unknown', and nothing said why. Change: event=claim-failed with request, step and reason, for both interfaces' users of claims.

--- a/src/gateway/generation_session.cc
+++ b/src/gateway/generation_session.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "base/log_line.h"
+#include "gateway/claim_log.h"
 #include "gateway/recorded_answer.h"
 #include "gateway/work_estimate.h"
 
@@ -150,7 +151,8 @@
 void GenerationSession::ReleaseClaim() {
   if (this->grant.has_value()) {
     const ClaimGrant released = *std::exchange(this->grant, std::nullopt);
-    this->parts.claims.Release(released, [](const absl::Status&) {});
+    this->parts.claims.Release(released,
+                               LogClaimFailure("release", this->start.request));
   }
 }
 
--- a/src/gateway/service_forwarder.cc
+++ b/src/gateway/service_forwarder.cc
@@ -9,6 +9,7 @@
 #include "base/error.h"
 #include "base/log_line.h"
 #include "claims/claim_key.h"
+#include "gateway/claim_log.h"
 #include "net/problem.h"
 
 namespace meadowthread {
@@ -174,7 +175,8 @@
   if (!result.ok()) {
     const Outcome outcome = DetailOf(result.status()).outcome;
     if (call.grant.has_value() && outcome == Outcome::kNotRun) {
-      this->parts.claims.Release(*call.grant, [](const absl::Status&) {});
+      this->parts.claims.Release(*call.grant,
+                                 LogClaimFailure("release", call.request.id));
     }
     this->Fail(number, result.status());
     return;
@@ -184,7 +186,7 @@
       std::string(FindHeader(result->headers, "Content-Type")), result->body};
   if (call.grant.has_value() && answer.body.size() <= kMaxRecordedBytes) {
     this->parts.claims.RecordResult(*call.grant, answer,
-                                    [](const absl::Status&) {});
+                                    LogClaimFailure("record", call.request.id));
   }
   this->PassOn(number, answer);
 }
