Test fleet: the hosts' shared key file is written once

The log of each: 'answers.resume_key_file: the file ... is empty' on the first host, which ended. Fleet::StartHost wrote the file anew for every host, and the host before read it while it was truncated. Ruled out: ports, the template's way to the hosts (the host never ran). Change: written once, before the first host starts. No test is eased.

--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -76,11 +76,13 @@
   }
   this->PutHostList();
   this->PutTemplate(this->TemplateYaml());
+  // Once, before any host starts: written anew for each, it was empty for a
+  // moment in which the host before read it, and that host ended.
+  WriteFile(this->folder.filePath("resume.key"), "a key of the test");
 }
 
 void Fleet::StartHost(int n) {
   const QString path = this->folder.filePath(QString("host-%1.yaml").arg(n));
-  WriteFile(this->folder.filePath("resume.key"), "a key of the test");
   WriteFile(path, this->SettingsOf(n));
   this->hosts[n] = std::make_unique<Process>(
       "meadowthread", QStringList{"serve", "--settings", path});
