--- a/src/base/scheduler.h
+++ b/src/base/scheduler.h
@@ -15,6 +15,12 @@
   virtual void After(std::int64_t delay_ms, std::function<void()> task) = 0;
 };
 
+/// @brief Runs `task` every `period_ms`, for as long as the scheduler runs
+/// anything.
+/// @param[in] scheduler,task what the task uses outlives the scheduler's tasks
+void RunEvery(Scheduler& scheduler, std::int64_t period_ms,
+              const std::function<void()>& task);
+
 }  // namespace meadowthread
 
 #endif  // MEADOWTHREAD_BASE_SCHEDULER_H_
--- a/src/configuration/view_feeder.cc
+++ b/src/configuration/view_feeder.cc
@@ -81,12 +81,10 @@
   } else if (read_kind == ReadKind::kRepair) {
     read.since = this->proved_revision;
   }
-  const auto done = [this, read, guard = std::weak_ptr<int>(this->alive)](
-                        const absl::StatusOr<ObjectList>& answer) {
-    if (!guard.expired()) {
-      this->Answered(read, answer);
-    }
-  };
+  const auto done = this->life.Guarded(
+      [this, read](const absl::StatusOr<ObjectList>& answer) {
+        this->Answered(read, answer);
+      });
   this->Later(wait_ms + this->options.answer_margin_ms,
               [this, number = read.number] { this->GiveUp(number); });
   if (read_kind == ReadKind::kWatch) {
@@ -192,12 +190,7 @@
 
 void KindFeeder::Later(std::int64_t delay_ms,
                        const std::function<void()>& task) {
-  this->scheduler.After(delay_ms,
-                        [task, guard = std::weak_ptr<int>(this->alive)] {
-                          if (!guard.expired()) {
-                            task();
-                          }
-                        });
+  this->scheduler.After(delay_ms, this->life.Guarded(task));
 }
 
 std::vector<FedKind> FedAlike(std::span<const std::string_view> kinds,
--- a/src/configuration/view_feeder.h
+++ b/src/configuration/view_feeder.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/lifetime.h"
 #include "base/scheduler.h"
 #include "configuration/replicated_view.h"
 #include "store/object_store.h"
@@ -112,7 +113,7 @@
   bool hurried = false;              ///< until the next answer that is taken
   std::int64_t proved_revision = 0;  ///< what lists, not watches, have shown
   std::int64_t proved_ms = 0;
-  std::shared_ptr<int> alive = std::make_shared<int>(0);
+  Lifetime life;
 };
 
 /// @brief A kind with the way it is read.
--- a/src/gateway/service_forwarder.cc
+++ b/src/gateway/service_forwarder.cc
@@ -65,7 +65,8 @@
 }  // namespace
 
 struct ServiceForwarder::Pending {
-  RelayRequest request;
+  std::string id;
+  RelayRequest request;  ///< the session's from its begin on
   RelayTerms terms;
   std::unique_ptr<ResponseWriter> writer;
   std::function<void()> ended;
@@ -86,6 +87,7 @@
                                                    call.method, call.path);
   const std::uint64_t number = ++this->last_number;
   auto added = std::make_unique<Pending>();
+  added->id = call.request;
   added->request = RequestOf(call, this->parts.relay.clock.MonotonicMs());
   added->terms.route = call.service;
   added->terms.service = call.service;
@@ -162,7 +164,7 @@
 void ServiceForwarder::Send(std::uint64_t number) {
   Pending& call = *this->Find(number);
   call.session = std::make_unique<CallSession>(
-      this->parts.relay, call.request, call.terms,
+      this->parts.relay, std::move(call.request), call.terms,
       [this, number](const absl::StatusOr<HttpResponse>& result) {
         this->OnDone(number, result);
       });
@@ -176,7 +178,7 @@
     const Outcome outcome = DetailOf(result.status()).outcome;
     if (call.grant.has_value() && outcome == Outcome::kNotRun) {
       this->parts.claims.Release(*call.grant,
-                                 LogClaimFailure("release", call.request.id));
+                                 LogClaimFailure("release", call.id));
     }
     this->Fail(number, result.status());
     return;
@@ -186,7 +188,7 @@
       std::string(FindHeader(result->headers, "Content-Type")), result->body};
   if (call.grant.has_value() && answer.body.size() <= kMaxRecordedBytes) {
     this->parts.claims.RecordResult(*call.grant, answer,
-                                    LogClaimFailure("record", call.request.id));
+                                    LogClaimFailure("record", call.id));
   }
   this->PassOn(number, answer);
 }
@@ -208,12 +210,12 @@
   WholeResponse response;
   response.http_status = answer.status;
   response.content_type = answer.content_type;
-  response.headers = {{"Meadowthread-Request", call.request.id}};
+  response.headers = {{"Meadowthread-Request", call.id}};
   response.body = answer.body;
   call.writer->SendWhole(response);
   if (call.session == nullptr) {
     LogLine("replay")
-        .Add("request", call.request.id)
+        .Add("request", call.id)
         .Add("workspace", call.terms.workspace)
         .Add("service", call.terms.service)
         .Add("status", answer.status)
@@ -226,13 +228,13 @@
   Pending& call = *this->Find(number);
   Problem problem;
   problem.status = status;
-  problem.request = call.request.id;
+  problem.request = call.id;
   call.writer->SendWhole(ProblemResponse(problem));
   if (call.session == nullptr) {
     // Never sent, so no session tells of it.
     const ErrorDetail detail = DetailOf(status);
     LogLine("refused")
-        .Add("request", call.request.id)
+        .Add("request", call.id)
         .Add("workspace", call.terms.workspace)
         .Add("service", call.terms.service)
         .Add("outcome", OutcomeName(detail.outcome))
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -115,7 +115,6 @@
   void Stop(int times);
 
  private:
-  void Every(std::int64_t period_ms, const std::function<void()>& task);
   bool IsWatcher() const;
   void TakeHosts();
   void FollowMark();
@@ -283,16 +282,16 @@
   if (!exchanging.ok()) {
     return exchanging;
   }
-  this->Every(kDrainPeriodMs, [this] {
+  RunEvery(this->scheduler, kDrainPeriodMs, [this] {
     this->gateway->DrainQueue();
     FlushLog();
   });
-  this->Every(kTickPeriodMs, [this] {
+  RunEvery(this->scheduler, kTickPeriodMs, [this] {
     this->gateway->TickSessions();
     this->FollowMark();
     this->EndIfDrained();
   });
-  this->Every(kRotatePeriodMs, [this] {
+  RunEvery(this->scheduler, kRotatePeriodMs, [this] {
     this->metrics.Rotate();
     this->service_metrics.Rotate();
   });
@@ -306,14 +305,6 @@
   return absl::OkStatus();
 }
 
-void HostProcess::Parts::Every(std::int64_t period_ms,
-                               const std::function<void()>& task) {
-  this->scheduler.After(period_ms, [this, period_ms, task] {
-    task();
-    this->Every(period_ms, task);
-  });
-}
-
 // The live entry hosts that come first by a hash of their names read the
 // platform; the exchange tells the others.
 bool HostProcess::Parts::IsWatcher() const {
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -128,7 +128,6 @@
   void SpreadChoices();
   bool IsStoreSilent() const;
   void ApplyBounds();
-  void Every(std::int64_t period_ms, const std::function<void()>& task);
   void EndIfDrained();
   void Leave(std::string_view why);
 
@@ -272,19 +271,21 @@
   this->load_datagrams.Start();
   this->feeder.Start();
   this->entries.Announce();
-  this->Every(kRotatePeriodMs, [this] { this->metrics.Rotate(); });
-  this->Every(GoneHosts::kHeardMs, [this] {
+  RunEvery(this->scheduler, kRotatePeriodMs,
+           [this] { this->metrics.Rotate(); });
+  RunEvery(this->scheduler, GoneHosts::kHeardMs, [this] {
     for (const std::string& gone : this->gone_hosts.ToRemove()) {
       this->entries.Remove(gone);
     }
   });
-  this->Every(ChoiceSpread::kPeriodMs, [this] { this->SpreadChoices(); });
-  this->Every(kAskPeriodMs, [this] {
+  RunEvery(this->scheduler, ChoiceSpread::kPeriodMs,
+           [this] { this->SpreadChoices(); });
+  RunEvery(this->scheduler, kAskPeriodMs, [this] {
     if (this->IsStoreSilent()) {
       this->relay.AskEngines();
     }
   });
-  this->Every(kDrainPeriodMs, [this] {
+  RunEvery(this->scheduler, kDrainPeriodMs, [this] {
     this->relay.DrainQueue();
     this->EndIfDrained();
     FlushLog();
@@ -298,14 +299,6 @@
   return absl::OkStatus();
 }
 
-void RelayHost::Parts::Every(std::int64_t period_ms,
-                             const std::function<void()>& task) {
-  this->scheduler.After(period_ms, [this, period_ms, task] {
-    task();
-    this->Every(period_ms, task);
-  });
-}
-
 //////////////////////////////
 // What the store and peers say
 //////////////////////////////
--- a/src/settings/relay_settings.cc
+++ b/src/settings/relay_settings.cc
@@ -80,13 +80,8 @@
 
 ParsedRelaySettings LoadRelaySettings(std::string_view path) {
   const absl::StatusOr<std::string> text = ReadTextFile(path);
-  if (text.ok()) {
-    return ParseRelaySettings(*text);
-  }
-  const absl::string_view message = text.status().message();
-  ParsedRelaySettings unread;
-  unread.problems.push_back({0, "file", {message.data(), message.size()}});
-  return unread;
+  return text.ok() ? ParseRelaySettings(*text)
+                   : ParsedRelaySettings{{}, {UnreadFile(text.status())}};
 }
 
 }  // namespace meadowthread
--- a/src/settings/relay_settings.h
+++ b/src/settings/relay_settings.h
@@ -52,13 +52,7 @@
 };
 
 /// @brief Relay settings, or every problem that they have.
-struct ParsedRelaySettings {
-  RelaySettings settings;  ///< usable only where IsValid()
-  std::vector<SettingsProblem> problems;
-
-  bool IsValid() const { return this->problems.empty(); }
-  absl::Status Status() const { return StatusOf(this->problems); }
-};
+using ParsedRelaySettings = Parsed<RelaySettings>;
 
 /// @brief Parses and checks settings whole.
 ParsedRelaySettings ParseRelaySettings(std::string_view text);
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -222,6 +222,10 @@
   return problems;
 }
 
+SettingsProblem UnreadFile(const absl::Status& status) {
+  return {0, "file", std::string{status.message()}};
+}
+
 ParsedSettings ParseSettings(std::string_view text) {
   ParsedSettings parsed;
   parsed.problems =
@@ -234,13 +238,8 @@
 
 ParsedSettings LoadSettings(std::string_view path) {
   const absl::StatusOr<std::string> text = ReadTextFile(path);
-  if (text.ok()) {
-    return ParseSettings(*text);
-  }
-  const absl::string_view message = text.status().message();
-  ParsedSettings unread;
-  unread.problems.push_back({0, "file", {message.data(), message.size()}});
-  return unread;
+  return text.ok() ? ParseSettings(*text)
+                   : ParsedSettings{{}, {UnreadFile(text.status())}};
 }
 
 }  // namespace meadowthread
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -189,9 +189,13 @@
     const std::function<void(const YAML::Node&, std::vector<SettingsProblem>*)>&
         read);
 
-/// @brief Settings, or every problem that they have.
-struct ParsedSettings {
-  Settings settings;                      ///< usable only where IsValid()
+/// @brief The problem of a file that could not be read.
+SettingsProblem UnreadFile(const absl::Status& status);
+
+/// @brief Settings of some kind, or every problem that they have.
+template <typename Kind>
+struct Parsed {
+  Kind settings;                          ///< usable only where IsValid()
   std::vector<SettingsProblem> problems;  ///< by line
 
   bool IsValid() const { return this->problems.empty(); }
@@ -199,6 +203,8 @@
   absl::Status Status() const { return StatusOf(this->problems); }
 };
 
+using ParsedSettings = Parsed<Settings>;
+
 /// @brief Parses and checks settings whole.
 /// @param[in] text a YAML document
 ParsedSettings ParseSettings(std::string_view text);
