A stopping host sends callers back when half of their zone serves again

Ruled out: taking such streams in all the same (of those begun at the stop's first moment about half would be cut); a fixed longer time (one host that stops alone would make late what another serves in time). Change: hosts tell each other for how long they are away (datagrams); a refusal says 20 ms while half of the zone serves, else when half of it will, or when the balancer has left the zone. Plain calls are refused only in the last moments in which they could not end.

--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -10,9 +10,8 @@
 namespace meadowthread {
 namespace {
 
-// What a stopping host sends elsewhere may come back there at once: another
-// host is a new connection away.
-constexpr std::int64_t kStoppingRetryMs = 20;
+// A call ends within so many times its target latency.
+constexpr std::int64_t kCallTargets = 4;
 // A stream is expected to take this long for each token it may generate.
 constexpr std::int64_t kMsPerToken = 12;
 // A stream's prompt is read, and its end passed on, within this.
@@ -93,10 +92,13 @@
 // elsewhere.
 absl::Status Relay::CheckStop(const RelayTerms& terms,
                               const RelayRequest& request) const {
-  if (this->stop_ends_ms < 0) {
+  if (this->stop == nullptr) {
     return absl::OkStatus();
   }
   std::int64_t needs_ms = terms.timeout_ms;
+  if (terms.rule != RunRule::kStream && terms.target_latency_ms > 0) {
+    needs_ms = std::min(needs_ms, kCallTargets * terms.target_latency_ms);
+  }
   if (request.generation.has_value()) {
     const std::int64_t stream_ms =
         kStreamStartMs + kMsPerToken * request.generation->max_output_tokens;
@@ -109,7 +111,7 @@
   detail.id = ErrorId::kHostLeaving;
   detail.outcome = Outcome::kNotRun;
   detail.step = "stop";
-  detail.retry_after_ms = kStoppingRetryMs;
+  detail.retry_after_ms = this->stop->ReturnAfterMs();
   return MakeError(absl::StatusCode::kUnavailable, detail,
                    "this host stops before the request would have ended");
 }
@@ -262,7 +264,10 @@
   }
 }
 
-void Relay::BeginStop(std::int64_t ends_ms) { this->stop_ends_ms = ends_ms; }
+void Relay::BeginStop(std::int64_t ends_ms, const StopView& view) {
+  this->stop_ends_ms = ends_ms;
+  this->stop = &view;
+}
 
 // Sessions end within their own calls, so they are destroyed a turn later.
 void Relay::SweepLater() {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -27,6 +27,15 @@
   std::int64_t refused = 0;  ///< before any backend server was chosen
 };
 
+/// @brief What a stopping host knows of the others.
+class StopView {
+ public:
+  virtual ~StopView() = default;
+
+  /// @brief When a request that it refuses should come back.
+  virtual std::int64_t ReturnAfterMs() const = 0;
+};
+
 /// @brief Serves callers' requests by routes: calls and streams, each ended
 /// exactly once.
 class Relay final : public HttpService {
@@ -56,7 +65,8 @@
 
   /// @brief A planned stop: from now on only requests that will have ended by
   /// `ends_ms` (monotonic) are taken.
-  void BeginStop(std::int64_t ends_ms);
+  /// @param[in] view outlives the relay
+  void BeginStop(std::int64_t ends_ms, const StopView& view);
 
   /// @brief Requests in progress.
   std::size_t Running() const {
@@ -100,6 +110,7 @@
   bool sweep_planned = false;
   std::set<std::string> asked;  ///< engines whose answer is awaited
   std::int64_t stop_ends_ms = -1;
+  const StopView* stop = nullptr;  ///< null: not stopping
   Lifetime life;
 };
 
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -17,12 +17,14 @@
 #include "configuration/view_feeder.h"
 #include "exchange/datagrams.h"
 #include "exchange/load_datagrams.h"
+#include "exchange/stop_datagrams.h"
 #include "exchange/view_datagrams.h"
 #include "net/http_server.h"
 #include "net/pooled_client.h"
 #include "net/qt_scheduler.h"
 #include "policy/length_model.h"
 #include "policy/pressure_chooser.h"
+#include "policy/stop_return.h"
 #include "relay/relay.h"
 #include "serve/choice_spread.h"
 #include "serve/engine_listing.h"
@@ -55,6 +57,9 @@
 // The balancer asks each second and takes a host out after two questions
 // without a yes: for so long new connections still come to a stopping host.
 constexpr std::int64_t kBalancerMs = 2'400;
+// From a process's end to its next one's first request: a new process read the
+// store and served 0.2 to 0.3 s after its start.
+constexpr std::int64_t kRestartMs = 400;
 // What is still running this long before the end by force is let go in order.
 constexpr std::int64_t kLastWordMs = 250;
 // Requests taken while stopping have to end this long before that.
@@ -129,7 +134,7 @@
 
 /// @brief The slices of one host, in the order in which they depend on each
 /// other.
-class RelayHost::Parts {
+class RelayHost::Parts : public StopView {
  public:
   Parts(const RelaySettings& with, RelayPlatform& on);
 
@@ -137,6 +142,9 @@
   void Stop();
   void Reload(const RelaySettings& with);
 
+  // StopView
+  std::int64_t ReturnAfterMs() const override;
+
  private:
   void TakeView(const ViewChange& change);
   void TakePlan(const StoredObject& object);
@@ -176,6 +184,7 @@
   LoadNotes load_notes;
   DatagramHub hub;
   LoadDatagrams load_datagrams;
+  StopDatagrams stop_datagrams;
   ViewDatagrams view_datagrams;
   ChoiceSpread spread{kDatagramBytesPerSecond};
   PressureChooser chooser;
@@ -219,6 +228,7 @@
       hub(with.host.name, kDatagramBytesPerSecond, this->random(), this->clock),
       load_datagrams(this->hub, this->load_notes, this->load_notes, this->clock,
                      this->scheduler),
+      stop_datagrams(this->hub, this->clock, this->scheduler),
       view_datagrams(
           std::vector<std::string>{on.Kinds().backends, on.Kinds().plan},
           this->view, this->hub, this->scheduler,
@@ -512,7 +522,8 @@
   this->stop_ms = this->clock.MonotonicMs();
   const auto grace_ms = static_cast<std::int64_t>(
       this->settings.bounds.grace_s * static_cast<double>(kMsPerSecond));
-  this->relay.BeginStop(this->stop_ms + grace_ms - kStopMarginMs);
+  this->relay.BeginStop(this->stop_ms + grace_ms - kStopMarginMs, *this);
+  this->stop_datagrams.Begin(this->stop_ms + grace_ms + kRestartMs);
   this->server.CloseConnections();
   LogLine("stop-asked")
       .Add("host", this->settings.host.name)
@@ -539,9 +550,27 @@
       .Add("why", why)
       .Add("running", this->relay.Running())
       .WriteImportant();
+  this->stop_datagrams.TellEnd(kRestartMs);
   QCoreApplication::quit();
 }
 
+std::int64_t RelayHost::Parts::ReturnAfterMs() const {
+  const std::int64_t now_ms = this->clock.MonotonicMs();
+  std::vector<HostAway> known;
+  for (const HostEntry* const host : this->hosts.OfRole(HostRole::kEntry)) {
+    if (host->name != this->settings.host.name) {
+      known.push_back({host->zone, this->stop_datagrams.BackInMs(host->name)});
+    }
+  }
+  const auto grace_ms = static_cast<std::int64_t>(
+      this->settings.bounds.grace_s * static_cast<double>(kMsPerSecond));
+  known.push_back({this->settings.host.zone,
+                   std::max<std::int64_t>(
+                       1, this->stop_ms + grace_ms + kRestartMs - now_ms)});
+  return ReturnAfterStopMs(this->settings.host.zone, known,
+                           this->stop_ms + kBalancerMs - now_ms);
+}
+
 RelayHost::RelayHost(const RelaySettings& settings, RelayPlatform& platform)
     : parts(std::make_unique<Parts>(settings, platform)) {}
 
