Hosts that watch the store watch apart, and tell each other when it fails

Cause: one event answers all four watchers, whose watches then wait and end in one moment: a store that goes away is noticed by all of them 1.5 s later, as engines that left at its first moment are gone, and each event costs a call of every watcher at once. Change: after an event each watcher waits 350 ms longer than the one before it; the first whose read fails tells the others by datagram, and engines are asked by all hosts with runs there until somebody reads the store again (StoreSilence); they are asked each 150 ms instead of 300.

--- a/src/configuration/view_feeder.cc
+++ b/src/configuration/view_feeder.cc
@@ -132,7 +132,9 @@
     this->proved_revision = list.revision;
     this->proved_ms = read.sent_ms;
   }
-  this->Later(this->options.pace_ms, [this] { this->Next(); });
+  const std::int64_t stagger_ms =
+      this->options.stagger_ms ? this->options.stagger_ms() : 0;
+  this->Later(this->options.pace_ms + stagger_ms, [this] { this->Next(); });
 }
 
 void KindFeeder::Failed(const absl::Status& status) {
--- a/src/configuration/view_feeder.h
+++ b/src/configuration/view_feeder.h
@@ -26,6 +26,9 @@
   /// Between a watch's answer and the next one: bounds the calls as changes
   /// burst.
   std::int64_t pace_ms = 200;
+  /// Further delay after a watch's answer; none where not set. Hosts that are
+  /// answered together watch apart again.
+  std::function<std::int64_t()> stagger_ms = {};
   /// Between reads that repair what watches lost.
   std::int64_t repair_ms = 60'000;
   std::int64_t first_backoff_ms = 200;
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <cmath>
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -35,6 +36,7 @@
 #include "serve/relay_limits.h"
 #include "serve/relay_metrics.h"
 #include "serve/steady_clock.h"
+#include "serve/store_silence.h"
 #include "serve/text_service.h"
 #include "serve/watcher_choice.h"
 
@@ -49,10 +51,9 @@
 constexpr std::int64_t kPeerAgeMs = 7'000;
 // While the store can't tell, engines are asked themselves. They stay for about
 // two seconds, and their word is half a second old.
-constexpr std::int64_t kAskPeriodMs = 300;
-// A view of the engines that nobody confirmed for this long: watches end after
-// a second and a half at the latest, and peers tell it within one more.
-constexpr std::int64_t kSilentMs = 3'000;
+constexpr std::int64_t kAskPeriodMs = 150;
+// Four hosts watch for a second and a half each.
+constexpr std::int64_t kStaggerMs = 350;
 constexpr std::int64_t kDrainPeriodMs = 20;
 // The balancer asks each second and takes a host out after two questions
 // without a yes: for so long new connections still come to a stopping host.
@@ -113,9 +114,12 @@
 }
 
 std::vector<FedKind> FedKinds(const RelayKinds& kinds,
-                              const FeederOptions& options) {
+                              const FeederOptions& options,
+                              const std::function<std::int64_t()>& stagger_ms) {
+  FeederOptions apart = options;
+  apart.stagger_ms = stagger_ms;
   return {{kinds.plan, options},
-          {kinds.backends, options},
+          {kinds.backends, apart},
           {kinds.hosts, EntriesOptions(options)}};
 }
 
@@ -151,10 +155,12 @@
   void TakeBackend(const StoredObject& object);
   void TakeBackendChange(BackendChange change, const Backend& backend);
   void TakeHosts(const std::vector<EntryHost>& hosts);
+  std::optional<int> WatchPlace() const;
   bool IsWatcher() const;
+  std::int64_t WatchStaggerMs() const;
   std::string MetricsText();
   void SpreadChoices();
-  bool IsStoreSilent() const;
+  void AskWhileSilent();
   void ApplyBounds();
   void EndIfDrained();
   void Leave(std::string_view why);
@@ -185,6 +191,7 @@
   DatagramHub hub;
   LoadDatagrams load_datagrams;
   StopDatagrams stop_datagrams;
+  StoreSilence silence;
   ViewDatagrams view_datagrams;
   ChoiceSpread spread{kDatagramBytesPerSecond};
   PressureChooser chooser;
@@ -209,7 +216,8 @@
       kinds({on.Kinds().plan, on.Kinds().backends, on.Kinds().hosts}),
       view(this->clock, this->kinds),
       feeder(FedKinds(on.Kinds(),
-                      MakeFeederOptions(with.host.name, this->random())),
+                      MakeFeederOptions(with.host.name, this->random()),
+                      [this] { return this->WatchStaggerMs(); }),
              *this->store, this->view, this->scheduler, this->clock,
              [this] { return this->IsWatcher(); }),
       exchange(ExchangeSettingsOf(with), this->clock.WallMs(), this->clock,
@@ -229,6 +237,7 @@
       load_datagrams(this->hub, this->load_notes, this->load_notes, this->clock,
                      this->scheduler),
       stop_datagrams(this->hub, this->clock, this->scheduler),
+      silence(this->hub, this->clock),
       view_datagrams(
           std::vector<std::string>{on.Kinds().backends, on.Kinds().plan},
           this->view, this->hub, this->scheduler,
@@ -310,11 +319,7 @@
   });
   RunEvery(this->scheduler, ChoiceSpread::kPeriodMs,
            [this] { this->SpreadChoices(); });
-  RunEvery(this->scheduler, kAskPeriodMs, [this] {
-    if (this->IsStoreSilent()) {
-      this->relay.AskEngines();
-    }
-  });
+  RunEvery(this->scheduler, kAskPeriodMs, [this] { this->AskWhileSilent(); });
   RunEvery(this->scheduler, kDrainPeriodMs, [this] {
     this->relay.DrainQueue();
     this->EndIfDrained();
@@ -398,8 +403,8 @@
   }
 }
 
-// A host that no peer answers reads for itself.
-bool RelayHost::Parts::IsWatcher() const {
+// Its place among the hosts that watch.
+std::optional<int> RelayHost::Parts::WatchPlace() const {
   const std::string& self = this->settings.host.name;
   const std::vector<const HostEntry*> known =
       this->hosts.OfRole(HostRole::kEntry);
@@ -409,8 +414,19 @@
       answering.push_back(host->name);
     }
   }
-  return this->exchange.PeersAlive() == 0 ||
-         WatchesStore(self, answering, known.size());
+  return WatchesStore(self, answering, known.size());
+}
+
+// A host that no peer answers reads for itself.
+bool RelayHost::Parts::IsWatcher() const {
+  return this->exchange.PeersAlive() == 0 || this->WatchPlace().has_value();
+}
+
+// One event answers all that watch: the first watches on at once and tells the
+// others, whose watches end one after the other then. So one of them finds out
+// soon that the store is gone.
+std::int64_t RelayHost::Parts::WatchStaggerMs() const {
+  return kStaggerMs * this->WatchPlace().value_or(0);
 }
 
 void RelayHost::Parts::TakeHosts(const std::vector<EntryHost>& known) {
@@ -468,16 +484,16 @@
   return this->metrics.Text();
 }
 
-bool RelayHost::Parts::IsStoreSilent() const {
+void RelayHost::Parts::AskWhileSilent() {
   const std::string_view kind = this->kinds[1];
   const std::vector<FeederState> states = this->feeder.States();
-  const bool stalled =
+  this->silence.NoteOwn(
       std::any_of(states.begin(), states.end(), [kind](const FeederState& one) {
         return one.kind == kind && one.stalled;
-      });
-  const std::int64_t age_ms =
-      this->clock.WallMs() - this->view.Digest(kind).confirmed.unix_ms;
-  return stalled || age_ms > kSilentMs;
+      }));
+  if (this->silence.IsSilent(this->view.Digest(kind).confirmed.unix_ms)) {
+    this->relay.AskEngines();
+  }
 }
 
 void RelayHost::Parts::SpreadChoices() {
--- a/src/serve/watcher_choice.cc
+++ b/src/serve/watcher_choice.cc
@@ -21,9 +21,9 @@
 }  // namespace
 
 // Those whose names' hashes are the lowest among the hosts that answer.
-bool WatchesStore(std::string_view self,
-                  std::span<const std::string_view> answering,
-                  std::size_t known) {
+std::optional<int> WatchesStore(std::string_view self,
+                                std::span<const std::string_view> answering,
+                                std::size_t known) {
   const auto watchers = std::max(
       kLeastWatchers,
       static_cast<std::ptrdiff_t>(kWatcherPart * static_cast<double>(known)));
@@ -31,7 +31,10 @@
   const auto before = std::count_if(
       answering.begin(), answering.end(),
       [own](std::string_view peer) { return RankOf(peer) < own; });
-  return before < watchers;
+  if (before >= watchers) {
+    return std::nullopt;
+  }
+  return static_cast<int>(before);
 }
 
 }  // namespace meadowthread
--- a/src/serve/watcher_choice.h
+++ b/src/serve/watcher_choice.h
@@ -2,6 +2,7 @@
 #define MEADOWTHREAD_SERVE_WATCHER_CHOICE_H_
 
 #include <cstddef>
+#include <optional>
 #include <span>
 #include <string_view>
 
@@ -12,10 +13,11 @@
 /// @param[in] self this host's name
 /// @param[in] answering the peers that answer, this host not among them
 /// @param[in] known how many entry hosts there are in all
+/// @return its place among those that watch, from 0; none where it does not
 /// @complexity O(answering)
-bool WatchesStore(std::string_view self,
-                  std::span<const std::string_view> answering,
-                  std::size_t known);
+std::optional<int> WatchesStore(std::string_view self,
+                                std::span<const std::string_view> answering,
+                                std::size_t known);
 
 }  // namespace meadowthread
 
