Engines beyond a link that loses packets are used last; switches for experiments

Cause: a zone's links that lose 3% of their packets make nearly every long stream over them late: each retransmission is a pause of 200 ms. Change: LinkQuality counts own streams' pauses by the zone of their engine; a zone that stalls far more than the own one costs up to an engine's whole memory.

--- a/src/policy/pressure_chooser.cc
+++ b/src/policy/pressure_chooser.cc
@@ -18,10 +18,14 @@
   MemoryForecast added;
   added.AddStream({work.prompt_tokens, 0, work.max_output_tokens},
                   *fleet.Lengths().CurveOf(LengthKeyOf(work)));
+  const StringMap<double> link_costs = this->LinkCosts(work, fleet, now_ms);
   std::vector<Scored> scored;
   for (const EngineIndex engine : fleet.Serving(work)) {
-    if (fleet.View(engine).Usable()) {
+    const EngineView& view = fleet.View(engine);
+    if (view.Usable()) {
       scored.push_back(this->Score(work, fleet, engine, added, now_ms));
+      const auto cost = link_costs.find(view.zone);
+      scored.back().cost += cost == link_costs.end() ? 0.0 : cost->second;
     }
   }
   if (scored.empty()) {
@@ -30,6 +34,26 @@
   return this->Pick(work, fleet, scored, random);
 }
 
+StringMap<double> PressureChooser::LinkCosts(const WorkItem& work,
+                                             const FleetState& fleet,
+                                             std::int64_t now_ms) const {
+  StringMap<double> costs;
+  if (this->links == nullptr) {
+    return costs;
+  }
+  StringMap<int> streams;
+  for (const EngineIndex engine : fleet.Serving(work)) {
+    const EngineView& view = fleet.View(engine);
+    streams[view.zone] += view.own_in_flight;
+  }
+  const int own = streams[this->options.zone];
+  for (const auto& [zone, count] : streams) {
+    costs[zone] = this->options.bad_link_cost *
+                  this->links->Badness(zone, count, own, now_ms);
+  }
+  return costs;
+}
+
 PressureChooser::Scored PressureChooser::Score(const WorkItem& work,
                                                const FleetState& fleet,
                                                EngineIndex engine,
--- a/src/policy/pressure_chooser.h
+++ b/src/policy/pressure_chooser.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "policy/chooser.h"
+#include "policy/link_quality.h"
 
 namespace meadowthread {
 
@@ -47,6 +48,8 @@
   /// Cost of an engine whose link carries a copy of another run: for work that
   /// is copied itself.
   double busy_link_cost = 0.0;
+  /// Cost of a zone over whose links nearly every long stream stalls.
+  double bad_link_cost = 1.0;
   /// Engines within this cost of the best are picked between at random, so
   /// that hosts that see the same state do not all send to the same one.
   double near_equal = 0.03;
@@ -65,6 +68,10 @@
   /// it spreads its own.
   void SetUnseen(double requests) { this->unseen = requests; }
 
+  /// @brief Weighs how good the ways from other zones are.
+  /// @param[in] with outlives the chooser; null: they are taken for good
+  void SetLinks(const LinkQuality* with) { this->links = with; }
+
   /// @complexity O(engines that serve the work)
   Decision Choose(const WorkItem& work, const FleetState& fleet,
                   std::int64_t now_ms, std::uint64_t random) override;
@@ -80,6 +87,9 @@
     bool fits = false;
   };
 
+  /// What the ways from each zone cost now, by zone.
+  StringMap<double> LinkCosts(const WorkItem& work, const FleetState& fleet,
+                              std::int64_t now_ms) const;
   Scored Score(const WorkItem& work, const FleetState& fleet,
                EngineIndex engine, const MemoryForecast& added,
                std::int64_t now_ms) const;
@@ -88,6 +98,7 @@
 
   PressureOptions options;
   double unseen = 0.0;
+  const LinkQuality* links = nullptr;
 };
 
 }  // namespace meadowthread
--- a/src/policy/tests/pressure_chooser_test.cc
+++ b/src/policy/tests/pressure_chooser_test.cc
@@ -105,6 +105,23 @@
   cr_assert(story.Choose() == "e1");
 }
 
+Test(an_engine_beyond_a_link_that_loses_packets,
+     is_taken_only_without_another) {
+  for (const bool weighs_links : {true, false}) {
+    Story story;
+    LinkQuality links("z");
+    story.chooser.SetLinks(weighs_links ? &links : nullptr);
+    story.fleet.state.SetEngine({"e0", "elsewhere", true, false}, 0);
+    story.Tell("e1", kCapacity / 4);
+    for (int i = 0; i < 8; ++i) {
+      links.NoteStall("elsewhere", 1);
+    }
+    cr_assert(story.Choose() == (weighs_links ? "e1" : "e0"));
+    story.fleet.state.SetEngine({"e1", "z", true, true}, 0);
+    cr_assert(story.Choose() == "e0");
+  }
+}
+
 // An engine that is taken away can hand over about half of its memory in time.
 Test(a_crowded_engine, costs_more_than_its_memory_alone) {
   PressureOptions plain;
--- a/src/relay/relay_parts.h
+++ b/src/relay/relay_parts.h
@@ -10,6 +10,7 @@
 #include "policy/dispatcher.h"
 #include "policy/first_try.h"
 #include "policy/fleet_state.h"
+#include "policy/link_quality.h"
 #include "policy/stream_admission.h"
 #include "relay/backend_health.h"
 #include "relay/backend_list.h"
@@ -46,6 +47,7 @@
   FleetState& fleet;
   FirstTry& first_tries;
   const StreamAdmission& admission;
+  LinkQuality& links;
 };
 
 }  // namespace meadowthread
--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -25,6 +25,8 @@
 // A pause of several steps of a full engine: its run was preempted, waited for
 // a copy, or was held up by prompts beside it.
 constexpr std::int64_t kStallMs = 250;
+// A retransmission of a lost packet takes 200 ms; steps beside prompts take 20.
+constexpr std::int64_t kLinkStallMs = 150;
 constexpr std::string_view kEventStreamType = "text/event-stream";
 
 }  // namespace
@@ -105,7 +107,8 @@
 // closed any more.
 void StreamSession::PassOn(std::vector<CutEvent>* cut) {
   const std::int64_t now_ms = this->parts.clock.MonotonicMs();
-  if (this->phase == StreamPhase::kBetween) {
+  const bool was_moved = this->phase == StreamPhase::kBetween;
+  if (was_moved) {
     ++this->moves;
     LogLine("resumed")
         .Add("request", this->request.id)
@@ -120,6 +123,9 @@
   } else {
     const std::int64_t gap_ms = now_ms - this->last_event_ms;
     this->longest_gap_ms = std::max(this->longest_gap_ms, gap_ms);
+    if (gap_ms > kLinkStallMs && !was_moved) {
+      this->NoteLinkStall();
+    }
     if (gap_ms > kStallMs) {
       LogLine("stall")
           .Add("request", this->request.id)
@@ -159,6 +165,13 @@
   }
 }
 
+void StreamSession::NoteLinkStall() {
+  if (const Backend* const from = this->parts.backends.Find(this->engine)) {
+    this->stream_parts.links.NoteStall(from->entry.zone,
+                                       this->parts.clock.WallMs());
+  }
+}
+
 void StreamSession::SendHeadOnce() {
   if (!this->head_sent) {
     this->head_sent = true;
--- a/src/relay/stream_session.h
+++ b/src/relay/stream_session.h
@@ -91,6 +91,7 @@
   std::int64_t ElapsedMs() const;
   void Send(const Backend& backend, const std::optional<Continuation>& from);
   void PassOn(std::vector<CutEvent>* cut);
+  void NoteLinkStall();
   void SendHeadOnce();
   void OnStreamEnd(const HttpEnd& end);
   void OnRejected();
--- a/src/relay/tests/relay_fixture.h
+++ b/src/relay/tests/relay_fixture.h
@@ -219,8 +219,9 @@
   Dispatcher dispatcher{this->fleet, this->chooser};
   FirstTry first_tries;
   StreamAdmission admission;
+  LinkQuality links{"z"};
   StreamParts stream_parts{this->dispatcher, this->fleet, this->first_tries,
-                           this->admission};
+                           this->admission, this->links};
   FakeControl control;
   FakeCallers callers;
 };
--- a/src/relay/tests/stream_session_test.cc
+++ b/src/relay/tests/stream_session_test.cc
@@ -227,6 +227,17 @@
   cr_assert(story.ended == 1 && story.Got("not_run"));
 }
 
+Test(a_stream_that_pauses, speaks_against_the_way_from_its_zone) {
+  StreamStory story(2);
+  story.BeginWithEvent();
+  story.Pass(100);
+  story.client.Data(0, Event(1));
+  cr_assert(story.links.StallRate("z", 1, story.clock.WallMs()) == 0.0);
+  story.Pass(200);
+  story.client.Data(0, Event(2));
+  cr_assert(story.links.StallRate("z", 1, story.clock.WallMs()) > 0.0);
+}
+
 Test(an_engines_own_failure, is_passed_on_as_it_is) {
   StreamStory story(2);
   story.Begin();
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -198,6 +198,7 @@
   Dispatcher dispatcher;
   FirstTry first_tries;
   StreamAdmission admission;
+  LinkQuality links;
   std::unique_ptr<EngineControl> control;
   Relay relay;
   ReadyService ready_service;
@@ -245,12 +246,14 @@
       chooser(PressureOf(with)),
       dispatcher(this->fleet, this->chooser),
       admission(AdmissionOf(with.policy)),
+      links(with.host.zone),
       control(on.MakeControl(this->client)),
       relay(with.host.name,
             {this->clock, this->scheduler, this->client, on.Backends(),
              this->backends, this->health, this->budgets, this->metrics,
              this->random},
-            {this->dispatcher, this->fleet, this->first_tries, this->admission},
+            {this->dispatcher, this->fleet, this->first_tries, this->admission,
+             this->links},
             *this->control, on.Callers(), this->plan),
       ready_service(
           on.ReadyPath(),
@@ -259,6 +262,9 @@
       server(&this->relay, ServerLimits{}),
       ready_server(&this->ready_service, ServerLimits{}),
       metrics_server(&this->metrics_service, ServerLimits{}) {
+  if (with.policy.avoids_bad_links) {
+    this->chooser.SetLinks(&this->links);
+  }
   this->ApplyBounds();
   this->view.AddListener(
       [this](const ViewChange& change) { this->TakeView(change); });
@@ -426,7 +432,9 @@
 // others, whose watches end one after the other then. So one of them finds out
 // soon that the store is gone.
 std::int64_t RelayHost::Parts::WatchStaggerMs() const {
-  return kStaggerMs * this->WatchPlace().value_or(0);
+  return this->settings.policy.staggers_watches
+             ? kStaggerMs * this->WatchPlace().value_or(0)
+             : 0;
 }
 
 void RelayHost::Parts::TakeHosts(const std::vector<EntryHost>& known) {
@@ -575,7 +583,11 @@
   std::vector<HostAway> known;
   for (const HostEntry* const host : this->hosts.OfRole(HostRole::kEntry)) {
     if (host->name != this->settings.host.name) {
-      known.push_back({host->zone, this->stop_datagrams.BackInMs(host->name)});
+      const std::int64_t back_in_ms =
+          this->settings.policy.stops_are_told
+              ? this->stop_datagrams.BackInMs(host->name)
+              : 0;
+      known.push_back({host->zone, back_in_ms});
     }
   }
   const auto grace_ms = static_cast<std::int64_t>(
--- a/src/settings/relay_settings.cc
+++ b/src/settings/relay_settings.cc
@@ -57,6 +57,9 @@
   section.Flag("spreads_returns", &policy->spreads_returns);
   section.Flag("passes_full_over", &policy->passes_full_over);
   section.Flag("learns_templates", &policy->learns_templates);
+  section.Flag("avoids_bad_links", &policy->avoids_bad_links);
+  section.Flag("stops_are_told", &policy->stops_are_told);
+  section.Flag("staggers_watches", &policy->staggers_watches);
   section.Number("memory_limit", kLeastMemoryPart, kMostMemoryPart,
                  &policy->memory_limit);
   section.Number("short_work_limit", kLeastMemoryPart, kMostMemoryPart,
--- a/src/settings/tests/relay_settings_test.cc
+++ b/src/settings/tests/relay_settings_test.cc
@@ -43,5 +43,19 @@
   cr_assert(parsed.problems.front().field == "document");
 }
 
+Test(relay_settings, switch_off_parts_of_the_policy) {
+  const ParsedRelaySettings whole = ParseRelaySettings(kWhole);
+  cr_assert(whole.settings.policy == RelayPolicySettings{});
+  const ParsedRelaySettings parsed = ParseRelaySettings(
+      std::string(kWhole) +
+      "policy: {refuses_late: false, memory_limit: 0.95}\n");
+  cr_assert(parsed.IsValid());
+  cr_assert(!parsed.settings.policy.refuses_late);
+  cr_assert(parsed.settings.policy.memory_limit == 0.95);
+  const ParsedRelaySettings wrong = ParseRelaySettings(
+      std::string(kWhole) + "policy: {memory_limit: 7, refuse: no}\n");
+  cr_assert(wrong.problems.size() == 2);
+}
+
 }  // namespace
 }  // namespace meadowthread
