--- a/src/policy/link_quality.h
+++ b/src/policy/link_quality.h
@@ -2,6 +2,7 @@
 #define MEADOWTHREAD_POLICY_LINK_QUALITY_H_
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 #include "policy/string_map.h"
--- a/src/policy/work.h
+++ b/src/policy/work.h
@@ -30,7 +30,7 @@
   Urgency urgency = Urgency::kNormal;
   std::int64_t expected_tokens = 0;  ///< prompt and output; by Dispatcher
   std::uint64_t prefix_hash = 0;     ///< 0: no prefix to look for
-  bool forced = false;  ///< has waited enough: it is sent without room too
+  bool forced = false;  ///< a run's copy: it has to go somewhere, room or not
   /// Its first event is wanted within this of its sending; 0: whenever.
   std::int64_t first_event_within_ms = 0;
   bool is_late = false;  ///< whatever is done: it takes room that others leave
--- a/src/relay/stream_session.h
+++ b/src/relay/stream_session.h
@@ -87,7 +87,7 @@
   static constexpr std::int64_t kNoEngineRetryMs = 400;
 
   void Offer();
-  void RefuseQueued();
+  void RefuseQueued(DecisionReason why);
   std::int64_t ElapsedMs() const;
   void Send(const Backend& backend, const std::optional<Continuation>& from);
   void PassOn(std::vector<CutEvent>* cut);
--- a/src/relay/stream_session_placing.cc
+++ b/src/relay/stream_session_placing.cc
@@ -103,8 +103,9 @@
       .Add("since_first_try_ms", this->ElapsedMs())
       .Add("wait_ms", wait_ms)
       .Write();
+  const DecisionReason why = answer.decision.reason;
   if (wait_ms <= 0) {
-    this->RefuseQueued();
+    this->RefuseQueued(why);
     return;
   }
   const DispatchAnswer queued =
@@ -117,9 +118,9 @@
     this->GiveUp(queued.refusal, queued.retry_after_ms);
     return;
   }
-  this->parts.scheduler.After(wait_ms, this->life.Guarded([this] {
+  this->parts.scheduler.After(wait_ms, this->life.Guarded([this, why] {
     if (this->phase == StreamPhase::kQueued) {
-      this->RefuseQueued();
+      this->RefuseQueued(why);
     }
   }));
 }
@@ -129,8 +130,15 @@
          this->begun_ms;
 }
 
-void StreamSession::RefuseQueued() {
+// Engines without room have some when the crowd is over; where none can be used
+// at all, one may be listed within a moment.
+void StreamSession::RefuseQueued(DecisionReason why) {
   this->stream_parts.dispatcher.Cancel(this->request.id);
+  if (why != DecisionReason::kNoneHasRoom) {
+    this->Refuse(ErrorId::kNoEngine, Outcome::kNotRun, "choose",
+                 "no engine can be used", kNoEngineRetryMs);
+    return;
+  }
   this->Refuse(ErrorId::kOverloaded, Outcome::kNotRun, "choose",
                "no engine can begin it in time",
                this->stream_parts.admission.ReturnAfterMs(
--- a/src/relay/tests/stream_session_test.cc
+++ b/src/relay/tests/stream_session_test.cc
@@ -188,6 +188,7 @@
   story.Begin();
   story.Pass(1'000);
   cr_assert(story.ended == 1 && story.Got("not_run"));
+  cr_assert(story.Got("Retry-After: 1") || story.Got("Retry-After: 0.4"));
 }
 
 // The pattern: a crowd. Forced onto engines without room, all were late.
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -52,8 +52,9 @@
 // While the store can't tell, engines are asked themselves. They stay for about
 // two seconds, and their word is half a second old.
 constexpr std::int64_t kAskPeriodMs = 150;
-// Four hosts watch for a second and a half each.
+// Four hosts, or so many times as many, watch for a second and a half each.
 constexpr std::int64_t kStaggerMs = 350;
+constexpr int kStaggerPlaces = 4;
 constexpr std::int64_t kDrainPeriodMs = 20;
 // The balancer asks each second and takes a host out after two questions
 // without a yes: for so long new connections still come to a stopping host.
@@ -426,7 +427,7 @@
 // soon that the store is gone.
 std::int64_t RelayHost::Parts::WatchStaggerMs() const {
   return this->settings.policy.staggers_watches
-             ? kStaggerMs * this->WatchPlace().value_or(0)
+             ? kStaggerMs * (this->WatchPlace().value_or(0) % kStaggerPlaces)
              : 0;
 }
 
