A target that refused a copy is passed over again: a run asked one until it was lost

That engine was leaving itself and the store could not say so; the run ended with its own engine. Change: such a target is a last resort for 0.4 s, without a switch. Test: an_engine_that_refused_a_copy::is_passed_over_for_a_while, failing before.

--- a/src/policy/engine_view.h
+++ b/src/policy/engine_view.h
@@ -65,6 +65,7 @@
   std::int64_t warm_at_ms = 0;        ///< unix ms; slow until then
   double failure_share = 0.0;         ///< of its recent requests, 0 to 1
   std::int64_t aside_until_ms = 0;    ///< unix ms; could not be reached lately
+  std::int64_t no_room_until_ms = 0;  ///< unix ms; refused a copy lately
 
   /// @brief Whether new work may be sent to it.
   bool Usable() const { return this->live && !this->leaving && !this->stalled; }
--- a/src/policy/fleet_state.cc
+++ b/src/policy/fleet_state.cc
@@ -17,6 +17,9 @@
 constexpr double kSlowStartFloor = 0.1;
 // Decoding speed assumed where only the time passed is known.
 constexpr double kTokensPerMs = 0.03;
+// An engine without memory for a copy gets some as one of its runs ends, each
+// of ten that last for some nine seconds; one that leaves says so by then.
+constexpr std::int64_t kNoRoomMs = 400;
 // Of the tokens another host's stream holds, about this part is generated.
 constexpr double kGeneratedPart = 0.5;
 
@@ -325,6 +328,12 @@
   }
 }
 
+void FleetState::NoteNoRoom(std::string_view engine, std::int64_t now_ms) {
+  if (Engine* const found = this->FindEngine(engine)) {
+    found->view.no_room_until_ms = now_ms + kNoRoomMs;
+  }
+}
+
 void FleetState::SetCopies(std::string_view engine, int copies) {
   if (Engine* const found = this->FindEngine(engine)) {
     found->copies = copies;
--- a/src/policy/fleet_state.h
+++ b/src/policy/fleet_state.h
@@ -69,6 +69,10 @@
   /// @param[in] until_ms Unix time
   void SetAside(std::string_view engine, std::int64_t until_ms);
 
+  /// @brief The engine refused a run's copy: it has no memory for it, or leaves
+  /// and nobody has told so yet. For a while it is a last resort.
+  void NoteNoRoom(std::string_view engine, std::int64_t now_ms);
+
   /// @brief Says which entry hosts share the engines. Each engine is
   /// preferred by one of them, the same in every host's view.
   /// @param[in] self this host's name
--- a/src/policy/pressure_chooser.cc
+++ b/src/policy/pressure_chooser.cc
@@ -78,6 +78,10 @@
   if (view.aside_until_ms > now_ms) {
     scored.cost += this->options.aside_cost;
   }
+  // A run asked one leaving engine 66 times in 0.7 s, until its own was gone.
+  if (view.no_room_until_ms > now_ms) {
+    scored.cost += this->options.aside_cost;
+  }
   if (view.warm_at_ms > now_ms) {
     scored.cost += this->options.cold_cost;
   }
--- a/src/policy/tests/pressure_chooser_test.cc
+++ b/src/policy/tests/pressure_chooser_test.cc
@@ -219,6 +219,24 @@
   cr_assert(story.Choose(work) == "e0", "whenever it comes");
 }
 
+// Named for the recorded day inc-7e49 of rcmka-kigali: while the store was down
+// a run asked the same engine, which left itself, until its own engine was
+// gone.
+Test(an_engine_that_refused_a_copy, is_passed_over_for_a_while) {
+  Story story;
+  story.Tell("e1", kCapacity / 2);
+  WorkItem copy = story.Item("copy");
+  copy.is_copy = true;
+  copy.forced = true;
+  cr_assert(story.Choose(copy) == "e0");
+  story.fleet.state.NoteNoRoom("e0", 1);
+  cr_assert(story.Choose(copy) == "e1");
+  cr_assert(*story.chooser.Choose(copy, story.fleet.state, 401, 0).engine ==
+            "e0");
+  story.fleet.state.SetEngine({"e1", "z", true, true}, 0);
+  cr_assert(story.Choose(copy) == "e0", "there is no other");
+}
+
 Test(requests_of_hosts_not_heard_of_yet, spread_the_choices) {
   Story story;
   story.Tell("e0", kCapacity / 5);
--- a/src/relay/run_move.cc
+++ b/src/relay/run_move.cc
@@ -84,8 +84,10 @@
     case MoveResult::kNoRun:
       this->EndWith(MoveEnd::kRunEnded);
       return;
-    case MoveResult::kBusy:
     case MoveResult::kNoRoom:
+      this->EndWith(MoveEnd::kNoRoom);
+      return;
+    case MoveResult::kBusy:
     case MoveResult::kUnknown:
       this->EndWith(MoveEnd::kNotMoved);
       return;
--- a/src/relay/run_move.h
+++ b/src/relay/run_move.h
@@ -23,6 +23,7 @@
 enum class MoveEnd {
   kRunEnded,   ///< the run had ended by itself
   kNotMoved,   ///< the run goes on where it is
+  kNoRoom,     ///< as above: the target has no room for it, or leaves itself
   kUncertain,  ///< the run may have been stopped, and no copy is known
 };
 
--- a/src/relay/stream_session_move.cc
+++ b/src/relay/stream_session_move.cc
@@ -71,6 +71,10 @@
 
 void StreamSession::OnMoveOver(MoveEnd end) {
   this->DropCopyNote();
+  if (end == MoveEnd::kNoRoom) {
+    this->stream_parts.fleet.NoteNoRoom(this->move->Plan().target,
+                                        this->parts.clock.WallMs());
+  }
   this->old_moves.push_back(std::move(this->move));
   if (this->held_end.has_value()) {
     // Its stream has ended and nothing is there to go on with.
--- a/src/relay/tests/departures_test.cc
+++ b/src/relay/tests/departures_test.cc
@@ -67,7 +67,9 @@
     Fixture f;
     f.control.Answer(result);
     cr_assert(f.owner.ends.size() == 1);
-    cr_assert(f.owner.ends[0] == MoveEnd::kNotMoved);
+    cr_assert(f.owner.ends[0] == (result == MoveResult::kNoRoom
+                                      ? MoveEnd::kNoRoom
+                                      : MoveEnd::kNotMoved));
     cr_assert(f.control.orders.size() == 1, "nothing is stopped");
   }
 }
--- a/src/relay/tests/stream_session_test.cc
+++ b/src/relay/tests/stream_session_test.cc
@@ -349,6 +349,8 @@
   cr_assert(story.session->MoveTo(story.Other()));
   story.control.Answer(MoveResult::kNoRoom);
   cr_assert(!story.session->IsMoving());
+  cr_assert(story.fleet.Find(story.Other())->no_room_until_ms >
+            story.clock.WallMs());
   story.client.Data(0, Event(1));
   story.client.End(0, FakeClient::Whole(200));
   cr_assert(story.IsWhole() && story.Count(1) == 1);
