A stream goes where nothing is ahead of it, however late the guess says it is

Cause: where a target is shorter than the first guess of the reading rate allows (3,000 tokens at 0.14 ms, wanted within 300 ms), every stream was refused, also by idle engines, and as nothing was sent the rate was never learnt: a deployment with short targets or fast engines would have served no stream at all. Change: an engine with no prompt ahead is in time by definition.

--- a/src/policy/pressure_chooser.cc
+++ b/src/policy/pressure_chooser.cc
@@ -93,8 +93,11 @@
   }
   scored.first_event_ms = fleet.Reading().ExpectedMs(
       fleet.ReadingTokens(engine, now_ms) + work.prompt_tokens);
+  // Where nothing is ahead, nobody could begin it sooner, and a rate that was
+  // guessed too slow is only learnt by sending.
   const bool in_time =
       work.first_event_within_ms <= 0 ||
+      fleet.ReadingTokens(engine, now_ms) == 0 ||
       scored.first_event_ms <= static_cast<double>(work.first_event_within_ms);
   const double left = work.is_late ? this->options.late_work_part : 1.0;
   const bool has_memory =
--- a/src/policy/tests/pressure_chooser_test.cc
+++ b/src/policy/tests/pressure_chooser_test.cc
@@ -219,6 +219,19 @@
   cr_assert(story.Choose(work) == "e0", "whenever it comes");
 }
 
+// A target shorter than the first guess of the reading rate allows: all streams
+// were refused for good, as nothing was sent that the rate could be learnt
+// from.
+Test(a_prompt_that_no_engine_reads_in_time, goes_where_nothing_is_ahead_of_it) {
+  Story story;
+  WorkItem work = story.Item("r", 3'000);
+  work.first_event_within_ms = 300;
+  story.Tell("e0", 3'000, 3'000);
+  cr_assert(story.Choose(work) == "e1");
+  story.Tell("e1", 3'000, 3'000);
+  cr_assert(story.Choose(work).empty());
+}
+
 // Named for the recorded day inc-7e49 of rcmka-kigali: while the store was down
 // a run asked the same engine, which left itself, until its own engine was
 // gone.
