Reading: prompts ahead are added up once a candidate; what StaysWithin checks is said as it is

Scoring an engine added up the same prompts three times on each choice, and the header of StaysWithin described limits by horizon that an earlier form of it had. Change: one sum a candidate; the comment. Behaviour stays as it is.

--- a/src/policy/memory_forecast.h
+++ b/src/policy/memory_forecast.h
@@ -47,11 +47,11 @@
   /// @brief The risk of needing more than `capacity` tokens.
   MemoryRisk RiskOf(double capacity) const;
 
-  /// @brief Whether it stays within its limits wherever new work, that is
-  /// counted in it, takes part: short work is not kept out by what grows later.
+  /// @brief Whether it stays within its limits with new work that is counted
+  /// in it: short work is not kept out by what grows later.
   /// @param[in] added the new work's own part
-  /// @param[in] limit tokens, from the second horizon on
-  /// @param[in] limit_now tokens, at the first one
+  /// @param[in] limit tokens, at every horizon, for work that lasts
+  /// @param[in] limit_now tokens, at the first one only, for work that does not
   bool StaysWithin(const MemoryForecast& added, double limit,
                    double limit_now) const;
 
--- a/src/policy/pressure_chooser.cc
+++ b/src/policy/pressure_chooser.cc
@@ -67,12 +67,12 @@
   scored.engine = engine;
   scored.memory_part = forecast.PeakMean() / capacity;
   scored.in_flight = fleet.InFlight(engine, now_ms);
-  const auto reading = static_cast<double>(fleet.ReadingTokens(engine, now_ms));
-  scored.cost =
-      scored.memory_part +
-      this->options.reading_weight * reading / this->options.reading_unit +
-      this->options.request_weight * scored.in_flight +
-      this->options.failure_weight * view.failure_share;
+  const std::int64_t reading = fleet.ReadingTokens(engine, now_ms);
+  scored.cost = scored.memory_part +
+                this->options.reading_weight * static_cast<double>(reading) /
+                    this->options.reading_unit +
+                this->options.request_weight * scored.in_flight +
+                this->options.failure_weight * view.failure_share;
   scored.cost += this->options.crowded_weight *
                  std::max(0.0, scored.memory_part - this->options.crowded_part);
   if (view.aside_until_ms > now_ms) {
@@ -91,13 +91,12 @@
   if (this->options.busy_link_cost > 0.0 && fleet.IsLinkBusy(engine, now_ms)) {
     scored.cost += this->options.busy_link_cost;
   }
-  scored.first_event_ms = fleet.Reading().ExpectedMs(
-      fleet.ReadingTokens(engine, now_ms) + work.prompt_tokens);
+  scored.first_event_ms =
+      fleet.Reading().ExpectedMs(reading + work.prompt_tokens);
   // Where nothing is ahead, nobody could begin it sooner, and a rate that was
   // guessed too slow is only learnt by sending.
   const bool in_time =
-      work.first_event_within_ms <= 0 ||
-      fleet.ReadingTokens(engine, now_ms) == 0 ||
+      work.first_event_within_ms <= 0 || reading == 0 ||
       scored.first_event_ms <= static_cast<double>(work.first_event_within_ms);
   const double left = work.is_late ? this->options.late_work_part : 1.0;
   const bool has_memory =
