Logs tell what a broken connection held of an answer

Cause: a connection that the end of a process breaks left no line, so the three hypotheses of the lost answer could not be told apart. Change: answer-cut names the request, why its connection was broken, whether the answer was written whole, and what was unsent, unacknowledged and unread; stopped tells how many connections were left.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -175,6 +175,7 @@
     status = this->parts.gate.BeginWork(caller->workspace);
   }
   const std::string id = NewRequestId();
+  writer->NameAnswer(id);
   if (!status.ok()) {
     SendProblem(*writer, status, id);
     return;
@@ -208,6 +209,7 @@
                               std::unique_ptr<ResponseWriter> writer) {
   Arrival arrival;
   arrival.start.request = NewRequestId();
+  writer->NameAnswer(arrival.start.request);
   arrival.start.arrived_ms = this->parts.session.clock.WallMs();
   absl::Status status = this->Check(form, request, &arrival);
   if (status.ok()) {
@@ -347,6 +349,7 @@
     SendProblem(*writer, claims.status(), "");
     return;
   }
+  writer->NameAnswer(claims->request);
   const std::string last(FindHeader(request.headers, "Last-Event-ID"));
   std::int64_t last_index = -1;
   if (!last.empty() &&
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -136,7 +136,7 @@
 ServerCore::~ServerCore() {
   // Writers that outlive the server find their connections gone.
   for (const ConnectionPtr& connection : this->All()) {
-    connection->Abort();
+    connection->Abort("process_ends");
   }
   this->connections.clear();
   this->ended.clear();
--- /dev/null
+++ b/src/net/kernel_queues.h
@@ -0,0 +1,20 @@
+#ifndef MEADOWTHREAD_NET_KERNEL_QUEUES_H_
+#define MEADOWTHREAD_NET_KERNEL_QUEUES_H_
+
+#include <cstdint>
+
+namespace meadowthread {
+
+/// @brief Bytes that the kernel holds for a TCP connection; -1 where it does
+/// not tell.
+struct KernelQueues {
+  std::int64_t unacknowledged = -1;  ///< to the peer, its end counted as one
+  std::int64_t unread = -1;          ///< from the peer
+};
+
+/// @param[in] descriptor a TCP socket's
+KernelQueues KernelQueuesOf(int descriptor);
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_NET_KERNEL_QUEUES_H_
--- a/src/net/plain_socket.cc
+++ b/src/net/plain_socket.cc
@@ -13,6 +13,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "base/error.h"
+#include "net/kernel_queues.h"
 
 namespace meadowthread {
 namespace {
@@ -190,6 +191,11 @@
   return static_cast<std::int64_t>(this->out.size() - this->out_begin);
 }
 
+SocketBacklog PlainSocket::Backlog() const {
+  const KernelQueues queues = KernelQueuesOf(this->descriptor);
+  return {this->PendingBytes(), queues.unacknowledged, queues.unread};
+}
+
 void PlainSocket::CloseWhenDrained() {
   if (this->descriptor < 0 || this->closing) {
     return;
--- a/src/net/plain_socket.h
+++ b/src/net/plain_socket.h
@@ -38,6 +38,7 @@
   void Abort() override;
   std::int64_t PendingBytes() const override;
   std::int64_t SentBytes() const override { return this->sent; }
+  SocketBacklog Backlog() const override;
   bool IsQuiet() const override;
   std::string Peer() const override;
 
--- a/src/net/qt_socket.cc
+++ b/src/net/qt_socket.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "net/kernel_queues.h"
 
 namespace meadowthread {
 
@@ -108,6 +109,12 @@
   return this->socket->bytesToWrite() + this->socket->encryptedBytesToWrite();
 }
 
+SocketBacklog QtSocket::Backlog() const {
+  const KernelQueues queues =
+      KernelQueuesOf(static_cast<int>(this->socket->socketDescriptor()));
+  return {this->PendingBytes(), queues.unacknowledged, queues.unread};
+}
+
 std::string QtSocket::Peer() const {
   return absl::StrCat(this->socket->peerAddress().toString().toStdString(), ":",
                       this->socket->peerPort());
--- a/src/net/qt_socket.h
+++ b/src/net/qt_socket.h
@@ -38,6 +38,7 @@
   void Abort() override;
   std::int64_t PendingBytes() const override;
   std::int64_t SentBytes() const override { return this->sent; }
+  SocketBacklog Backlog() const override;
   bool IsQuiet() const override {
     return !this->ended && this->socket->bytesAvailable() == 0;
   }
--- a/src/net/response_writer.cc
+++ b/src/net/response_writer.cc
@@ -101,6 +101,12 @@
   }
 }
 
+void ResponseWriter::NameAnswer(std::string_view request) {
+  if (const auto to = this->connection.lock()) {
+    to->NameAnswer(request);
+  }
+}
+
 std::int64_t ResponseWriter::PendingBytes() const {
   const auto to = this->connection.lock();
   return to == nullptr ? 0 : to->PendingBytes();
--- a/src/net/response_writer.h
+++ b/src/net/response_writer.h
@@ -73,6 +73,9 @@
   // The caller's connection
   //////////////////////////
 
+  /// @brief Tells logs whose answer it is.
+  void NameAnswer(std::string_view request);
+
   /// @brief Bytes accepted and not yet taken by the caller's connection.
   std::int64_t PendingBytes() const;
 
--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -165,6 +165,7 @@
   request.body = std::exchange(this->body, {});
   request.peer = this->peer;
   request.begun_ms = this->begun_ms;
+  this->answer_name.clear();
   this->phase = Phase::kAnswering;
   this->host.Service().Serve(
       request, std::make_unique<ResponseWriter>(this->weak_from_this()));
@@ -284,19 +285,39 @@
   this->closed_told = nullptr;
   this->drained_told = nullptr;
   if (this->ends_by_close) {
-    this->Abort();
+    this->Abort("answer_broken_off");
     return;
   }
   this->CloseAfterAnswer();
 }
 
-void ServerConnection::Abort() {
+void ServerConnection::Abort(std::string_view why) {
   if (this->phase != Phase::kOver) {
+    this->LogCut(why);
     this->socket->Abort();
     this->End();
   }
 }
 
+// Also a connection that already waits for its next request may hold an answer.
+void ServerConnection::LogCut(std::string_view why) const {
+  const SocketBacklog left = this->socket->Backlog();
+  const bool is_empty =
+      left.unsent == 0 && left.unacknowledged <= 0 && left.unread <= 0;
+  if (this->phase != Phase::kAnswering && is_empty) {
+    return;
+  }
+  LogLine("answer-cut")
+      .Add("request", this->answer_name)
+      .Add("peer", this->peer)
+      .Add("why", why)
+      .Add("written", this->phase == Phase::kAnswering ? "in_part" : "whole")
+      .Add("unsent", left.unsent)
+      .Add("unacknowledged", left.unacknowledged)
+      .Add("unread", left.unread)
+      .WriteImportant();
+}
+
 void ServerConnection::OnEnded(SocketEnd /*end*/) { this->End(); }
 
 void ServerConnection::End() {
@@ -350,7 +371,7 @@
     const std::int64_t limit =
         this->socket->PendingBytes() == 0 ? kLingerMs : kLastBytesMs;
     if (now_ms - this->ending_ms > limit) {
-      this->Abort();
+      this->Abort("caller_does_not_close");
     }
     return;
   }
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -68,13 +68,16 @@
   bool IsClosed() const { return this->phase == Phase::kOver; }
   void SetClosedTold(std::function<void()> told);
   void SetDrainedTold(std::function<void()> told);
+  /// @brief Whose answer it is, for logs.
+  void NameAnswer(std::string_view request) { this->answer_name = request; }
 
   ////////////////////
   // For its server
   ////////////////////
 
   /// @brief Breaks the connection at once.
-  void Abort();
+  /// @param[in] why for the log, where an answer is lost by it
+  void Abort(std::string_view why);
 
   /// @brief Ends the connection where a time limit has passed.
   void CheckTime(std::int64_t now_ms);
@@ -103,6 +106,7 @@
   void ReadNext();
   void Refuse(const Refusal& refusal);
   void CloseAfterAnswer();
+  void LogCut(std::string_view why) const;
   void End();
 
   ConnectionHost& host;
@@ -112,6 +116,7 @@
   std::string body;
   std::int64_t held = 0;
   std::string peer;
+  std::string answer_name;
   bool head_taken = false;
   bool is_head_request = false;
   bool is_old_version = false;
--- a/src/net/stream_socket.h
+++ b/src/net/stream_socket.h
@@ -14,6 +14,14 @@
   kConnectFailed,  ///< it never stood: nothing was sent
 };
 
+/// @brief Bytes of a connection that one of its ends has not taken yet; -1
+/// where the kernel does not tell.
+struct SocketBacklog {
+  std::int64_t unsent = 0;          ///< written, not yet taken by the kernel
+  std::int64_t unacknowledged = 0;  ///< taken, not yet at the peer's kernel
+  std::int64_t unread = 0;          ///< came from the peer, not yet read
+};
+
 /// @brief Told what happens on a connection, on the event loop's thread. Any
 /// of these calls may destroy the socket.
 class StreamSocketHandler {
@@ -59,6 +67,9 @@
   /// @brief Bytes that the kernel has taken: they may have left the host.
   virtual std::int64_t SentBytes() const = 0;
 
+  /// @brief What is still on its way, in either direction.
+  virtual SocketBacklog Backlog() const = 0;
+
   /// @brief Whether nothing waits to be read, not even the connection's end.
   virtual bool IsQuiet() const = 0;
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -48,6 +48,7 @@
     this->Refuse(*writer, read.status(), "");
     return;
   }
+  writer->NameAnswer(read->id);
   const absl::StatusOr<RelayTerms> terms =
       this->plan.TermsOf(*read, this->parts.random());
   if (!terms.ok()) {
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -380,7 +380,10 @@
   }
   this->placement.Stop();
   this->ownership.Leave([this] {
-    LogLine("stopped").Add("host", this->settings.host.name).Write();
+    LogLine("stopped")
+        .Add("host", this->settings.host.name)
+        .Add("connections", this->server->Connections())
+        .WriteImportant();
     QCoreApplication::quit();
   });
 }
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -567,6 +567,7 @@
       .Add("host", this->settings.host.name)
       .Add("why", why)
       .Add("running", this->relay.Running())
+      .Add("connections", this->server.Connections())
       .WriteImportant();
   this->stop_datagrams.TellEnd(kRestartMs);
   QCoreApplication::quit();
