A host ends when its callers have their answers, not when these are written

Cause: both programs took a session's end for an answer's: it had been written to a connection, and what the process and its kernel still held was thrown away by a reset (linger of zero) 20 ms later at most. Class: work counted as done when it is handed to a buffer, not when its receiver has it. Change: a server tells how many callers are still owed something (a request begun, bytes unsent or not acknowledged by the caller's kernel, an end the caller has not answered), and a host ends when none is. What is left at the end is given to the kernel and closed in order: it delivers after the process has ended. The second of linger and the limit on the last bytes count from the last progress the caller made, instead of from when the process had written them.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -8,6 +8,7 @@
 #include <QSslServer>
 #include <QTcpServer>
 #include <QTimer>
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <unordered_map>
@@ -96,6 +97,7 @@
   void CloseAll();
   void SetLimits(const ServerLimits& with) { this->limits = with; }
   std::size_t Count() const { return this->connections.size(); }
+  std::size_t Owed() const;
 
   const ServerLimits& Limits() const override { return this->limits; }
   std::int64_t NowMs() const override { return this->clock.MonotonicMs(); }
@@ -136,7 +138,7 @@
 ServerCore::~ServerCore() {
   // Writers that outlive the server find their connections gone.
   for (const ConnectionPtr& connection : this->All()) {
-    connection->Abort("process_ends");
+    connection->EndWithProcess();
   }
   this->connections.clear();
   this->ended.clear();
@@ -228,6 +230,12 @@
   }
 }
 
+std::size_t ServerCore::Owed() const {
+  return static_cast<std::size_t>(
+      std::count_if(this->connections.begin(), this->connections.end(),
+                    [](const auto& entry) { return entry.second->IsOwed(); }));
+}
+
 void ServerCore::CloseAll() {
   this->closing = true;
   for (const ConnectionPtr& connection : this->All()) {
@@ -256,4 +264,6 @@
 
 std::size_t HttpServer::Connections() const { return this->core->Count(); }
 
+std::size_t HttpServer::Owed() const { return this->core->Owed(); }
+
 }  // namespace meadowthread
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -88,6 +88,12 @@
   /// @brief Connections that stand.
   std::size_t Connections() const;
 
+  /// @brief Connections whose callers may still get something: an answer counts
+  /// until the caller's kernel has it. A process that ends before this is zero
+  /// leaves what is on its way to its own kernel.
+  /// @complexity one call of the kernel a connection that rests
+  std::size_t Owed() const;
+
  private:
   std::unique_ptr<detail::ServerCore> core;
 };
--- a/src/net/plain_socket.cc
+++ b/src/net/plain_socket.cc
@@ -207,6 +207,34 @@
   }
 }
 
+void PlainSocket::CloseNow() {
+  if (this->descriptor < 0) {
+    return;
+  }
+  this->handler = nullptr;
+  this->closing = true;
+  if (this->connected) {
+    this->SendSome();
+  }
+  if (this->descriptor >= 0) {
+    shutdown(this->descriptor, SHUT_WR);
+    this->DropUnread();
+    this->Close();
+  }
+}
+
+// A socket that is closed with unread bytes resets, and its kernel forgets what
+// it had still to deliver.
+void PlainSocket::DropUnread() {
+  std::array<char, kReadBytes> dropped = {};
+  for (int reads = 0; reads < kReadsPerTurn; ++reads) {
+    if (recv(this->descriptor, dropped.data(), dropped.size(), MSG_DONTWAIT) <=
+        0) {
+      return;
+    }
+  }
+}
+
 void PlainSocket::Abort() {
   if (this->descriptor >= 0) {
     const linger at_once = {1, 0};
--- a/src/net/plain_socket.h
+++ b/src/net/plain_socket.h
@@ -35,6 +35,7 @@
   void Write(std::string_view bytes) override;
   void SetPaused(bool is_paused) override;
   void CloseWhenDrained() override;
+  void CloseNow() override;
   void Abort() override;
   std::int64_t PendingBytes() const override;
   std::int64_t SentBytes() const override { return this->sent; }
@@ -49,6 +50,7 @@
   void FinishConnect();
   void Read();
   void SendSome();
+  void DropUnread();
   void End(SocketEnd end);
   void Close();
   void WatchAgain();
--- a/src/net/qt_socket.cc
+++ b/src/net/qt_socket.cc
@@ -100,6 +100,14 @@
 
 void QtSocket::CloseWhenDrained() { this->socket->disconnectFromHost(); }
 
+void QtSocket::CloseNow() {
+  this->ended = true;
+  this->handler = nullptr;
+  this->socket->flush();
+  this->socket->disconnectFromHost();
+  this->socket->readAll();
+}
+
 void QtSocket::Abort() {
   this->ended = true;
   this->socket->abort();
--- a/src/net/qt_socket.h
+++ b/src/net/qt_socket.h
@@ -35,6 +35,7 @@
   void Write(std::string_view bytes) override;
   void SetPaused(bool is_paused) override;
   void CloseWhenDrained() override;
+  void CloseNow() override;
   void Abort() override;
   std::int64_t PendingBytes() const override;
   std::int64_t SentBytes() const override { return this->sent; }
--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -17,10 +17,11 @@
 // A caller that sends its next requests before the present answer ends is read
 // ahead this far: beyond it, it waits in its own kernel.
 constexpr std::size_t kReadAheadBytes = std::size_t{64} * 1024;
-// After the last answer: what the caller still sends is dropped this long, so
-// that a reset doesn't overtake the answer.
+// After the caller's kernel has the last answer: what the caller still sends is
+// dropped this long, so that a reset doesn't overtake what it has yet to read.
 constexpr std::int64_t kLingerMs = 1'000;
-// A caller that does not take the last bytes for this long loses them.
+// A caller that takes none of the last bytes for this long loses them; less
+// than the kernel itself waits for a peer that is gone.
 constexpr std::int64_t kLastBytesMs = 5'000;
 // When a request that this host had no memory for may come back.
 constexpr std::int64_t kNoMemoryRetryMs = 500;
@@ -35,6 +36,12 @@
                                       : target.substr(at + 1);
 }
 
+// Where the kernel doesn't tell what it holds, that counts as delivered: it
+// delivers by itself.
+std::int64_t OnTheWay(const SocketBacklog& left) {
+  return left.unsent + std::max<std::int64_t>(0, left.unacknowledged);
+}
+
 std::size_t HostHeaders(const MessageHead& head) {
   return static_cast<std::size_t>(std::count_if(
       head.headers.begin(), head.headers.end(), [](const HttpHeader& header) {
@@ -267,7 +274,8 @@
 
 void ServerConnection::CloseAfterAnswer() {
   this->phase = Phase::kEnding;
-  this->ending_ms = this->host.NowMs();
+  this->progress_ms = this->host.NowMs();
+  this->on_the_way = -1;
   this->socket->SetPaused(false);
   this->socket->CloseWhenDrained();
 }
@@ -364,15 +372,56 @@
   }
 }
 
+// An answer that the kernel has taken is not delivered yet: a slow caller's
+// kernel takes it as the caller reads.
+void ServerConnection::CheckEnding(std::int64_t now_ms) {
+  const std::int64_t left = OnTheWay(this->socket->Backlog());
+  if (left != this->on_the_way) {
+    this->on_the_way = left;
+    this->progress_ms = now_ms;
+  }
+  const std::int64_t rest_ms = now_ms - this->progress_ms;
+  if (left > 0 && rest_ms > kLastBytesMs) {
+    this->Abort("caller_takes_nothing");
+  } else if (left == 0 && rest_ms > kLingerMs) {
+    this->socket->CloseNow();
+    this->End();
+  }
+}
+
+bool ServerConnection::IsOwed() const {
+  switch (this->phase) {
+    case Phase::kReading:
+      return this->begun_ms >= 0 || OnTheWay(this->socket->Backlog()) > 0;
+    case Phase::kAnswering:
+    case Phase::kEnding:
+      return true;
+    case Phase::kOver:
+      return false;
+  }
+  return false;
+}
+
+void ServerConnection::EndWithProcess() {
+  const bool looks_whole =
+      this->ends_by_close &&
+      (this->phase == Phase::kAnswering || this->socket->PendingBytes() > 0);
+  if (looks_whole) {
+    this->Abort("process_ends");
+    return;
+  }
+  if (this->phase != Phase::kOver) {
+    this->LogCut("process_ends");
+    this->socket->CloseNow();
+    this->End();
+  }
+}
+
 void ServerConnection::CheckTime(std::int64_t now_ms) {
   const auto self = this->shared_from_this();
   const ServerLimits& limits = this->host.Limits();
   if (this->phase == Phase::kEnding) {
-    const std::int64_t limit =
-        this->socket->PendingBytes() == 0 ? kLingerMs : kLastBytesMs;
-    if (now_ms - this->ending_ms > limit) {
-      this->Abort("caller_does_not_close");
-    }
+    this->CheckEnding(now_ms);
     return;
   }
   if (this->phase != Phase::kReading) {
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -85,6 +85,13 @@
   /// @brief Closes it unless a request is being read or answered.
   void CloseIfIdle();
 
+  /// @brief Whether its caller may still get something: a request was begun, or
+  /// an answer to one is not delivered.
+  bool IsOwed() const;
+
+  /// @brief Ends it with the process: the kernel delivers what it holds.
+  void EndWithProcess();
+
   // StreamSocketHandler
   void OnBytes(std::string_view bytes) override;
   void OnDrained() override;
@@ -107,6 +114,7 @@
   void Refuse(const Refusal& refusal);
   void CloseAfterAnswer();
   void LogCut(std::string_view why) const;
+  void CheckEnding(std::int64_t now_ms);
   void End();
 
   ConnectionHost& host;
@@ -124,9 +132,10 @@
   bool length_known = false;
   bool ends_by_close = false;
   bool paused = false;
-  std::int64_t begun_ms = -1;   ///< first byte of the present request
-  std::int64_t resting_ms = 0;  ///< since when no request is there
-  std::int64_t ending_ms = 0;
+  std::int64_t begun_ms = -1;    ///< first byte of the present request
+  std::int64_t resting_ms = 0;   ///< since when no request is there
+  std::int64_t progress_ms = 0;  ///< since when the last bytes stand still
+  std::int64_t on_the_way = 0;   ///< of the last answer, when last looked at
   std::function<void()> closed_told;
   std::function<void()> drained_told;
 };
--- a/src/net/stream_socket.h
+++ b/src/net/stream_socket.h
@@ -58,6 +58,10 @@
   /// @brief Closes in order once everything written has left.
   virtual void CloseWhenDrained() = 0;
 
+  /// @brief Gives the kernel all that it takes, and closes in order: the kernel
+  /// delivers it also when the process ends. What it doesn't take is lost.
+  virtual void CloseNow() = 0;
+
   /// @brief Breaks the connection so that the peer sees a reset.
   virtual void Abort() = 0;
 
--- a/src/net/tests/played_connection.h
+++ b/src/net/tests/played_connection.h
@@ -54,6 +54,7 @@
     }
     void SetPaused(bool) override {}
     void CloseWhenDrained() override { this->owner.closed = true; }
+    void CloseNow() override { this->owner.closed = true; }
     void Abort() override { this->owner.closed = true; }
     std::int64_t PendingBytes() const override { return this->owner.pending; }
     std::int64_t SentBytes() const override { return 0; }
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -118,7 +118,9 @@
   bool IsWatcher() const;
   void TakeHosts();
   void FollowMark();
+  std::size_t Running() const;
   void EndIfDrained();
+  void LogStopWaits() const;
   std::string StatusJson() const;
   void SetGauges();
 
@@ -284,12 +286,13 @@
   }
   RunEvery(this->scheduler, kDrainPeriodMs, [this] {
     this->gateway->DrainQueue();
+    this->EndIfDrained();
     FlushLog();
   });
   RunEvery(this->scheduler, kTickPeriodMs, [this] {
     this->gateway->TickSessions();
     this->FollowMark();
-    this->EndIfDrained();
+    this->LogStopWaits();
   });
   RunEvery(this->scheduler, kRotatePeriodMs, [this] {
     this->metrics.Rotate();
@@ -346,7 +349,7 @@
     const int cut = this->gateway->HandOverStreams();
     LogLine("hand-over").Add("streams", cut).Write();
   }
-  this->EndIfDrained();
+  this->LogStopWaits();
 }
 
 // A mark "stopping" ends the process as SIGTERM does.
@@ -358,26 +361,22 @@
   this->Stop(mark.handover ? 2 : 1);
 }
 
+std::size_t HostProcess::Parts::Running() const {
+  return this->gateway->Running() +
+         static_cast<std::size_t>(this->forwarder.Running());
+}
+
+// A session ends when its last bytes are written; its caller may read them for
+// seconds yet.
 void HostProcess::Parts::EndIfDrained() {
-  if (!this->stopping) {
-    return;
-  }
-  const std::size_t left = this->gateway->Running() +
-                           static_cast<std::size_t>(this->forwarder.Running());
-  if (left > 0) {
-    LogLine line("stop-waits");
-    line.Add("host", this->settings.host.name).Add("running", left);
-    std::string requests;
-    for (const RunningRequest& running :
-         this->gateway->RunningRequests(kShownRunning)) {
-      absl::StrAppend(&requests, requests.empty() ? "" : ",", running.request);
-    }
-    line.Add("requests", requests).Write();
+  if (!this->stopping || this->left || this->Running() > 0) {
     return;
   }
-  if (std::exchange(this->left, true)) {
+  this->server->CloseConnections();
+  if (this->server->Owed() > 0) {
     return;
   }
+  this->left = true;
   this->placement.Stop();
   this->ownership.Leave([this] {
     LogLine("stopped")
@@ -388,6 +387,22 @@
   });
 }
 
+void HostProcess::Parts::LogStopWaits() const {
+  if (!this->stopping || this->left) {
+    return;
+  }
+  LogLine line("stop-waits");
+  line.Add("host", this->settings.host.name)
+      .Add("running", this->Running())
+      .Add("callers_owed", this->server->Owed());
+  std::string requests;
+  for (const RunningRequest& running :
+       this->gateway->RunningRequests(kShownRunning)) {
+    absl::StrAppend(&requests, requests.empty() ? "" : ",", running.request);
+  }
+  line.Add("requests", requests).Write();
+}
+
 //////////////////////
 // What it tells
 //////////////////////
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -552,8 +552,14 @@
 }
 
 void RelayHost::Parts::EndIfDrained() {
-  const bool drained = this->stop_ms >= 0 && this->relay.Running() == 0 &&
-                       this->clock.MonotonicMs() - this->stop_ms >= kBalancerMs;
+  if (this->stop_ms < 0) {
+    return;
+  }
+  // A session ends when its last bytes are written; its caller may read them
+  // for seconds yet.
+  const std::int64_t since_ms = this->clock.MonotonicMs() - this->stop_ms;
+  const bool drained = since_ms >= kBalancerMs && this->relay.Running() == 0 &&
+                       this->server.Owed() == 0;
   if (drained) {
     this->Leave("drained");
   }
