--- a/tests/process/slow_caller.cc
+++ b/src/net/tests/slow_caller.cc
@@ -1,4 +1,4 @@
-#include "process/slow_caller.h"
+#include "net/tests/slow_caller.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/tests/process/slow_caller.h
+++ b/src/net/tests/slow_caller.h
@@ -1,5 +1,5 @@
-#ifndef MEADOWTHREAD_TESTS_PROCESS_SLOW_CALLER_H_
-#define MEADOWTHREAD_TESTS_PROCESS_SLOW_CALLER_H_
+#ifndef MEADOWTHREAD_NET_TESTS_SLOW_CALLER_H_
+#define MEADOWTHREAD_NET_TESTS_SLOW_CALLER_H_
 
 #include <QTimer>
 #include <cstddef>
@@ -47,4 +47,4 @@
 
 }  // namespace meadowthread::tests
 
-#endif  // MEADOWTHREAD_TESTS_PROCESS_SLOW_CALLER_H_
+#endif  // MEADOWTHREAD_NET_TESTS_SLOW_CALLER_H_
--- a/tests/process/delivery_test.cc
+++ b/tests/process/delivery_test.cc
@@ -13,9 +13,9 @@
 // was broken off.
 #include <criterion/criterion.h>
 
+#include "net/tests/slow_caller.h"
 #include "platform/tests/relay_fleet.h"
 #include "process/fleet.h"
-#include "process/slow_caller.h"
 
 namespace meadowthread::tests {
 namespace {
