Over TLS an answer is delivered before its connection is closed

Cause: the same as without TLS, by another way: Qt closes as soon as the kernel has taken everything; where the caller had sent more, the close was a reset, and the kernel forgot what it had still to deliver. Ruled out: the slow caller alone (its whole answer came before, too). Change: what the caller sends is read and dropped until its kernel has the answer, then Qt closes. The first tests of TLS, with a certificate made by the test.

--- a/src/net/qt_socket.cc
+++ b/src/net/qt_socket.cc
@@ -3,12 +3,19 @@
 #include <QHostAddress>
 #include <QMetaObject>
 #include <QPointer>
+#include <chrono>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "net/kernel_queues.h"
 
 namespace meadowthread {
+namespace {
+
+// A round trip between zones takes 2 ms.
+constexpr std::chrono::milliseconds kDrainCheck{5};
+
+}  // namespace
 
 QtSocket::QtSocket(const NamedPeer& peer)
     : socket(std::make_unique<QSslSocket>()) {
@@ -92,17 +99,35 @@
     return;
   }
   const QByteArray bytes = this->socket->readAll();
-  if (!bytes.isEmpty()) {
+  if (!bytes.isEmpty() && !this->closing) {
     this->handler->OnBytes(
         {bytes.data(), static_cast<std::size_t>(bytes.size())});
   }
 }
 
-void QtSocket::CloseWhenDrained() { this->socket->disconnectFromHost(); }
+// Qt closes as soon as the kernel has taken everything. With bytes of the peer
+// unread that is a reset, by which the kernel forgets what it has to deliver:
+// the peer's are read and dropped until its kernel has ours.
+void QtSocket::CloseWhenDrained() {
+  if (this->ended || this->closing) {
+    return;
+  }
+  this->closing = true;
+  QObject::connect(&this->drain_timer, &QTimer::timeout, this, [this] {
+    const SocketBacklog left = this->Backlog();
+    if (left.unsent == 0 && left.unacknowledged <= 0) {
+      this->drain_timer.stop();
+      this->socket->readAll();
+      this->socket->disconnectFromHost();
+    }
+  });
+  this->drain_timer.start(kDrainCheck);
+}
 
 void QtSocket::CloseNow() {
   this->ended = true;
   this->handler = nullptr;
+  this->drain_timer.stop();
   this->socket->flush();
   this->socket->disconnectFromHost();
   this->socket->readAll();
--- a/src/net/qt_socket.h
+++ b/src/net/qt_socket.h
@@ -3,6 +3,7 @@
 
 #include <QObject>
 #include <QSslSocket>
+#include <QTimer>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -57,6 +58,8 @@
   bool paused = false;
   bool ended = false;
   bool failed = false;
+  bool closing = false;
+  QTimer drain_timer;
 };
 
 }  // namespace meadowthread
--- /dev/null
+++ b/src/net/tests/tls_delivery_test.cc
@@ -0,0 +1,119 @@
+// An answer over TLS is delivered like one without: to its last byte, also
+// where its caller reads slowly and has sent more meanwhile.
+#include <criterion/criterion.h>
+
+#include <QSslSocket>
+#include <QTimer>
+#include <memory>
+
+#include "net/http_server.h"
+#include "net/tests/raw_peer.h"
+#include "net/tests/test_certificate.h"
+
+namespace meadowthread {
+namespace {
+
+using tests::Loop;
+using tests::TestCertificate;
+
+constexpr std::size_t kAnswerBytes = 300'000;
+constexpr int kReceiveBytes = 4'096;
+
+struct LongAnswers final : public HttpService {
+  void Serve(const ServerRequest&,
+             std::unique_ptr<ResponseWriter> writer) override {
+    ++this->served;
+    writer->SendWhole(
+        {200, "text/plain", {}, std::string(kAnswerBytes, 'a') + "end"});
+  }
+  int served = 0;
+};
+
+/// @brief A caller over TLS who reads a little each ten milliseconds.
+class SlowTlsCaller {
+ public:
+  explicit SlowTlsCaller(std::uint16_t port) {
+    this->socket.setPeerVerifyMode(QSslSocket::VerifyNone);
+    this->socket.bind(QHostAddress::LocalHost);
+    this->socket.setSocketOption(QAbstractSocket::ReceiveBufferSizeSocketOption,
+                                 kReceiveBytes);
+    this->socket.setReadBufferSize(kReceiveBytes);
+    QObject::connect(&this->socket, &QSslSocket::disconnected,
+                     [this] { this->closed = true; });
+    this->socket.connectToHostEncrypted("127.0.0.1", port);
+  }
+
+  void Send(const std::string& bytes) {
+    this->socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
+  }
+  void Read(qint64 bytes_per_10_ms) {
+    QObject::connect(&this->timer, &QTimer::timeout, [this, bytes_per_10_ms] {
+      this->got += this->socket.read(bytes_per_10_ms).toStdString();
+    });
+    this->timer.start(10);
+  }
+  bool IsOver() const {
+    return this->closed && this->socket.bytesAvailable() == 0;
+  }
+  bool IsEncrypted() const { return this->socket.isEncrypted(); }
+  bool HasAll() const {
+    return this->got.ends_with("aend") && this->got.size() > kAnswerBytes;
+  }
+  const std::string& Got() const { return this->got; }
+
+ private:
+  QSslSocket socket;
+  QTimer timer;
+  std::string got;
+  bool closed = false;
+};
+
+struct Fixture {
+  Fixture()
+      : server(std::make_unique<HttpServer>(&this->service, ServerLimits{})),
+        port(*this->server->Listen("127.0.0.1", 0, this->certificate.Files())) {
+  }
+  Loop loop;
+  TestCertificate certificate;
+  LongAnswers service;
+  std::unique_ptr<HttpServer> server;
+  std::uint16_t port;
+};
+
+Test(a_slow_caller_over_tls, gets_the_whole_last_answer_of_its_connection) {
+  Fixture f;
+  SlowTlsCaller caller(f.port);
+  caller.Send("GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  cr_assert(f.loop.Until([&] { return f.service.served == 1; }));
+  caller.Read(2'000);
+  cr_assert(f.loop.Until([&] { return caller.IsOver(); }));
+  cr_assert(caller.HasAll(), "%zu bytes came", caller.Got().size());
+}
+
+Test(a_slow_caller_over_tls, that_has_sent_more_gets_it_too) {
+  Fixture f;
+  SlowTlsCaller caller(f.port);
+  caller.Send("GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  cr_assert(f.loop.Until([&] { return f.service.served == 1; }));
+  caller.Read(2'000);
+  cr_assert(f.loop.Until([&] { return caller.Got().size() > 10'000; }));
+  caller.Send("GET /next HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(f.loop.Until([&] { return caller.IsOver(); }));
+  cr_assert(caller.HasAll(), "%zu bytes came", caller.Got().size());
+}
+
+Test(a_server_over_tls, owes_an_answer_until_its_caller_has_it) {
+  Fixture f;
+  SlowTlsCaller caller(f.port);
+  caller.Send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(f.loop.Until([&] { return f.service.served == 1; }));
+  cr_assert(f.server->Owed() == 1);
+  f.server->CloseConnections();
+  caller.Read(20'000);
+  cr_assert(f.loop.Until([&] { return f.server->Owed() == 0; }));
+  cr_assert(f.loop.Until([&] { return caller.IsOver(); }));
+  cr_assert(caller.HasAll(), "%zu bytes came", caller.Got().size());
+}
+
+}  // namespace
+}  // namespace meadowthread
