A stopping host answers the claims that its peers forwarded to it

Cause: the same as for callers: only sessions counted, and a claim in progress for a peer was reset with its connection. Change: after its callers a host waits for its peers' answers, 0.9 s at most.

--- a/src/exchange/rpc_server.h
+++ b/src/exchange/rpc_server.h
@@ -39,6 +39,12 @@
   absl::StatusOr<std::uint16_t> Listen(const QHostAddress& address,
                                        std::uint16_t port);
 
+  /// @brief From now on each connection ends after its present answer.
+  void CloseConnections() { this->server.CloseConnections(); }
+
+  /// @brief Connections whose peers may still get an answer.
+  std::size_t Owed() const { return this->server.Owed(); }
+
   void Serve(const ServerRequest& request,
              std::unique_ptr<ResponseWriter> writer) override;
 
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -43,6 +43,8 @@
 constexpr std::int64_t kDrainPeriodMs = 20;
 constexpr std::int64_t kTickPeriodMs = 1000;
 constexpr std::int64_t kRotatePeriodMs = 60'000;
+// Three times what a forwarded claim may take.
+constexpr std::int64_t kPeersLimitMs = 900;
 constexpr std::size_t kShownRunning = 20;
 constexpr int kClaimThreads = 8;
 // Over all hosts, within the budget's window, besides those that calls earn:
@@ -164,6 +166,7 @@
   std::unique_ptr<Gateway> gateway;
   std::unique_ptr<HttpServer> server;
   bool stopping = false;
+  std::int64_t peers_since_ms = -1;  ///< when only peers were left; -1: not yet
   bool left = false;
 };
 
@@ -376,6 +379,18 @@
   if (this->server->Owed() > 0) {
     return;
   }
+  // Claims that peers forwarded here are answered too. New ones come as long as
+  // peers take this host for live: they settle with the store what they miss.
+  RpcServer& peers = this->exchange.Server();
+  if (this->peers_since_ms < 0) {
+    this->peers_since_ms = this->clock.MonotonicMs();
+    peers.CloseConnections();
+  }
+  const std::int64_t waited_ms =
+      this->clock.MonotonicMs() - this->peers_since_ms;
+  if (peers.Owed() > 0 && waited_ms < kPeersLimitMs) {
+    return;
+  }
   this->left = true;
   this->placement.Stop();
   this->ownership.Leave([this] {
