When a stop may end is a decision of its own, with its tests

Cause: the rule stood in three timers and a condition of the host's process, and could be tried over processes only.

--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -25,6 +25,7 @@
 #include "net/qt_scheduler.h"
 #include "policy/length_model.h"
 #include "policy/pressure_chooser.h"
+#include "policy/stop_plan.h"
 #include "policy/stop_return.h"
 #include "relay/relay.h"
 #include "serve/choice_spread.h"
@@ -62,13 +63,6 @@
 // From a process's end to its next one's first request: a new process read the
 // store and served 0.2 to 0.3 s after its start.
 constexpr std::int64_t kRestartMs = 400;
-// What is still running this long before the end by force gets its last word.
-constexpr std::int64_t kLastWordMs = 250;
-// The process ends by itself this long before the end by force, so that it does
-// not come while its connections are being closed.
-constexpr std::int64_t kExitMs = 50;
-// Requests taken while stopping have to end this long before that.
-constexpr std::int64_t kStopMarginMs = 600;
 constexpr std::int64_t kMsPerSecond = 1'000;
 
 // Other hosts' entries serve speed only: news of them may wait, and those of a
@@ -160,9 +154,7 @@
   void SpreadChoices();
   void AskWhileSilent();
   void ApplyBounds();
-  void EndIfDrained();
-  void EndRest();
-  void Leave(std::string_view why);
+  void GoOnStopping();
 
   RelaySettings settings;
   RelayPlatform& platform;
@@ -205,7 +197,7 @@
   HttpServer server;
   HttpServer ready_server;
   HttpServer metrics_server;
-  std::int64_t stop_ms = -1;  ///< monotonic; -1: not stopping
+  std::optional<StopPlan> stop_plan;  ///< none: not stopping
   bool left = false;
 };
 
@@ -253,9 +245,11 @@
             {this->dispatcher, this->fleet, this->first_tries, this->admission,
              this->links},
             *this->control, on.Callers(), this->plan),
-      ready_service(
-          on.ReadyPath(),
-          [this] { return this->stop_ms < 0 && this->plan.Plan() != nullptr; }),
+      ready_service(on.ReadyPath(),
+                    [this] {
+                      return !this->stop_plan.has_value() &&
+                             this->plan.Plan() != nullptr;
+                    }),
       metrics_service(kMetricsPath, [this] { return this->MetricsText(); }),
       server(&this->relay, ServerLimits{}),
       ready_server(&this->ready_service, ServerLimits{}),
@@ -326,7 +320,7 @@
   RunEvery(this->scheduler, kAskPeriodMs, [this] { this->AskWhileSilent(); });
   RunEvery(this->scheduler, kDrainPeriodMs, [this] {
     this->relay.DrainQueue();
-    this->EndIfDrained();
+    this->GoOnStopping();
     FlushLog();
   });
   LogLine("started")
@@ -466,7 +460,8 @@
     set("age_ms_" + digest.kind, now_ms - digest.confirmed.unix_ms);
     set("revision_" + digest.kind, digest.revision);
   }
-  set("ready", this->stop_ms < 0 && this->plan.Plan() != nullptr ? 1 : 0);
+  set("ready",
+      !this->stop_plan.has_value() && this->plan.Plan() != nullptr ? 1 : 0);
   set("running", this->relay.Running());
   set("connections", this->server.Connections());
   set("backends", this->backends.Count());
@@ -538,60 +533,44 @@
 ///////////////////
 
 void RelayHost::Parts::Stop() {
-  if (this->stop_ms >= 0) {
+  if (this->stop_plan.has_value()) {
     return;
   }
-  this->stop_ms = this->clock.MonotonicMs();
   const auto grace_ms = static_cast<std::int64_t>(
       this->settings.bounds.grace_s * static_cast<double>(kMsPerSecond));
-  this->relay.BeginStop(this->stop_ms + grace_ms - kStopMarginMs, *this);
-  this->stop_datagrams.Begin(this->stop_ms + grace_ms + kRestartMs);
+  this->stop_plan.emplace(this->clock.MonotonicMs(),
+                          StopBounds{kBalancerMs, grace_ms});
+  this->relay.BeginStop(this->stop_plan->LastEndMs(), *this);
+  this->stop_datagrams.Begin(this->stop_plan->ForcedMs() + kRestartMs);
   this->server.CloseConnections();
   LogLine("stop-asked")
       .Add("host", this->settings.host.name)
       .Add("running", this->relay.Running())
       .WriteImportant();
-  this->scheduler.After(std::max<std::int64_t>(0, grace_ms - kLastWordMs),
-                        [this] { this->EndRest(); });
-  this->scheduler.After(std::max<std::int64_t>(0, grace_ms - kExitMs),
-                        [this] { this->Leave("time_is_up"); });
 }
 
-void RelayHost::Parts::EndIfDrained() {
-  if (this->stop_ms < 0) {
+void RelayHost::Parts::GoOnStopping() {
+  if (!this->stop_plan.has_value() || this->left) {
     return;
   }
-  // A session ends when its last bytes are written; its caller may read them
-  // for seconds yet.
-  const std::int64_t since_ms = this->clock.MonotonicMs() - this->stop_ms;
-  const bool drained = since_ms >= kBalancerMs && this->relay.Running() == 0 &&
-                       this->server.Owed() == 0;
-  if (drained) {
-    this->Leave("drained");
-  }
-}
-
-void RelayHost::Parts::EndRest() {
-  LogLine("stop-ends-rest")
-      .Add("host", this->settings.host.name)
-      .Add("running", this->relay.Running())
-      .Add("callers_owed", this->server.Owed())
-      .WriteImportant();
-  this->relay.EndWithHost();
-}
-
-void RelayHost::Parts::Leave(std::string_view why) {
-  if (std::exchange(this->left, true)) {
+  const StopWork work = {this->relay.Running(), this->server.Owed()};
+  const StopStep step = this->stop_plan->Next(this->clock.MonotonicMs(), work);
+  if (step == StopStep::kWait) {
     return;
   }
-  LogLine("stopped")
+  this->left = step != StopStep::kLastWord;
+  LogLine(this->left ? "stopped" : "stop-ends-rest")
       .Add("host", this->settings.host.name)
-      .Add("why", why)
-      .Add("running", this->relay.Running())
-      .Add("connections", this->server.Connections())
+      .Add("why", StopStepName(step))
+      .Add("running", work.running)
+      .Add("callers_owed", work.callers_owed)
       .WriteImportant();
-  this->stop_datagrams.TellEnd(kRestartMs);
-  QCoreApplication::quit();
+  if (this->left) {
+    this->stop_datagrams.TellEnd(kRestartMs);
+    QCoreApplication::quit();
+  } else {
+    this->relay.EndWithHost();
+  }
 }
 
 std::int64_t RelayHost::Parts::ReturnAfterMs() const {
@@ -606,13 +585,12 @@
       known.push_back({host->zone, back_in_ms});
     }
   }
-  const auto grace_ms = static_cast<std::int64_t>(
-      this->settings.bounds.grace_s * static_cast<double>(kMsPerSecond));
-  known.push_back({this->settings.host.zone,
-                   std::max<std::int64_t>(
-                       1, this->stop_ms + grace_ms + kRestartMs - now_ms)});
+  const std::int64_t back_in_ms =
+      this->stop_plan->ForcedMs() + kRestartMs - now_ms;
+  known.push_back(
+      {this->settings.host.zone, std::max<std::int64_t>(1, back_in_ms)});
   return ReturnAfterStopMs(this->settings.host.zone, known,
-                           this->stop_ms + kBalancerMs - now_ms);
+                           this->stop_plan->NoticedMs() - now_ms);
 }
 
 RelayHost::RelayHost(const RelaySettings& settings, RelayPlatform& platform)
