--- a/src/net/kernel_queues.cc
+++ b/src/net/kernel_queues.cc
@@ -6,7 +6,7 @@
 namespace meadowthread {
 namespace {
 
-std::int64_t QueueOf(int descriptor, unsigned long which) {
+std::int64_t QueueOf(int descriptor, std::uint64_t which) {
   int bytes = 0;
   return ioctl(descriptor, which, &bytes) == 0 ? bytes : -1;
 }
--- a/src/net/tests/test_certificate.cc
+++ b/src/net/tests/test_certificate.cc
@@ -5,6 +5,7 @@
 #include <openssl/rsa.h>
 #include <openssl/x509.h>
 
+#include <cstdint>
 #include <cstdio>
 #include <memory>
 #include <string>
@@ -13,7 +14,7 @@
 namespace {
 
 constexpr unsigned kKeyBits = 2'048;
-constexpr long kValidS = 3'600;
+constexpr std::int64_t kValidS = 3'600;
 
 struct Freed {
   void operator()(EVP_PKEY* key) const { EVP_PKEY_free(key); }
