The stand-in engine loses a token once, not for good

Cause: a_streamed_answer::reaches_its_caller_exact... failed twice in nine runs of all process tests on a busy machine: tokens_delivered=326 of 400, tokens are missing. 74 tokens were left, twice the 37 after which the stand-in leaves one out: each stream that read on from there left out its first token again, five times. Ruled out: the host (it asked five times for the same token, as it must); load alone (0 of 64 of the test by itself beside seven others). Change: what a faulty stream left out is not left out again.

--- a/standins/engine/generation.h
+++ b/standins/engine/generation.h
@@ -2,6 +2,7 @@
 #define MEADOWTHREAD_STANDINS_ENGINE_GENERATION_H_
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -61,6 +62,8 @@
   std::int64_t started_ms = 0;
   std::int64_t ended_ms = 0;
   std::int64_t unread_since_ms = -1;  ///< -1: it has a reader
+  /// Tokens that a faulty stream left out: each is lost once, not for good.
+  std::set<std::int64_t> left_out;
 
   /// @brief Whether it waits or runs.
   bool IsActive() const {
--- a/standins/engine/token_events.cc
+++ b/standins/engine/token_events.cc
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-TokenEvents::TokenEvents(const Generation* generation, std::int64_t from)
+TokenEvents::TokenEvents(Generation* generation, std::int64_t from)
     : generation(generation),
       next_index(from),
       data_start(
@@ -33,7 +33,8 @@
   while (this->next_index < this->generation->generated) {
     const std::int64_t index = this->next_index++;
     ++*count;
-    if (Chosen(*count, faults.drop_every)) {
+    if (Chosen(*count, faults.drop_every) &&
+        this->generation->left_out.insert(index).second) {
       continue;
     }
     if (Chosen(*count, faults.reorder_every) && this->held_back.empty()) {
--- a/standins/engine/token_events.h
+++ b/standins/engine/token_events.h
@@ -13,7 +13,7 @@
 class TokenEvents {
  public:
   /// @param[in] from index of the first token to send
-  TokenEvents(const Generation* generation, std::int64_t from);
+  TokenEvents(Generation* generation, std::int64_t from);
 
   /// @brief The `start` event.
   std::string StartEvent() const;
@@ -37,7 +37,7 @@
   void AppendToken(std::int64_t index, std::string* out) const;
   void AppendEnd(std::string* out);
 
-  const Generation* generation;
+  Generation* generation;
   std::int64_t next_index;
   std::string data_start;  ///< the constant part of each token's data line
   std::string held_back;   ///< an event that comes after its successor
--- a/standins/engine/token_stream.cc
+++ b/standins/engine/token_stream.cc
@@ -10,7 +10,7 @@
 
 }  // namespace
 
-TokenStream::TokenStream(ExchangePtr exchange, const Generation* generation,
+TokenStream::TokenStream(ExchangePtr exchange, Generation* generation,
                          std::int64_t from)
     : exchange(std::move(exchange)), events(generation, from) {}
 
--- a/standins/engine/token_stream.h
+++ b/standins/engine/token_stream.h
@@ -19,8 +19,7 @@
 /// @brief One reader's stream of a generation over HTTP.
 class TokenStream {
  public:
-  TokenStream(ExchangePtr exchange, const Generation* generation,
-              std::int64_t from);
+  TokenStream(ExchangePtr exchange, Generation* generation, std::int64_t from);
 
   /// @brief Sends the head and the `start` event.
   void Begin();
--- a/standins/tests/token_events_test.cc
+++ b/standins/tests/token_events_test.cc
@@ -81,6 +81,24 @@
   cr_assert(SentWith(drops) == (std::vector<int>{0, 1, 3, 4}));
 }
 
+// Of 400 tokens 74 were left, twice what lies between two that are left out:
+// read on from there, each stream left out its first token again, and the
+// answer ended as one whose tokens are missing.
+Test(a_faulty_stream, sends_a_token_that_it_left_out_when_it_is_read_on) {
+  constexpr int kEvery = 37;
+  Generation generation = GenerationOf(2 * kEvery);
+  EngineFaults drops;
+  drops.drop_every = kEvery;
+  std::int64_t count = kEvery - 1;
+  for (const bool is_left_out : {true, false}) {
+    TokenEvents events(&generation, 0);
+    std::string out;
+    events.AppendNew(drops, &count, &out);
+    cr_assert(out.starts_with("id: 1\n") == is_left_out, "%s",
+              out.substr(0, 40).c_str());
+  }
+}
+
 Test(a_prompt, fixes_the_output) {
   const auto spec_of = [](const std::string& prompt, int max_tokens) {
     GenerationSpec spec;
