--- a/src/net/kernel_queues.cc
+++ b/src/net/kernel_queues.cc
@@ -1,10 +1,13 @@
 #include "net/kernel_queues.h"
 
 #include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
+#include <cstddef>
 
 namespace meadowthread {
 namespace {
@@ -18,13 +21,24 @@
   return ioctl(descriptor, which, &bytes) == 0 ? bytes : -1;
 }
 
+std::int64_t SilentMs(int descriptor) {
+  tcp_info info = {};
+  socklen_t size = sizeof(info);
+  const bool known =
+      getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+      size > offsetof(tcp_info, tcpi_last_ack_recv) + sizeof(std::uint32_t) &&
+      info.tcpi_state != 0;
+  return known ? info.tcpi_last_ack_recv : -1;
+}
+
 }  // namespace
 
 KernelQueues KernelQueuesOf(int descriptor) {
   if (descriptor < 0) {
     return {};
   }
-  return {QueueOf(descriptor, SIOCOUTQ), QueueOf(descriptor, SIOCINQ)};
+  return {QueueOf(descriptor, SIOCOUTQ), QueueOf(descriptor, SIOCINQ),
+          SilentMs(descriptor)};
 }
 
 // A socket that is closed with unread bytes resets, and its kernel forgets what
--- a/src/net/kernel_queues.h
+++ b/src/net/kernel_queues.h
@@ -5,11 +5,11 @@
 
 namespace meadowthread {
 
-/// @brief Bytes that the kernel holds for a TCP connection; -1 where it does
-/// not tell.
+/// @brief What the kernel knows of a TCP connection; -1 where it does not tell.
 struct KernelQueues {
   std::int64_t unacknowledged = -1;  ///< to the peer, its end counted as one
   std::int64_t unread = -1;          ///< from the peer
+  std::int64_t silent_ms = -1;       ///< since the peer's last acknowledgement
 };
 
 /// @param[in] descriptor a TCP socket's
--- a/src/net/plain_socket.cc
+++ b/src/net/plain_socket.cc
@@ -195,7 +195,8 @@
 
 SocketBacklog PlainSocket::Backlog() const {
   const KernelQueues queues = KernelQueuesOf(this->descriptor);
-  return {this->PendingBytes(), queues.unacknowledged, queues.unread};
+  return {this->PendingBytes(), queues.unacknowledged, queues.unread,
+          queues.silent_ms};
 }
 
 void PlainSocket::CloseWhenDrained() {
--- a/src/net/qt_socket.cc
+++ b/src/net/qt_socket.cc
@@ -148,7 +148,8 @@
 SocketBacklog QtSocket::Backlog() const {
   const KernelQueues queues =
       KernelQueuesOf(static_cast<int>(this->socket->socketDescriptor()));
-  return {this->PendingBytes(), queues.unacknowledged, queues.unread};
+  return {this->PendingBytes(), queues.unacknowledged, queues.unread,
+          queues.silent_ms};
 }
 
 std::string QtSocket::Peer() const {
--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -323,6 +323,7 @@
       .Add("unsent", left.unsent)
       .Add("unacknowledged", left.unacknowledged)
       .Add("unread", left.unread)
+      .Add("silent_ms", left.silent_ms)
       .WriteImportant();
 }
 
--- a/src/net/stream_socket.h
+++ b/src/net/stream_socket.h
@@ -14,12 +14,13 @@
   kConnectFailed,  ///< it never stood: nothing was sent
 };
 
-/// @brief Bytes of a connection that one of its ends has not taken yet; -1
-/// where the kernel does not tell.
+/// @brief Bytes of a connection that one of its ends has not taken yet, and how
+/// long the peer is silent; -1 where the kernel does not tell.
 struct SocketBacklog {
   std::int64_t unsent = 0;          ///< written, not yet taken by the kernel
   std::int64_t unacknowledged = 0;  ///< taken, not yet at the peer's kernel
   std::int64_t unread = 0;          ///< came from the peer, not yet read
+  std::int64_t silent_ms = 0;       ///< since the peer last acknowledged any
 };
 
 /// @brief Told what happens on a connection, on the event loop's thread. Any
--- a/src/net/tests/played_connection.h
+++ b/src/net/tests/played_connection.h
@@ -59,7 +59,7 @@
     std::int64_t PendingBytes() const override { return this->owner.pending; }
     std::int64_t SentBytes() const override { return 0; }
     SocketBacklog Backlog() const override {
-      return {this->owner.pending, 0, 0};
+      return {this->owner.pending, 0, 0, 0};
     }
     bool IsQuiet() const override { return true; }
     std::string Peer() const override { return "test"; }
