A caller that rests is not taken for one that is gone

Cause: the kernel's limit for unacknowledged bytes, 6 s, counts also for a caller that does not read and answers every probe; it lost its answer, also where nothing stopped, long before the 60 s that a stream may wait for its caller. Ruled out: a longer limit alone: callers whose host lost power would hold engines. Change: the host itself looks for how long a caller's kernel acknowledges nothing (6 s, as before), and the kernel's limit is 60 s; where the kernel doesn't tell that, all is as before.

--- a/src/net/plain_socket.cc
+++ b/src/net/plain_socket.cc
@@ -25,6 +25,9 @@
 // acknowledges, and probes on a silent connection, end it after this long;
 // shorter than any deadline of a generation, longer than a link's hiccups.
 constexpr int kDeadPeerMs = 6'000;
+// The kernel takes a caller that does not read for one that is gone, though it
+// answers each probe: as long as a caller may keep its stream so.
+constexpr int kRestingCallerMs = 60'000;
 constexpr int kProbeAfterS = 3;
 constexpr int kProbeEveryS = 1;
 constexpr int kProbes = 3;
@@ -35,13 +38,13 @@
   setsockopt(descriptor, level, name, &value, sizeof(value));
 }
 
-void SetOptions(int descriptor) {
+void SetOptions(int descriptor, int dead_peer_ms) {
   SetOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
   SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterS);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kProbeEveryS);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
-  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kDeadPeerMs);
+  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, dead_peer_ms);
 }
 
 absl::Status ConnectError(const std::string& peer, std::string_view what) {
@@ -70,7 +73,7 @@
   if (descriptor < 0) {
     return ConnectError(peer, std::strerror(errno));
   }
-  SetOptions(descriptor);
+  SetOptions(descriptor, kDeadPeerMs);
   const int begun = connect(
       descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
   if (begun != 0 && errno != EINPROGRESS) {
@@ -84,7 +87,9 @@
 PlainSocket::PlainSocket(SocketPoller& poller, int descriptor, bool connected)
     : poller(poller), descriptor(descriptor), connected(connected) {
   if (connected) {
-    SetOptions(descriptor);
+    // Who accepts looks itself for how long the peer is silent.
+    const bool tells_silence = KernelQueuesOf(descriptor).silent_ms >= 0;
+    SetOptions(descriptor, tells_silence ? kRestingCallerMs : kDeadPeerMs);
   }
   this->watched = connected ? EPOLLIN : EPOLLOUT;
   this->poller.Add(descriptor, this->watched, this);
--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -20,9 +20,14 @@
 // After the caller's kernel has the last answer: what the caller still sends is
 // dropped this long, so that a reset doesn't overtake what it has yet to read.
 constexpr std::int64_t kLingerMs = 1'000;
-// A caller that takes none of the last bytes for this long loses them; less
-// than the kernel itself waits for a peer that is gone.
+// A caller that takes none of the last bytes for this long loses them, where
+// nothing else tells whether it is there.
 constexpr std::int64_t kLastBytesMs = 5'000;
+// One that answers probes may rest as long as while its answer runs.
+constexpr std::int64_t kRestMs = 60'000;
+// A caller whose kernel acknowledges nothing for this long is gone: its host
+// lost power or is cut off. One that merely does not read answers probes.
+constexpr std::int64_t kSilentMs = 6'000;
 // When a request that this host had no memory for may come back.
 constexpr std::int64_t kNoMemoryRetryMs = 500;
 
@@ -385,13 +390,17 @@
 // An answer that the kernel has taken is not delivered yet: a slow caller's
 // kernel takes it as the caller reads.
 void ServerConnection::CheckEnding(std::int64_t now_ms) {
-  const std::int64_t left = OnTheWay(this->socket->Backlog());
+  const SocketBacklog backlog = this->socket->Backlog();
+  const std::int64_t left = OnTheWay(backlog);
+  const bool answers_probes =
+      backlog.silent_ms >= 0 && backlog.silent_ms <= kSilentMs;
+  const std::int64_t limit_ms = answers_probes ? kRestMs : kLastBytesMs;
   if (left != this->on_the_way) {
     this->on_the_way = left;
     this->progress_ms = now_ms;
   }
   const std::int64_t rest_ms = now_ms - this->progress_ms;
-  if (left > 0 && rest_ms > kLastBytesMs) {
+  if (left > 0 && rest_ms > limit_ms) {
     this->Abort("caller_takes_nothing");
   } else if (left == 0 && rest_ms > kLingerMs) {
     this->socket->CloseNow();
@@ -399,6 +408,13 @@
   }
 }
 
+void ServerConnection::CheckSilence() {
+  const SocketBacklog left = this->socket->Backlog();
+  if (OnTheWay(left) > 0 && left.silent_ms > kSilentMs) {
+    this->Abort("caller_is_silent");
+  }
+}
+
 bool ServerConnection::IsOwed() const {
   switch (this->phase) {
     case Phase::kReading: {
@@ -436,6 +452,10 @@
     this->CheckEnding(now_ms);
     return;
   }
+  if (this->phase == Phase::kAnswering) {
+    this->CheckSilence();
+    return;
+  }
   if (this->phase != Phase::kReading) {
     return;
   }
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -116,6 +116,7 @@
   void CloseAfterAnswer();
   void LogCut(std::string_view why) const;
   void CheckEnding(std::int64_t now_ms);
+  void CheckSilence();
   void End();
 
   ConnectionHost& host;
--- a/src/net/tests/delivery_test.cc
+++ b/src/net/tests/delivery_test.cc
@@ -20,6 +20,7 @@
 using tests::SlowCaller;
 
 constexpr std::size_t kAnswerBytes = 80'000;
+constexpr std::int64_t kRestMs = 9'000;
 
 // Answers each request with a long body at once.
 struct LongAnswers final : public HttpService {
@@ -69,6 +70,20 @@
   cr_assert(Fixture::HasAll(caller), "%zu bytes came", caller.Got().size());
 }
 
+// The kernel's limit for bytes that a peer does not take, 6 s, counted for a
+// caller that answered each of its probes: of 80 kB it had got 2,048 bytes.
+Test(a_slow_caller, that_does_not_read_for_nine_seconds_gets_its_answer) {
+  Fixture f;
+  SlowCaller caller(f.request);
+  cr_assert(f.IsServed());
+  f.loop.Until([] { return false; }, kRestMs);
+  caller.Read(20'000);
+  cr_assert(f.loop.Until([&] {
+    return Fixture::HasAll(caller) || caller.Ended() != SlowCaller::End::kOpen;
+  }));
+  cr_assert(Fixture::HasAll(caller), "%zu bytes came", caller.Got().size());
+}
+
 Test(a_server, owes_an_answer_until_its_caller_has_it) {
   Fixture f;
   SlowCaller caller(f.request);
--- a/standins/tests/token_events_test.cc
+++ b/standins/tests/token_events_test.cc
@@ -85,7 +85,7 @@
 // read on from there, each stream left out its first token again, and the
 // answer ended as one whose tokens are missing.
 Test(a_faulty_stream, sends_a_token_that_it_left_out_when_it_is_read_on) {
-  constexpr int kEvery = 37;
+  constexpr std::int64_t kEvery = 37;
   Generation generation = GenerationOf(2 * kEvery);
   EngineFaults drops;
   drops.drop_every = kEvery;
