A caller may read as slowly as it likes

Cause: found by the fault soak and by reading: the kernel's limit for bytes that a peer does not take also counts a window that a slow reader keeps closed most of the time. A caller that read 8 kB a second lost the rest after 6 s. Change: callers' connections have no such limit of the kernel; they look themselves what the caller takes: nothing for 60 s while its kernel answers probes, or for 6 s where it is silent, ends one.

--- a/src/net/plain_socket.cc
+++ b/src/net/plain_socket.cc
@@ -21,13 +21,13 @@
 constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
 // Reads of one socket in one turn, so that a fast peer does not starve others.
 constexpr int kReadsPerTurn = 4;
-// A peer whose host lost power or is cut off says nothing. Bytes that nobody
-// acknowledges, and probes on a silent connection, end it after this long;
-// shorter than any deadline of a generation, longer than a link's hiccups.
+// A peer whose host lost power or is cut off says nothing. Probes on a silent
+// connection, and on one that we opened bytes that nobody acknowledges, end it
+// after this long; shorter than any deadline of a generation, longer than a
+// link's hiccups. Callers are left out of the latter: the kernel counts a
+// window that a slow reader keeps closed as silence, though it answers each
+// probe. Their connections watch themselves what they take.
 constexpr int kDeadPeerMs = 6'000;
-// The kernel takes a caller that does not read for one that is gone, though it
-// answers each probe: as long as a caller may keep its stream so.
-constexpr int kRestingCallerMs = 60'000;
 constexpr int kProbeAfterS = 3;
 constexpr int kProbeEveryS = 1;
 constexpr int kProbes = 3;
@@ -38,13 +38,12 @@
   setsockopt(descriptor, level, name, &value, sizeof(value));
 }
 
-void SetOptions(int descriptor, int dead_peer_ms) {
+void SetOptions(int descriptor) {
   SetOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
   SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterS);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kProbeEveryS);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
-  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, dead_peer_ms);
 }
 
 absl::Status ConnectError(const std::string& peer, std::string_view what) {
@@ -73,7 +72,8 @@
   if (descriptor < 0) {
     return ConnectError(peer, std::strerror(errno));
   }
-  SetOptions(descriptor, kDeadPeerMs);
+  SetOptions(descriptor);
+  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kDeadPeerMs);
   const int begun = connect(
       descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
   if (begun != 0 && errno != EINPROGRESS) {
@@ -87,9 +87,7 @@
 PlainSocket::PlainSocket(SocketPoller& poller, int descriptor, bool connected)
     : poller(poller), descriptor(descriptor), connected(connected) {
   if (connected) {
-    // Who accepts looks itself for how long the peer is silent.
-    const bool tells_silence = KernelQueuesOf(descriptor).silent_ms >= 0;
-    SetOptions(descriptor, tells_silence ? kRestingCallerMs : kDeadPeerMs);
+    SetOptions(descriptor);
   }
   this->watched = connected ? EPOLLIN : EPOLLOUT;
   this->poller.Add(descriptor, this->watched, this);
--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -20,14 +20,13 @@
 // After the caller's kernel has the last answer: what the caller still sends is
 // dropped this long, so that a reset doesn't overtake what it has yet to read.
 constexpr std::int64_t kLingerMs = 1'000;
-// A caller that takes none of the last bytes for this long loses them, where
-// nothing else tells whether it is there.
-constexpr std::int64_t kLastBytesMs = 5'000;
-// One that answers probes may rest as long as while its answer runs.
-constexpr std::int64_t kRestMs = 60'000;
 // A caller whose kernel acknowledges nothing for this long is gone: its host
-// lost power or is cut off. One that merely does not read answers probes.
+// lost power or is cut off. Shorter than any deadline of a generation, longer
+// than a link's hiccups.
 constexpr std::int64_t kSilentMs = 6'000;
+// One that answers probes and takes nothing may rest as long as a stream waits
+// for its caller.
+constexpr std::int64_t kRestMs = 60'000;
 // When a request that this host had no memory for may come back.
 constexpr std::int64_t kNoMemoryRetryMs = 500;
 
@@ -387,31 +386,41 @@
   }
 }
 
-// An answer that the kernel has taken is not delivered yet: a slow caller's
-// kernel takes it as the caller reads.
-void ServerConnection::CheckEnding(std::int64_t now_ms) {
-  const SocketBacklog backlog = this->socket->Backlog();
-  const std::int64_t left = OnTheWay(backlog);
-  const bool answers_probes =
-      backlog.silent_ms >= 0 && backlog.silent_ms <= kSilentMs;
-  const std::int64_t limit_ms = answers_probes ? kRestMs : kLastBytesMs;
-  if (left != this->on_the_way) {
-    this->on_the_way = left;
+// How long the caller has taken nothing of what is on its way to it. One byte
+// is enough: a caller may read as slowly as it likes, and its kernel takes an
+// answer as it reads.
+std::int64_t ServerConnection::RestMs(std::int64_t now_ms,
+                                      const SocketBacklog& left) {
+  const std::int64_t on_the_way = OnTheWay(left);
+  const std::int64_t taken = this->socket->SentBytes() - on_the_way;
+  if (on_the_way != this->on_the_way || taken != this->taken) {
+    this->on_the_way = on_the_way;
+    this->taken = taken;
     this->progress_ms = now_ms;
   }
-  const std::int64_t rest_ms = now_ms - this->progress_ms;
-  if (left > 0 && rest_ms > limit_ms) {
-    this->Abort("caller_takes_nothing");
-  } else if (left == 0 && rest_ms > kLingerMs) {
-    this->socket->CloseNow();
-    this->End();
-  }
+  return now_ms - this->progress_ms;
+}
+
+bool ServerConnection::IsGone(std::int64_t rest_ms, const SocketBacklog& left) {
+  const bool answers_probes =
+      left.silent_ms >= 0 && left.silent_ms <= kSilentMs;
+  return OnTheWay(left) > 0 && rest_ms > (answers_probes ? kRestMs : kSilentMs);
 }
 
-void ServerConnection::CheckSilence() {
+// Of a connection that rests and had everything nothing is asked.
+void ServerConnection::CheckDelivery(std::int64_t now_ms) {
+  if (this->phase == Phase::kReading && this->on_the_way == 0 &&
+      this->socket->SentBytes() == this->taken) {
+    return;
+  }
   const SocketBacklog left = this->socket->Backlog();
-  if (OnTheWay(left) > 0 && left.silent_ms > kSilentMs) {
-    this->Abort("caller_is_silent");
+  const std::int64_t rest_ms = this->RestMs(now_ms, left);
+  if (IsGone(rest_ms, left)) {
+    this->Abort("caller_takes_nothing");
+  } else if (this->phase == Phase::kEnding && OnTheWay(left) == 0 &&
+             rest_ms > kLingerMs) {
+    this->socket->CloseNow();
+    this->End();
   }
 }
 
@@ -448,13 +457,8 @@
 void ServerConnection::CheckTime(std::int64_t now_ms) {
   const auto self = this->shared_from_this();
   const ServerLimits& limits = this->host.Limits();
-  if (this->phase == Phase::kEnding) {
-    this->CheckEnding(now_ms);
-    return;
-  }
-  if (this->phase == Phase::kAnswering) {
-    this->CheckSilence();
-    return;
+  if (this->phase != Phase::kOver) {
+    this->CheckDelivery(now_ms);
   }
   if (this->phase != Phase::kReading) {
     return;
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -115,8 +115,9 @@
   void Refuse(const Refusal& refusal);
   void CloseAfterAnswer();
   void LogCut(std::string_view why) const;
-  void CheckEnding(std::int64_t now_ms);
-  void CheckSilence();
+  std::int64_t RestMs(std::int64_t now_ms, const SocketBacklog& left);
+  static bool IsGone(std::int64_t rest_ms, const SocketBacklog& left);
+  void CheckDelivery(std::int64_t now_ms);
   void End();
 
   ConnectionHost& host;
@@ -136,8 +137,9 @@
   bool paused = false;
   std::int64_t begun_ms = -1;    ///< first byte of the present request
   std::int64_t resting_ms = 0;   ///< since when no request is there
-  std::int64_t progress_ms = 0;  ///< since when the last bytes stand still
-  std::int64_t on_the_way = 0;   ///< of the last answer, when last looked at
+  std::int64_t progress_ms = 0;  ///< when the caller last took any bytes
+  std::int64_t on_the_way = 0;   ///< to the caller, when last looked at
+  std::int64_t taken = 0;        ///< by the caller, when last looked at
   std::function<void()> closed_told;
   std::function<void()> drained_told;
 };
--- a/src/net/tests/delivery_test.cc
+++ b/src/net/tests/delivery_test.cc
@@ -70,6 +70,19 @@
   cr_assert(Fixture::HasAll(caller), "%zu bytes came", caller.Got().size());
 }
 
+// The kernel's limit for bytes that a peer does not take counted a window that
+// was closed most of the time as silence: after 6 s the rest was lost.
+Test(a_slow_caller, gets_a_whole_answer_that_its_kernel_takes_for_long) {
+  Fixture f;
+  f.request.headers = {{"Connection", "close"}};
+  SlowCaller caller(f.request);
+  cr_assert(f.IsServed());
+  // 8 kB a second: ten seconds
+  caller.Read(80);
+  cr_assert(f.IsOver(caller));
+  cr_assert(Fixture::HasAll(caller), "%zu bytes came", caller.Got().size());
+}
+
 // The kernel's limit for bytes that a peer does not take, 6 s, counted for a
 // caller that answered each of its probes: of 80 kB it had got 2,048 bytes.
 Test(a_slow_caller, that_does_not_read_for_nine_seconds_gets_its_answer) {
