--- a/src/net/pooled_client.cc
+++ b/src/net/pooled_client.cc
@@ -44,6 +44,7 @@
   HttpCallId Start(const HttpRequest& request, HttpHandler* handler);
   void Cancel(HttpCallId id);
   void SetPaused(HttpCallId id, bool paused);
+  void DropResting(std::string_view peer);
   const ClientStats& Stats() const { return this->stats; }
 
   void OnExchangeHead(ClientConnection& from, int http_status,
@@ -237,6 +238,18 @@
   }
 }
 
+void ClientCore::DropResting(std::string_view peer) {
+  const auto found = this->resting.find(std::string(peer));
+  if (found == this->resting.end()) {
+    return;
+  }
+  std::vector<Resting> dropped = std::move(found->second);
+  this->resting.erase(found);
+  for (Resting& one : dropped) {
+    this->Retire(std::move(one.connection));
+  }
+}
+
 // A connection is destroyed later in the turn: its own calls may be on the
 // stack.
 void ClientCore::Retire(std::unique_ptr<ClientConnection> connection) {
@@ -379,6 +392,10 @@
   this->core->SetPaused(call, paused);
 }
 
+void PooledClient::DropResting(std::string_view peer) {
+  this->core->DropResting(peer);
+}
+
 const ClientStats& PooledClient::Stats() const { return this->core->Stats(); }
 
 }  // namespace meadowthread
--- a/src/net/pooled_client.h
+++ b/src/net/pooled_client.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string_view>
 
 #include "net/http_client.h"
 
@@ -35,6 +36,11 @@
   void Cancel(HttpCallId call) override;
   void SetPaused(HttpCallId call, bool paused) override;
 
+  /// @brief Closes the connections that rest for a peer: the process at their
+  /// other end is gone.
+  /// @param[in] peer IP:PORT
+  void DropResting(std::string_view peer);
+
   const ClientStats& Stats() const;
 
  private:
--- a/src/net/tests/pooled_client_test.cc
+++ b/src/net/tests/pooled_client_test.cc
@@ -105,6 +105,22 @@
   cr_assert(server.Connections() == 2);
 }
 
+Test(a_connection_to_a_peer, that_ended_elsewhere_is_not_used_again) {
+  Loop loop;
+  RawServer server([](QTcpSocket& socket, const std::string&) {
+    socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  });
+  PooledClient client;
+  HttpRequest request = To(server);
+  request.reuse_idle_ms = 5'000;
+  Ask(loop, client, request);
+  const std::string url = server.Url("");
+  client.DropResting(url.substr(std::string("http://").size()));
+  client.DropResting("10.0.0.1:80");
+  Ask(loop, client, request);
+  cr_assert(client.Stats().reuses == 0 && client.Stats().connects == 2);
+}
+
 Test(a_connection_to_a_peer, that_says_more_than_it_was_asked_is_dropped) {
   Loop loop;
   const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
--- a/src/policy/fleet_state.cc
+++ b/src/policy/fleet_state.cc
@@ -113,6 +113,7 @@
   }
   if (restarted) {
     view.slow_start_since = now_ms;
+    this->prefixes.Forget(this->by_name[report.engine]);
   }
   view.incarnation = report.incarnation;
   view.reported_unix_ms = std::min(report.as_of_unix_ms, now_ms);
@@ -568,6 +569,7 @@
     if (!old.view.live && old.streams.empty()) {
       const auto index = static_cast<EngineIndex>(i);
       this->IndexModels(index, {});
+      this->prefixes.Forget(index);
       this->by_name.erase(old.view.engine);
       std::erase(this->preferred, index);
       return index;
--- a/src/policy/prefix_hints.cc
+++ b/src/policy/prefix_hints.cc
@@ -34,12 +34,21 @@
   if (found == this->entries.end()) {
     return;
   }
-  // An entry without engines keeps its place until it ages out, so that its
-  // place in the order stays true.
-  Entry& entry = found->second;
-  auto* const end = entry.engines.begin() + entry.count;
-  auto* const kept = std::remove(entry.engines.begin(), end, engine);
-  entry.count = static_cast<std::size_t>(kept - entry.engines.begin());
+  Drop(&found->second, engine);
+}
+
+// An entry without engines keeps its place until it ages out, so that its
+// place in the order stays true.
+void PrefixHints::Drop(Entry* entry, std::uint32_t engine) {
+  auto* const end = entry->engines.begin() + entry->count;
+  auto* const kept = std::remove(entry->engines.begin(), end, engine);
+  entry->count = static_cast<std::size_t>(kept - entry->engines.begin());
+}
+
+void PrefixHints::Forget(std::uint32_t engine) {
+  for (auto& [prefix, entry] : this->entries) {
+    Drop(&entry, engine);
+  }
 }
 
 std::span<const std::uint32_t> PrefixHints::EnginesOf(
--- a/src/policy/prefix_hints.h
+++ b/src/policy/prefix_hints.h
@@ -27,6 +27,10 @@
   /// @brief Notes that an engine evicted a prefix.
   void Evicted(std::uint64_t prefix, std::uint32_t engine);
 
+  /// @brief An engine holds nothing any more: it is gone, or another start.
+  /// @complexity O(prefixes)
+  void Forget(std::uint32_t engine);
+
   /// @brief The engines that may have it, newest first.
   std::span<const std::uint32_t> EnginesOf(std::uint64_t prefix) const;
 
@@ -39,6 +43,8 @@
     std::size_t count = 0;
   };
 
+  static void Drop(Entry* entry, std::uint32_t engine);
+
   std::size_t max_prefixes;
   absl::flat_hash_map<std::uint64_t, Entry> entries;
   std::deque<std::uint64_t> insertion_order;
--- a/src/policy/tests/fleet_state_test.cc
+++ b/src/policy/tests/fleet_state_test.cc
@@ -35,6 +35,63 @@
   cr_assert(fleet.state.Serving(work).size() == 1);
 }
 
+// An engine that starts again is another one to the state: its key differs.
+Test(a_fleet_state, holds_nothing_of_an_engine_against_its_next_start) {
+  Fleet fleet(1);
+  WorkItem work = Work("a");
+  work.prefix_hash = 77;
+  fleet.state.NoteSent(work, "e0", 10);
+  fleet.state.SetFailureShare("e0", 0.9);
+  fleet.state.SetAside("e0", 99'000);
+  fleet.state.NoteNoRoom("e0", 10);
+  fleet.state.SetCopies("e0", 1);
+  PeerLoad peer{"h", "e0", 10, 3, 500, 100, 1, {}};
+  fleet.state.NotePeerLoad(peer, 10);
+  fleet.state.RemoveEngine("e0");
+  EngineListing next{"e0/2", "z", true, false};
+  next.models = {{"m", "", "1"}};
+  fleet.state.SetEngine(next, 20);
+  // A host that still speaks of the start before, and its late report.
+  fleet.state.NotePeerLoad(peer, 21);
+  LoadReport late = ReportOf(0, 22);
+  late.running = 9;
+  late.leaving = true;
+  fleet.state.ApplyReport(late, 22);
+  const EngineView& view = *fleet.state.Find("e0/2");
+  cr_assert(view.live && !view.leaving && view.running == 0);
+  cr_assert(view.own_in_flight == 0 && view.own_kv == 0);
+  cr_assert(view.failure_share == 0.0 && view.aside_until_ms == 0 &&
+            view.no_room_until_ms == 0);
+  cr_assert(fleet.state.PeersAt("e0/2", 22).empty());
+  const EngineIndex place = fleet.state.Serving(work).back();
+  cr_assert(fleet.state.View(place).engine == "e0/2" &&
+            !fleet.state.IsLinkBusy(place, 22) &&
+            fleet.state.ReadingTokens(place, 22) == 0);
+  // The stream at the start before ends there.
+  fleet.state.NoteEnded("a", StreamEnd::kCut, 30);
+  cr_assert(view.own_in_flight == 0);
+}
+
+Test(a_fleet_state, forgets_prefixes_with_the_engine_that_had_them) {
+  Fleet fleet(1);
+  WorkItem work = Work("a");
+  work.prefix_hash = 77;
+  fleet.state.NoteSent(work, "e0", 10);
+  fleet.state.NoteEnded("a", StreamEnd::kComplete, 20);
+  cr_assert(fleet.state.PrefixEngines(work).size() == 1);
+  // Started again under its name, as its report tells.
+  LoadReport report = ReportOf(0, 30);
+  report.incarnation = "2";
+  fleet.state.ApplyReport(report, 30);
+  cr_assert(fleet.state.PrefixEngines(work).empty());
+  // And where another engine takes its place.
+  fleet.state.NoteSent(work, "e0", 40);
+  fleet.state.NoteEnded("a", StreamEnd::kComplete, 50);
+  fleet.state.RemoveEngine("e0");
+  fleet.state.SetEngine({"e9", "z", true, false}, 60);
+  cr_assert(fleet.state.PrefixEngines(work).empty());
+}
+
 Test(a_fleet_state, counts_its_own_streams_exactly) {
   Fleet fleet(1);
   fleet.state.NoteSent(Work("a"), "e0", 10);
--- a/src/relay/backend_list.cc
+++ b/src/relay/backend_list.cc
@@ -1,5 +1,6 @@
 #include "relay/backend_list.h"
 
+#include "absl/strings/str_cat.h"
 #include "base/log_line.h"
 
 namespace meadowthread {
@@ -10,14 +11,86 @@
 constexpr std::int64_t kRelistMs = 2'200;
 // Longer than any generation lasts that a gone server may still end.
 constexpr std::int64_t kKeptMs = 60'000;
+// In log lines, the start of a server that does not tell it.
+constexpr std::int64_t kUnknownStart = -1;
+
+std::string KeyOf(const BackendEntry& entry) {
+  return entry.started_ms.has_value()
+             ? absl::StrCat(entry.id, "/", *entry.started_ms)
+             : entry.id;
+}
 
 }  // namespace
 
+bool AreOtherStarts(std::optional<std::int64_t> one,
+                    std::optional<std::int64_t> other) {
+  return one.has_value() && other.has_value() && *one != *other;
+}
+
+Backend* BackendList::FindId(std::string_view id) {
+  const auto key = this->keys.find(id);
+  return key == this->keys.end() ? nullptr
+                                 : &this->backends.find(key->second)->second;
+}
+
+// A start before the one that is listed says that a word of it came late, or
+// that the server's clock was put back: which can't be told from here. Once the
+// newer one's entry went away, the store's order alone decides.
+bool BackendList::PassesOver(Backend* known, const BackendEntry& entry) const {
+  const bool is_older = known->listed && entry.started_ms.has_value() &&
+                        known->entry.started_ms.has_value() &&
+                        *entry.started_ms < *known->entry.started_ms;
+  if (is_older && known->passed_over_ms != entry.started_ms) {
+    known->passed_over_ms = entry.started_ms;
+    LogLine("backend")
+        .Add("id", entry.id)
+        .Add("change", "older_start_passed_over")
+        .Add("started_ms", *entry.started_ms)
+        .Add("listed_ms", *known->entry.started_ms)
+        .WriteImportant();
+  }
+  return is_older;
+}
+
+// What listeners keep by its key goes before the next start is added.
+void BackendList::EndStart(const std::string& key, const BackendEntry& next) {
+  const auto found = this->backends.find(key);
+  Backend gone = found->second;
+  gone.started_again = true;
+  gone.listed = false;
+  gone.leaving = true;
+  this->keys.erase(gone.entry.id);
+  this->backends.erase(found);
+  LogLine("backend")
+      .Add("id", gone.entry.id)
+      .Add("change", "started_again")
+      .Add("started_ms", *next.started_ms)
+      .Add("before_ms", *gone.entry.started_ms)
+      .WriteImportant();
+  this->Tell(BackendChange::kGone, gone);
+}
+
 void BackendList::Set(const BackendEntry& entry) {
-  const bool is_new = !this->backends.contains(entry.id);
-  Backend& backend = this->backends[entry.id];
+  Backend* known = this->FindId(entry.id);
+  if (known != nullptr && this->PassesOver(known, entry)) {
+    return;
+  }
+  if (known != nullptr &&
+      AreOtherStarts(entry.started_ms, known->entry.started_ms)) {
+    this->EndStart(std::string(known->key), entry);
+    known = nullptr;
+  }
+  const bool is_new = known == nullptr;
+  const std::string key = is_new ? KeyOf(entry) : known->key;
+  this->keys[entry.id] = key;
+  Backend& backend = this->backends[key];
   const bool was_leaving = backend.leaving;
+  const std::optional<std::int64_t> told_ms = backend.entry.started_ms;
+  backend.key = key;
   backend.entry = entry;
+  if (!entry.started_ms.has_value()) {
+    backend.entry.started_ms = told_ms;
+  }
   backend.listed = true;
   backend.warm_at_ms = this->clock.MonotonicMs() + entry.slow_for_ms;
   if (is_new) {
@@ -26,6 +99,7 @@
         .Add("service", entry.service)
         .Add("address", entry.address)
         .Add("change", "added")
+        .Add("started_ms", entry.started_ms.value_or(kUnknownStart))
         .WriteImportant();
     this->Tell(BackendChange::kAdded, backend);
   }
@@ -41,11 +115,11 @@
 }
 
 void BackendList::Remove(std::string_view id) {
-  const auto found = this->backends.find(id);
-  if (found == this->backends.end() || !found->second.listed) {
+  Backend* const found = this->FindId(id);
+  if (found == nullptr || !found->listed) {
     return;
   }
-  Backend& backend = found->second;
+  Backend& backend = *found;
   backend.listed = false;
   const std::int64_t now_ms = this->clock.MonotonicMs();
   const std::int64_t since_ms = now_ms - this->store_back_ms;
@@ -53,7 +127,7 @@
                                since_ms < kRelistMs && !backend.entry.leaving;
   if (!may_have_lapsed) {
     this->Leave(&backend, "removed");
-    this->ForgetLater(backend.entry.id);
+    this->ForgetLater(backend.key);
     return;
   }
   LogLine("backend")
@@ -62,7 +136,7 @@
       .Add("store_back_ms", since_ms)
       .WriteImportant();
   this->scheduler.After(
-      kRelistMs - since_ms, this->life.Guarded([this, gone = std::string(id)] {
+      kRelistMs - since_ms, this->life.Guarded([this, gone = backend.key] {
         const auto kept = this->backends.find(gone);
         if (kept != this->backends.end() && !kept->second.listed) {
           this->Leave(&kept->second, "not_listed_anew");
@@ -71,8 +145,8 @@
       }));
 }
 
-void BackendList::NoteLeaving(std::string_view id) {
-  const auto found = this->backends.find(id);
+void BackendList::NoteLeaving(std::string_view key) {
+  const auto found = this->backends.find(key);
   if (found != this->backends.end()) {
     found->second.said_so = true;
     this->Leave(&found->second, "its_own_report");
@@ -97,11 +171,12 @@
   this->Tell(BackendChange::kLeaving, *backend);
 }
 
-void BackendList::ForgetLater(const std::string& id) {
-  this->scheduler.After(kKeptMs, this->life.Guarded([this, id] {
-    const auto found = this->backends.find(id);
+void BackendList::ForgetLater(const std::string& key) {
+  this->scheduler.After(kKeptMs, this->life.Guarded([this, key] {
+    const auto found = this->backends.find(key);
     if (found != this->backends.end() && !found->second.listed) {
       const Backend gone = found->second;
+      this->keys.erase(gone.entry.id);
       this->backends.erase(found);
       this->Tell(BackendChange::kGone, gone);
     }
@@ -114,14 +189,14 @@
   }
 }
 
-const Backend* BackendList::Find(std::string_view id) const {
-  const auto found = this->backends.find(id);
+const Backend* BackendList::Find(std::string_view key) const {
+  const auto found = this->backends.find(key);
   return found == this->backends.end() ? nullptr : &found->second;
 }
 
 const Backend* BackendList::FindAddress(std::string_view address) const {
   const Backend* found = nullptr;
-  for (const auto& [id, backend] : this->backends) {
+  for (const auto& [key, backend] : this->backends) {
     const bool better = found == nullptr || backend.listed;
     if (backend.entry.address == address && better) {
       found = &backend;
@@ -133,7 +208,7 @@
 std::vector<const Backend*> BackendList::Usable(
     std::string_view service) const {
   std::vector<const Backend*> usable;
-  for (const auto& [id, backend] : this->backends) {
+  for (const auto& [key, backend] : this->backends) {
     if (!backend.leaving && backend.entry.service == service) {
       usable.push_back(&backend);
     }
--- a/src/relay/backend_list.h
+++ b/src/relay/backend_list.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,24 +17,37 @@
 
 /// @brief What the platform says of one backend server.
 struct BackendEntry {
-  std::string id;  ///< of this life of it: a new one with each start
+  std::string id;  ///< the same after a new start
   std::string service;
   std::string address;  ///< IP:PORT
   std::string zone;
   bool leaving = false;
   std::int64_t slow_for_ms = 0;  ///< after this entry was read
   std::vector<std::string> models;
+  /// Its start by its own clock, where it tells it; Unix ms. Only compared with
+  /// other starts of the same id.
+  std::optional<std::int64_t> started_ms = std::nullopt;
 };
 
 /// @brief A backend server as this host sees it.
 struct Backend {
+  /// Names one start of a server, and nothing else ever: its id, and its start
+  /// where that is known. All that is kept by server is kept by it.
+  std::string key;
   BackendEntry entry;
   std::int64_t warm_at_ms = 0;  ///< monotonic
   bool listed = true;
-  bool leaving = false;  ///< gets nothing new
-  bool said_so = false;  ///< told of leaving by itself, not by its entry
+  bool leaving = false;        ///< gets nothing new
+  bool said_so = false;        ///< told of leaving by itself, not by its entry
+  bool started_again = false;  ///< gone, as its id has another start now
+  std::optional<std::int64_t> passed_over_ms;  ///< an older start, logged
 };
 
+/// @brief Whether two starts that were told are two lives of an id; one that
+/// nobody told is compared with nothing.
+bool AreOtherStarts(std::optional<std::int64_t> one,
+                    std::optional<std::int64_t> other);
+
 /// @brief What a change was about.
 enum class BackendChange { kAdded, kChanged, kLeaving, kGone };
 
@@ -43,6 +57,11 @@
 /// runs there has ended. Entries that vanish just after the store was away may
 /// have lapsed: they count for a short while, in which a living server comes
 /// back.
+///
+/// A server that starts again under its id is another one: it holds and knows
+/// nothing of before. Its entry makes the start before gone, at once and with
+/// all that is kept by it, and is added after that. An entry of an older start
+/// is passed over while the newer one's is listed.
 class BackendList {
  public:
   using Listener = std::function<void(BackendChange, const Backend&)>;
@@ -64,31 +83,36 @@
   void Remove(std::string_view id);
 
   /// @brief The server itself says that it leaves, and its entry does not yet.
-  void NoteLeaving(std::string_view id);
+  void NoteLeaving(std::string_view key);
 
   /// @brief The store answers again after it had been away.
   void NoteStoreBack();
 
-  /// @brief The server, null where it is not known.
-  const Backend* Find(std::string_view id) const;
+  /// @brief The server, null where it is not known or has started again.
+  const Backend* Find(std::string_view key) const;
 
   /// @brief The server last known at an address, null where there is none.
   const Backend* FindAddress(std::string_view address) const;
 
-  /// @brief Servers of a service that may get something new, by id.
+  /// @brief Servers of a service that may get something new, by key.
   std::vector<const Backend*> Usable(std::string_view service) const;
 
   /// @brief Servers that are known.
   std::size_t Count() const { return this->backends.size(); }
 
  private:
+  Backend* FindId(std::string_view id);
+  bool PassesOver(Backend* known, const BackendEntry& entry) const;
+  void EndStart(const std::string& key, const BackendEntry& next);
   void Leave(Backend* backend, std::string_view why);
-  void ForgetLater(const std::string& id);
+  void ForgetLater(const std::string& key);
   void Tell(BackendChange change, const Backend& backend);
 
   const Clock& clock;
   Scheduler& scheduler;
-  std::map<std::string, Backend, std::less<>> backends;
+  std::map<std::string, Backend, std::less<>> backends;  ///< by key
+  /// The key of each id's one start that is known.
+  std::map<std::string, std::string, std::less<>> keys;
   std::vector<Listener> listeners;
   std::int64_t store_back_ms = -1;
   Lifetime life;
--- a/src/relay/backend_wire.h
+++ b/src/relay/backend_wire.h
@@ -36,6 +36,8 @@
   std::string source;  ///< IP:PORT of the engine that made the copy
   std::string handle;
   std::int64_t last_event = 0;  ///< the caller has everything up to it
+  std::string source_key =
+      {};  ///< see Backend; no other start knows the handle
 };
 
 /// @brief How one attempt is sent.
--- a/src/relay/call_session.cc
+++ b/src/relay/call_session.cc
@@ -43,7 +43,7 @@
  public:
   Attempt(CallSession& session, const Backend& backend)
       : session(session),
-        backend(backend.entry.id),
+        backend(backend.key),
         sent_ms(session.parts.clock.MonotonicMs()) {}
 
   ~Attempt() override { this->Cancel(); }
@@ -138,7 +138,7 @@
 ////////////////////////
 
 double CallSession::CostOf(const Backend& backend, std::int64_t now_ms) const {
-  const std::string& id = backend.entry.id;
+  const std::string& id = backend.key;
   double cost = this->parts.health.InProgress(id) +
                 kFailureCost * this->parts.health.FailureShare(id, now_ms);
   if (!this->parts.health.MayUse(id, now_ms)) {
@@ -160,7 +160,7 @@
   for (const Backend* const backend :
        this->parts.backends.Usable(this->terms.service)) {
     const bool was_tried = std::find(this->tried.begin(), this->tried.end(),
-                                     backend->entry.id) != this->tried.end();
+                                     backend->key) != this->tried.end();
     if (was_tried) {
       continue;
     }
@@ -194,7 +194,7 @@
       .Add("service", this->terms.service)
       .Add("plan", this->terms.version)
       .Add("attempt", this->tried.size() + 1)
-      .Add("engine", backend == nullptr ? "" : backend->entry.id)
+      .Add("engine", backend == nullptr ? "" : backend->key)
       .Add("left_ms", this->LeftMs())
       .Write();
   if (backend == nullptr) {
@@ -219,8 +219,8 @@
   http.send_once = true;
   const bool repeatable = this->terms.rule == RunRule::kRepeatable;
   http.reuse_idle_ms = repeatable ? kYoungMs : kYoungForOnceMs;
-  this->tried.push_back(backend->entry.id);
-  this->parts.health.NoteBegun(backend->entry.id);
+  this->tried.push_back(backend->key);
+  this->parts.health.NoteBegun(backend->key);
   this->attempts.push_back(std::make_unique<Attempt>(*this, *backend));
   this->attempts.back()->Start(http);
   this->PlanHedge();
--- a/src/relay/departures.cc
+++ b/src/relay/departures.cc
@@ -79,16 +79,16 @@
   const ServiceRule* const rule = this->plan.FindService(engine.entry.service);
   const bool moves =
       rule != nullptr && rule->engine.has_value() && rule->engine->moves_runs;
-  if (!moves || this->departures.contains(engine.entry.id) ||
-      this->runs_at(engine.entry.id).empty()) {
+  if (!moves || this->departures.contains(engine.key) ||
+      this->runs_at(engine.key).empty()) {
     return;
   }
-  Departure& departure = this->departures[engine.entry.id];
-  departure.engine = engine.entry.id;
+  Departure& departure = this->departures[engine.key];
+  departure.engine = engine.key;
   departure.service = engine.entry.service;
   departure.zone = engine.entry.zone;
   this->Plan(&departure);
-  this->Step(engine.entry.id);
+  this->Step(engine.key);
 }
 
 void Departures::Plan(Departure* departure) {
@@ -123,7 +123,9 @@
   const Departure& departure = found->second;
   const std::int64_t now_ms = this->parts.clock.MonotonicMs();
   const std::vector<StreamSession*> sessions = this->runs_at(engine);
-  if (sessions.empty() || now_ms > departure.begun_ms + kLongestStayMs) {
+  const bool is_gone = this->parts.backends.Find(engine) == nullptr;
+  if (sessions.empty() || is_gone ||
+      now_ms > departure.begun_ms + kLongestStayMs) {
     this->departures.erase(found);
     this->TellCopies();
     return;
--- a/src/relay/engine_control.h
+++ b/src/relay/engine_control.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -36,11 +37,15 @@
   MoveResult result = MoveResult::kUnknown;
   std::string handle;       ///< names the copy at its source; empty: none
   std::int64_t events = 0;  ///< of the stream, made up to the copy
+  /// Start of the engine that answers, where it tells it; Unix ms.
+  std::optional<std::int64_t> started_ms = std::nullopt;
 };
 
 /// @brief What an engine tells of itself; it describes the recent past.
 struct EngineState {
   bool leaving = false;
+  /// Where it tells it; Unix ms.
+  std::optional<std::int64_t> started_ms = std::nullopt;
 };
 
 /// @brief Calls to model engines beside the requests themselves.
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -17,6 +17,12 @@
 // A stream's prompt is read, and its end passed on, within this.
 constexpr std::int64_t kStreamStartMs = 1'000;
 
+// A stream whose engine has started again is over once nothing came for so
+// long: pauses beside prompts take a quarter of it, and callers wait for two
+// seconds.
+constexpr std::int64_t kSilentMs = 1'000;
+constexpr std::int64_t kSilenceStepMs = 100;
+
 }  // namespace
 
 /// @brief A call with the caller who waits for it.
@@ -242,6 +248,29 @@
   this->departures.Begin(engine);
 }
 
+void Relay::OnEngineStartedAgain(const Backend& before) {
+  for (const auto& [number, session] : this->streams) {
+    session->NoteStartedAgain(before.key);
+  }
+  for (const std::unique_ptr<StreamSession>& session : this->ended_streams) {
+    session->NoteStartedAgain(before.key);
+  }
+  this->EndSilentStreams(before.key);
+}
+
+// Until none is left there: each ends by its connection, or by its silence.
+void Relay::EndSilentStreams(const std::string& engine) {
+  const std::vector<StreamSession*> left = this->StreamsAt(engine);
+  for (StreamSession* const session : left) {
+    session->EndIfSilent(kSilentMs);
+  }
+  if (!left.empty()) {
+    this->parts.scheduler.After(
+        kSilenceStepMs,
+        this->life.Guarded([this, engine] { this->EndSilentStreams(engine); }));
+  }
+}
+
 void Relay::AskEngines() {
   std::set<std::string> engines;
   for (const auto& [number, session] : this->streams) {
@@ -258,13 +287,30 @@
         this->life.Guarded(
             [this, engine](const absl::StatusOr<EngineState>& state) {
               this->asked.erase(engine);
-              if (state.ok() && state->leaving) {
-                this->parts.backends.NoteLeaving(engine);
-              }
+              this->TakeState(engine, state);
             }));
   }
 }
 
+// Another start's word says nothing of this one.
+void Relay::TakeState(const std::string& engine,
+                      const absl::StatusOr<EngineState>& state) {
+  const Backend* const asked = this->parts.backends.Find(engine);
+  if (asked == nullptr || !state.ok()) {
+    return;
+  }
+  if (AreOtherStarts(state->started_ms, asked->entry.started_ms)) {
+    LogLine("report-of-another-start")
+        .Add("engine", engine)
+        .Add("started_ms", *state->started_ms)
+        .Write();
+    return;
+  }
+  if (state->leaving) {
+    this->parts.backends.NoteLeaving(engine);
+  }
+}
+
 void Relay::BeginStop(std::int64_t ends_ms, const StopView& view) {
   this->stop_ends_ms = ends_ms;
   this->stop = &view;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -59,6 +59,11 @@
   /// @brief An engine leaves: its streams go on elsewhere.
   void OnEngineLeaves(const Backend& engine);
 
+  /// @brief An engine has started again under its id: what ran there is over,
+  /// and what was held there is lost.
+  /// @param[in] before its start before
+  void OnEngineStartedAgain(const Backend& before);
+
   /// @brief Asks the engines that have streams of this host whether they leave;
   /// to be called again and again while the store can't tell.
   void AskEngines();
@@ -94,6 +99,9 @@
   void DropCall(std::uint64_t number);
   void DropStream(std::uint64_t number);
   void SweepLater();
+  void TakeState(const std::string& engine,
+                 const absl::StatusOr<EngineState>& state);
+  void EndSilentStreams(const std::string& engine);
   StreamSession* FindStream(std::string_view request);
   std::vector<StreamSession*> StreamsAt(std::string_view engine);
 
--- a/src/relay/run_move.cc
+++ b/src/relay/run_move.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/log_line.h"
+#include "relay/backend_list.h"
 
 namespace meadowthread {
 namespace {
@@ -33,10 +34,14 @@
                  RunMoveOwner& owner, MovePlan plan)
     : control(control), clock(clock), owner(owner), plan(std::move(plan)) {}
 
-RunMove::~RunMove() {
-  if (!this->handle.empty()) {
+RunMove::~RunMove() { this->FreeCopy(); }
+
+// Another start has other handles: this one may be another run's there.
+void RunMove::FreeCopy() {
+  if (!this->handle.empty() && !this->source_gone) {
     this->control.DropCopy(this->plan.source_address, this->handle);
   }
+  this->handle.clear();
 }
 
 void RunMove::Begin() { this->Order(false); }
@@ -50,26 +55,44 @@
   order.run = this->plan.run;
   order.stop = stop;
   order.limit_ms = kCopyLimitMs;
-  this->control.Move(
-      order, this->life.Guarded([this, stop](const MoveAnswer& answer) {
-        if (this->step == MoveStep::kOver) {
-          return;
-        }
-        LogLine("move")
-            .Add("request", this->plan.run)
-            .Add("source", this->plan.source_address)
-            .Add("target", this->plan.target)
-            .Add("step", stop ? "stop" : "copy")
-            .Add("result", MoveResultName(answer.result))
-            .Add("events", answer.events)
-            .Add("took_ms", this->clock.MonotonicMs() - this->ordered_ms)
-            .WriteImportant();
-        if (stop) {
-          this->OnStopped(answer);
-        } else {
-          this->OnCopied(answer);
-        }
-      }));
+  this->control.Move(order, this->life.Guarded([this, stop](MoveAnswer answer) {
+    if (this->step == MoveStep::kOver) {
+      return;
+    }
+    this->NoteStart(&answer);
+    LogLine("move")
+        .Add("request", this->plan.run)
+        .Add("source", this->plan.source_address)
+        .Add("target", this->plan.target)
+        .Add("step", stop ? "stop" : "copy")
+        .Add("result", MoveResultName(answer.result))
+        .Add("events", answer.events)
+        .Add("took_ms", this->clock.MonotonicMs() - this->ordered_ms)
+        .WriteImportant();
+    if (stop) {
+      this->OnStopped(answer);
+    } else {
+      this->OnCopied(answer);
+    }
+  }));
+}
+
+// The source's next start knows nothing of the run, whatever it answers.
+void RunMove::NoteStart(MoveAnswer* answer) {
+  if (AreOtherStarts(answer->started_ms, this->plan.source_started_ms)) {
+    this->source_gone = true;
+    *answer = {MoveResult::kNoRun, "", 0, answer->started_ms};
+  }
+}
+
+void RunMove::NoteStartedAgain(std::string_view engine) {
+  if (engine == this->plan.source) {
+    this->source_gone = true;
+  }
+  if (engine == this->plan.target) {
+    this->target_gone = true;
+    this->target_has_copy = false;
+  }
 }
 
 void RunMove::OnCopied(const MoveAnswer& answer) {
@@ -78,7 +101,20 @@
   }
   switch (answer.result) {
     case MoveResult::kCopied:
+      if (this->target_gone) {
+        // Freed, the next copy is a whole one again: one that is called for
+        // again brings only what the start before did not have.
+        this->FreeCopy();
+        this->EndWith(MoveEnd::kNotMoved);
+        return;
+      }
       this->target_has_copy = true;
+      if (this->source_gone) {
+        // Nobody is left to be stopped there: its stream's end is awaited.
+        this->step = MoveStep::kStopped;
+        this->TellWhenReady();
+        return;
+      }
       this->Order(true);
       return;
     case MoveResult::kNoRun:
@@ -110,6 +146,12 @@
       this->TellWhenReady();
       return;
     case MoveResult::kNoRun:
+      if (this->source_gone) {
+        // The start that had the run took it along; the copy is what is left.
+        this->step = MoveStep::kStopped;
+        this->TellWhenReady();
+        return;
+      }
       this->EndWith(MoveEnd::kRunEnded);
       return;
     case MoveResult::kBusy:
@@ -134,13 +176,15 @@
   if (this->step != MoveStep::kStopped || !this->stream_ended) {
     return;
   }
-  if (this->handle.empty()) {
+  const bool is_lost = this->source_gone && !this->target_has_copy;
+  if (this->handle.empty() || is_lost) {
     this->EndWith(MoveEnd::kUncertain);
     return;
   }
   this->step = MoveStep::kOver;
   Continuation continuation;
   continuation.source = this->plan.source_address;
+  continuation.source_key = this->plan.source;
   continuation.handle = std::exchange(this->handle, {});
   this->owner.OnMoveReady(continuation,
                           this->target_has_copy ? this->plan.target : "");
--- a/src/relay/run_move.h
+++ b/src/relay/run_move.h
@@ -2,6 +2,7 @@
 #define MEADOWTHREAD_RELAY_RUN_MOVE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -32,7 +33,7 @@
  public:
   virtual ~RunMoveOwner() = default;
 
-  /// @brief The run has stopped and can go on at `target` (an engine's id).
+  /// @brief The run has stopped and can go on at `target` (an engine's key).
   virtual void OnMoveReady(const Continuation& continuation,
                            const std::string& target) = 0;
 
@@ -44,9 +45,12 @@
 struct MovePlan {
   std::string run;
   std::string source_address;
-  std::string target;  ///< an engine's id
+  std::string target;  ///< an engine's key
   std::string target_address;
   std::int64_t memory_tokens = 0;  ///< of the run, about
+  std::string source = {};         ///< an engine's key
+  /// The source's start, where it is known; Unix ms.
+  std::optional<std::int64_t> source_started_ms = std::nullopt;
 };
 
 /// @brief Carries one run's memory to another engine in two steps: a copy
@@ -77,6 +81,10 @@
   /// @brief The source's stream has ended before its end.
   void NoteStreamEnded();
 
+  /// @brief An engine has started again: it has neither run nor copy any more.
+  /// @param[in] engine the key of its start before
+  void NoteStartedAgain(std::string_view engine);
+
   /// @brief The copy was handed over, or is of no use any more.
   void Forget() { this->handle.clear(); }
 
@@ -85,6 +93,8 @@
 
  private:
   void Order(bool stop);
+  void NoteStart(MoveAnswer* answer);
+  void FreeCopy();
   void OnCopied(const MoveAnswer& answer);
   void OnStopped(const MoveAnswer& answer);
   void TellWhenReady();
@@ -97,6 +107,8 @@
   MoveStep step = MoveStep::kCopying;
   std::string handle;
   bool target_has_copy = false;
+  bool source_gone = false;  ///< it started again
+  bool target_gone = false;
   bool stream_ended = false;
   std::int64_t ordered_ms = 0;
   Lifetime life;
--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -161,6 +161,7 @@
   this->SendHeadOnce();
   this->writer->Write(bytes);
   if (this->writer->PendingBytes() > kSlowCallerBytes && this->call != 0) {
+    this->paused = true;
     this->parts.client.SetPaused(this->call, true);
   }
 }
--- a/src/relay/stream_session.h
+++ b/src/relay/stream_session.h
@@ -58,10 +58,20 @@
   void EndWithHost(std::int64_t return_after_ms);
 
   /// @brief Tries to go on at another engine, as this one leaves.
-  /// @param[in] target its id
+  /// @param[in] target its key
   /// @return whether a move has begun
   bool MoveTo(const std::string& target);
 
+  /// @brief An engine has started again; nothing that was held there is.
+  /// @param[in] started_again the key of its start before
+  void NoteStartedAgain(std::string_view started_again);
+
+  /// @brief Ends the stream of an engine that has started again, once nothing
+  /// of it comes any more: its connection may never tell.
+  /// @param[in] silent_ms so long nothing came
+  /// @return whether its end was taken for come
+  bool EndIfSilent(std::int64_t silent_ms);
+
   const RelayRequest& Request() const { return this->request; }
   const RelayTerms& Terms() const { return this->terms; }
   StreamPhase Phase() const { return this->phase; }
@@ -153,6 +163,8 @@
   std::int64_t since_first_try_ms = 0;  ///< when it arrived
   std::int64_t first_event_ms = -1;
   std::int64_t last_event_ms = 0;
+  bool paused = false;  ///< nothing is read, as the caller is slow
+  std::int64_t reading_since_ms = 0;
   std::int64_t longest_gap_ms = 0;
   Lifetime life;
 };
--- a/src/relay/stream_session_move.cc
+++ b/src/relay/stream_session_move.cc
@@ -1,7 +1,9 @@
 // How a stream goes on at another engine.
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "base/error.h"
 #include "base/log_line.h"
 #include "relay/attempt_outcome.h"
 #include "relay/stream_session.h"
@@ -32,6 +34,8 @@
   plan.target = target;
   plan.target_address = to->entry.address;
   plan.memory_tokens = this->MemoryTokens();
+  plan.source = source->key;
+  plan.source_started_ms = source->entry.started_ms;
   // The copy takes memory there from the first order on.
   WorkItem copy = this->MakeWork();
   copy.request = this->CopyName();
@@ -90,6 +94,46 @@
       .WriteImportant();
 }
 
+void StreamSession::NoteStartedAgain(std::string_view started_again) {
+  for (const std::unique_ptr<RunMove>& old : this->old_moves) {
+    old->NoteStartedAgain(started_again);
+  }
+  if (this->move != nullptr) {
+    this->move->NoteStartedAgain(started_again);
+  }
+}
+
+// Bytes that the start before had sent may still come, and a caller that reads
+// slowly holds them back. A request that nothing has come for yet may be with
+// the new start: its connection tells.
+bool StreamSession::EndIfSilent(std::int64_t silent_ms) {
+  const bool is_waiting = this->phase == StreamPhase::kStreaming &&
+                          this->call != 0 && !this->paused;
+  const std::int64_t since_ms =
+      this->parts.clock.MonotonicMs() -
+      std::max(this->last_event_ms, this->reading_since_ms);
+  if (!is_waiting || since_ms < silent_ms) {
+    return false;
+  }
+  LogLine("engine-started-again")
+      .Add("request", this->request.id)
+      .Add("engine", this->engine)
+      .Add("silent_ms", since_ms)
+      .WriteImportant();
+  this->CancelCall();
+  ErrorDetail detail;
+  detail.id = ErrorId::kConnectionLost;
+  detail.outcome = Outcome::kUnknown;
+  detail.step = "read-answer";
+  detail.peer = this->engine;
+  HttpEnd end;
+  end.status = MakeError(absl::StatusCode::kUnavailable, detail,
+                         "the engine has started again");
+  end.request_may_have_left = true;
+  this->OnEnd(end);
+  return true;
+}
+
 std::string StreamSession::CopyName() const {
   return absl::StrCat("copy/", this->request.id);
 }
@@ -120,20 +164,19 @@
 }
 
 bool StreamSession::ResumeAtSource() {
-  const std::string& source = this->resumed_from->source;
-  const Backend* const now_at = this->parts.backends.Find(this->engine);
-  if (this->resumes >= kMostResumes || now_at == nullptr ||
-      now_at->entry.address == source) {
+  if (this->resumes >= kMostResumes ||
+      this->engine == this->resumed_from->source_key) {
     return false;
   }
-  const Backend* const back = this->parts.backends.FindAddress(source);
-  if (back == nullptr) {
+  const Backend* const back =
+      this->parts.backends.FindAddress(this->resumed_from->source);
+  if (back == nullptr || back->key != this->resumed_from->source_key) {
     return false;
   }
   ++this->resumes;
   const Continuation from = *this->resumed_from;
   if (this->noted) {
-    this->stream_parts.fleet.NoteMoved(this->request.id, back->entry.id,
+    this->stream_parts.fleet.NoteMoved(this->request.id, back->key,
                                        this->parts.clock.WallMs());
   }
   this->Send(*back, from);
--- a/src/relay/stream_session_placing.cc
+++ b/src/relay/stream_session_placing.cc
@@ -62,6 +62,8 @@
   this->parts.budgets.Of(this->terms.service).NoteFirstAttempt();
   this->writer->OnClosed([this] { this->OnCallerGone(); });
   this->writer->OnDrained([this] {
+    this->paused = false;
+    this->reading_since_ms = this->parts.clock.MonotonicMs();
     if (this->call != 0) {
       this->parts.client.SetPaused(this->call, false);
     }
@@ -182,10 +184,11 @@
 
 void StreamSession::Send(const Backend& backend,
                          const std::optional<Continuation>& from) {
-  this->engine = backend.entry.id;
+  this->engine = backend.key;
   this->phase = from.has_value() ? StreamPhase::kBetween : StreamPhase::kSent;
   this->resumed_from = from;
   this->held_end.reset();
+  this->paused = false;
   this->is_event_stream = false;
   this->whole_body.clear();
   this->cutter.DropRest();
--- a/src/relay/tests/departures_test.cc
+++ b/src/relay/tests/departures_test.cc
@@ -30,7 +30,8 @@
   Owner owner;
   std::unique_ptr<RunMove> move = std::make_unique<RunMove>(
       control, clock, owner,
-      MovePlan{"r-1", "10.0.0.1:80", "target", "10.0.0.2:80", 3'500});
+      MovePlan{"r-1", "10.0.0.1:80", "target", "10.0.0.2:80", 3'500, "source",
+               5'000});
   Fixture() { move->Begin(); }
 };
 
@@ -105,6 +106,67 @@
   cr_assert(f.owner.targets[0] == "target");
 }
 
+Test(a_move, whose_target_starts_again_leaves_the_run_where_it_is) {
+  Fixture f;
+  f.move->NoteStartedAgain("target");
+  f.control.Answer(MoveResult::kCopied, "h1");
+  cr_assert(f.owner.ends.size() == 1 && f.owner.ends[0] == MoveEnd::kNotMoved);
+  cr_assert(f.control.orders.size() == 1, "nothing is stopped");
+  cr_assert(f.control.dropped == std::vector<std::string>{"h1"});
+}
+
+Test(a_move, that_stopped_the_run_goes_back_where_its_target_started_again) {
+  Fixture f;
+  f.control.Answer(MoveResult::kCopied, "h1");
+  f.control.Answer(MoveResult::kCopied, "h2");
+  f.move->NoteStartedAgain("target");
+  f.move->NoteStreamEnded();
+  cr_assert(f.owner.ready.size() == 1 && f.owner.targets[0].empty());
+  cr_assert(f.owner.ready[0].handle == "h2" &&
+            f.owner.ready[0].source_key == "source");
+}
+
+Test(a_move, whose_source_starts_again_goes_on_from_the_copy) {
+  // By what the list tells, and by the answer of the new start itself.
+  for (const bool listed : {true, false}) {
+    Fixture f;
+    f.control.Answer(MoveResult::kCopied, "h1", 5'000);
+    if (listed) {
+      f.move->NoteStartedAgain("source");
+      f.control.Answer(MoveResult::kNoRun);
+    } else {
+      f.control.Answer(MoveResult::kCopied, "h9", 6'000);
+    }
+    cr_assert(f.owner.ready.empty(), "its stream has not ended");
+    f.move->NoteStreamEnded();
+    cr_assert(f.owner.ready.size() == 1 && f.owner.targets[0] == "target");
+    cr_assert(f.owner.ready[0].handle == "h1");
+  }
+}
+
+Test(a_move, stops_nothing_at_a_source_that_started_again) {
+  Fixture f;
+  f.move->NoteStartedAgain("source");
+  f.control.Answer(MoveResult::kCopied, "h1");
+  cr_assert(f.control.orders.size() == 1);
+  f.move->NoteStreamEnded();
+  cr_assert(f.owner.ready.size() == 1 && f.owner.targets[0] == "target");
+}
+
+Test(a_move, whose_both_ends_started_again_has_nothing_left) {
+  Fixture f;
+  f.control.Answer(MoveResult::kCopied, "h1");
+  f.move->NoteStartedAgain("source");
+  f.move->NoteStartedAgain("target");
+  f.control.Answer(MoveResult::kUnknown);
+  f.move->NoteStreamEnded();
+  cr_assert(f.owner.ready.empty() && f.owner.ends.size() == 1 &&
+            f.owner.ends[0] == MoveEnd::kUncertain);
+  f.move.reset();
+  cr_assert(f.control.dropped.empty(),
+            "the handle may be another run's at the new start");
+}
+
 Test(a_move, given_up_frees_its_copy_and_hears_no_late_answer) {
   Fixture f;
   f.control.Answer(MoveResult::kCopied, "h1");
--- a/src/relay/tests/relay_fixture.h
+++ b/src/relay/tests/relay_fixture.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -149,10 +150,12 @@
   }
   void ReadState(std::string_view, const StateDone&) override {}
 
-  void Answer(MoveResult result, const std::string& handle = "") {
+  /// @param[in] started_ms the start that the answering engine tells
+  void Answer(MoveResult result, const std::string& handle = "",
+              std::optional<std::int64_t> started_ms = std::nullopt) {
     const MoveDone done = this->waiting.front();
     this->waiting.pop_front();
-    done({result, handle, 5});
+    done({result, handle, 5, started_ms});
   }
 
   std::vector<MoveOrder> orders;
@@ -191,6 +194,18 @@
     this->scheduler.RunDue();
   }
 
+  /// @brief A server starts again under its id and address.
+  /// @return the key of its new start
+  std::string StartAgain(const std::string& key) {
+    BackendEntry entry = this->backends.Find(key)->entry;
+    entry.started_ms = entry.started_ms.value_or(1'000);
+    this->backends.Set(entry);
+    entry.started_ms = *entry.started_ms + 1'000;
+    this->backends.Set(entry);
+    this->fleet.RemoveEngine(key);
+    return absl::StrCat(entry.id, "/", *entry.started_ms);
+  }
+
   /// @brief The server that the n-th sending went to.
   std::string ServerOf(std::size_t n) const {
     const std::string& url = this->client.sent.at(n).url;
--- a/src/relay/tests/retry_budgets_test.cc
+++ b/src/relay/tests/retry_budgets_test.cc
@@ -3,6 +3,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <optional>
 #include <vector>
 
 #include "base/manual_scheduler.h"
@@ -16,15 +18,22 @@
   ManualScheduler scheduler{&clock};
   BackendList list{clock, scheduler};
   std::vector<BackendChange> changes;
+  std::vector<Backend> about;  ///< what each change was about
 
   Fixture() {
-    list.AddListener([this](BackendChange change, const Backend&) {
+    list.AddListener([this](BackendChange change, const Backend& backend) {
       changes.push_back(change);
+      about.push_back(backend);
     });
   }
   void Set(const std::string& id, bool leaving = false) {
+    this->SetStart(id, std::nullopt, leaving);
+  }
+  void SetStart(const std::string& id, std::optional<std::int64_t> started_ms,
+                bool leaving = false) {
     BackendEntry entry;
     entry.id = id;
+    entry.started_ms = started_ms;
     entry.service = "pool";
     entry.address = "10.0.0.1:80";
     entry.leaving = leaving;
@@ -101,6 +110,85 @@
   cr_assert(f.Usable() == 0);
 }
 
+Test(a_server_that_starts_again, is_gone_first_and_added_then) {
+  Fixture f;
+  f.SetStart("a", 5'000);
+  f.list.NoteLeaving("a/5000");
+  f.SetStart("a", 6'000);
+  const std::size_t last = f.changes.size() - 1;
+  cr_assert(f.changes[last - 1] == BackendChange::kGone);
+  cr_assert(f.about[last - 1].key == "a/5000" &&
+            f.about[last - 1].started_again);
+  cr_assert(f.changes[last] == BackendChange::kAdded);
+  cr_assert(f.about[last].key == "a/6000" && !f.about[last].said_so);
+  cr_assert(f.list.Find("a/5000") == nullptr && f.Usable() == 1);
+  // Its own word that it leaves was the start's before.
+  cr_assert(f.list.Usable("pool")[0]->key == "a/6000");
+  // Removed, it is the new start that leaves.
+  f.list.Remove("a");
+  cr_assert(f.about.back().key == "a/6000" && f.Usable() == 0);
+}
+
+Test(a_server_that_starts_again, does_not_come_back_as_it_was) {
+  Fixture f;
+  f.SetStart("a", 6'000);
+  const std::size_t told = f.changes.size();
+  f.SetStart("a", 5'000, true);
+  cr_assert(f.changes.size() == told && f.Usable() == 1);
+  cr_assert(f.list.Find("a/5000") == nullptr);
+}
+
+// Its clock may have been put back for good: its own entry, taken away, is what
+// ends the word of the start before.
+Test(a_server_that_starts_again,
+     at_an_earlier_time_counts_once_its_entry_went) {
+  Fixture f;
+  f.SetStart("a", 6'000);
+  f.SetStart("a", 5'000);
+  cr_assert(f.list.Usable("pool")[0]->key == "a/6000");
+  f.list.Remove("a");
+  f.SetStart("a", 5'000);
+  cr_assert(f.Usable() == 1 && f.list.Usable("pool")[0]->key == "a/5000");
+  cr_assert(f.list.Find("a/6000") == nullptr);
+  // What was planned for the start that is gone touches no other.
+  f.Pass(60'001);
+  cr_assert(f.Usable() == 1);
+}
+
+Test(a_server_that_starts_again, does_not_lapse_for_the_start_before) {
+  Fixture f;
+  f.SetStart("a", 5'000);
+  f.list.NoteStoreBack();
+  f.list.Remove("a");
+  f.SetStart("a", 6'000);
+  f.list.Remove("a");
+  f.SetStart("a", 6'000);
+  f.Pass(2'300);
+  cr_assert(f.Usable() == 1 && f.list.Usable("pool")[0]->key == "a/6000");
+}
+
+Test(a_server, whose_start_is_not_told_is_the_one_that_is_known) {
+  Fixture f;
+  f.Set("a");
+  f.SetStart("a", 5'000);
+  f.Set("a");
+  cr_assert(f.list.Count() == 1 && f.list.Find("a") != nullptr);
+  cr_assert(f.list.Find("a")->entry.started_ms == 5'000);
+  cr_assert(std::count(f.changes.begin(), f.changes.end(),
+                       BackendChange::kGone) == 0);
+  // And the known start stands: a newer one is another life of it.
+  f.SetStart("a", 6'000);
+  cr_assert(f.list.Find("a") == nullptr && f.Usable() == 1);
+}
+
+Test(what_a_start_did, is_not_held_against_the_next) {
+  BackendHealth health;
+  health.Note("a/5000", AttemptResult::kUnreachable, 1'000);
+  cr_assert(!health.MayUse("a/5000", 1'001));
+  cr_assert(health.MayUse("a/6000", 1'001));
+  cr_assert(health.FailureShare("a/6000", 1'001) == 0.0);
+}
+
 Test(an_address, that_another_life_took_over_is_the_living_ones) {
   Fixture f;
   f.Set("old");
--- a/src/relay/tests/stream_session_test.cc
+++ b/src/relay/tests/stream_session_test.cc
@@ -343,6 +343,110 @@
   cr_assert(story.client.sent.size() == 2 && story.caller.IsBroken());
 }
 
+Test(a_stream_whose_engine_starts_again, is_broken_off_once_it_is_silent) {
+  StreamStory story(1);
+  story.BeginWithEvent();
+  const std::string before = story.session->Engine();
+  const std::string next = story.StartAgain(before);
+  story.session->NoteStartedAgain(before);
+  cr_assert(!story.session->EndIfSilent(1'000));
+  story.client.Data(0, Event(1));
+  story.Pass(999);
+  cr_assert(!story.session->EndIfSilent(1'000) && story.Count(1) == 1);
+  story.Pass(1);
+  cr_assert(story.session->EndIfSilent(1'000));
+  cr_assert(story.ended == 1 && story.caller.IsBroken());
+  cr_assert(story.client.sent.size() == 1, "it is not run again");
+  // What it did is the start's before.
+  cr_assert(story.health.FailureShare(next, 0) == 0.0);
+}
+
+Test(a_stream_whose_engine_starts_again, ends_whole_where_all_of_it_came) {
+  StreamStory story(1);
+  story.BeginWithEvent();
+  const std::string before = story.session->Engine();
+  story.StartAgain(before);
+  story.session->NoteStartedAgain(before);
+  story.client.Data(0, Event(1));
+  story.client.End(0, FakeClient::Whole(200));
+  cr_assert(story.IsWhole() && story.Count(1) == 1);
+}
+
+Test(a_stream_whose_engine_starts_again, waits_for_a_caller_that_reads_slowly) {
+  StreamStory story(1);
+  story.BeginWithEvent();
+  story.caller.SetPending(std::int64_t{1024} * 1024);
+  story.client.Data(0, Event(1));
+  cr_assert(story.client.paused);
+  story.caller.SetPending(1);
+  story.StartAgain("s-1");
+  story.session->NoteStartedAgain("s-1");
+  story.Pass(5'000);
+  cr_assert(!story.session->EndIfSilent(1'000));
+  // What waited at the engine's end of the connection comes now.
+  story.caller.Drain();
+  cr_assert(!story.session->EndIfSilent(1'000));
+  story.client.Data(0, Event(2));
+  story.client.End(0, FakeClient::Whole(200));
+  cr_assert(story.IsWhole() && story.Count(2) == 1);
+}
+
+Test(a_stream_whose_engine_starts_again, may_not_have_begun_there) {
+  StreamStory story(1);
+  story.Begin();
+  story.StartAgain("s-1");
+  story.session->NoteStartedAgain("s-1");
+  story.Pass(3'000);
+  cr_assert(!story.session->EndIfSilent(1'000),
+            "the new start may read its prompt");
+}
+
+Test(a_stream_whose_engine_starts_again, goes_on_at_the_target_of_its_copy) {
+  StreamStory story(2);
+  story.BeginWithEvent();
+  const std::string target = story.Other();
+  cr_assert(story.session->MoveTo(target));
+  story.control.Answer(MoveResult::kCopied, "h1");
+  const std::string source = story.session->Engine();
+  story.StartAgain(source);
+  story.session->NoteStartedAgain(source);
+  story.control.Answer(MoveResult::kNoRun);
+  story.Pass(1'000);
+  cr_assert(story.session->EndIfSilent(1'000));
+  cr_assert(story.client.sent.size() == 2 && story.ServerOf(1) == target);
+  cr_assert(story.Header(1, "From").ends_with("/h1"));
+  story.client.Reject(1);
+  cr_assert(story.client.sent.size() == 2 && story.caller.IsBroken(),
+            "the source's new start knows nothing of the handle");
+}
+
+Test(a_moved_stream, whose_target_starts_again_goes_on_at_its_source) {
+  StreamStory story(2);
+  story.BeginWithEvent();
+  const std::string source = story.session->Engine();
+  const std::string target = story.Other();
+  cr_assert(story.session->MoveTo(target));
+  story.control.Answer(MoveResult::kCopied, "h1");
+  story.control.Answer(MoveResult::kCopied, "h2");
+  story.StartAgain(target);
+  story.session->NoteStartedAgain(target);
+  story.CloseStream(0);
+  cr_assert(story.client.sent.size() == 2 && story.ServerOf(1) == source);
+  cr_assert(story.Header(1, "From").ends_with("/h2"));
+}
+
+Test(a_moved_stream, that_its_targets_new_start_rejects_goes_back) {
+  StreamStory story(2);
+  story.BeginWithEvent();
+  const std::string source = story.session->Engine();
+  const std::string target = story.Other();
+  story.Move(target);
+  story.StartAgain(target);
+  story.session->NoteStartedAgain(target);
+  story.client.Reject(1);
+  cr_assert(story.client.sent.size() == 3 && story.ServerOf(2) == source);
+}
+
 Test(a_move_that_found_no_room, leaves_the_stream_as_it_was) {
   StreamStory story(2);
   story.BeginWithEvent();
--- a/src/serve/engine_listing.cc
+++ b/src/serve/engine_listing.cc
@@ -8,7 +8,7 @@
 EngineListing ListingOf(const Backend& backend, const ServiceRule* service,
                         const Clock& clock) {
   EngineListing listing;
-  listing.engine = backend.entry.id;
+  listing.engine = backend.key;
   listing.zone = backend.entry.zone;
   listing.leaving = backend.leaving;
   const std::int64_t slow_ms = backend.warm_at_ms - clock.MonotonicMs();
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -391,10 +391,14 @@
 
 void RelayHost::Parts::TakeBackendChange(BackendChange change,
                                          const Backend& backend) {
-  const std::string& id = backend.entry.id;
   if (change == BackendChange::kGone) {
-    this->fleet.RemoveEngine(id);
-    this->health.Forget(id);
+    // What runs there knows first: it forgets nothing by its own.
+    if (backend.started_again) {
+      this->relay.OnEngineStartedAgain(backend);
+      this->client.DropResting(backend.entry.address);
+    }
+    this->fleet.RemoveEngine(backend.key);
+    this->health.Forget(backend.key);
     return;
   }
   const EngineListing listing = ListingOf(
