--- a/src/relay/backend_list.cc
+++ b/src/relay/backend_list.cc
@@ -52,18 +52,20 @@
   return is_older;
 }
 
-// What listeners keep by its key goes before the next start is added.
+// What listeners keep by its key goes before the next start is added. A newer
+// start proves that the one before has ended; an earlier one, taken as the
+// entry went away, proves nothing about what still runs there.
 void BackendList::EndStart(const std::string& key, const BackendEntry& next) {
   const auto found = this->backends.find(key);
   Backend gone = found->second;
-  gone.started_again = true;
+  gone.started_again = *next.started_ms > *gone.entry.started_ms;
   gone.listed = false;
   gone.leaving = true;
   this->keys.erase(gone.entry.id);
   this->backends.erase(found);
   LogLine("backend")
       .Add("id", gone.entry.id)
-      .Add("change", "started_again")
+      .Add("change", gone.started_again ? "started_again" : "start_put_back")
       .Add("started_ms", *next.started_ms)
       .Add("before_ms", *gone.entry.started_ms)
       .WriteImportant();
--- a/src/relay/backend_list.h
+++ b/src/relay/backend_list.h
@@ -39,7 +39,7 @@
   bool listed = true;
   bool leaving = false;        ///< gets nothing new
   bool said_so = false;        ///< told of leaving by itself, not by its entry
-  bool started_again = false;  ///< gone, as its id has another start now
+  bool started_again = false;  ///< gone, as its id has a newer start now
   std::optional<std::int64_t> passed_over_ms;  ///< an older start, logged
 };
 
--- a/src/relay/tests/relay_fixture.h
+++ b/src/relay/tests/relay_fixture.h
@@ -148,7 +148,9 @@
   void DropCopy(std::string_view, std::string_view handle) override {
     this->dropped.emplace_back(handle);
   }
-  void ReadState(std::string_view, const StateDone&) override {}
+  void ReadState(std::string_view, const StateDone& done) override {
+    this->asked.push_back(done);
+  }
 
   /// @param[in] started_ms the start that the answering engine tells
   void Answer(MoveResult result, const std::string& handle = "",
@@ -161,6 +163,7 @@
   std::vector<MoveOrder> orders;
   std::deque<MoveDone> waiting;
   std::vector<std::string> dropped;
+  std::vector<StateDone> asked;
 };
 
 struct FakeObserver final : public RelayObserver {
--- a/src/relay/tests/retry_budgets_test.cc
+++ b/src/relay/tests/retry_budgets_test.cc
@@ -150,6 +150,10 @@
   f.SetStart("a", 5'000);
   cr_assert(f.Usable() == 1 && f.list.Usable("pool")[0]->key == "a/5000");
   cr_assert(f.list.Find("a/6000") == nullptr);
+  // That what runs there has ended is not proved by an earlier start.
+  const std::size_t gone = f.changes.size() - 2;
+  cr_assert(f.changes[gone] == BackendChange::kGone);
+  cr_assert(f.about[gone].key == "a/6000" && !f.about[gone].started_again);
   // What was planned for the start that is gone touches no other.
   f.Pass(60'001);
   cr_assert(f.Usable() == 1);
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -70,6 +70,8 @@
 // Requests taken while stopping have to end this long before that.
 constexpr std::int64_t kStopMarginMs = 600;
 constexpr std::int64_t kMsPerSecond = 1'000;
+// Requests at an engine that is gone end within this: none may last longer.
+constexpr std::int64_t kLastNotesMs = 60'000;
 
 // Other hosts' entries serve speed only: news of them may wait, and those of a
 // whole fleet that starts come in one read.
@@ -392,13 +394,16 @@
 void RelayHost::Parts::TakeBackendChange(BackendChange change,
                                          const Backend& backend) {
   if (change == BackendChange::kGone) {
-    // What runs there knows first: it forgets nothing by its own.
     if (backend.started_again) {
       this->relay.OnEngineStartedAgain(backend);
       this->client.DropResting(backend.entry.address);
     }
     this->fleet.RemoveEngine(backend.key);
     this->health.Forget(backend.key);
+    // What still ends there is noted under its key once more.
+    this->scheduler.After(kLastNotesMs, [this, key = backend.key] {
+      this->health.Forget(key);
+    });
     return;
   }
   const EngineListing listing = ListingOf(
