Placement: an engine that starts again is heard, whatever its clock says

Cause: the engine table compared reports by their time alone: an engine that started again with its clock put back was silent and then gone, and one that refused orders by a fence was left alone after its new start too.

--- a/src/placement/engine_table.cc
+++ b/src/placement/engine_table.cc
@@ -66,10 +66,23 @@
     return;
   }
   Record& record = found->second;
-  // The engine's clock is compared with itself only; that we heard of it is
-  // dated by our own.
-  const bool newer = !record.report.has_value() ||
+  // The engine's clock is compared with itself only, within one start; that we
+  // heard of it is dated by our own. A start that was followed by another one
+  // never comes back; one that is not told is compared with nothing.
+  const bool other_start = record.report.has_value() &&
+                           !report.incarnation.empty() &&
+                           !record.report->incarnation.empty() &&
+                           report.incarnation != record.report->incarnation;
+  if (other_start && report.incarnation == record.incarnation_before) {
+    return;
+  }
+  const bool newer = !record.report.has_value() || other_start ||
                      report.as_of_unix_ms > record.report->as_of_unix_ms;
+  if (other_start) {
+    // The fence that it refused by went with the start that kept it.
+    record.incarnation_before = record.report->incarnation;
+    record.refusals = 0;
+  }
   if (newer) {
     record.report = report;
     record.heard_ms = this->clock.MonotonicMs();
--- a/src/placement/engine_table.h
+++ b/src/placement/engine_table.h
@@ -80,6 +80,7 @@
     ListedEngine listed;
     bool is_listed = false;
     std::optional<LoadReport> report;
+    std::optional<std::string> incarnation_before;  ///< of the start before
     std::int64_t heard_ms = 0;  ///< when the report last moved on
     std::optional<std::int64_t> changed_ms;
     std::optional<Pending> pending;
--- a/src/placement/tests/engine_table_test.cc
+++ b/src/placement/tests/engine_table_test.cc
@@ -11,6 +11,7 @@
 
 LoadReport Report(std::int64_t as_of_ms, const DesiredState& state) {
   LoadReport report;
+  report.incarnation = "1";
   report.as_of_unix_ms = as_of_ms;
   report.role = state.role;
   report.models = state.models;
@@ -133,6 +134,35 @@
   cr_assert(scene.Engine().state == EngineState::kSilent);
 }
 
+Test(an_engine_started_again, is_heard_though_its_clock_was_put_back) {
+  Scene scene;
+  LoadReport next = Report(900'000, DesiredState{"mixed", {}});
+  next.incarnation = "2";
+  scene.clock.Advance(7'000);
+  cr_assert(scene.Engine().state == EngineState::kSilent);
+  scene.table.TakeReport("e", next);
+  cr_assert(scene.Engine().state == EngineState::kLive);
+  // And a late report of the start before does not bring that back.
+  scene.clock.Advance(7'000);
+  scene.table.TakeReport("e", Report(2'000'000, kWithM));
+  cr_assert(scene.Engine().state == EngineState::kSilent);
+  cr_assert(scene.Engine().reported.models.empty());
+}
+
+Test(an_engine_started_again, is_not_left_alone_for_what_it_refused_before) {
+  Scene scene;
+  for (int time = 0; time < 3; ++time) {
+    scene.Order();
+    scene.Send(OrderOutcome::kStaleFence);
+    scene.table.ForgetOrders();
+  }
+  cr_assert(!scene.Engine().owned);
+  LoadReport next = Report(scene.clock.WallMs(), DesiredState{"mixed", {}});
+  next.incarnation = "2";
+  scene.table.TakeReport("e", next);
+  cr_assert(scene.Engine().owned);
+}
+
 Test(duties, spread_over_the_hosts_and_few_hosts_try_for_each) {
   std::vector<std::string> hosts;
   hosts.reserve(350);
