--- a/src/relay/tests/relay_test.cc
+++ b/src/relay/tests/relay_test.cc
@@ -9,7 +9,6 @@
 namespace {
 
 using testing::FakeCaller;
-using testing::FakeClient;
 using testing::RelayFixture;
 
 /// @brief Takes whatever comes for one generation.
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -395,9 +395,8 @@
     this->fleet.RemoveEngine(backend.key);
     this->health.Forget(backend.key);
     // What still ends there is noted under its key once more.
-    this->scheduler.After(kLastNotesMs, [this, key = backend.key] {
-      this->health.Forget(key);
-    });
+    this->scheduler.After(
+        kLastNotesMs, [this, key = backend.key] { this->health.Forget(key); });
     return;
   }
   const EngineListing listing = ListingOf(
