--- a/src/policy/fleet_state.cc
+++ b/src/policy/fleet_state.cc
@@ -3,57 +3,33 @@
 #include <algorithm>
 #include <utility>
 
+#include "policy/detail/fleet_keys.h"
 #include "xxhash.h"
 
 namespace meadowthread {
 namespace {
 
-// A forecast is good for this long unless own work on the engine changes.
-constexpr std::int64_t kForecastAgeMs = 100;
 // Ended streams are kept for as long as reports may lag.
 constexpr std::int64_t kEndedKeptMs = 5'000;
 // Engines that join a fleet older than this come into service slowly.
 constexpr std::int64_t kFleetStartMs = 10'000;
-constexpr double kSlowStartFloor = 0.1;
-// Decoding speed assumed where only the time passed is known.
-constexpr double kTokensPerMs = 0.03;
-// An engine without memory for a copy gets some as one of its runs ends, each
-// of ten that last for some nine seconds; one that leaves says so by then.
-constexpr std::int64_t kNoRoomMs = 400;
-// Of the tokens another host's stream holds, about this part is generated.
-constexpr double kGeneratedPart = 0.5;
-
 std::uint64_t HashOf(std::string_view text) {
   return XXH64(text.data(), text.size(), 0);
 }
 
-std::string ModelKey(std::string_view model, std::string_view adapter,
-                     std::string_view version) {
-  std::string key(model);
-  key += '\0';
-  key += adapter;
-  key += '\0';
-  key += version;
-  return key;
-}
-
 // Each model is found by its exact version and by any version.
 std::vector<std::string> KeysOf(const std::vector<ServedModel>& models) {
   std::vector<std::string> keys;
   for (const ServedModel& served : models) {
-    keys.push_back(ModelKey(served.model, served.adapter, ""));
-    keys.push_back(ModelKey(served.model, served.adapter, served.version));
+    keys.push_back(detail::ModelKey(served.model, served.adapter, ""));
+    keys.push_back(
+        detail::ModelKey(served.model, served.adapter, served.version));
   }
   std::sort(keys.begin(), keys.end());
   keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
   return keys;
 }
 
-std::int64_t TokensIn(std::int64_t span_ms) {
-  const auto span = static_cast<double>(std::max<std::int64_t>(span_ms, 0));
-  return static_cast<std::int64_t>(span * kTokensPerMs);
-}
-
 }  // namespace
 
 FleetState::FleetState(LengthModel& lengths, FleetOptions options)
@@ -308,232 +284,6 @@
   return tokens;
 }
 
-// ---------------------------------------------------------- hints and peers
-
-void FleetState::NoteCached(std::string_view engine, std::uint64_t prefix,
-                            bool stored) {
-  const auto found = this->by_name.find(engine);
-  if (found == this->by_name.end()) {
-    return;
-  }
-  if (stored) {
-    this->prefixes.Stored(prefix, found->second);
-  } else {
-    this->prefixes.Evicted(prefix, found->second);
-  }
-}
-
-void FleetState::SetAside(std::string_view engine, std::int64_t until_ms) {
-  if (Engine* const found = this->FindEngine(engine)) {
-    found->view.aside_until_ms = until_ms;
-  }
-}
-
-void FleetState::NoteNoRoom(std::string_view engine, std::int64_t now_ms) {
-  if (Engine* const found = this->FindEngine(engine)) {
-    found->view.no_room_until_ms = now_ms + kNoRoomMs;
-  }
-}
-
-void FleetState::SetCopies(std::string_view engine, int copies) {
-  if (Engine* const found = this->FindEngine(engine)) {
-    found->copies = copies;
-  }
-}
-
-bool FleetState::IsLinkBusy(EngineIndex index, std::int64_t now_ms) const {
-  const Engine& engine = *this->engines[index];
-  return engine.copies > 0 ||
-         std::any_of(engine.peers.begin(), engine.peers.end(),
-                     [this, now_ms](const PeerLoad& peer) {
-                       return peer.copies > 0 && this->IsFresh(peer, now_ms);
-                     });
-}
-
-void FleetState::NotePeerLoad(const PeerLoad& load, std::int64_t now_ms) {
-  Engine* const engine = this->FindEngine(load.engine);
-  if (engine == nullptr) {
-    return;
-  }
-  std::erase_if(engine->peers, [&](const PeerLoad& known) {
-    return !this->IsFresh(known, now_ms);
-  });
-  engine->cached_ms = -1;
-  for (PeerLoad& known : engine->peers) {
-    if (known.peer == load.peer) {
-      if (known.as_of_unix_ms <= load.as_of_unix_ms) {
-        known = load;
-      }
-      return;
-    }
-  }
-  engine->peers.push_back(load);
-}
-
-bool FleetState::IsFresh(const PeerLoad& load, std::int64_t now_ms) const {
-  return load.as_of_unix_ms + this->options.peer_age_ms >= now_ms;
-}
-
-std::vector<PeerLoad> FleetState::OwnLoad(std::string_view self,
-                                          std::int64_t now_ms) {
-  std::vector<PeerLoad> loads;
-  for (const auto& engine : this->engines) {
-    const bool busy = !engine->streams.empty();
-    if (!busy && !engine->told_peers) {
-      continue;
-    }
-    engine->told_peers = busy;
-    PeerLoad load;
-    load.peer = std::string(self);
-    load.engine = engine->view.engine;
-    load.as_of_unix_ms = now_ms;
-    load.in_flight = engine->view.own_in_flight;
-    load.kv_held = engine->view.own_kv;
-    load.reading = OwnReading(*engine);
-    load.copies = engine->copies;
-    for (const auto& stream : engine->streams) {
-      load.forecast.AddStream(stream->outlook, *stream->curve);
-    }
-    loads.push_back(std::move(load));
-  }
-  return loads;
-}
-
-// ------------------------------------------------------------------ reading
-
-std::span<const EngineIndex> FleetState::Serving(const WorkItem& work) const {
-  const auto found =
-      this->by_model.find(ModelKey(work.model, work.adapter, work.version));
-  if (found == this->by_model.end()) {
-    return {};
-  }
-  return found->second;
-}
-
-std::span<const EngineIndex> FleetState::PrefixEngines(
-    const WorkItem& work) const {
-  return this->prefixes.EnginesOf(work.prefix_hash);
-}
-
-bool FleetState::Preferred(EngineIndex index) const {
-  return this->engines[index]->preferred;
-}
-
-bool FleetState::Serves(EngineIndex index, const WorkItem& work) const {
-  const std::vector<ServedModel>& models = this->engines[index]->view.models;
-  return std::any_of(
-      models.begin(), models.end(), [&](const ServedModel& served) {
-        const bool version =
-            work.version.empty() || work.version == served.version;
-        return version && work.model == served.model &&
-               work.adapter == served.adapter;
-      });
-}
-
-const EngineView& FleetState::View(EngineIndex index) const {
-  return this->engines[index]->view;
-}
-
-const EngineView* FleetState::Find(std::string_view engine) const {
-  const auto found = this->by_name.find(engine);
-  if (found == this->by_name.end()) {
-    return nullptr;
-  }
-  return &this->engines[found->second]->view;
-}
-
-MemoryForecast FleetState::Forecast(EngineIndex index,
-                                    std::int64_t now_ms) const {
-  const Engine& engine = *this->engines[index];
-  const bool fresh =
-      engine.cached_ms >= 0 && now_ms - engine.cached_ms < kForecastAgeMs;
-  if (fresh) {
-    return engine.cached;
-  }
-  MemoryForecast forecast;
-  for (const auto& stream : engine.streams) {
-    forecast.AddStream(stream->outlook, *stream->curve);
-  }
-  this->AddOthers(engine, now_ms, forecast);
-  engine.cached = forecast;
-  engine.cached_ms = now_ms;
-  return forecast;
-}
-
-void FleetState::AddOthers(const Engine& engine, std::int64_t now_ms,
-                           MemoryForecast& forecast) const {
-  int unexplained = engine.others_running;
-  std::int64_t unexplained_kv = engine.others_kv;
-  for (const PeerLoad& peer : engine.peers) {
-    if (!this->IsFresh(peer, now_ms)) {
-      continue;
-    }
-    forecast.AddScaled(peer.forecast, 1.0F);
-    unexplained -= peer.in_flight;
-    unexplained_kv -= peer.kv_held;
-  }
-  if (unexplained <= 0 || unexplained_kv <= 0) {
-    return;
-  }
-  // Streams that nobody told of: all alike, as long as the report implies.
-  const std::int64_t each = unexplained_kv / unexplained +
-                            TokensIn(now_ms - engine.view.reported_unix_ms);
-  const auto generated =
-      static_cast<std::int64_t>(static_cast<double>(each) * kGeneratedPart);
-  MemoryForecast one;
-  one.AddStream({each - generated, generated, 0},
-                *this->lengths.OverallCurve());
-  forecast.AddScaled(one, static_cast<float>(unexplained));
-}
-
-std::int64_t FleetState::ReadingTokens(EngineIndex index,
-                                       std::int64_t now_ms) const {
-  const Engine& engine = *this->engines[index];
-  std::int64_t tokens = OwnReading(engine);
-  for (const PeerLoad& peer : engine.peers) {
-    if (this->IsFresh(peer, now_ms)) {
-      tokens += peer.reading;
-    }
-  }
-  return tokens;
-}
-
-std::vector<PeerLoad> FleetState::PeersAt(std::string_view engine,
-                                          std::int64_t now_ms) const {
-  std::vector<PeerLoad> peers;
-  const auto found = this->by_name.find(engine);
-  if (found == this->by_name.end()) {
-    return peers;
-  }
-  for (const PeerLoad& peer : this->engines[found->second]->peers) {
-    if (this->IsFresh(peer, now_ms) && peer.in_flight > 0) {
-      peers.push_back(peer);
-    }
-  }
-  return peers;
-}
-
-int FleetState::InFlight(EngineIndex index, std::int64_t now_ms) const {
-  const Engine& engine = *this->engines[index];
-  int told = 0;
-  for (const PeerLoad& peer : engine.peers) {
-    if (this->IsFresh(peer, now_ms)) {
-      told += peer.in_flight;
-    }
-  }
-  return engine.view.own_in_flight + std::max(told, engine.others_running);
-}
-
-double FleetState::ServiceShare(EngineIndex index, std::int64_t now_ms) const {
-  const EngineView& view = this->engines[index]->view;
-  if (view.slow_start_since == 0 || this->options.slow_start_ms == 0) {
-    return 1.0;
-  }
-  const auto since = static_cast<double>(now_ms - view.slow_start_since);
-  const auto whole = static_cast<double>(this->options.slow_start_ms);
-  return std::clamp(since / whole, kSlowStartFloor, 1.0);
-}
-
 // ------------------------------------------------------------------ details
 
 FleetState::Engine* FleetState::FindEngine(std::string_view name) {
@@ -591,8 +341,8 @@
       continue;
     }
     ++own;
-    const std::int64_t grown =
-        std::min(stream->outlook.generated, TokensIn(stream->noted_ms - as_of));
+    const std::int64_t grown = std::min(
+        stream->outlook.generated, detail::TokensIn(stream->noted_ms - as_of));
     own_kv += stream->outlook.prompt_tokens + stream->outlook.generated - grown;
   }
   for (const EndedStream& ended : engine.ended) {
--- /dev/null
+++ b/src/policy/fleet_state_peers.cc
@@ -0,0 +1,105 @@
+// What is told of engines besides their reports: hints, and other hosts' loads.
+#include <algorithm>
+#include <utility>
+
+#include "policy/fleet_state.h"
+
+namespace meadowthread {
+namespace {
+
+// An engine without memory for a copy gets some as one of its runs ends, each
+// of ten that last for some nine seconds; one that leaves says so by then.
+constexpr std::int64_t kNoRoomMs = 400;
+
+}  // namespace
+
+void FleetState::NoteCached(std::string_view engine, std::uint64_t prefix,
+                            bool stored) {
+  const auto found = this->by_name.find(engine);
+  if (found == this->by_name.end()) {
+    return;
+  }
+  if (stored) {
+    this->prefixes.Stored(prefix, found->second);
+  } else {
+    this->prefixes.Evicted(prefix, found->second);
+  }
+}
+
+void FleetState::SetAside(std::string_view engine, std::int64_t until_ms) {
+  if (Engine* const found = this->FindEngine(engine)) {
+    found->view.aside_until_ms = until_ms;
+  }
+}
+
+void FleetState::NoteNoRoom(std::string_view engine, std::int64_t now_ms) {
+  if (Engine* const found = this->FindEngine(engine)) {
+    found->view.no_room_until_ms = now_ms + kNoRoomMs;
+  }
+}
+
+void FleetState::SetCopies(std::string_view engine, int copies) {
+  if (Engine* const found = this->FindEngine(engine)) {
+    found->copies = copies;
+  }
+}
+
+bool FleetState::IsLinkBusy(EngineIndex index, std::int64_t now_ms) const {
+  const Engine& engine = *this->engines[index];
+  return engine.copies > 0 ||
+         std::any_of(engine.peers.begin(), engine.peers.end(),
+                     [this, now_ms](const PeerLoad& peer) {
+                       return peer.copies > 0 && this->IsFresh(peer, now_ms);
+                     });
+}
+
+void FleetState::NotePeerLoad(const PeerLoad& load, std::int64_t now_ms) {
+  Engine* const engine = this->FindEngine(load.engine);
+  if (engine == nullptr) {
+    return;
+  }
+  std::erase_if(engine->peers, [&](const PeerLoad& known) {
+    return !this->IsFresh(known, now_ms);
+  });
+  engine->cached_ms = -1;
+  for (PeerLoad& known : engine->peers) {
+    if (known.peer == load.peer) {
+      if (known.as_of_unix_ms <= load.as_of_unix_ms) {
+        known = load;
+      }
+      return;
+    }
+  }
+  engine->peers.push_back(load);
+}
+
+bool FleetState::IsFresh(const PeerLoad& load, std::int64_t now_ms) const {
+  return load.as_of_unix_ms + this->options.peer_age_ms >= now_ms;
+}
+
+std::vector<PeerLoad> FleetState::OwnLoad(std::string_view self,
+                                          std::int64_t now_ms) {
+  std::vector<PeerLoad> loads;
+  for (const auto& engine : this->engines) {
+    const bool busy = !engine->streams.empty();
+    if (!busy && !engine->told_peers) {
+      continue;
+    }
+    engine->told_peers = busy;
+    PeerLoad load;
+    load.peer = std::string(self);
+    load.engine = engine->view.engine;
+    load.as_of_unix_ms = now_ms;
+    load.in_flight = engine->view.own_in_flight;
+    load.kv_held = engine->view.own_kv;
+    load.reading = OwnReading(*engine);
+    load.copies = engine->copies;
+    for (const auto& stream : engine->streams) {
+      load.forecast.AddStream(stream->outlook, *stream->curve);
+    }
+    loads.push_back(std::move(load));
+  }
+  return loads;
+}
+
+}  // namespace meadowthread
