--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -98,6 +98,7 @@
   void SetLimits(const ServerLimits& with) { this->limits = with; }
   std::size_t Count() const { return this->connections.size(); }
   std::size_t Owed() const;
+  std::int64_t AnswersCut() const { return this->answers_cut; }
 
   const ServerLimits& Limits() const override { return this->limits; }
   std::int64_t NowMs() const override { return this->clock.MonotonicMs(); }
@@ -105,6 +106,7 @@
   bool IsClosing() const override { return this->closing; }
   bool Hold(std::int64_t bytes) override;
   void Release(std::int64_t bytes) override { this->held -= bytes; }
+  void NoteCut() override { ++this->answers_cut; }
   void Forget(StreamSocketHandler* connection) override;
 
  private:
@@ -125,6 +127,7 @@
   /// Those that ended in this turn: their own calls may still be on the stack.
   std::vector<ConnectionPtr> ended;
   std::int64_t held = 0;
+  std::int64_t answers_cut = 0;
   bool closing = false;
 };
 
@@ -264,6 +267,8 @@
 
 std::size_t HttpServer::Connections() const { return this->core->Count(); }
 
+std::int64_t HttpServer::AnswersCut() const { return this->core->AnswersCut(); }
+
 std::size_t HttpServer::Owed() const { return this->core->Owed(); }
 
 }  // namespace meadowthread
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -88,6 +88,9 @@
   /// @brief Connections that stand.
   std::size_t Connections() const;
 
+  /// @brief Connections that were broken with an answer on them.
+  std::int64_t AnswersCut() const;
+
   /// @brief Connections whose callers may still get something: an answer counts
   /// until the caller's kernel has it. A process that ends before this is zero
   /// leaves what is on its way to its own kernel.
--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -319,6 +319,7 @@
   if (this->phase != Phase::kAnswering && is_empty) {
     return;
   }
+  this->host.NoteCut();
   LogLine("answer-cut")
       .Add("request", this->answer_name)
       .Add("peer", this->peer)
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -31,6 +31,9 @@
   virtual bool Hold(std::int64_t bytes) = 0;
   virtual void Release(std::int64_t bytes) = 0;
 
+  /// @brief A connection is broken with an answer on it.
+  virtual void NoteCut() = 0;
+
   /// @brief The connection is over; it is destroyed later in the turn.
   virtual void Forget(StreamSocketHandler* connection) = 0;
 };
--- a/src/net/tests/delivery_test.cc
+++ b/src/net/tests/delivery_test.cc
@@ -145,5 +145,15 @@
   cr_assert(Fixture::HasAll(caller), "%zu bytes came", caller.Got().size());
 }
 
+Test(a_caller_that_left_with_a_reset, is_no_answer_that_its_server_cut) {
+  Fixture f;
+  {
+    const SlowCaller caller(f.request);
+    cr_assert(f.IsServed());
+  }
+  cr_assert(f.loop.Until([&] { return f.server->Connections() == 0; }));
+  cr_assert(f.server->AnswersCut() == 0);
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/net/tests/played_connection.h
+++ b/src/net/tests/played_connection.h
@@ -42,6 +42,7 @@
   bool IsClosing() const override { return false; }
   bool Hold(std::int64_t) override { return true; }
   void Release(std::int64_t) override {}
+  void NoteCut() override {}
   void Forget(StreamSocketHandler*) override {}
 
  private:
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -450,6 +450,8 @@
   this->metrics.SetState("streams",
                          static_cast<double>(this->gateway->Running()));
   this->metrics.SetState("ready", this->gate.MayTakeWork().ok() ? 1.0 : 0.0);
+  this->metrics.SetState("answers_cut",
+                         static_cast<double>(this->server->AnswersCut()));
   this->metrics.SetState("view_age_ms",
                          static_cast<double>(this->gate.ViewAgeMs()));
 }
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -472,6 +472,7 @@
       !this->stop_plan.has_value() && this->plan.Plan() != nullptr ? 1 : 0);
   set("running", this->relay.Running());
   set("connections", this->server.Connections());
+  set("answers_cut", this->server.AnswersCut());
   set("backends", this->backends.Count());
   set("peers_alive", this->exchange.PeersAlive());
   for (const Urgency urgency :
