--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -314,9 +314,14 @@
 // Also a connection that already waits for its next request may hold an answer.
 void ServerConnection::LogCut(std::string_view why) const {
   const SocketBacklog left = this->socket->Backlog();
-  const bool is_empty =
-      left.unsent == 0 && left.unacknowledged <= 0 && left.unread <= 0;
-  if (this->phase != Phase::kAnswering && is_empty) {
+  if (this->phase != Phase::kAnswering && OnTheWay(left) == 0) {
+    if (left.unread > 0) {
+      LogLine("request-unread")
+          .Add("peer", this->peer)
+          .Add("why", why)
+          .Add("unread", left.unread)
+          .WriteImportant();
+    }
     return;
   }
   this->host.NoteCut();
