The store's answers are cut into objects before any of them is read

Cause: lists and watches were parsed as one document, and each object's specification was written out again by a recursive function. So one object that another writer had put there cost the others: NaN, 1e999, a lone surrogate or bytes that are no UTF-8 failed the whole answer, again and again; an event without a name failed the watch; an object nested a million deep ended the process (stack); a page that ended in an object without a name was asked for for ever; and a name with spaces or line ends went into the request line as it stood.

Ruled out: a parser callback that drops deep values (the other faults stay), and repairing the bytes before parsing (hides which entry it was).

Change: base/json_slices finds the extents of elements and members by brackets and quotes alone, without recursion; metadata are read object by object, the specification is handed on as it stands. An object without a name, or without a revision between 1 and the answer's own, is passed over and counted (ObjectList::passed_over). ParseObject refuses what nests deeper than 200, and integers beyond 64 signed bits are no integers. Names are percent-encoded.

--- a/src/base/json_fields.cc
+++ b/src/base/json_fields.cc
@@ -1,6 +1,10 @@
 #include "base/json_fields.h"
 
+#include <limits>
+#include <utility>
+
 #include "absl/strings/str_cat.h"
+#include "base/json_slices.h"
 
 namespace meadowthread {
 namespace {
@@ -15,6 +19,15 @@
   return found == object.end() ? nullptr : &*found;
 }
 
+// A number beyond 64 signed bits would come back as another one.
+bool IsInt64(const json& value) {
+  return value.is_number_integer() &&
+         (!value.is_number_unsigned() ||
+          value.get<std::uint64_t>() <=
+              static_cast<std::uint64_t>(
+                  std::numeric_limits<std::int64_t>::max()));
+}
+
 }  // namespace
 
 absl::Status FieldError(ErrorId id, std::string_view field,
@@ -31,9 +44,10 @@
 
 absl::StatusOr<json> ParseObject(std::string_view text, std::string_view step,
                                  std::string_view peer) {
-  json value = json::parse(text, nullptr, false);
+  const bool is_deep = NestsDeeper(text, kMostJsonDepth);
+  json value = is_deep ? json() : json::parse(text, nullptr, false);
   if (value.is_object()) {
-    return value;
+    return absl::StatusOr<json>(std::move(value));
   }
   ErrorDetail detail;
   detail.id = ErrorId::kMalformedRequest;
@@ -41,7 +55,8 @@
   detail.step = std::string(step);
   detail.peer = std::string(peer);
   return MakeError(absl::StatusCode::kInvalidArgument, detail,
-                   "the body is not a JSON object");
+                   is_deep ? "the body is nested too deeply"
+                           : "the body is not a JSON object");
 }
 
 absl::StatusOr<std::string> StringField(const json& object,
@@ -62,7 +77,7 @@
   if (value == nullptr) {
     return FieldError(ErrorId::kFieldMissing, field, "is missing");
   }
-  if (!value->is_number_integer()) {
+  if (!IsInt64(*value)) {
     return FieldError(ErrorId::kFieldInvalid, field, "is not an integer");
   }
   return value->get<std::int64_t>();
@@ -84,9 +99,8 @@
 std::int64_t IntOr(const json& object, std::string_view field,
                    std::int64_t fallback) {
   const json* value = Find(object, field);
-  return value != nullptr && value->is_number_integer()
-             ? value->get<std::int64_t>()
-             : fallback;
+  return value != nullptr && IsInt64(*value) ? value->get<std::int64_t>()
+                                             : fallback;
 }
 
 }  // namespace meadowthread
--- /dev/null
+++ b/src/base/tests/json_slices_test.cc
@@ -0,0 +1,80 @@
+// Texts of JSON cut into their parts without reading these.
+#include "base/json_slices.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+#include "base/json_fields.h"
+
+namespace meadowthread {
+namespace {
+
+Test(a_list, is_cut_into_its_elements_as_they_stand) {
+  const auto elements = JsonElements(
+      R"( [ 1 , "a,]\"b" ,{"x":[1,{"y":"}"}]}, [] ,null,-1e400,NaN ] )");
+  cr_assert(elements.has_value() && elements->size() == 7);
+  cr_assert((*elements)[0] == "1");
+  cr_assert((*elements)[1] == R"("a,]\"b")");
+  cr_assert((*elements)[2] == R"({"x":[1,{"y":"}"}]})");
+  cr_assert((*elements)[3] == "[]" && (*elements)[6] == "NaN");
+  cr_assert(JsonElements("[]")->empty() && JsonElements(" [ ] ")->empty());
+}
+
+Test(a_list, whose_elements_cannot_be_told_apart_is_none) {
+  for (const char* const text :
+       {"", "[", "]", "[1", "[1,", "[1,]", "[,1]", "[1 2]", "[1]]", "[1]x",
+        "[\"a]", "[{]", "[{]}]", "{}", "7", "[\"a\\\"]"}) {
+    cr_assert(!JsonElements(text).has_value(), "%s", text);
+  }
+}
+
+Test(an_object, gives_its_members_as_they_stand) {
+  constexpr std::string_view kText =
+      "{\"a\":{\"b\":1} , \"b\" : \"\xff\" ,\"a\":2,\"\\u0063\":[3]}";
+  const auto members = JsonMembers(kText);
+  cr_assert(members.has_value() && members->size() == 4);
+  cr_assert(JsonMemberText(kText, "a") == "2", "the last of its name counts");
+  cr_assert(JsonMemberText(kText, "b") == "\"\xff\"");
+  cr_assert(JsonMemberText(kText, "c") == "[3]", "however its key is spelt");
+  cr_assert(JsonMemberText(kText, "d").empty());
+  cr_assert(JsonMembers("{}")->empty());
+}
+
+Test(an_object, whose_members_cannot_be_told_apart_is_none) {
+  for (const char* const text :
+       {"", "{", "}", "{\"a\"}", "{\"a\":}", "{\"a\":1,}", "{a:1}", "{1:1}",
+        "{\"a\":1]", "{\"a\":1}}", "[]", "null", "{\"a\":\"}", "{:1}"}) {
+    cr_assert(!JsonMembers(text).has_value(), "%s", text);
+    cr_assert(JsonMemberText(text, "a").empty(), "%s", text);
+  }
+}
+
+Test(nesting, is_measured_without_recursion) {
+  cr_assert(!NestsDeeper("[[1]]", 2) && NestsDeeper("[[1]]", 1));
+  cr_assert(!NestsDeeper(R"(["[[[[", "\"[[["])", 1), "brackets in strings");
+  cr_assert(!NestsDeeper("[][][]{}", 1));
+  cr_assert(NestsDeeper(std::string(10'000'000, '['), 1'000'000));
+  const std::string deep =
+      std::string(1'000'000, '[') + std::string(1'000'000, ']');
+  cr_assert(JsonElements("[" + deep + ",1]")->size() == 2);
+  cr_assert(JsonMemberText("{\"a\":" + deep + "}", "a") == deep);
+}
+
+Test(a_document, that_is_nested_too_deeply_is_refused) {
+  const std::string nested = std::string(kMostJsonDepth - 1, '[') +
+                             std::string(kMostJsonDepth - 1, ']');
+  cr_assert(ParseObject("{\"a\":" + nested + "}", "s", "p").ok());
+  cr_assert(!ParseObject("{\"a\":[" + nested + "]}", "s", "p").ok());
+}
+
+Test(a_number, beyond_its_field_is_not_taken_for_another_one) {
+  const auto value = ParseObject(
+      R"({"most":9223372036854775807,"more":9223372036854775808})", "s", "p");
+  cr_assert(IntOr(*value, "most", 3) == 9223372036854775807);
+  cr_assert(IntOr(*value, "more", 3) == 3);
+  cr_assert(!IntField(*value, "more").ok() && IntField(*value, "most").ok());
+}
+
+}  // namespace
+}  // namespace meadowthread
--- a/src/store/http_object_store.cc
+++ b/src/store/http_object_store.cc
@@ -1,22 +1,15 @@
 #include "store/http_object_store.h"
 
-#include <QtCore/QByteArray>
-#include <QtCore/QUrl>
 #include <utility>
 
 #include "store/object_answers.h"
+#include "store/percent_encoding.h"
 
 namespace meadowthread {
 namespace {
 
-std::string Encoded(std::string_view text) {
-  const QString decoded =
-      QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-  return QUrl::toPercentEncoding(decoded).toStdString();
-}
-
 std::string ObjectPath(std::string_view kind, std::string_view name) {
-  return "/objects/" + Encoded(kind) + "/" + Encoded(name);
+  return "/objects/" + PercentEncoded(kind) + "/" + PercentEncoded(name);
 }
 
 std::string PeerOf(std::string_view kind, std::string_view name) {
@@ -68,14 +61,14 @@
 void HttpObjectStore::List(std::string_view kind, std::int64_t since,
                            const ListDone& done) {
   const std::string path =
-      "/objects/" + Encoded(kind) + "?since=" + std::to_string(since);
+      "/objects/" + PercentEncoded(kind) + "?since=" + std::to_string(since);
   this->FetchList(this->ReadRequest(path, this->options.read_timeout_ms),
                   "list", kind, done);
 }
 
 void HttpObjectStore::Watch(std::string_view kind, std::int64_t since,
                             std::int64_t wait_ms, const ListDone& done) {
-  const std::string path = "/watch/" + Encoded(kind) +
+  const std::string path = "/watch/" + PercentEncoded(kind) +
                            "?since=" + std::to_string(since) +
                            "&wait_ms=" + std::to_string(wait_ms);
   const std::int64_t timeout_ms = wait_ms + this->options.watch_margin_ms;
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -28,6 +28,8 @@
 struct ObjectList {
   std::int64_t revision = 0;  ///< everything up to it is known
   std::vector<StoredObject> items;
+  /// Objects passed over: what names or dates them can't be read.
+  std::int64_t passed_over = 0;
 };
 
 /// @brief The platform's object API.
