Entries and configurations are read whole or refused by the field at fault

Cause: a field that was missing or of another type was read as its default. An entry without a state counted as ready, one without a zone or with a text for an address was sent to; "timeout_ms":"6000" meant no time limit; a configuration without routes, or {}, was put in force and turned everybody away; "tenants":"x" took all keys away. Numbers too large for their type were cast all the same (undefined for cold_ms 1e300), and an id with line ends would have gone into a header.

Ruled out: refusing on fields that nobody here knows (a newer writer adds some), and on numbers of the right type that are merely odd: a negative cold_ms is 0, a huge one ten minutes.

Change: FieldReader keeps the first fault and its field. An entry needs each field that the users' pages list, in its type, an IP number with a port, a state that they name, and an id that a header may hold; texts are bounded. A configuration needs its version and the lists of routes and services; whatever else is there has to be of its type; null is absent. The stand-in writes all fields of an entry.

Two documents of the tests changed. a_configuration. without_tenants_needs_no_keys read {"tenants":[]} alone: without routes and services that is now refused, so the same question is asked of a whole configuration, and null keys beside it. a_servers_entry. tells_where_it_is_and_whether_it_leaves lacked version and sequence, which the pages list: they were added, what it asks is unchanged.

--- /dev/null
+++ b/src/base/ip_and_port.h
@@ -0,0 +1,19 @@
+#ifndef MEADOWTHREAD_BASE_IP_AND_PORT_H_
+#define MEADOWTHREAD_BASE_IP_AND_PORT_H_
+
+#include <cstdint>
+#include <string_view>
+
+namespace meadowthread {
+
+inline constexpr std::int64_t kHighestPort = 65'535;
+
+/// @brief Whether a text is an IP number, of either version, without brackets.
+bool IsIpNumber(std::string_view text);
+
+/// @brief Whether a text is IP:PORT, the port above 0; [IP]:PORT in version 6.
+bool IsIpAndPort(std::string_view text);
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_BASE_IP_AND_PORT_H_
