An engine whose entry names none gets nothing new and keeps its runs

Cause: an entry that could not be read was passed over, so that the entry before it stayed in force and the engine went on being sent to; and what an entry of any service said of its models counted for every stream, so that an entry of a service that nobody configured drew streams to whatever address stood in it. A refused entry was logged at each rewriting, host entries at each change of any of them. A watch whose answer was malformed was asked again from the same revision for ever.

Ruled out: taking such an entry for a removal. Runs would be moved off an engine that lives (priced, and nowhere to go where all entries are overwritten at once); that it leaves is told by the entry's removal or by its own report, which is now asked for while its entry can't tell.

Change: BackendList::SetAside: nothing new, no move, no move to it, runs in flight go on; a good entry or a removal ends it. An entry that only names an unknown service is kept and used once the service is configured; in place of an engine in use it sets that aside until then. Models of an entry count only within a service configured with engines, and engines of a service that a configuration drops are withdrawn. Host entries need an IP number and ports in their range; a host whose own entry is overwritten by what names none writes it again. A malformed watch is followed by a list, with a backoff that grows until a watch can be read.

--- a/src/configuration/tests/view_feeder_test.cc
+++ b/src/configuration/tests/view_feeder_test.cc
@@ -30,6 +30,8 @@
     ++this->watches;
     if (this->swallows) {
       this->swallowed.push_back(done);
+    } else if (this->malformed) {
+      done(StoreError(ErrorId::kStoreMalformed, "watch", kind));
     } else if (this->gone) {
       this->gone = false;
       done(StoreError(ErrorId::kStoreRevisionGone, "watch", kind));
@@ -46,6 +48,7 @@
   std::vector<ListDone> swallowed;
   bool swallows = false;
   bool gone = false;
+  bool malformed = false;
   bool loses_events = false;
   int lists = 0;
   int watches = 0;
@@ -147,6 +150,18 @@
   cr_assert(f.store.lists == lists + 1);
 }
 
+Test(a_watching_host, lists_where_what_it_watches_cannot_be_read) {
+  Fixture f;
+  f.Write("x", 0);
+  f.feeder.Start();
+  f.Run(500);
+  f.store.malformed = true;
+  f.Write("x", 1);
+  f.Run(5'000);
+  cr_assert(f.VersionOf("x") == 2, "one answer does not stop it for good");
+  cr_assert(f.store.lists < 10);
+}
+
 Test(a_watching_host, backs_off_in_an_outage_and_says_that_it_stalls) {
   Fixture f;
   f.Write("x", 0);
--- a/src/configuration/view_feeder.cc
+++ b/src/configuration/view_feeder.cc
@@ -8,6 +8,12 @@
 #include "base/log_line.h"
 
 namespace meadowthread {
+namespace {
+
+// Between two lines on objects that are passed over.
+constexpr std::int64_t kPassedOverTellMs = 60'000;
+
+}  // namespace
 
 KindFeeder::KindFeeder(std::string_view kind, ObjectStore& store,
                        ReplicatedView& view, Scheduler& scheduler,
@@ -124,10 +130,13 @@
     this->Failed(absl::UnavailableError("stale read"));
     return;
   }
+  this->NotePassedOver(list.passed_over);
   this->state.failures = 0;
   this->hurried = false;
   this->SetStalled(false, "answered");
-  if (read.kind != ReadKind::kWatch) {
+  if (read.kind == ReadKind::kWatch) {
+    this->malformed = 0;
+  } else {
     this->must_list = false;
     this->proved_revision = list.revision;
     this->proved_ms = read.sent_ms;
@@ -138,9 +147,12 @@
 }
 
 void KindFeeder::Failed(const absl::Status& status) {
-  if (DetailOf(status).id == ErrorId::kStoreRevisionGone) {
-    this->must_list = true;
-  }
+  // A watch from the same revision on would bring what can't be read again.
+  const ErrorId id = DetailOf(status).id;
+  const bool is_malformed = id == ErrorId::kStoreMalformed;
+  this->malformed += is_malformed ? 1 : 0;
+  this->must_list =
+      this->must_list || is_malformed || id == ErrorId::kStoreRevisionGone;
   ++this->state.failures;
   this->SetStalled(true, absl::StrCat(status.message()));
   this->Later(this->Backoff(), [this] { this->Next(); });
@@ -167,6 +179,22 @@
   line.WriteImportant();
 }
 
+// Such an object may be rewritten each heartbeat, and comes with every list.
+void KindFeeder::NotePassedOver(std::int64_t count) {
+  this->state.passed_over += count;
+  const std::int64_t now_ms = this->clock.MonotonicMs();
+  const bool is_due = this->passed_told_ms < 0 ||
+                      now_ms - this->passed_told_ms >= kPassedOverTellMs;
+  if (count > 0 && is_due) {
+    this->passed_told_ms = now_ms;
+    LogLine("objects-passed-over")
+        .Add("kind", this->kind)
+        .Add("now", count)
+        .Add("since_start", this->state.passed_over)
+        .WriteImportant();
+  }
+}
+
 // When the answer was made is known only between bounds. Of a list: after it
 // was asked for. Of a watch that ran out: after its whole wait.
 std::int64_t KindFeeder::ConfirmedAt(const Read& read,
@@ -179,7 +207,8 @@
 
 std::int64_t KindFeeder::Backoff() {
   constexpr int kMostDoublings = 20;
-  const int doublings = std::min(this->state.failures - 1, kMostDoublings);
+  const int in_row = std::max(this->state.failures, this->malformed);
+  const int doublings = std::min(in_row - 1, kMostDoublings);
   const std::int64_t backoff_ms = this->options.first_backoff_ms << doublings;
   return this->Jitter(std::min(backoff_ms, this->options.most_backoff_ms));
 }
--- a/src/configuration/view_feeder.h
+++ b/src/configuration/view_feeder.h
@@ -49,6 +49,8 @@
   int failures = 0;       ///< in a row
   std::int64_t stale_reads = 0;          ///< answers older than what is known
   std::int64_t last_answer_unix_ms = 0;  ///< 0: none yet
+  /// Objects in answers that were passed over, as they name nothing.
+  std::int64_t passed_over = 0;
 };
 
 /// @brief Keeps one kind of a view fresh from the object API.
@@ -95,6 +97,7 @@
   void Failed(const absl::Status& status);
   void GiveUp(std::uint64_t number);
   void SetStalled(bool stalled, std::string_view why);
+  void NotePassedOver(std::int64_t count);
   std::int64_t ConfirmedAt(const Read& read, const ObjectList& list) const;
   std::int64_t Backoff();
   std::int64_t Jitter(std::int64_t delay_ms);
@@ -113,9 +116,11 @@
   std::uint64_t reads = 0;  ///< the number of the call awaited, if any
   bool pending = false;
   bool must_list = true;
-  bool hurried = false;              ///< until the next answer that is taken
+  int malformed = 0;     ///< answers in a row to watches, lists between them
+  bool hurried = false;  ///< until the next answer that is taken
   std::int64_t proved_revision = 0;  ///< what lists, not watches, have shown
   std::int64_t proved_ms = 0;
+  std::int64_t passed_told_ms = -1;  ///< monotonic; -1: not yet
   Lifetime life;
 };
 
--- a/src/relay/backend_list.cc
+++ b/src/relay/backend_list.cc
@@ -1,5 +1,7 @@
 #include "relay/backend_list.h"
 
+#include <utility>
+
 #include "base/log_line.h"
 
 namespace meadowthread {
@@ -19,6 +21,7 @@
   const bool was_leaving = backend.leaving;
   backend.entry = entry;
   backend.listed = true;
+  const bool was_named = std::exchange(backend.named, true);
   backend.warm_at_ms = this->clock.MonotonicMs() + entry.slow_for_ms;
   if (is_new) {
     LogLine("backend")
@@ -29,6 +32,12 @@
         .WriteImportant();
     this->Tell(BackendChange::kAdded, backend);
   }
+  if (!was_named) {
+    LogLine("backend")
+        .Add("id", entry.id)
+        .Add("change", "named_again")
+        .WriteImportant();
+  }
   if (entry.leaving && !was_leaving) {
     this->Leave(&backend, "draining");
     return;
@@ -71,6 +80,24 @@
       }));
 }
 
+// Its runs are not moved either: it lives as far as anybody knows, and should
+// it leave, its entry's removal or its own report says so. An entry that has
+// lapsed is not listed anew by what another writer put there.
+void BackendList::SetAside(std::string_view id) {
+  const auto found = this->backends.find(id);
+  if (found == this->backends.end() ||
+      !std::exchange(found->second.named, false)) {
+    return;
+  }
+  LogLine("backend")
+      .Add("id", found->second.entry.id)
+      .Add("service", found->second.entry.service)
+      .Add("change", "set_aside")
+      .Add("why", "its_entry_names_no_server")
+      .WriteImportant();
+  this->Tell(BackendChange::kChanged, found->second);
+}
+
 void BackendList::NoteLeaving(std::string_view id) {
   const auto found = this->backends.find(id);
   if (found != this->backends.end()) {
@@ -134,11 +161,19 @@
     std::string_view service) const {
   std::vector<const Backend*> usable;
   for (const auto& [id, backend] : this->backends) {
-    if (!backend.leaving && backend.entry.service == service) {
+    if (backend.TakesNew() && backend.entry.service == service) {
       usable.push_back(&backend);
     }
   }
   return usable;
 }
 
+std::vector<const Backend*> BackendList::All() const {
+  std::vector<const Backend*> all;
+  for (const auto& [id, backend] : this->backends) {
+    all.push_back(&backend);
+  }
+  return all;
+}
+
 }  // namespace meadowthread
--- a/src/relay/backend_list.h
+++ b/src/relay/backend_list.h
@@ -32,6 +32,12 @@
   bool listed = true;
   bool leaving = false;  ///< gets nothing new
   bool said_so = false;  ///< told of leaving by itself, not by its entry
+  /// Its entry names it; where another writer's stands in its place, it gets
+  /// nothing new, and what runs there goes on.
+  bool named = true;
+
+  /// @brief Whether it may get something new.
+  bool TakesNew() const { return !this->leaving && this->named; }
 };
 
 /// @brief What a change was about.
@@ -63,6 +69,10 @@
   /// @brief Takes that an entry is listed no more.
   void Remove(std::string_view id);
 
+  /// @brief Takes that what stands under this name names no server to use,
+  /// until it is set or removed again.
+  void SetAside(std::string_view id);
+
   /// @brief The server itself says that it leaves, and its entry does not yet.
   void NoteLeaving(std::string_view id);
 
@@ -78,6 +88,9 @@
   /// @brief Servers of a service that may get something new, by id.
   std::vector<const Backend*> Usable(std::string_view service) const;
 
+  /// @brief Every server that is known, by id.
+  std::vector<const Backend*> All() const;
+
   /// @brief Servers that are known.
   std::size_t Count() const { return this->backends.size(); }
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -242,7 +242,7 @@
   this->departures.Begin(engine);
 }
 
-void Relay::AskEngines() {
+void Relay::AskEngines(bool only_unnamed) {
   std::set<std::string> engines;
   for (const auto& [number, session] : this->streams) {
     engines.insert(session->Engine());
@@ -250,6 +250,7 @@
   for (const std::string& engine : engines) {
     const Backend* const backend = this->parts.backends.Find(engine);
     if (backend == nullptr || backend->leaving ||
+        (only_unnamed && backend->named) ||
         !this->asked.insert(engine).second) {
       continue;
     }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -61,7 +61,8 @@
 
   /// @brief Asks the engines that have streams of this host whether they leave;
   /// to be called again and again while the store can't tell.
-  void AskEngines();
+  /// @param[in] only_unnamed only those of which their entry doesn't tell
+  void AskEngines(bool only_unnamed);
 
   /// @brief A planned stop: from now on only requests that will have ended by
   /// `ends_ms` (monotonic) are taken.
--- /dev/null
+++ b/src/relay/tests/backend_list_test.cc
@@ -0,0 +1,107 @@
+// The servers that a host may send to, as their entries come and go.
+#include "relay/backend_list.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <vector>
+
+#include "base/manual_scheduler.h"
+
+namespace meadowthread {
+namespace {
+
+BackendEntry Entry(const std::string& id) {
+  BackendEntry entry;
+  entry.id = id;
+  entry.service = "pool";
+  entry.address = "10.0.0.1:80";
+  return entry;
+}
+
+struct Story {
+  ManualClock clock{1'000};
+  ManualScheduler scheduler{&this->clock};
+  BackendList list{this->clock, this->scheduler};
+  std::vector<BackendChange> told;
+
+  Story() {
+    this->list.AddListener([this](BackendChange change, const Backend&) {
+      this->told.push_back(change);
+    });
+    this->list.Set(Entry("a"));
+    this->list.Set(Entry("b"));
+    this->told.clear();
+  }
+  std::size_t Usable() const { return this->list.Usable("pool").size(); }
+  void Pass(std::int64_t ms) {
+    this->clock.Advance(ms);
+    this->scheduler.RunDue();
+  }
+};
+
+Test(a_server_whose_entry_names_it_no_more, gets_nothing_new_and_stays_known) {
+  Story story;
+  story.list.SetAside("a");
+  cr_assert(story.Usable() == 1);
+  cr_assert(story.list.Find("a") != nullptr && !story.list.Find("a")->leaving);
+  cr_assert(story.told == std::vector<BackendChange>{BackendChange::kChanged},
+            "its runs go on: nothing is told of leaving");
+  story.list.SetAside("a");
+  cr_assert(story.told.size() == 1, "told once however often it is rewritten");
+  story.Pass(3'600'000);
+  cr_assert(story.list.Find("a") != nullptr && story.Usable() == 1);
+}
+
+Test(a_server_whose_entry_names_it_no_more, is_used_again_once_it_does) {
+  Story story;
+  story.list.SetAside("a");
+  story.list.Set(Entry("a"));
+  cr_assert(story.Usable() == 2);
+  BackendEntry leaving = Entry("a");
+  leaving.leaving = true;
+  story.list.SetAside("a");
+  story.list.Set(leaving);
+  cr_assert(story.told.back() == BackendChange::kLeaving &&
+            story.Usable() == 1);
+}
+
+Test(a_server_whose_entry_names_it_no_more, leaves_when_the_entry_is_removed) {
+  Story story;
+  story.list.SetAside("a");
+  story.list.Remove("a");
+  cr_assert(story.told.back() == BackendChange::kLeaving);
+  story.Pass(60'000);
+  cr_assert(story.list.Find("a") == nullptr);
+}
+
+Test(a_server_whose_entry_names_it_no_more, leaves_when_it_says_so_itself) {
+  Story story;
+  story.list.SetAside("a");
+  story.list.NoteLeaving("a");
+  cr_assert(story.told.back() == BackendChange::kLeaving);
+  story.list.Set(Entry("a"));
+  cr_assert(story.Usable() == 1, "what it said of leaving stands");
+}
+
+Test(a_server_whose_entry_names_it_no_more, is_not_listed_anew_by_it) {
+  Story story;
+  story.list.NoteStoreBack();
+  story.list.Remove("a");
+  cr_assert(story.Usable() == 2, "it may have lapsed");
+  story.list.SetAside("a");
+  cr_assert(story.Usable() == 1);
+  story.Pass(2'200);
+  cr_assert(story.told.back() == BackendChange::kLeaving);
+}
+
+Test(a_name_that_was_never_a_servers, is_none_whatever_stands_there) {
+  Story story;
+  story.list.SetAside("c");
+  cr_assert(story.told.empty() && story.list.Count() == 2);
+  story.list.Remove("c");
+  cr_assert(story.told.empty() && story.list.All().size() == 2);
+}
+
+}  // namespace
+}  // namespace meadowthread
--- a/src/serve/engine_listing.cc
+++ b/src/serve/engine_listing.cc
@@ -10,14 +10,17 @@
   EngineListing listing;
   listing.engine = backend.entry.id;
   listing.zone = backend.entry.zone;
-  listing.leaving = backend.leaving;
+  listing.leaving = !backend.TakesNew();
   const std::int64_t slow_ms = backend.warm_at_ms - clock.MonotonicMs();
   listing.warm_at_ms = slow_ms > 0 ? clock.WallMs() + slow_ms : std::int64_t{0};
-  if (service != nullptr && service->engine.has_value()) {
-    listing.kv_capacity = service->engine->memory_tokens;
-    for (const std::string& model : service->engine->models) {
-      listing.models.push_back({model, "", ""});
-    }
+  // Streams are sent to whoever has their model: what an entry says of models
+  // counts only within a service that is configured with engines.
+  if (service == nullptr || !service->engine.has_value()) {
+    return listing;
+  }
+  listing.kv_capacity = service->engine->memory_tokens;
+  for (const std::string& model : service->engine->models) {
+    listing.models.push_back({model, "", ""});
   }
   for (const std::string& model : backend.entry.models) {
     const ServedModel served = {model, "", ""};
--- a/src/serve/host_entries.cc
+++ b/src/serve/host_entries.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/error.h"
+#include "base/ip_and_port.h"
 #include "base/json_fields.h"
 #include "base/log_line.h"
 #include "nlohmann/json.hpp"
@@ -15,6 +16,18 @@
 constexpr std::int64_t kAgainMs = 1'000;
 constexpr std::string_view kStep = "host-entry";
 
+// 0: the host has none.
+absl::StatusOr<int> PortField(const json& value, std::string_view field) {
+  const absl::StatusOr<std::int64_t> port = IntField(value, field);
+  if (!port.ok()) {
+    return port.status();
+  }
+  if (*port < 0 || *port > kHighestPort) {
+    return FieldError(ErrorId::kFieldInvalid, field, "is no port");
+  }
+  return static_cast<int>(*port);
+}
+
 }  // namespace
 
 std::string EncodeEntryHost(const EntryHost& host) {
@@ -23,7 +36,7 @@
                       {"loads_port", host.loads_port},
                       {"availability_zone", host.zone},
                       {"region", host.region}};
-  return value.dump();
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 absl::StatusOr<EntryHost> DecodeEntryHost(std::string_view name,
@@ -33,19 +46,22 @@
     return value.status();
   }
   const absl::StatusOr<std::string> address = StringField(*value, "address");
-  const absl::StatusOr<std::int64_t> control = IntField(*value, "control_port");
-  const absl::StatusOr<std::int64_t> loads = IntField(*value, "loads_port");
+  const absl::StatusOr<int> control = PortField(*value, "control_port");
+  const absl::StatusOr<int> loads = PortField(*value, "loads_port");
   for (const absl::Status& status :
        {address.status(), control.status(), loads.status()}) {
     if (!status.ok()) {
       return status;
     }
   }
+  if (!IsIpNumber(*address)) {
+    return FieldError(ErrorId::kFieldInvalid, "address", "is no IP number");
+  }
   EntryHost host;
   host.name = std::string(name);
   host.address = *address;
-  host.control_port = static_cast<int>(*control);
-  host.loads_port = static_cast<int>(*loads);
+  host.control_port = *control;
+  host.loads_port = *loads;
   host.zone = StringOr(*value, "availability_zone", "");
   host.region = StringOr(*value, "region", "");
   return host;
@@ -62,7 +78,7 @@
   view.AddListener([this](const ViewChange& change) {
     if (change.kind == this->kind) {
       for (const StoredObject& object : change.items) {
-        this->StandAgain(object);
+        this->TakeChange(object);
       }
       this->TellAll();
     }
@@ -76,11 +92,6 @@
         DecodeEntryHost(object->name, object->value);
     if (host.ok()) {
       hosts.push_back(*std::move(host));
-    } else {
-      LogLine("host-entry-malformed")
-          .Add("host", object->name)
-          .Add("why", std::string{host.status().message()})
-          .WriteImportant();
     }
   }
   if (this->listener) {
@@ -88,11 +99,24 @@
   }
 }
 
-// Somebody took this host for gone: a tombstone newer than its entry.
-void HostEntries::StandAgain(const StoredObject& object) {
-  if (object.name == this->self.name && object.deleted && this->version > 0 &&
+void HostEntries::TakeChange(const StoredObject& object) {
+  const absl::Status read =
+      object.deleted ? absl::OkStatus()
+                     : DecodeEntryHost(object.name, object.value).status();
+  if (this->read_listener) {
+    this->read_listener(object, read);
+  }
+  this->StandAgain(object, read.ok());
+}
+
+// Somebody took this host for gone: a tombstone newer than its entry. Or
+// another writer put there what names no host: it is written over. What names
+// one stays, as two hosts of one name would take turns for ever.
+void HostEntries::StandAgain(const StoredObject& object, bool is_readable) {
+  const bool was_lost = object.deleted || !is_readable;
+  if (object.name == this->self.name && was_lost && this->version > 0 &&
       object.version > this->version) {
-    this->version = 0;
+    this->version = object.deleted ? 0 : object.version;
     this->AnnounceLater();
   }
 }
--- a/src/serve/host_entries.h
+++ b/src/serve/host_entries.h
@@ -30,7 +30,7 @@
 /// @brief An entry as it lies in the store (JSON).
 std::string EncodeEntryHost(const EntryHost& host);
 
-/// @brief Reads an entry.
+/// @brief Reads an entry; an error names the field at fault.
 absl::StatusOr<EntryHost> DecodeEntryHost(std::string_view name,
                                           std::string_view text);
 
@@ -41,6 +41,9 @@
 class HostEntries {
  public:
   using Listener = std::function<void(const std::vector<EntryHost>&)>;
+  /// Told of each entry that changed: whether it names a host, or why not.
+  using ReadingListener =
+      std::function<void(const StoredObject&, const absl::Status&)>;
 
   /// @param[in] kind of the entries
   /// @param[in] store,view,scheduler outlive this
@@ -50,6 +53,7 @@
   HostEntries& operator=(const HostEntries&) = delete;
 
   void SetListener(const Listener& told) { this->listener = told; }
+  void OnRead(const ReadingListener& told) { this->read_listener = told; }
 
   /// @brief Writes this host's entry, until it lies there.
   void Announce();
@@ -63,7 +67,8 @@
   void ReadBack();
   void AnnounceLater();
   void TellAll() const;
-  void StandAgain(const StoredObject& object);
+  void TakeChange(const StoredObject& object);
+  void StandAgain(const StoredObject& object, bool is_readable);
 
   std::string kind;
   EntryHost self;
@@ -71,6 +76,7 @@
   ReplicatedView& view;
   Scheduler& scheduler;
   Listener listener;
+  ReadingListener read_listener;
   std::int64_t version = 0;
   Lifetime life;
 };
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -33,6 +33,7 @@
 #include "serve/gone_hosts.h"
 #include "serve/host_entries.h"
 #include "serve/load_notes.h"
+#include "serve/refused_entries.h"
 #include "serve/relay_limits.h"
 #include "serve/relay_metrics.h"
 #include "serve/steady_clock.h"
@@ -150,7 +151,10 @@
  private:
   void TakeView(const ViewChange& change);
   void TakePlan(const StoredObject& object);
+  void NoteRead(const StoredObject& object, const absl::Status& read);
   void TakeBackend(const StoredObject& object);
+  bool IsOfUnknownService(const BackendEntry& entry) const;
+  void TakeSetAsideAgain();
   void TakeBackendChange(BackendChange change, const Backend& backend);
   void TakeHosts(const std::vector<EntryHost>& hosts);
   std::optional<int> WatchPlace() const;
@@ -183,6 +187,7 @@
   BackendHealth health;
   RetryBudgets budgets;
   RelayMetrics metrics;
+  RefusedEntries refused;
   LearnedLengthModel lengths;
   FleetState fleet;
   GoneHosts gone_hosts;
@@ -228,6 +233,10 @@
               *this->store, this->view, this->scheduler),
       backends(this->clock, this->scheduler),
       budgets(RetryBoundsOf(with)),
+      refused(this->clock,
+              [this](std::string_view kind, std::string_view field) {
+                this->metrics.OnEntryRefused(kind, field);
+              }),
       // Engines say themselves how long they are slow, and live for minutes.
       fleet(this->lengths, FleetOptions{0, kPeerAgeMs}),
       gone_hosts(with.host.name, this->clock),
@@ -277,6 +286,10 @@
   });
   this->entries.SetListener(
       [this](const std::vector<EntryHost>& known) { this->TakeHosts(known); });
+  this->entries.OnRead(
+      [this](const StoredObject& object, const absl::Status& read) {
+        this->NoteRead(object, read);
+      });
   this->hub.OnHeard(
       [this](std::string_view host) { this->gone_hosts.NoteHeard(host); });
   this->exchange.KeepOutOfNews(on.Kinds().backends);
@@ -360,33 +373,62 @@
       object.deleted
           ? absl::StatusOr<ServicePlan>(absl::NotFoundError("it was removed"))
           : this->platform.ReadPlan(object.value);
-  if (!read.ok()) {
-    LogLine("plan-refused")
-        .Add("revision", object.version)
-        .Add("field", DetailOf(read.status()).field)
-        .Add("why", std::string{read.status().message()})
-        .WriteImportant();
-    return;
+  this->NoteRead(object, read.status());
+  if (read.ok()) {
+    this->plan.Take(*std::move(read), object.version);
+  }
+}
+
+void RelayHost::Parts::NoteRead(const StoredObject& object,
+                                const absl::Status& read) {
+  if (read.ok()) {
+    this->refused.Forget(object.kind, object.name);
+  } else {
+    this->refused.Refuse(object.kind, object.name, object.version, read);
   }
-  this->plan.Take(*std::move(read), object.version);
 }
 
+// Whatever stands there now, the engine that it named before is not known to be
+// gone: only a removal says so.
 void RelayHost::Parts::TakeBackend(const StoredObject& object) {
   if (object.deleted) {
+    this->refused.Forget(object.kind, object.name);
     this->backends.Remove(object.name);
     return;
   }
   const absl::StatusOr<BackendEntry> entry =
       this->platform.ReadBackend(object.name, object.value);
-  if (!entry.ok()) {
-    LogLine("backend-refused")
-        .Add("id", object.name)
-        .Add("field", DetailOf(entry.status()).field)
-        .Add("why", std::string{entry.status().message()})
-        .WriteImportant();
-    return;
+  this->NoteRead(object, entry.status());
+  if (entry.ok() && !this->IsOfUnknownService(*entry)) {
+    this->backends.Set(*entry);
+  } else {
+    this->backends.SetAside(object.name);
+  }
+}
+
+// Entries may come before the configuration that names their service, so that
+// they are kept, and are no fault. But an engine in use keeps the service by
+// which its runs are known.
+bool RelayHost::Parts::IsOfUnknownService(const BackendEntry& entry) const {
+  const Backend* const known = this->backends.Find(entry.id);
+  return known != nullptr && known->entry.service != entry.service &&
+         this->plan.FindService(entry.service) == nullptr;
+}
+
+// The service that such an entry names may be configured now.
+void RelayHost::Parts::TakeSetAsideAgain() {
+  std::vector<std::string> set_aside;
+  for (const Backend* const backend : this->backends.All()) {
+    if (!backend->named) {
+      set_aside.push_back(backend->entry.id);
+    }
+  }
+  for (const std::string& id : set_aside) {
+    if (const StoredObject* const object =
+            this->view.Find(this->kinds[1], id)) {
+      this->TakeBackend(*object);
+    }
   }
-  this->backends.Set(*entry);
 }
 
 void RelayHost::Parts::TakeBackendChange(BackendChange change,
@@ -401,6 +443,8 @@
       backend, this->plan.FindService(backend.entry.service), this->clock);
   if (!listing.models.empty()) {
     this->fleet.SetEngine(listing, this->clock.WallMs());
+  } else {
+    this->fleet.RemoveEngine(id);
   }
   if (change == BackendChange::kLeaving) {
     this->relay.OnEngineLeaves(backend);
@@ -470,6 +514,10 @@
   set("running", this->relay.Running());
   set("connections", this->server.Connections());
   set("backends", this->backends.Count());
+  set("entries_refused", this->refused.Standing());
+  for (const FeederState& state : this->feeder.States()) {
+    set("passed_over_" + state.kind, state.passed_over);
+  }
   set("peers_alive", this->exchange.PeersAlive());
   for (const Urgency urgency :
        {Urgency::kUrgent, Urgency::kNormal, Urgency::kBatch}) {
@@ -497,9 +545,9 @@
       std::any_of(states.begin(), states.end(), [kind](const FeederState& one) {
         return one.kind == kind && one.stalled;
       }));
-  if (this->silence.IsSilent(this->view.Digest(kind).confirmed.unix_ms)) {
-    this->relay.AskEngines();
-  }
+  const bool is_silent =
+      this->silence.IsSilent(this->view.Digest(kind).confirmed.unix_ms);
+  this->relay.AskEngines(!is_silent);
 }
 
 void RelayHost::Parts::SpreadChoices() {
@@ -517,11 +565,11 @@
   if (in_force == nullptr) {
     return;
   }
-  // Engines may have been listed before the services that they belong to.
-  for (const ServiceRule& service : in_force->services) {
-    for (const Backend* const backend : this->backends.Usable(service.name)) {
-      this->TakeBackendChange(BackendChange::kChanged, *backend);
-    }
+  // Engines may have been listed before the services that they belong to, and
+  // outlive them.
+  this->TakeSetAsideAgain();
+  for (const Backend* const backend : this->backends.All()) {
+    this->TakeBackendChange(BackendChange::kChanged, *backend);
   }
 }
 
--- a/src/serve/relay_metrics.cc
+++ b/src/serve/relay_metrics.cc
@@ -25,6 +25,10 @@
           this->registry.AddCounter({"meadowthread_relay_moves_total",
                                      "Streams that went on at another engine.",
                                      {"service"}})),
+      refused(this->registry.AddCounter(
+          {"meadowthread_relay_entries_refused_total",
+           "Readings of documents in the store that name nothing to use.",
+           {"kind", "field"}})),
       first(this->registry.AddSummary(
           {"meadowthread_relay_first_seconds",
            "Arrival to the answer, or to a stream's first event.",
@@ -56,6 +60,13 @@
   }
 }
 
+void RelayMetrics::OnEntryRefused(std::string_view kind,
+                                  std::string_view field) {
+  const std::array<std::string, 2> where = {std::string(kind),
+                                            std::string(field)};
+  this->refused.With(where).Add();
+}
+
 void RelayMetrics::SetState(std::string_view what, double value) {
   const std::array<std::string, 1> label = {std::string(what)};
   this->state.With(label).Set(value);
--- a/src/serve/relay_metrics.h
+++ b/src/serve/relay_metrics.h
@@ -16,6 +16,10 @@
 
   void OnRequestEnded(const RelayEnd& end) override;
 
+  /// @brief A document of the store was read that names nothing to use.
+  /// @param[in] field at fault, empty where the document's bytes are
+  void OnEntryRefused(std::string_view kind, std::string_view field);
+
   /// @brief Sets a gauge of the host itself.
   void SetState(std::string_view what, double value);
 
@@ -27,6 +31,7 @@
   MetricFamily<Counter>& requests;
   MetricFamily<Counter>& attempts;
   MetricFamily<Counter>& moves;
+  MetricFamily<Counter>& refused;
   MetricFamily<Summary>& first;
   MetricFamily<Summary>& longest_gap;
   MetricFamily<Summary>& total;
