Lists of the own store and of hosts pass over what names nothing

Cause: one item of another kind, of another type, or newer than its list refused the whole list of the object API, and one entry that could not be read the whole host list; an unknown role counted as an entry host, and ports were cast from any number.

Ruled out: taking an item whose value is of another type for absent (a template in force would count as removed): it is handed on, and its reader refuses it and keeps the version before.

Change: both lists are read item by item with base/json_slices; what is passed over is counted, the host list's first fault is logged when the number changes; a host list of nothing that can be read is none, as before.

--- a/src/hosts/host_list.cc
+++ b/src/hosts/host_list.cc
@@ -1,8 +1,12 @@
 #include "hosts/host_list.h"
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "base/absl_view.h"
 #include "base/error.h"
+#include "base/ip_and_port.h"
 #include "base/json_fields.h"
+#include "base/json_slices.h"
 #include "nlohmann/json.hpp"
 
 namespace meadowthread {
@@ -27,14 +31,27 @@
             : absl::StrCat(address, ":", port);
 }
 
-HostRole RoleOf(const std::string& name) {
+absl::StatusOr<HostRole> RoleOf(std::string_view name) {
   if (name == "engine") {
     return HostRole::kEngine;
   }
-  return name == "backend" ? HostRole::kBackend : HostRole::kEntry;
+  if (name == "backend") {
+    return HostRole::kBackend;
+  }
+  if (name == "entry") {
+    return HostRole::kEntry;
+  }
+  return FieldError(ErrorId::kFieldInvalid, "role", "is no known role");
 }
 
-absl::StatusOr<HostEntry> DecodeEntry(const json& value) {
+bool IsPort(std::int64_t port) { return port >= 0 && port <= kHighestPort; }
+
+absl::StatusOr<HostEntry> DecodeEntry(std::string_view text) {
+  const absl::StatusOr<json> parsed = ParseObject(text, kStep, kPeer);
+  if (!parsed.ok()) {
+    return parsed.status();
+  }
+  const json& value = *parsed;
   const absl::StatusOr<std::string> name = StringField(value, "name");
   const absl::StatusOr<std::string> role = StringField(value, "role");
   const absl::StatusOr<std::string> address = StringField(value, "address");
@@ -45,12 +62,25 @@
       return status;
     }
   }
+  const absl::StatusOr<HostRole> known_role = RoleOf(*role);
+  if (!known_role.ok()) {
+    return known_role.status();
+  }
+  if (name->empty() || address->empty()) {
+    return FieldError(ErrorId::kFieldInvalid,
+                      name->empty() ? "name" : "address", "is empty");
+  }
+  const std::int64_t control_port = IntOr(value, "control_port", 0);
+  if (!IsPort(*port) || !IsPort(control_port)) {
+    return FieldError(ErrorId::kFieldInvalid,
+                      IsPort(*port) ? "control_port" : "port", "is no port");
+  }
   HostEntry entry;
   entry.name = *name;
-  entry.role = RoleOf(*role);
+  entry.role = *known_role;
   entry.address = *address;
   entry.port = static_cast<int>(*port);
-  entry.control_port = static_cast<int>(IntOr(value, "control_port", 0));
+  entry.control_port = static_cast<int>(control_port);
   entry.zone = StringOr(value, "zone", "");
   entry.region = StringOr(value, "region", "");
   entry.leaving = StringOr(value, "state", "live") != "live";
@@ -75,22 +105,27 @@
 }
 
 absl::StatusOr<HostList> DecodeHostList(std::string_view body) {
-  const absl::StatusOr<json> parsed = ParseObject(body, kStep, kPeer);
-  if (!parsed.ok()) {
-    return parsed.status();
-  }
-  const auto hosts = parsed->find("hosts");
-  if (hosts == parsed->end() || !hosts->is_array()) {
+  const auto hosts = JsonElements(JsonMemberText(body, "hosts"));
+  if (!hosts.has_value()) {
     return Malformed("field 'hosts' is missing or no list");
   }
   HostList list;
-  list.as_of_unix_ms = IntOr(*parsed, "as_of_unix_ms", 0);
-  for (const json& value : *hosts) {
-    const absl::StatusOr<HostEntry> entry = DecodeEntry(value);
-    if (!entry.ok()) {
-      return Malformed(entry.status().message().data());
+  if (!absl::SimpleAtoi(AbslView(JsonMemberText(body, "as_of_unix_ms")),
+                        &list.as_of_unix_ms)) {
+    list.as_of_unix_ms = 0;
+  }
+  for (const std::string_view text : *hosts) {
+    absl::StatusOr<HostEntry> entry = DecodeEntry(text);
+    if (entry.ok()) {
+      list.hosts.push_back(*std::move(entry));
+      continue;
+    }
+    if (++list.passed_over == 1) {
+      list.first_fault = std::string(entry.status().message());
     }
-    list.hosts.push_back(*entry);
+  }
+  if (list.hosts.empty() && list.passed_over > 0) {
+    return Malformed(list.first_fault);
   }
   return list;
 }
--- a/src/hosts/host_list.h
+++ b/src/hosts/host_list.h
@@ -38,9 +38,14 @@
 struct HostList {
   std::int64_t as_of_unix_ms = 0;
   std::vector<HostEntry> hosts;
+  int passed_over = 0;           ///< entries that name no host to use
+  std::string first_fault = {};  ///< of the first of them, with its field
 };
 
 /// @brief Reads the platform's answer; an error names the field.
+///
+/// An entry that can't be read, or names a role that isn't known, is passed
+/// over; a list of nothing else is none.
 absl::StatusOr<HostList> DecodeHostList(std::string_view body);
 
 }  // namespace meadowthread
--- a/src/hosts/host_list_poller.cc
+++ b/src/hosts/host_list_poller.cc
@@ -1,5 +1,7 @@
 #include "hosts/host_list_poller.h"
 
+#include <utility>
+
 #include "absl/strings/str_cat.h"
 #include "base/log_line.h"
 #include "net/http_code.h"
@@ -46,6 +48,7 @@
     status = list.status();
     if (list.ok()) {
       this->directory.Apply(*list);
+      this->NotePassedOver(*list);
     }
   }
   if (status.ok() == this->failing) {
@@ -57,4 +60,14 @@
   }
 }
 
+// A line when their number changes: the list is read again every few moments.
+void HostListPoller::NotePassedOver(const HostList& list) {
+  if (std::exchange(this->passed_over, list.passed_over) != list.passed_over) {
+    LogLine("host-list-passed-over")
+        .Add("entries", list.passed_over)
+        .Add("first", list.first_fault)
+        .WriteImportant();
+  }
+}
+
 }  // namespace meadowthread
--- a/src/hosts/host_list_poller.h
+++ b/src/hosts/host_list_poller.h
@@ -24,6 +24,7 @@
  private:
   void Poll();
   void Take(const HttpFetched& fetched);
+  void NotePassedOver(const HostList& list);
 
   HttpClient& client;
   Scheduler& scheduler;
@@ -31,6 +32,7 @@
   std::string url;
   std::int64_t period_ms;
   bool failing = false;
+  int passed_over = 0;  ///< in the last list that was read
 };
 
 }  // namespace meadowthread
--- a/src/hosts/tests/host_directory_test.cc
+++ b/src/hosts/tests/host_directory_test.cc
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <string>
+
 #include "base/error.h"
 
 namespace meadowthread {
@@ -43,5 +45,34 @@
   }
 }
 
+Test(a_host_list, with_entries_of_another_writer_keeps_the_others) {
+  const std::string deep =
+      std::string(200'000, '[') + std::string(200'000, ']');
+  for (const std::string& entry :
+       {std::string("3"), std::string("null"), std::string("{}"), deep,
+        std::string("{\"name\":\"\xff\"}"), std::string("{\"name\":NaN}"),
+        std::string(R"({"name":"x","role":"engine"})"),
+        std::string(R"({"name":"","role":"engine","address":"a","port":9})"),
+        std::string(R"({"name":"x","role":"odd","address":"a","port":9})"),
+        std::string(R"({"name":"x","role":"engine","address":"","port":9})"),
+        std::string(R"({"name":"x","role":"engine","address":7,"port":9})"),
+        std::string(R"({"name":"x","role":"engine","address":"a","port":"9"})"),
+        std::string(R"({"name":"x","role":"engine","address":"a","port":-1})"),
+        std::string(
+            R"({"name":"x","role":"engine","address":"a","port":70000})"),
+        std::string(R"({"name":"x","role":"engine","address":"a","port":9,)"
+                    R"("control_port":4294967297})")}) {
+    const auto list = DecodeHostList(
+        R"({"as_of_unix_ms":5,"hosts":[)"
+        R"({"name":"a","role":"engine","address":"127.0.0.1","port":1},)" +
+        entry +
+        R"(,{"name":"z","role":"entry","address":"127.0.0.1","port":2}]})");
+    cr_assert(list.ok(), "%.60s", entry.c_str());
+    cr_assert(list->hosts.size() == 2 && list->hosts[1].name == "z", "%.60s",
+              entry.c_str());
+    cr_assert(list->passed_over == 1 && !list->first_fault.empty());
+  }
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/store/object_answers.cc
+++ b/src/store/object_answers.cc
@@ -4,7 +4,10 @@
 #include <optional>
 #include <string>
 
+#include "absl/strings/numbers.h"
+#include "base/absl_view.h"
 #include "base/json_fields.h"
+#include "base/json_slices.h"
 #include "net/http_code.h"
 #include "store/store_errors.h"
 
@@ -53,40 +56,50 @@
   return fetched.end.status.ok() && fetched.end.http_status == http_status;
 }
 
-absl::StatusOr<ObjectList> ParseList(std::string_view body) {
-  absl::StatusOr<json> parsed = ParseObject(body, "list", "object-api");
-  if (!parsed.ok()) {
-    return parsed.status();
-  }
-  const absl::StatusOr<std::int64_t> revision = IntField(*parsed, "revision");
-  if (!revision.ok()) {
-    return revision.status();
-  }
-  const auto items = parsed->find("items");
-  if (items == parsed->end() || !items->is_array()) {
-    return absl::DataLossError("no items");
+// The object of a list that one text of JSON tells. What names and dates it has
+// to be right: an item of another kind, or one newer than the list itself,
+// would corrupt every view built on it. A value of another type is handed on as
+// it stands, for whoever reads that kind to refuse.
+std::optional<StoredObject> ItemFrom(std::string_view text,
+                                     std::string_view kind,
+                                     std::int64_t revision) {
+  const absl::StatusOr<json> item = ParseObject(text, "list", kind);
+  const absl::StatusOr<std::string> name =
+      item.ok() ? StringField(*item, "name") : item.status();
+  const bool has_place =
+      name.ok() && !name->empty() && StringOr(*item, "kind", "") == kind &&
+      IntOr(*item, "version", 0) > 0 && IntOr(*item, "version", 0) <= revision;
+  if (!has_place) {
+    return std::nullopt;
   }
-  ObjectList list;
-  list.revision = *revision;
-  for (const json& item : *items) {
-    absl::StatusOr<StoredObject> object = ObjectFromJson(item);
-    if (!object.ok()) {
-      return object.status();
-    }
-    list.items.push_back(*std::move(object));
+  absl::StatusOr<StoredObject> object = ObjectFromJson(*item);
+  if (object.ok()) {
+    return *std::move(object);
   }
-  return list;
+  return StoredObject{std::string(kind), *name, IntOr(*item, "version", 0),
+                      std::string(JsonMemberText(text, "value")), false};
 }
 
-// An answer that names another kind, or an item newer than the list itself,
-// would corrupt every view built on it.
-bool IsConsistent(const ObjectList& list, std::string_view kind) {
-  for (const StoredObject& item : list.items) {
-    if (item.kind != kind || item.version > list.revision) {
-      return false;
+absl::StatusOr<ObjectList> ParseList(std::string_view body,
+                                     std::string_view kind) {
+  const auto items = JsonElements(JsonMemberText(body, "items"));
+  ObjectList list;
+  const bool is_list =
+      absl::SimpleAtoi(AbslView(JsonMemberText(body, "revision")),
+                       &list.revision) &&
+      list.revision >= 0 && items.has_value();
+  if (!is_list) {
+    return absl::DataLossError("no list of objects as of a revision");
+  }
+  for (const std::string_view text : *items) {
+    std::optional<StoredObject> object = ItemFrom(text, kind, list.revision);
+    if (object.has_value()) {
+      list.items.push_back(*std::move(object));
+    } else {
+      ++list.passed_over;
     }
   }
-  return list.revision >= 0;
+  return list;
 }
 
 }  // namespace
@@ -123,8 +136,8 @@
   if (!IsWhole(fetched, http_code::kOk)) {
     return ReadFailure(fetched, step, kind);
   }
-  absl::StatusOr<ObjectList> list = ParseList(fetched.response.body);
-  if (!list.ok() || !IsConsistent(*list, kind)) {
+  absl::StatusOr<ObjectList> list = ParseList(fetched.response.body, kind);
+  if (!list.ok()) {
     return StoreError(ErrorId::kStoreMalformed, step, kind);
   }
   return list;
