--- a/src/hosts/host_list.cc
+++ b/src/hosts/host_list.cc
@@ -121,7 +121,7 @@
       continue;
     }
     if (++list.passed_over == 1) {
-      list.first_fault = std::string(entry.status().message());
+      list.first_fault = std::string{entry.status().message()};
     }
   }
   if (list.hosts.empty() && list.passed_over > 0) {
