--- a/src/net/qt_socket.cc
+++ b/src/net/qt_socket.cc
@@ -129,8 +129,11 @@
   this->handler = nullptr;
   this->drain_timer.stop();
   this->socket->flush();
-  this->socket->disconnectFromHost();
-  this->socket->readAll();
+  const auto descriptor = static_cast<int>(this->socket->socketDescriptor());
+  if (descriptor >= 0) {
+    FinishBeforeClose(descriptor);
+  }
+  this->socket->abort();
 }
 
 void QtSocket::Abort() {
@@ -145,7 +148,8 @@
 SocketBacklog QtSocket::Backlog() const {
   const KernelQueues queues =
       KernelQueuesOf(static_cast<int>(this->socket->socketDescriptor()));
-  return {this->PendingBytes(), queues.unacknowledged, queues.unread};
+  return {this->PendingBytes(), queues.unacknowledged, queues.unread,
+          queues.silent_ms};
 }
 
 std::string QtSocket::Peer() const {
--- a/src/net/stream_socket.h
+++ b/src/net/stream_socket.h
@@ -14,12 +14,13 @@
   kConnectFailed,  ///< it never stood: nothing was sent
 };
 
-/// @brief Bytes of a connection that one of its ends has not taken yet; -1
-/// where the kernel does not tell.
+/// @brief Bytes of a connection that one of its ends has not taken yet, and how
+/// long the peer is silent; -1 where the kernel does not tell.
 struct SocketBacklog {
   std::int64_t unsent = 0;          ///< written, not yet taken by the kernel
   std::int64_t unacknowledged = 0;  ///< taken, not yet at the peer's kernel
   std::int64_t unread = 0;          ///< came from the peer, not yet read
+  std::int64_t silent_ms = 0;       ///< since the peer last acknowledged any
 };
 
 /// @brief Told what happens on a connection, on the event loop's thread. Any
@@ -37,6 +38,10 @@
   /// @brief All that was written has been taken by the kernel.
   virtual void OnDrained() {}
 
+  /// @brief The peer sends no more.
+  /// @return whether it is to get what is written before the connection ends
+  virtual bool OnFinished() { return false; }
+
   /// @brief It is over; nothing follows.
   virtual void OnEnded(SocketEnd end) = 0;
 };
@@ -58,8 +63,9 @@
   /// @brief Closes in order once everything written has left.
   virtual void CloseWhenDrained() = 0;
 
-  /// @brief Gives the kernel all that it takes, and closes in order: the kernel
-  /// delivers it also when the process ends. What it doesn't take is lost.
+  /// @brief Gives the kernel all that it takes, and closes: the kernel delivers
+  /// it also when the process ends, unless the peer sends more. What it doesn't
+  /// take is lost.
   virtual void CloseNow() = 0;
 
   /// @brief Breaks the connection so that the peer sees a reset.
