--- a/src/base/log_line.cc
+++ b/src/base/log_line.cc
@@ -2,6 +2,9 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+
+#include "absl/strings/ascii.h"
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
@@ -9,9 +12,13 @@
 namespace meadowthread {
 namespace {
 
+// Control characters would act on whoever shows the line.
 bool NeedsQuotes(std::string_view value) {
   return value.empty() ||
-         value.find_first_of(" \t\r\n\"=\\") != std::string_view::npos;
+         value.find_first_of(" \"=\\") != std::string_view::npos ||
+         std::any_of(value.begin(), value.end(), [](char letter) {
+           return absl::ascii_iscntrl(static_cast<unsigned char>(letter));
+         });
 }
 
 }  // namespace
--- a/src/base/tests/log_line_test.cc
+++ b/src/base/tests/log_line_test.cc
@@ -12,5 +12,12 @@
             "event=route request=r-1 why=\"least \\\"full\\\"\" count=3");
 }
 
+Test(a_log_line, lets_no_control_character_of_another_writer_through) {
+  LogLine line("entry-refused");
+  line.Add("name", std::string_view("a\x1b[2J\0b", 7)).Add("tab", "a\tb");
+  cr_assert(line.Text() ==
+            "event=entry-refused name=\"a\\033[2J\\000b\" tab=\"a\\tb\"");
+}
+
 }  // namespace
 }  // namespace meadowthread
