--- a/src/relay/backend_list.cc
+++ b/src/relay/backend_list.cc
@@ -1,5 +1,7 @@
 #include "relay/backend_list.h"
 
+#include <utility>
+
 #include "absl/strings/str_cat.h"
 #include "base/log_line.h"
 
@@ -27,12 +29,16 @@
   return one.has_value() && other.has_value() && *one != *other;
 }
 
-Backend* BackendList::FindId(std::string_view id) {
+const Backend* BackendList::FindById(std::string_view id) const {
   const auto key = this->keys.find(id);
   return key == this->keys.end() ? nullptr
                                  : &this->backends.find(key->second)->second;
 }
 
+Backend* BackendList::FindId(std::string_view id) {
+  return const_cast<Backend*>(std::as_const(*this).FindById(id));
+}
+
 // A start before the one that is listed says that a word of it came late, or
 // that the server's clock was put back: which can't be told from here. Once the
 // newer one's entry went away, the store's order alone decides.
@@ -94,6 +100,7 @@
     backend.entry.started_ms = told_ms;
   }
   backend.listed = true;
+  const bool was_named = std::exchange(backend.named, true);
   backend.warm_at_ms = this->clock.MonotonicMs() + entry.slow_for_ms;
   if (is_new) {
     LogLine("backend")
@@ -105,6 +112,12 @@
         .WriteImportant();
     this->Tell(BackendChange::kAdded, backend);
   }
+  if (!was_named) {
+    LogLine("backend")
+        .Add("id", entry.id)
+        .Add("change", "named_again")
+        .WriteImportant();
+  }
   if (entry.leaving && !was_leaving) {
     this->Leave(&backend, "draining");
     return;
@@ -147,6 +160,23 @@
       }));
 }
 
+// Its runs are not moved either: it lives as far as anybody knows, and should
+// it leave, its entry's removal or its own report says so. An entry that has
+// lapsed is not listed anew by what another writer put there.
+void BackendList::SetAside(std::string_view id) {
+  Backend* const known = this->FindId(id);
+  if (known == nullptr || !std::exchange(known->named, false)) {
+    return;
+  }
+  LogLine("backend")
+      .Add("id", known->entry.id)
+      .Add("service", known->entry.service)
+      .Add("change", "set_aside")
+      .Add("why", "its_entry_names_no_server")
+      .WriteImportant();
+  this->Tell(BackendChange::kChanged, *known);
+}
+
 void BackendList::NoteLeaving(std::string_view key) {
   const auto found = this->backends.find(key);
   if (found != this->backends.end()) {
@@ -211,11 +241,19 @@
     std::string_view service) const {
   std::vector<const Backend*> usable;
   for (const auto& [key, backend] : this->backends) {
-    if (!backend.leaving && backend.entry.service == service) {
+    if (backend.TakesNew() && backend.entry.service == service) {
       usable.push_back(&backend);
     }
   }
   return usable;
 }
 
+std::vector<const Backend*> BackendList::All() const {
+  std::vector<const Backend*> all;
+  for (const auto& [id, backend] : this->backends) {
+    all.push_back(&backend);
+  }
+  return all;
+}
+
 }  // namespace meadowthread
--- a/src/relay/backend_list.h
+++ b/src/relay/backend_list.h
@@ -41,6 +41,12 @@
   bool said_so = false;        ///< told of leaving by itself, not by its entry
   bool started_again = false;  ///< gone, as its id has a newer start now
   std::optional<std::int64_t> passed_over_ms;  ///< an older start, logged
+  /// Its entry names it; where another writer's stands in its place, it gets
+  /// nothing new, and what runs there goes on.
+  bool named = true;
+
+  /// @brief Whether it may get something new.
+  bool TakesNew() const { return !this->leaving && this->named; }
 };
 
 /// @brief Whether two starts that were told are two lives of an id; one that
@@ -82,6 +88,10 @@
   /// @brief Takes that an entry is listed no more.
   void Remove(std::string_view id);
 
+  /// @brief Takes that what stands under this name names no server to use,
+  /// until it is set or removed again.
+  void SetAside(std::string_view id);
+
   /// @brief The server itself says that it leaves, and its entry does not yet.
   void NoteLeaving(std::string_view key);
 
@@ -91,12 +101,18 @@
   /// @brief The server, null where it is not known or has started again.
   const Backend* Find(std::string_view key) const;
 
+  /// @brief The start of a server that is known by its id, null where none is.
+  const Backend* FindById(std::string_view id) const;
+
   /// @brief The server last known at an address, null where there is none.
   const Backend* FindAddress(std::string_view address) const;
 
   /// @brief Servers of a service that may get something new, by key.
   std::vector<const Backend*> Usable(std::string_view service) const;
 
+  /// @brief Every server that is known, by id.
+  std::vector<const Backend*> All() const;
+
   /// @brief Servers that are known.
   std::size_t Count() const { return this->backends.size(); }
 
--- a/src/relay/tests/relay_test.cc
+++ b/src/relay/tests/relay_test.cc
@@ -75,18 +75,18 @@
 
 Test(a_relay, does_not_take_another_starts_word_for_its_engines) {
   RelayStory story;
-  story.relay.AskEngines();
+  story.relay.AskEngines(false);
   cr_assert(story.control.asked.size() == 1);
   story.control.asked[0](story.State(true, 2'000));
   cr_assert(!story.backends.Find("s-1")->leaving);
-  story.relay.AskEngines();
+  story.relay.AskEngines(false);
   story.control.asked.at(1)(story.State(true, 1'000));
   cr_assert(story.backends.Find("s-1")->leaving);
 }
 
 Test(a_relay, passes_over_a_report_whose_start_has_gone_since) {
   RelayStory story;
-  story.relay.AskEngines();
+  story.relay.AskEngines(false);
   const std::string next = story.StartAgain("s-1");
   story.control.asked.at(0)(story.State(true, 1'000));
   cr_assert(!story.backends.Find(next)->leaving);
