--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -59,10 +59,15 @@
   /// @brief An engine leaves: its streams go on elsewhere.
   void OnEngineLeaves(const Backend& engine);
 
+  /// @brief An engine has started again under its id: what ran there is over,
+  /// and what was held there is lost.
+  /// @param[in] before its start before
+  void OnEngineStartedAgain(const Backend& before);
+
   /// @brief Asks the engines that have streams of this host whether they leave;
   /// to be called again and again while the store can't tell.
   /// @param[in] only_unnamed only those of which their entry doesn't tell
-  void AskEngines(bool only_unnamed);
+  void AskEngines(bool only_unnamed = false);
 
   /// @brief A planned stop: from now on only requests that will have ended by
   /// `ends_ms` (monotonic) are taken.
@@ -95,6 +100,9 @@
   void DropCall(std::uint64_t number);
   void DropStream(std::uint64_t number);
   void SweepLater();
+  void TakeState(const std::string& engine,
+                 const absl::StatusOr<EngineState>& state);
+  void EndSilentStreams(const std::string& engine);
   StreamSession* FindStream(std::string_view request);
   std::vector<StreamSession*> StreamsAt(std::string_view engine);
 
