--- a/src/relay/backend_list.cc
+++ b/src/relay/backend_list.cc
@@ -164,17 +164,17 @@
 // it leave, its entry's removal or its own report says so. An entry that has
 // lapsed is not listed anew by what another writer put there.
 void BackendList::SetAside(std::string_view id) {
-  Backend* const known = this->FindId(id);
-  if (known == nullptr || !std::exchange(known->named, false)) {
+  Backend* const found = this->FindId(id);
+  if (found == nullptr || !std::exchange(found->named, false)) {
     return;
   }
   LogLine("backend")
-      .Add("id", known->entry.id)
-      .Add("service", known->entry.service)
+      .Add("id", found->entry.id)
+      .Add("service", found->entry.service)
       .Add("change", "set_aside")
       .Add("why", "its_entry_names_no_server")
       .WriteImportant();
-  this->Tell(BackendChange::kChanged, *known);
+  this->Tell(BackendChange::kChanged, *found);
 }
 
 void BackendList::NoteLeaving(std::string_view key) {
@@ -226,6 +226,11 @@
   return found == this->backends.end() ? nullptr : &found->second;
 }
 
+const Backend* BackendList::FindById(std::string_view id) const {
+  const auto key = this->keys.find(id);
+  return key == this->keys.end() ? nullptr : this->Find(key->second);
+}
+
 const Backend* BackendList::FindAddress(std::string_view address) const {
   const Backend* found = nullptr;
   for (const auto& [key, backend] : this->backends) {
@@ -250,7 +255,7 @@
 
 std::vector<const Backend*> BackendList::All() const {
   std::vector<const Backend*> all;
-  for (const auto& [id, backend] : this->backends) {
+  for (const auto& [key, backend] : this->backends) {
     all.push_back(&backend);
   }
   return all;
--- a/src/relay/backend_list.h
+++ b/src/relay/backend_list.h
@@ -101,7 +101,7 @@
   /// @brief The server, null where it is not known or has started again.
   const Backend* Find(std::string_view key) const;
 
-  /// @brief The start of a server that is known by its id, null where none is.
+  /// @brief The one start of an id that is known, null where there is none.
   const Backend* FindById(std::string_view id) const;
 
   /// @brief The server last known at an address, null where there is none.
@@ -110,7 +110,7 @@
   /// @brief Servers of a service that may get something new, by key.
   std::vector<const Backend*> Usable(std::string_view service) const;
 
-  /// @brief Every server that is known, by id.
+  /// @brief Every server that is known, by key.
   std::vector<const Backend*> All() const;
 
   /// @brief Servers that are known.
--- a/src/relay/tests/backend_list_test.cc
+++ b/src/relay/tests/backend_list_test.cc
@@ -95,6 +95,19 @@
   cr_assert(story.told.back() == BackendChange::kLeaving);
 }
 
+Test(a_server_whose_entry_names_it_no_more,
+     is_another_one_when_it_starts_anew) {
+  Story story;
+  BackendEntry entry = Entry("a");
+  entry.started_ms = 1'000;
+  story.list.Set(entry);
+  story.list.SetAside("a");
+  entry.started_ms = 2'000;
+  story.list.Set(entry);
+  cr_assert(story.Usable() == 2 && story.list.Count() == 2);
+  cr_assert(story.list.FindById("a")->entry.started_ms == 2'000);
+}
+
 Test(a_name_that_was_never_a_servers, is_none_whatever_stands_there) {
   Story story;
   story.list.SetAside("c");
--- a/src/relay/tests/relay_test.cc
+++ b/src/relay/tests/relay_test.cc
@@ -84,6 +84,17 @@
   cr_assert(story.backends.Find("s-1")->leaving);
 }
 
+Test(a_relay, asks_an_engine_of_which_its_entry_does_not_tell) {
+  RelayStory story;
+  story.relay.AskEngines(true);
+  cr_assert(story.control.asked.empty(), "its entry tells");
+  story.backends.SetAside("s-1");
+  story.relay.AskEngines(true);
+  cr_assert(story.control.asked.size() == 1);
+  story.control.asked[0](story.State(true, 1'000));
+  cr_assert(story.backends.Find("s-1")->leaving);
+}
+
 Test(a_relay, passes_over_a_report_whose_start_has_gone_since) {
   RelayStory story;
   story.relay.AskEngines(false);
