--- a/src/relay/backend_list.cc
+++ b/src/relay/backend_list.cc
@@ -29,16 +29,12 @@
   return one.has_value() && other.has_value() && *one != *other;
 }
 
-const Backend* BackendList::FindById(std::string_view id) const {
+Backend* BackendList::FindId(std::string_view id) {
   const auto key = this->keys.find(id);
   return key == this->keys.end() ? nullptr
                                  : &this->backends.find(key->second)->second;
 }
 
-Backend* BackendList::FindId(std::string_view id) {
-  return const_cast<Backend*>(std::as_const(*this).FindById(id));
-}
-
 // A start before the one that is listed says that a word of it came late, or
 // that the server's clock was put back: which can't be told from here. Once the
 // newer one's entry went away, the store's order alone decides.
--- a/src/relay/tests/relay_test.cc
+++ b/src/relay/tests/relay_test.cc
@@ -75,11 +75,11 @@
 
 Test(a_relay, does_not_take_another_starts_word_for_its_engines) {
   RelayStory story;
-  story.relay.AskEngines(false);
+  story.relay.AskEngines();
   cr_assert(story.control.asked.size() == 1);
   story.control.asked[0](story.State(true, 2'000));
   cr_assert(!story.backends.Find("s-1")->leaving);
-  story.relay.AskEngines(false);
+  story.relay.AskEngines();
   story.control.asked.at(1)(story.State(true, 1'000));
   cr_assert(story.backends.Find("s-1")->leaving);
 }
@@ -97,7 +97,7 @@
 
 Test(a_relay, passes_over_a_report_whose_start_has_gone_since) {
   RelayStory story;
-  story.relay.AskEngines(false);
+  story.relay.AskEngines();
   const std::string next = story.StartAgain("s-1");
   story.control.asked.at(0)(story.State(true, 1'000));
   cr_assert(!story.backends.Find(next)->leaving);
