--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -64,6 +64,8 @@
 // store and served 0.2 to 0.3 s after its start.
 constexpr std::int64_t kRestartMs = 400;
 constexpr std::int64_t kMsPerSecond = 1'000;
+// Requests at an engine that is gone end within this: none may last longer.
+constexpr std::int64_t kLastNotesMs = 60'000;
 
 // Other hosts' entries serve speed only: news of them may wait, and those of a
 // whole fleet that starts come in one read.
@@ -385,10 +387,16 @@
 
 void RelayHost::Parts::TakeBackendChange(BackendChange change,
                                          const Backend& backend) {
-  const std::string& id = backend.entry.id;
   if (change == BackendChange::kGone) {
-    this->fleet.RemoveEngine(id);
-    this->health.Forget(id);
+    if (backend.started_again) {
+      this->relay.OnEngineStartedAgain(backend);
+      this->client.DropResting(backend.entry.address);
+    }
+    this->fleet.RemoveEngine(backend.key);
+    this->health.Forget(backend.key);
+    // What still ends there is noted under its key once more.
+    this->scheduler.After(
+        kLastNotesMs, [this, key = backend.key] { this->health.Forget(key); });
     return;
   }
   const EngineListing listing = ListingOf(
