--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -105,11 +105,14 @@
 }
 
 std::string Fleet::SettingsOf(int n) const {
+  const auto link = this->store_links.find(n);
+  const std::string store =
+      link == this->store_links.end() ? this->StoreUrl() : Local(link->second);
   return absl::StrCat(
       "host: {name: entry-", n, ", zone: hall-", n % 3,
       ", region: manila, address: 127.0.0.1, port: ", this->host_ports[n],
       ", control_port: ", this->control_ports[n], "}\n",
-      "platform: {object_api: \"", this->StoreUrl(), "\", host_list: \"",
+      "platform: {object_api: \"", store, "\", host_list: \"",
       Local(this->host_list->Port()), "/hosts\", host_list_period_ms: 200}\n",
       "answers: {resume_key_file: ",
       this->folder.filePath("resume.key").toStdString(),
@@ -224,13 +227,13 @@
       Sha256(kOtherKey), "\"]}\n");
 }
 
-void Fleet::PutTemplate(const std::string& yaml, int version) {
-  this->Put("templates", "reports",
-            {{"operation", absl::StrCat("test-", version)},
-             {"author", "test"},
-             {"unix_ms", 1},
-             {"yaml", yaml}},
-            version);
+json Fleet::PutTemplate(const std::string& yaml, int version) {
+  return this->Put("templates", "reports",
+                   {{"operation", absl::StrCat("test-", version)},
+                    {"author", "test"},
+                    {"unix_ms", 1},
+                    {"yaml", yaml}},
+                   version);
 }
 
 void Fleet::PutHostList() {
@@ -246,14 +249,17 @@
                     {"state", "live"}});
   }
   for (int n = 0; n < this->plan.engines; ++n) {
-    list.push_back({{"name", absl::StrCat("engine", n + 1)},
-                    {"role", "engine"},
-                    {"address", "127.0.0.1"},
-                    {"port", this->engine_ports[n]},
-                    {"zone", absl::StrCat("hall-", n % 3)},
-                    {"region", "manila"},
-                    {"state", "live"},
-                    {"checks_fence", this->plan.check_fence}});
+    const auto link = this->engine_links.find(n);
+    list.push_back(
+        {{"name", absl::StrCat("engine", n + 1)},
+         {"role", "engine"},
+         {"address", "127.0.0.1"},
+         {"port", link == this->engine_links.end() ? this->engine_ports[n]
+                                                   : link->second},
+         {"zone", absl::StrCat("hall-", n % 3)},
+         {"region", "manila"},
+         {"state", "live"},
+         {"checks_fence", this->plan.check_fence}});
   }
   for (int n = 0; n < this->plan.backends; ++n) {
     list.push_back({{"name", absl::StrCat("backend-", n)},
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -3,6 +3,7 @@
 
 #include <QCoreApplication>
 #include <QTemporaryDir>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -50,6 +51,9 @@
   std::string EngineUrl(int n) const;
   std::string BackendUrl(int n) const;
   std::string StoreUrl() const;
+  /// @brief From now on hosts read and are given other ports than these have.
+  void ReachStoreBy(int host, int port) { this->store_links[host] = port; }
+  void ReachEngineBy(int n, int port) { this->engine_links[n] = port; }
   Process& Host(int n) { return *this->hosts.at(n); }
   Process& Engines() { return *this->engines; }
   PooledClient& Client() { return this->client; }
@@ -73,7 +77,7 @@
   void Mark(const std::string& host, const std::string& mark, int version = 0,
             bool handover = false);
   std::string TemplateYaml(int max_output_tokens = 100'000) const;
-  void PutTemplate(const std::string& yaml, int version = 0);
+  nlohmann::json PutTemplate(const std::string& yaml, int version = 0);
   void PutHostList();
 
  private:
@@ -91,6 +95,8 @@
   std::vector<std::unique_ptr<Process>> hosts;
   std::vector<int> engine_ports;
   std::vector<int> backend_ports;
+  std::map<int, int> store_links;
+  std::map<int, int> engine_links;
 };
 
 /// @brief A Qt application for one test.
--- /dev/null
+++ b/tests/soak/asked.h
@@ -0,0 +1,58 @@
+#ifndef MEADOWTHREAD_TESTS_SOAK_ASKED_H_
+#define MEADOWTHREAD_TESTS_SOAK_ASKED_H_
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "net/http_client.h"
+
+namespace meadowthread::soak {
+
+/// @brief What a request may be.
+enum class Kind {
+  kStream,  ///< a generation that is streamed
+  kOnce,    ///< may not be repeated
+  kAgain,   ///< may be repeated
+};
+
+/// @brief One request of a caller. No two have the same id or length.
+struct Asked {
+  std::string id;
+  Kind kind = Kind::kAgain;
+  int length = 0;  ///< events or tokens of its answer
+  int host = 0;
+  bool by_link = false;  ///< over its host's link, which faults may break
+  bool on_used_connection = false;
+  bool while_stopping = false;  ///< sent after its host was told to stop
+};
+
+/// @brief What a caller got for one request.
+struct Answer {
+  int status = 0;  ///< 0: no head came
+  std::vector<HttpHeader> headers;
+  std::string body;
+  bool whole = false;      ///< HTTP says that it is complete
+  bool malformed = false;  ///< its bytes are no answer
+  bool left = false;       ///< the caller went away
+};
+
+/// @brief What an answer says about its request.
+enum class Word {
+  kWhole,    ///< its own, whole and exact
+  kNotRun,   ///< a promise that it never ran
+  kUnknown,  ///< a refusal without that promise
+  kCut,      ///< exact as far as it came, and not whole
+  kForeign,  ///< something that is not its own
+  kKeyRefused,
+};
+
+/// @brief What back ends saw of one request.
+struct Runs {
+  int first = 0;                  ///< runs that were no resumption
+  std::set<std::string> engines;  ///< on which it ran
+};
+
+}  // namespace meadowthread::soak
+
+#endif  // MEADOWTHREAD_TESTS_SOAK_ASKED_H_
--- /dev/null
+++ b/tests/soak/relay_world.cc
@@ -0,0 +1,194 @@
+#include <QUrl>
+
+#include "absl/strings/str_cat.h"
+#include "platform/tests/relay_fleet.h"
+#include "soak/world.h"
+
+namespace meadowthread::soak {
+namespace {
+
+using nlohmann::json;
+using tests::EventCaller;
+using tests::RelayFleet;
+
+constexpr int kEventMs = 1;
+
+// Statuses that promise that the request did not run and never will.
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+class RelayWorld final : public World {
+ public:
+  RelayWorld() : fleet(kHosts, kEngines, kEventMs) {}
+
+  bool Start() override;
+  void StartHost(int n) override {
+    this->KeepLog(n);
+    this->fleet.StartHost(n);
+  }
+  tests::Process& Host(int n) override { return this->fleet.Host(n); }
+  bool IsReady(int n) override { return this->fleet.IsReady(n); }
+
+  HttpRequest RequestOf(const Asked& asked) const override;
+  Word WordOf(const Asked& asked, const Answer& answer) override;
+  void ReadRecord() override;
+  Runs RunsOf(const Asked& asked) const override;
+  bool RunsOnce(Kind kind) const override { return kind != Kind::kAgain; }
+  void PutKeys(bool second) override;
+  int StatusWithSecondKey(int host) override {
+    return this->fleet.StatusOf(
+        this->fleet.Call(host, "GET", "/status/probe", "probe", "key-2"));
+  }
+
+  bool TakesReloads() const override { return true; }
+  bool EnginesEnd() const override { return true; }
+  void DrainEngine(int n) override {
+    this->fleet.Control("drain", {{"id", this->engines.at(n)}});
+  }
+  void KillEngine(int n) override {
+    this->fleet.Control("die", {{"id", this->engines.at(n)}});
+  }
+  void ReplaceEngine(int n) override;
+  std::string EngineName(int n) const override { return this->engines.at(n); }
+
+ private:
+  // Has hosts reach an engine over a link of ours.
+  void LinkEngine(int n, const json& addresses);
+  Word WordOfWhole(const Asked& asked, const Answer& answer) const;
+  int EventsOf(const Answer& answer);
+
+  RelayFleet fleet;
+  std::vector<std::string> engines;
+  std::map<std::string, Runs> runs;
+  int version = 0;
+};
+
+bool RelayWorld::Start() {
+  this->fleet.StartPlatform();
+  const json record = this->fleet.Control("record", json::object());
+  this->engine_links.resize(kEngines);
+  for (int n = 0; n < kEngines; ++n) {
+    this->engines.push_back(absl::StrCat("i-", n + 1));
+    this->LinkEngine(n, record["addresses"]);
+  }
+  this->PutKeys(true);
+  for (int n = 0; n < kHosts; ++n) {
+    this->caller_links.push_back(
+        std::make_unique<FaultProxy>(this->fleet.CallersPort(n)));
+    this->store_links.push_back(
+        std::make_unique<FaultProxy>(this->fleet.StorePort()));
+    this->fleet.ReachStoreBy(n, this->store_links.back()->Port());
+    this->fleet.StartHost(n);
+  }
+  return tests::WaitFor([this] { return this->fleet.AreReady(); });
+}
+
+void RelayWorld::LinkEngine(int n, const json& addresses) {
+  const std::string& id = this->engines.at(n);
+  const int port =
+      QUrl("http://" + QString::fromStdString(addresses[id])).port();
+  this->engine_links[n] = std::make_unique<FaultProxy>(port);
+  this->fleet.Control(
+      "reach",
+      {{"id", id},
+       {"address", absl::StrCat("127.0.0.1:", this->engine_links[n]->Port())}});
+}
+
+void RelayWorld::ReplaceEngine(int n) {
+  this->fleet.Control("remove", {{"id", this->engines.at(n)}});
+  const json record = this->fleet.Control("add-engine", {{"listed", false}});
+  this->engines[n] = record["last"];
+  this->LinkEngine(n, record["addresses"]);
+}
+
+HttpRequest RelayWorld::RequestOf(const Asked& asked) const {
+  const bool stream = asked.kind == Kind::kStream;
+  const std::string path = absl::StrCat(
+      asked.kind == Kind::kOnce ? "/confirm/" : "/status/", asked.id);
+  HttpRequest request =
+      stream ? this->fleet.Stream(asked.host, asked.id, asked.length)
+             : this->fleet.Call(asked.host,
+                                asked.kind == Kind::kOnce ? "POST" : "GET",
+                                path, asked.id);
+  if (asked.by_link) {
+    QUrl url(QString::fromStdString(request.url));
+    url.setPort(this->caller_links.at(asked.host)->Port());
+    request.url = url.toString(QUrl::FullyEncoded).toStdString();
+  }
+  return request;
+}
+
+void RelayWorld::PutKeys(bool second) {
+  ++this->version;
+  this->fleet.PutConfig(this->version,
+                        second ? std::vector<std::string>{"key-1", "key-2"}
+                               : std::vector<std::string>{"key-1"});
+}
+
+void RelayWorld::ReadRecord() {
+  this->runs.clear();
+  const json record = this->fleet.Control("record", json::object());
+  for (const json& run : record["runs"]) {
+    Runs& seen = this->runs[run["request"]];
+    seen.first += run["resumed"] == false ? 1 : 0;
+    seen.engines.insert(run["server"].get<std::string>());
+  }
+}
+
+Runs RelayWorld::RunsOf(const Asked& asked) const {
+  const auto found = this->runs.find(asked.id);
+  return found == this->runs.end() ? Runs{} : found->second;
+}
+
+int RelayWorld::EventsOf(const Answer& answer) {
+  EventCaller events(this->fleet.Client());
+  events.OnHead(answer.status, answer.headers);
+  events.OnData(answer.body);
+  events.OnEnd({});
+  return events.Events();
+}
+
+Word RelayWorld::WordOf(const Asked& asked, const Answer& answer) {
+  if (answer.malformed) {
+    return Word::kForeign;
+  }
+  if (answer.status == 200 && asked.kind == Kind::kStream) {
+    const int events = this->EventsOf(answer);
+    if (events < 0 || events > asked.length) {
+      return Word::kForeign;
+    }
+    if (!answer.whole) {
+      return Word::kCut;
+    }
+  }
+  return answer.whole ? this->WordOfWhole(asked, answer) : Word::kCut;
+}
+
+Word RelayWorld::WordOfWhole(const Asked& asked, const Answer& answer) const {
+  if (answer.status == 401) {
+    return Word::kKeyRefused;
+  }
+  if (answer.status != 200) {
+    return PromisesNotRun(answer.status) ? Word::kNotRun : Word::kUnknown;
+  }
+  if (FindHeader(answer.headers, "Request-Id") != asked.id) {
+    return Word::kForeign;
+  }
+  if (asked.kind == Kind::kStream) {
+    const std::string last = absl::StrCat("id: ", asked.length - 1, "\ndata: w",
+                                          asked.length - 1, "\n\n");
+    return answer.body.ends_with(last) ? Word::kWhole : Word::kForeign;
+  }
+  return answer.body.find("/" + asked.id + " ") != std::string::npos
+             ? Word::kWhole
+             : Word::kForeign;
+}
+
+}  // namespace
+
+std::unique_ptr<World> MakeRelayWorld() {
+  return std::make_unique<RelayWorld>();
+}
+
+}  // namespace meadowthread::soak
--- /dev/null
+++ b/tests/soak/soak_caller.cc
@@ -0,0 +1,101 @@
+#include "soak/soak_caller.h"
+
+#include <utility>
+
+namespace meadowthread::soak {
+namespace {
+
+constexpr std::size_t kHeadLimit = 65'536;
+// So much of an answer a caller that leaves has read.
+constexpr std::size_t kLeavesAfterBytes = 1'500;
+
+}  // namespace
+
+SoakCaller::SoakCaller(const Manner& manner, Next next, RequestOf request_of)
+    : manner(manner),
+      next(std::move(next)),
+      request_of(std::move(request_of)),
+      exchanges({{this->next(), {}}}),
+      slow(this->request_of(this->exchanges.front().asked)),
+      reader(MessageKind::kAnswer, kHeadLimit) {
+  if (this->manner.pipelines) {
+    this->Send();
+  }
+  this->slow.Read(this->manner.bytes_per_10_ms);
+}
+
+void SoakCaller::Send() {
+  Asked asked = this->next();
+  asked.on_used_connection = true;
+  this->slow.Send(tests::BytesOf(this->request_of(asked)));
+  this->exchanges.push_back({asked, {}});
+}
+
+void SoakCaller::Step(bool goes_on) {
+  if (this->over) {
+    return;
+  }
+  const std::string& got = this->slow.Got();
+  if (got.size() > this->taken) {
+    const std::size_t from = std::exchange(this->taken, got.size());
+    this->Take(this->reader.Feed(std::string_view(got).substr(from)));
+  }
+  if (this->over) {
+    return;
+  }
+  if (this->manner.leaves && got.size() > kLeavesAfterBytes) {
+    this->exchanges[this->answered].answer.left = true;
+    this->over = true;
+  } else if (this->slow.Ended() != tests::SlowCaller::End::kOpen) {
+    this->EndConnection();
+  } else if (this->answered == this->exchanges.size()) {
+    const bool more = goes_on || this->manner.follow_ups-- > 0;
+    this->over = !more || (this->manner.heeds_the_close && !this->keep_alive);
+    if (!this->over) {
+      this->Send();
+    }
+  }
+}
+
+void SoakCaller::Take(ReadState state) {
+  for (;;) {
+    if (this->answered == this->exchanges.size()) {
+      this->too_much = true;
+      this->over = true;
+      return;
+    }
+    Answer& answer = this->exchanges[this->answered].answer;
+    if (const MessageHead* const head = this->reader.Head()) {
+      answer.status = head->http_status;
+      answer.headers = head->headers;
+      this->keep_alive = head->keep_alive;
+    }
+    answer.body += this->reader.TakeBody();
+    answer.whole = state == ReadState::kWhole;
+    answer.malformed =
+        state == ReadState::kMalformed || state == ReadState::kHeadTooLarge;
+    if (!answer.whole) {
+      this->over = answer.malformed;
+      return;
+    }
+    ++this->answered;
+    const bool rest = this->reader.RestBytes() > 0;
+    state = this->reader.Next();
+    if (!rest) {
+      return;
+    }
+  }
+}
+
+// Several may be left: those after the first got nothing.
+void SoakCaller::EndConnection() {
+  this->over = true;
+  const bool in_order = this->slow.Ended() == tests::SlowCaller::End::kFinished;
+  if (in_order && this->answered < this->exchanges.size()) {
+    Answer& answer = this->exchanges[this->answered].answer;
+    answer.whole =
+        answer.status != 0 && this->reader.FeedEnd() == ReadState::kWhole;
+  }
+}
+
+}  // namespace meadowthread::soak
--- /dev/null
+++ b/tests/soak/world.h
@@ -0,0 +1,85 @@
+#ifndef MEADOWTHREAD_TESTS_SOAK_WORLD_H_
+#define MEADOWTHREAD_TESTS_SOAK_WORLD_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/http_client.h"
+#include "process/process.h"
+#include "soak/asked.h"
+#include "soak/fault_proxy.h"
+
+namespace meadowthread::soak {
+
+inline constexpr int kHosts = 3;
+inline constexpr int kEngines = 3;
+
+/// @brief The processes of one program's run with the links between them.
+class World {
+ public:
+  virtual ~World() = default;
+
+  /// @brief Starts everything and waits until every host serves.
+  /// @return false where a host does not come up
+  virtual bool Start() = 0;
+  /// @brief Starts a host that is not running; waits for nothing.
+  virtual void StartHost(int n) = 0;
+  virtual tests::Process& Host(int n) = 0;
+  virtual bool IsReady(int n) = 0;
+
+  /// @brief What a request is on the wire, to its host's own port or, by its
+  /// link, to the link's.
+  virtual HttpRequest RequestOf(const Asked& asked) const = 0;
+  virtual Word WordOf(const Asked& asked, const Answer& answer) = 0;
+
+  /// @brief Reads what the back ends saw so far.
+  virtual void ReadRecord() = 0;
+  virtual Runs RunsOf(const Asked& asked) const = 0;
+  /// @brief Whether back ends may see one request begin once at most.
+  virtual bool RunsOnce(Kind kind) const = 0;
+
+  /// @brief The configuration with or without the second key.
+  virtual void PutKeys(bool second) = 0;
+  /// @brief The status of a small request with the second key.
+  virtual int StatusWithSecondKey(int host) = 0;
+
+  virtual bool TakesReloads() const = 0;
+  /// @brief Whether engines can be drained and killed one by one.
+  virtual bool EnginesEnd() const = 0;
+  /// @brief An engine announces that it leaves.
+  virtual void DrainEngine(int n) = 0;
+  /// @brief An engine is gone at once.
+  virtual void KillEngine(int n) = 0;
+  /// @brief Another engine takes the place of one that was drained or killed.
+  virtual void ReplaceEngine(int n) = 0;
+  /// @brief Its name in what the back ends saw.
+  virtual std::string EngineName(int n) const = 0;
+
+  FaultProxy& CallerLink(int host) { return *this->caller_links.at(host); }
+  FaultProxy& StoreLink(int host) { return *this->store_links.at(host); }
+  FaultProxy& EngineLink(int engine) { return *this->engine_links.at(engine); }
+  void HealLinks();
+
+  /// @brief What hosts wrote before the ones that run now.
+  std::map<std::string, std::string> Logs();
+
+ protected:
+  /// @brief Keeps the log of a host that is about to be replaced.
+  void KeepLog(int n);
+
+  std::vector<std::unique_ptr<FaultProxy>> caller_links;
+  std::vector<std::unique_ptr<FaultProxy>> store_links;
+  std::vector<std::unique_ptr<FaultProxy>> engine_links;
+
+ private:
+  std::map<std::string, std::string> old_logs;
+};
+
+std::unique_ptr<World> MakeRelayWorld();
+std::unique_ptr<World> MakeServeWorld();
+
+}  // namespace meadowthread::soak
+
+#endif  // MEADOWTHREAD_TESTS_SOAK_WORLD_H_
