--- a/tests/soak/relay_world.cc
+++ b/tests/soak/relay_world.cc
@@ -12,6 +12,8 @@
 using tests::RelayFleet;
 
 constexpr int kEventMs = 1;
+// An id, a word and the chunk that they come in.
+constexpr int kEventBytes = 26;
 
 // Statuses that promise that the request did not run and never will.
 bool PromisesNotRun(int status) {
@@ -32,6 +34,7 @@
 
   HttpRequest RequestOf(const Asked& asked) const override;
   Word WordOf(const Asked& asked, const Answer& answer) override;
+  int EventBytes() const override { return kEventBytes; }
   void ReadRecord() override;
   Runs RunsOf(const Asked& asked) const override;
   bool RunsOnce(Kind kind) const override { return kind != Kind::kAgain; }
@@ -42,6 +45,7 @@
   }
 
   bool TakesReloads() const override { return true; }
+  bool HandsOver() const override { return false; }
   bool EnginesEnd() const override { return true; }
   void DrainEngine(int n) override {
     this->fleet.Control("drain", {{"id", this->engines.at(n)}});
--- a/tests/soak/round.cc
+++ b/tests/soak/round.cc
@@ -23,9 +23,6 @@
 constexpr int kLateCallers = 4;
 constexpr int kMostFaults = 4;
 constexpr int kUnauthorized = 401;
-// Bytes of one streamed event or token, by which readers are slowed down: each
-// reads its whole answer in a few seconds.
-constexpr int kEventBytes = 26;
 constexpr int kTicksASecond = 100;
 
 }  // namespace
@@ -69,7 +66,8 @@
   auto first =
       std::make_shared<Asked>(this->Next(draw, host, by_link, slow ? 8 : 2));
   manner.bytes_per_10_ms =
-      slow ? static_cast<std::size_t>(1 + first->length * kEventBytes /
+      slow ? static_cast<std::size_t>(1 + first->length *
+                                              this->course.world.EventBytes() /
                                               (read_s * kTicksASecond))
            : 2'048;
   this->callers.push_back(std::make_unique<SoakCaller>(
@@ -129,6 +127,9 @@
 
 void Round::Stop(int host) {
   World& world = this->course.world;
+  if (this->disturbed.ended_hosts.contains(host) && world.HandsOver()) {
+    this->disturbed.late_hosts.insert(host);
+  }
   this->Tell(absl::StrCat("stop host-", host));
   this->disturbed.ended_hosts.insert(host);
   world.Host(host).AskToStop();
--- a/tests/soak/serve_world.cc
+++ b/tests/soak/serve_world.cc
@@ -13,6 +13,9 @@
 using tests::FleetPlan;
 using tests::StreamingCaller;
 
+// A token's object of the convention.
+constexpr int kEventBytes = 190;
+
 FleetPlan Plan() {
   FleetPlan plan;
   plan.hosts = kHosts;
@@ -38,6 +41,7 @@
 
   HttpRequest RequestOf(const Asked& asked) const override;
   Word WordOf(const Asked& asked, const Answer& answer) override;
+  int EventBytes() const override { return kEventBytes; }
   void ReadRecord() override;
   Runs RunsOf(const Asked& asked) const override;
   // Others may be run again elsewhere, and a stream goes on with the new run.
@@ -46,6 +50,7 @@
   int StatusWithSecondKey(int host) override;
 
   bool TakesReloads() const override { return false; }
+  bool HandsOver() const override { return true; }
   bool EnginesEnd() const override { return false; }
   void DrainEngine(int /*n*/) override {}
   void KillEngine(int /*n*/) override {}
--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -8,6 +8,8 @@
 constexpr std::size_t kHeadLimit = 65'536;
 // So much of an answer a caller that leaves has read.
 constexpr std::size_t kLeavesAfterBytes = 1'500;
+// Refusals come faster than a host ends.
+constexpr std::size_t kMostExchanges = 20;
 
 }  // namespace
 
@@ -44,12 +46,15 @@
     return;
   }
   if (this->manner.leaves && got.size() > kLeavesAfterBytes) {
-    this->exchanges[this->answered].answer.left = true;
+    for (std::size_t i = this->answered; i < this->exchanges.size(); ++i) {
+      this->exchanges[i].answer.left = true;
+    }
     this->over = true;
   } else if (this->slow.Ended() != tests::SlowCaller::End::kOpen) {
     this->EndConnection();
   } else if (this->answered == this->exchanges.size()) {
-    const bool more = goes_on || this->manner.follow_ups-- > 0;
+    const bool more = this->manner.follow_ups-- > 0 ||
+                      (goes_on && this->exchanges.size() < kMostExchanges);
     this->over = !more || (this->manner.heeds_the_close && !this->keep_alive);
     if (!this->over) {
       this->Send();
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -34,6 +34,9 @@
   virtual HttpRequest RequestOf(const Asked& asked) const = 0;
   virtual Word WordOf(const Asked& asked, const Answer& answer) = 0;
 
+  /// @brief About what one event or token of a stream takes on the wire.
+  virtual int EventBytes() const = 0;
+
   /// @brief Reads what the back ends saw so far.
   virtual void ReadRecord() = 0;
   virtual Runs RunsOf(const Asked& asked) const = 0;
@@ -46,6 +49,8 @@
   virtual int StatusWithSecondKey(int host) = 0;
 
   virtual bool TakesReloads() const = 0;
+  /// @brief Whether a second stop cuts streams, which their callers resume.
+  virtual bool HandsOver() const = 0;
   /// @brief Whether engines can be drained and killed one by one.
   virtual bool EnginesEnd() const = 0;
   /// @brief An engine announces that it leaves.
