A caller that reads slowly keeps its connection as long as it takes a byte

Cause: TCP_USER_TIMEOUT on callers' connections. The kernel counts the time in which a reader keeps its window closed as silence, and forgets it only when a window opens that the first waiting segment fits into: a caller that reads 8 kB a second lost the rest of its answer six seconds after its window had first stayed closed, without a reset that it sees and without a line in the log. Ruled out: an end of the host's (none stopped), unread bytes, a run broken off (its line says complete). Change: the option stays on connections that we open. Conclusion: reading slowly is no fault; taking nothing still is, and is said so.

--- a/src/net/plain_socket.cc
+++ b/src/net/plain_socket.cc
@@ -21,9 +21,12 @@
 constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
 // Reads of one socket in one turn, so that a fast peer does not starve others.
 constexpr int kReadsPerTurn = 4;
-// A peer whose host lost power or is cut off says nothing. Bytes that nobody
-// acknowledges, and probes on a silent connection, end it after this long;
-// shorter than any deadline of a generation, longer than a link's hiccups.
+// A peer whose host lost power or is cut off says nothing. Probes on a silent
+// connection, and on one that we opened bytes that nobody acknowledges, end it
+// after this long; shorter than any deadline of a generation, longer than a
+// link's hiccups. Callers are left out of the latter: the kernel counts a
+// window that a slow reader keeps closed as silence, whatever it reads
+// meanwhile. Their connections watch what they take.
 constexpr int kDeadPeerMs = 6'000;
 constexpr int kProbeAfterS = 3;
 constexpr int kProbeEveryS = 1;
@@ -41,7 +44,6 @@
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterS);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kProbeEveryS);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
-  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kDeadPeerMs);
 }
 
 absl::Status ConnectError(const std::string& peer, std::string_view what) {
@@ -71,6 +73,7 @@
     return ConnectError(peer, std::strerror(errno));
   }
   SetOptions(descriptor);
+  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kDeadPeerMs);
   const int begun = connect(
       descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
   if (begun != 0 && errno != EINPROGRESS) {
--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -20,9 +20,12 @@
 // After the caller's kernel has the last answer: what the caller still sends is
 // dropped this long, so that a reset doesn't overtake what it has yet to read.
 constexpr std::int64_t kLingerMs = 1'000;
-// A caller that takes none of the last bytes for this long loses them; less
-// than the kernel itself waits for a peer that is gone.
+// A caller that takes none of the last bytes for this long loses them.
 constexpr std::int64_t kLastBytesMs = 5'000;
+// A caller that takes nothing of what waits for it for this long is gone, or as
+// good as gone: shorter than any deadline of a generation, longer than a link's
+// hiccups.
+constexpr std::int64_t kTakesNothingMs = 6'000;
 // When a request that this host had no memory for may come back.
 constexpr std::int64_t kNoMemoryRetryMs = 500;
 
@@ -389,6 +392,18 @@
   }
 }
 
+// One byte is enough: a caller may read as slowly as it likes.
+bool ServerConnection::TakesNothing(std::int64_t now_ms) {
+  const SocketBacklog left = this->socket->Backlog();
+  const std::int64_t now_taken = this->socket->SentBytes() -
+                                 std::max<std::int64_t>(0, left.unacknowledged);
+  if (OnTheWay(left) == 0 || now_taken != this->taken) {
+    this->taken = now_taken;
+    this->taken_ms = now_ms;
+  }
+  return now_ms - this->taken_ms > kTakesNothingMs;
+}
+
 bool ServerConnection::IsOwed() const {
   switch (this->phase) {
     case Phase::kReading:
@@ -424,6 +439,9 @@
     this->CheckEnding(now_ms);
     return;
   }
+  if (this->phase != Phase::kOver && this->TakesNothing(now_ms)) {
+    this->Abort("caller_takes_nothing");
+  }
   if (this->phase != Phase::kReading) {
     return;
   }
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -115,6 +115,7 @@
   void CloseAfterAnswer();
   void LogCut(std::string_view why) const;
   void CheckEnding(std::int64_t now_ms);
+  bool TakesNothing(std::int64_t now_ms);
   void End();
 
   ConnectionHost& host;
@@ -136,6 +137,8 @@
   std::int64_t resting_ms = 0;   ///< since when no request is there
   std::int64_t progress_ms = 0;  ///< since when the last bytes stand still
   std::int64_t on_the_way = 0;   ///< of the last answer, when last looked at
+  std::int64_t taken = 0;     ///< by the caller's kernel, when last looked at
+  std::int64_t taken_ms = 0;  ///< since when it takes nothing of what waits
   std::function<void()> closed_told;
   std::function<void()> drained_told;
 };
--- a/src/net/tests/delivery_test.cc
+++ b/src/net/tests/delivery_test.cc
@@ -69,6 +69,24 @@
   cr_assert(Fixture::HasAll(caller), "%zu bytes came", caller.Got().size());
 }
 
+Test(a_slow_caller, gets_a_whole_answer_that_its_kernel_takes_for_long) {
+  Fixture f;
+  f.request.headers = {{"Connection", "close"}};
+  SlowCaller caller(f.request);
+  cr_assert(f.IsServed());
+  // 8 kB a second: ten seconds, its window closed most of the time
+  caller.Read(80);
+  cr_assert(f.IsOver(caller));
+  cr_assert(Fixture::HasAll(caller), "%zu bytes came", caller.Got().size());
+}
+
+Test(a_caller_that_takes_nothing, is_given_up) {
+  Fixture f;
+  const SlowCaller caller(f.request);
+  cr_assert(f.IsServed());
+  cr_assert(f.loop.Until([&] { return f.server->Connections() == 0; }));
+}
+
 Test(a_server, owes_an_answer_until_its_caller_has_it) {
   Fixture f;
   SlowCaller caller(f.request);
