--- a/tests/soak/relay_world.cc
+++ b/tests/soak/relay_world.cc
@@ -12,6 +12,7 @@
 using tests::RelayFleet;
 
 constexpr int kEventMs = 1;
+constexpr int kPlainServers = 2;
 // An id, a word and the chunk that they come in.
 constexpr int kEventBytes = 26;
 
@@ -71,8 +72,8 @@
 bool RelayWorld::Start() {
   this->fleet.StartPlatform();
   const json record = this->fleet.Control("record", json::object());
-  this->engine_links.resize(kEngines);
-  for (int n = 0; n < kEngines; ++n) {
+  this->engine_links.resize(kEngines + kPlainServers);
+  for (int n = 0; n < this->BackEndLinks(); ++n) {
     this->engines.push_back(absl::StrCat("i-", n + 1));
     this->LinkEngine(n, record["addresses"]);
   }
--- a/tests/soak/round.cc
+++ b/tests/soak/round.cc
@@ -24,6 +24,8 @@
 constexpr int kMostFaults = 4;
 constexpr int kUnauthorized = 401;
 constexpr int kTicksASecond = 100;
+// All that a caller's kernel holds for it.
+constexpr std::size_t kFastBytes = 2'048;
 
 }  // namespace
 
@@ -69,7 +71,7 @@
       slow ? static_cast<std::size_t>(1 + first->length *
                                               this->course.world.EventBytes() /
                                               (read_s * kTicksASecond))
-           : 2'048;
+           : kFastBytes;
   this->callers.push_back(std::make_unique<SoakCaller>(
       manner,
       [this, own, host, by_link, first, begun = false]() mutable {
@@ -81,6 +83,19 @@
       }));
 }
 
+// One a host, so that each kind of request meets each fault.
+void Round::AddSmallCallers() {
+  for (int host = 0; host < kHosts; ++host) {
+    const auto own = std::make_shared<Draw>(this->course.draw.Fork());
+    this->callers.push_back(std::make_unique<SoakCaller>(
+        Manner{kFastBytes, 2},
+        [this, own, host] { return this->Next(*own, host, false, 1); },
+        [this](const Asked& asked) {
+          return this->course.world.RequestOf(asked);
+        }));
+  }
+}
+
 bool Round::Until(const std::function<bool()>& done, int limit_ms) {
   const QDeadlineTimer limit(limit_ms);
   for (;;) {
@@ -147,8 +162,10 @@
   slow.bytes_per_tick = draw.Between(100, 400);
   *broken = manner != 3;
   if (manner == 0) {
-    this->Tell(name + " is reset");
-    link.ResetAll();
+    // What was asked is done, and nobody hears of it.
+    this->Tell(name + " loses answers and is reset");
+    link.SetFaults({}, held);
+    this->to_reset.push_back(&link);
   } else if (manner == 1) {
     this->Tell(absl::StrCat(name, " is cut one way, upward=", upward));
     link.SetFaults(upward ? held : LinkFault{}, upward ? LinkFault{} : held);
@@ -214,6 +231,7 @@
   Draw& draw = this->course.draw;
   const int host = draw.Below(kHosts);
   const int engine = draw.Below(kEngines);
+  const int back_end = draw.Below(world.BackEndLinks());
   const int pass = draw.Between(500, 5'000);
   bool broken = false;
   switch (fault) {
@@ -252,10 +270,10 @@
       }
       break;
     case Fault::kEngineLink:
-      this->StrikeLink(world.EngineLink(engine),
-                       "link to " + world.EngineName(engine), &broken);
+      this->StrikeLink(world.EngineLink(back_end),
+                       "link to " + world.EngineName(back_end), &broken);
       if (broken) {
-        this->disturbed.engines.insert(world.EngineName(engine));
+        this->disturbed.engines.insert(world.EngineName(back_end));
       }
       break;
     case Fault::kStoreLink:
@@ -308,6 +326,7 @@
       --late;
       this->AddCaller(draw.Below(kHosts));
     }
+    this->AddSmallCallers();
     this->LetPass(draw.Between(500, 8'000));
     if (draw.OneIn(3)) {
       this->RestartEnded();
@@ -317,6 +336,9 @@
     this->AddCaller(draw.Below(kHosts));
   }
   this->LetPass(draw.Between(500, 8'000));
+  for (FaultProxy* const link : this->to_reset) {
+    link->ResetAll();
+  }
   world.HealLinks();
   if (!this->Until([this] { return this->AreOver(); }, kLimitMs)) {
     this->Complain("callers got no end");
@@ -417,7 +439,7 @@
     for (int n = 0; n < kHosts; ++n) {
       for (const int small_in : {1, 1'000'000}) {
         this->callers.push_back(std::make_unique<SoakCaller>(
-            Manner{2'048},
+            Manner{kFastBytes},
             [this, n, small_in] {
               return this->Next(this->course.draw, n, n == 0, small_in);
             },
--- a/tests/soak/round.h
+++ b/tests/soak/round.h
@@ -58,6 +58,7 @@
 
   Asked Next(Draw& draw, int host, bool by_link, int small_in);
   void AddCaller(int host);
+  void AddSmallCallers();
   void Strike(Fault fault);
   void StrikeLink(FaultProxy& link, const std::string& name, bool* broken);
   void Stop(int host);
@@ -77,6 +78,7 @@
   Course& course;
   std::vector<std::unique_ptr<SoakCaller>> callers;
   Disturbed disturbed;
+  std::vector<FaultProxy*> to_reset;
   std::set<int> store_links_hit;
   std::set<int> paused_hosts;
   std::set<int> ended_engines;
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -62,6 +62,10 @@
   /// @brief Its name in what the back ends saw.
   virtual std::string EngineName(int n) const = 0;
 
+  /// @brief Links to back ends: engines first, then others.
+  int BackEndLinks() const {
+    return static_cast<int>(this->engine_links.size());
+  }
   FaultProxy& CallerLink(int host) { return *this->caller_links.at(host); }
   FaultProxy& StoreLink(int host) { return *this->store_links.at(host); }
   FaultProxy& EngineLink(int engine) { return *this->engine_links.at(engine); }
