--- a/tests/soak/round.cc
+++ b/tests/soak/round.cc
@@ -4,6 +4,8 @@
 #include <QDeadlineTimer>
 #include <QEventLoop>
 #include <QThread>
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -162,10 +164,8 @@
   slow.bytes_per_tick = draw.Between(100, 400);
   *broken = manner != 3;
   if (manner == 0) {
-    // What was asked is done, and nobody hears of it.
-    this->Tell(name + " loses answers and is reset");
-    link.SetFaults({}, held);
-    this->to_reset.push_back(&link);
+    this->Tell(name + " is reset");
+    link.ResetAll();
   } else if (manner == 1) {
     this->Tell(absl::StrCat(name, " is cut one way, upward=", upward));
     link.SetFaults(upward ? held : LinkFault{}, upward ? LinkFault{} : held);
@@ -178,6 +178,15 @@
   }
 }
 
+// What was asked is done, and nobody hears of it: the link is reset later.
+void Round::LoseAnswers(FaultProxy& link, const std::string& name) {
+  LinkFault held;
+  held.held = true;
+  this->Tell(name + " loses answers");
+  link.SetFaults({}, held);
+  this->to_reset.push_back(&link);
+}
+
 bool Round::IsUndisturbed(int host) {
   return this->course.world.Host(host).IsRunning() &&
          !this->disturbed.ended_hosts.contains(host) &&
@@ -286,11 +295,14 @@
     case Fault::kKillEngine:
       this->EndEngine(engine, fault == Fault::kKillEngine);
       break;
+    case Fault::kLoseAnswers:
+      this->LoseAnswers(world.EngineLink(back_end),
+                        "link to " + world.EngineName(back_end));
+      this->disturbed.engines.insert(world.EngineName(back_end));
+      break;
     case Fault::kKeys:
       this->ChangeKeys();
       break;
-    case Fault::kCount:
-      break;
   }
 }
 
@@ -320,8 +332,7 @@
   for (int i = 0; i < faults; ++i) {
     const bool stops = i == 0 && !draw.OneIn(4);
     this->Strike(stops ? (draw.OneIn(3) ? Fault::kStopSeries : Fault::kStop)
-                       : static_cast<Fault>(
-                             draw.Below(static_cast<int>(Fault::kCount))));
+                       : kFaults[draw.Below(std::size(kFaults))]);
     if (late > 0) {
       --late;
       this->AddCaller(draw.Below(kHosts));
@@ -342,6 +353,15 @@
   world.HealLinks();
   if (!this->Until([this] { return this->AreOver(); }, kLimitMs)) {
     this->Complain("callers got no end");
+    for (const auto& caller : this->callers) {
+      if (!caller->IsOver()) {
+        this->Tell(absl::StrCat(
+            "no end: ", caller->Exchanges().front().asked.id, ", ",
+            caller->Bytes(), " bytes came, the last of them ",
+            caller->Raw().substr(caller->Bytes() -
+                                 std::min<std::size_t>(caller->Bytes(), 80))));
+      }
+    }
   }
   this->Until(
       [&] {
--- a/tests/soak/round.h
+++ b/tests/soak/round.h
@@ -52,15 +52,23 @@
     kStoreLink,
     kDrainEngine,
     kKillEngine,
+    kLoseAnswers,
     kKeys,
-    kCount,
   };
+  // Drawn from; what stands twice is drawn twice as often.
+  static constexpr Fault kFaults[] = {
+      Fault::kStop,        Fault::kStopSeries,  Fault::kKill,
+      Fault::kPause,       Fault::kReload,      Fault::kCallerLink,
+      Fault::kEngineLink,  Fault::kStoreLink,   Fault::kDrainEngine,
+      Fault::kKillEngine,  Fault::kLoseAnswers, Fault::kLoseAnswers,
+      Fault::kLoseAnswers, Fault::kKeys,        Fault::kKeys};
 
   Asked Next(Draw& draw, int host, bool by_link, int small_in);
   void AddCaller(int host);
   void AddSmallCallers();
   void Strike(Fault fault);
   void StrikeLink(FaultProxy& link, const std::string& name, bool* broken);
+  void LoseAnswers(FaultProxy& link, const std::string& name);
   void Stop(int host);
   void ChangeKeys();
   void EndEngine(int engine, bool killed);
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -41,6 +41,8 @@
   /// @brief A byte of its first answer came, or none will.
   bool HasBegun() const { return this->over || !this->slow.Got().empty(); }
   std::size_t Bytes() const { return this->slow.Got().size(); }
+  /// @brief All of its connection's bytes.
+  const std::string& Raw() const { return this->slow.Got(); }
   int Host() const { return this->exchanges.front().asked.host; }
   const std::vector<Exchange>& Exchanges() const { return this->exchanges; }
   /// @brief Bytes came that belong to no request.
