--- a/tests/soak/round.h
+++ b/tests/soak/round.h
@@ -66,7 +66,9 @@
   Asked Next(Draw& draw, int host, bool by_link, int small_in);
   void AddCaller(int host);
   void AddSmallCallers();
+  void StrikeAll();
   void Strike(Fault fault);
+  void StrikeLinkOf(Fault fault, int host);
   void StrikeLink(FaultProxy& link, const std::string& name, bool* broken);
   void LoseAnswers(FaultProxy& link, const std::string& name);
   void Stop(int host);
@@ -80,6 +82,7 @@
   void LetPass(int bytes);
   std::size_t Bytes() const;
   bool AreOver() const;
+  void TellUnended();
   void Tell(const std::string& what);
   void Complain(const std::string& what);
 
