--- a/tests/soak/relay_world.cc
+++ b/tests/soak/relay_world.cc
@@ -15,6 +15,8 @@
 constexpr int kPlainServers = 2;
 // An id, a word and the chunk that they come in.
 constexpr int kEventBytes = 26;
+// An answer has tens of kilobytes.
+constexpr int kReceiveBytes = 2'048;
 
 // Statuses that promise that the request did not run and never will.
 bool PromisesNotRun(int status) {
@@ -36,6 +38,7 @@
   HttpRequest RequestOf(const Asked& asked) const override;
   Word WordOf(const Asked& asked, const Answer& answer) override;
   int EventBytes() const override { return kEventBytes; }
+  int ReceiveBytes() const override { return kReceiveBytes; }
   void ReadRecord() override;
   Runs RunsOf(const Asked& asked) const override;
   bool RunsOnce(Kind kind) const override { return kind != Kind::kAgain; }
--- a/tests/soak/round.cc
+++ b/tests/soak/round.cc
@@ -28,7 +28,7 @@
 constexpr int kMostFaults = 4;
 constexpr int kUnauthorized = 401;
 constexpr int kTicksASecond = 100;
-// All that a caller's kernel holds for it.
+// Faster than answers come.
 constexpr std::size_t kFastBytes = 2'048;
 
 // What the kernel knows of the connections to a request's port.
@@ -74,6 +74,7 @@
   Draw& draw = *own;
   const bool by_link = draw.OneIn(3);
   Manner manner;
+  manner.receive_bytes = this->course.world.ReceiveBytes();
   manner.follow_ups = draw.Below(3);
   manner.pipelines = draw.OneIn(4);
   manner.leaves = draw.OneIn(8);
@@ -103,7 +104,7 @@
   for (int host = 0; host < kHosts; ++host) {
     const auto own = std::make_shared<Draw>(this->course.draw.Fork());
     this->callers.push_back(std::make_unique<SoakCaller>(
-        Manner{kFastBytes, 2},
+        Manner{kFastBytes, this->course.world.ReceiveBytes(), 2},
         [this, own, host] { return this->Next(*own, host, false, 1); },
         [this](const Asked& asked) {
           return this->course.world.RequestOf(asked);
@@ -474,7 +475,7 @@
     for (int n = 0; n < kHosts; ++n) {
       for (const int small_in : {1, 1'000'000}) {
         this->callers.push_back(std::make_unique<SoakCaller>(
-            Manner{kFastBytes},
+            Manner{kFastBytes, world.ReceiveBytes()},
             [this, n, small_in] {
               return this->Next(this->course.draw, n, n == 0, small_in);
             },
--- a/tests/soak/serve_world.cc
+++ b/tests/soak/serve_world.cc
@@ -15,6 +15,9 @@
 
 // A token's object of the convention.
 constexpr int kEventBytes = 190;
+// An answer has hundreds of kilobytes. With less than some segments the
+// caller's kernel offers so small a window that ours sends by a timer only.
+constexpr int kReceiveBytes = 8'192;
 
 FleetPlan Plan() {
   FleetPlan plan;
@@ -42,6 +45,7 @@
   HttpRequest RequestOf(const Asked& asked) const override;
   Word WordOf(const Asked& asked, const Answer& answer) override;
   int EventBytes() const override { return kEventBytes; }
+  int ReceiveBytes() const override { return kReceiveBytes; }
   void ReadRecord() override;
   Runs RunsOf(const Asked& asked) const override;
   // Others may be run again elsewhere, and a stream goes on with the new run.
--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -8,9 +8,6 @@
 constexpr std::size_t kHeadLimit = 65'536;
 // So much of an answer a caller that leaves has read.
 constexpr std::size_t kLeavesAfterBytes = 1'500;
-// Little enough that a long answer waits in its host, and enough for several
-// segments: below that a kernel sends what fits only when a timer asks it to.
-constexpr int kReceiveBytes = 8'192;
 // Refusals come faster than a host ends.
 constexpr std::size_t kMostExchanges = 20;
 
@@ -21,7 +18,8 @@
       next(std::move(next)),
       request_of(std::move(request_of)),
       exchanges({{this->next(), {}}}),
-      slow(this->request_of(this->exchanges.front().asked), kReceiveBytes),
+      slow(this->request_of(this->exchanges.front().asked),
+           manner.receive_bytes),
       reader(MessageKind::kAnswer, kHeadLimit) {
   if (this->manner.pipelines) {
     this->Send();
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -13,6 +13,7 @@
 /// @brief How a caller behaves.
 struct Manner {
   std::size_t bytes_per_10_ms = 1;
+  int receive_bytes = 0;         ///< that its kernel holds for it
   int follow_ups = 0;            ///< requests after its first ones
   bool pipelines = false;        ///< sends two at once
   bool leaves = false;           ///< goes away in the middle of its answer
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -37,6 +37,10 @@
   /// @brief About what one event or token of a stream takes on the wire.
   virtual int EventBytes() const = 0;
 
+  /// @brief What a caller's kernel is to hold: little enough that a long answer
+  /// waits in its host.
+  virtual int ReceiveBytes() const = 0;
+
   /// @brief Reads what the back ends saw so far.
   virtual void ReadRecord() = 0;
   virtual Runs RunsOf(const Asked& asked) const = 0;
