A new connection's caller has its six seconds too

Cause: the time since which a caller takes nothing began at zero, so that the first look at a connection whose first answer was on its way took it for silent since the host's start and broke it. Test first: it failed, and passes. Change: it begins with the connection.

--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -79,6 +79,7 @@
 /////////////////////////
 
 void ServerConnection::OnBytes(std::string_view bytes) {
+  this->taken_ms = this->host.NowMs();
   if (this->phase == Phase::kEnding || this->phase == Phase::kOver) {
     return;
   }
--- a/src/net/tests/delivery_test.cc
+++ b/src/net/tests/delivery_test.cc
@@ -10,6 +10,7 @@
 #include <memory>
 
 #include "net/http_server.h"
+#include "net/tests/played_connection.h"
 #include "net/tests/raw_peer.h"
 #include "net/tests/slow_caller.h"
 
@@ -80,6 +81,32 @@
   cr_assert(Fixture::HasAll(caller), "%zu bytes came", caller.Got().size());
 }
 
+// Answers when the test says so.
+struct PlayedAnswer final : public testing::PlayedConnection {
+  using PlayedConnection::PlayedConnection;
+  void Serve(const ServerRequest&,
+             std::unique_ptr<ResponseWriter> with) override {
+    this->writer = std::move(with);
+  }
+  std::unique_ptr<ResponseWriter> writer;
+};
+
+Test(a_caller_that_takes_nothing, has_its_time_from_its_first_byte_on) {
+  // given a connection that is new to a host which runs for long
+  constexpr std::int64_t kNowMs = 1'000'000;
+  PlayedAnswer caller(ServerLimits{}, kNowMs);
+  caller.Feed("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  caller.SetPending(100);
+  // when the server looks while the answer's first bytes are on their way
+  caller.Look(kNowMs + 1);
+  // then the caller has its time
+  cr_assert(!caller.IsClosed());
+  caller.Look(kNowMs + 5'900);
+  cr_assert(!caller.IsClosed());
+  caller.Look(kNowMs + 6'100);
+  cr_assert(caller.IsClosed());
+}
+
 Test(a_caller_that_takes_nothing, is_given_up) {
   Fixture f;
   const SlowCaller caller(f.request);
--- a/src/net/tests/played_connection.h
+++ b/src/net/tests/played_connection.h
@@ -14,7 +14,10 @@
 /// in what inherits from this, the service.
 class PlayedConnection : public detail::ConnectionHost, public HttpService {
  public:
-  explicit PlayedConnection(const ServerLimits& with = {}) : limits(with) {
+  /// @param[in] now_ms the clock's time, which Look moves on
+  explicit PlayedConnection(const ServerLimits& with = {},
+                            std::int64_t now_ms = 0)
+      : limits(with), now_ms(now_ms) {
     auto made = std::make_unique<Socket>(*this);
     this->connection =
         std::make_shared<detail::ServerConnection>(*this, std::move(made));
@@ -31,13 +34,18 @@
 
   /// @brief How much of what was written the caller has yet to take.
   void SetPending(std::int64_t bytes) { this->pending = bytes; }
+  /// @brief The server looks at its time limits.
+  void Look(std::int64_t at_ms) {
+    this->now_ms = at_ms;
+    this->connection->CheckTime(at_ms);
+  }
   void Drain() {
     this->pending = 0;
     this->connection->OnDrained();
   }
 
   const ServerLimits& Limits() const override { return this->limits; }
-  std::int64_t NowMs() const override { return 0; }
+  std::int64_t NowMs() const override { return this->now_ms; }
   HttpService& Service() override { return *this; }
   bool IsClosing() const override { return false; }
   bool Hold(std::int64_t) override { return true; }
@@ -69,6 +77,7 @@
   };
 
   ServerLimits limits;
+  std::int64_t now_ms;
   std::string got;
   bool closed = false;
   std::int64_t pending = 0;
