--- a/src/net/tests/delivery_test.cc
+++ b/src/net/tests/delivery_test.cc
@@ -10,6 +10,7 @@
 #include <memory>
 
 #include "net/http_server.h"
+#include "net/tests/played_connection.h"
 #include "net/tests/raw_peer.h"
 #include "net/tests/slow_caller.h"
 
@@ -97,6 +98,53 @@
   cr_assert(Fixture::HasAll(caller), "%zu bytes came", caller.Got().size());
 }
 
+// Answers when the test says so.
+struct PlayedAnswer final : public testing::PlayedConnection {
+  using PlayedConnection::PlayedConnection;
+  void Serve(const ServerRequest&,
+             std::unique_ptr<ResponseWriter> with) override {
+    this->writer = std::move(with);
+  }
+  std::unique_ptr<ResponseWriter> writer;
+};
+
+Test(a_caller_that_takes_nothing, has_its_time_from_its_first_byte_on) {
+  // given a connection that is new to a host which runs for long
+  constexpr std::int64_t kNowMs = 1'000'000;
+  PlayedAnswer caller(ServerLimits{}, kNowMs);
+  caller.Feed("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  caller.SetPending(100);
+  // when the server looks while the answer's first bytes are on their way
+  caller.Look(kNowMs + 1);
+  // then the caller has its time
+  cr_assert(!caller.IsClosed());
+  caller.Look(kNowMs + 5'900);
+  cr_assert(!caller.IsClosed());
+  caller.Look(kNowMs + 6'100);
+  cr_assert(caller.IsClosed());
+}
+
+Test(a_caller_that_takes_nothing, may_rest_while_its_kernel_answers_probes) {
+  constexpr std::int64_t kNowMs = 1'000'000;
+  PlayedAnswer caller(ServerLimits{}, kNowMs);
+  caller.SetSilent(100);
+  caller.Feed("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  caller.SetPending(100);
+  caller.Look(kNowMs + 1);
+  caller.Look(kNowMs + 59'900);
+  cr_assert(!caller.IsClosed());
+  // and is given up in the end, or as soon as its kernel is silent
+  PlayedAnswer silent(ServerLimits{}, kNowMs);
+  silent.Feed("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  silent.SetPending(100);
+  silent.Look(kNowMs + 1);
+  silent.SetSilent(6'100);
+  silent.Look(kNowMs + 6'100);
+  cr_assert(silent.IsClosed());
+  caller.Look(kNowMs + 60'100);
+  cr_assert(caller.IsClosed());
+}
+
 Test(a_server, owes_an_answer_until_its_caller_has_it) {
   Fixture f;
   SlowCaller caller(f.request);
--- a/src/net/tests/played_connection.h
+++ b/src/net/tests/played_connection.h
@@ -14,7 +14,10 @@
 /// in what inherits from this, the service.
 class PlayedConnection : public detail::ConnectionHost, public HttpService {
  public:
-  explicit PlayedConnection(const ServerLimits& with = {}) : limits(with) {
+  /// @param[in] now_ms the clock's time, which Look moves on
+  explicit PlayedConnection(const ServerLimits& with = {},
+                            std::int64_t now_ms = 0)
+      : limits(with), now_ms(now_ms) {
     auto made = std::make_unique<Socket>(*this);
     this->connection =
         std::make_shared<detail::ServerConnection>(*this, std::move(made));
@@ -31,13 +34,21 @@
 
   /// @brief How much of what was written the caller has yet to take.
   void SetPending(std::int64_t bytes) { this->pending = bytes; }
+  /// @brief For how long the caller's kernel acknowledged nothing; until then
+  /// nobody tells.
+  void SetSilent(std::int64_t ms) { this->silent_ms = ms; }
+  /// @brief The server looks at its time limits.
+  void Look(std::int64_t at_ms) {
+    this->now_ms = at_ms;
+    this->connection->CheckTime(at_ms);
+  }
   void Drain() {
     this->pending = 0;
     this->connection->OnDrained();
   }
 
   const ServerLimits& Limits() const override { return this->limits; }
-  std::int64_t NowMs() const override { return 0; }
+  std::int64_t NowMs() const override { return this->now_ms; }
   HttpService& Service() override { return *this; }
   bool IsClosing() const override { return false; }
   bool Hold(std::int64_t) override { return true; }
@@ -60,7 +71,7 @@
     std::int64_t PendingBytes() const override { return this->owner.pending; }
     std::int64_t SentBytes() const override { return 0; }
     SocketBacklog Backlog() const override {
-      return {this->owner.pending, 0, 0, 0};
+      return {this->owner.pending, 0, 0, this->owner.silent_ms};
     }
     bool IsQuiet() const override { return true; }
     std::string Peer() const override { return "test"; }
@@ -70,9 +81,11 @@
   };
 
   ServerLimits limits;
+  std::int64_t now_ms;
   std::string got;
   bool closed = false;
   std::int64_t pending = 0;
+  std::int64_t silent_ms = -1;
   std::shared_ptr<detail::ServerConnection> connection;
 };
 
