--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -19,7 +19,7 @@
       request_of(std::move(request_of)),
       exchanges({{this->next(), {}}}),
       slow(this->request_of(this->exchanges.front().asked),
-           SlowCaller::Sends::kRequest, manner.receive_bytes),
+           tests::SlowCaller::Sends::kRequest, manner.receive_bytes),
       reader(MessageKind::kAnswer, kHeadLimit) {
   if (this->manner.pipelines) {
     this->Send();
