What a host writes is no progress of its caller's; relay_host in two files

Cause: found by reading: a caller that took nothing counted as reading for as long as the host wrote more to it: one whose host had lost power would have kept its engine for the whole stream. Change: only what the caller's kernel has taken counts.

--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -279,7 +279,7 @@
 void ServerConnection::CloseAfterAnswer() {
   this->phase = Phase::kEnding;
   this->progress_ms = this->host.NowMs();
-  this->on_the_way = -1;
+  this->has_all = false;
   this->socket->SetPaused(false);
   this->socket->CloseWhenDrained();
 }
@@ -392,15 +392,17 @@
   }
 }
 
-// How long the caller has taken nothing of what is on its way to it. One byte
-// is enough: a caller may read as slowly as it likes, and its kernel takes an
-// answer as it reads.
+// How long the caller has taken nothing of what is on its way to it, or has had
+// everything. One byte is enough: a caller may read as slowly as it likes, and
+// its kernel takes an answer as it reads. What is written meanwhile is no
+// progress of the caller's.
 std::int64_t ServerConnection::RestMs(std::int64_t now_ms,
                                       const SocketBacklog& left) {
-  const std::int64_t on_the_way = OnTheWay(left);
-  const std::int64_t taken = this->socket->SentBytes() - on_the_way;
-  if (on_the_way != this->on_the_way || taken != this->taken) {
-    this->on_the_way = on_the_way;
+  const bool has_all = OnTheWay(left) == 0;
+  const std::int64_t taken = this->socket->SentBytes() -
+                             std::max<std::int64_t>(0, left.unacknowledged);
+  if (has_all != this->has_all || taken != this->taken) {
+    this->has_all = has_all;
     this->taken = taken;
     this->progress_ms = now_ms;
   }
@@ -415,7 +417,7 @@
 
 // Of a connection that rests and had everything nothing is asked.
 void ServerConnection::CheckDelivery(std::int64_t now_ms) {
-  if (this->phase == Phase::kReading && this->on_the_way == 0 &&
+  if (this->phase == Phase::kReading && this->has_all &&
       this->socket->SentBytes() == this->taken) {
     return;
   }
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -141,8 +141,8 @@
   std::int64_t begun_ms = -1;    ///< first byte of the present request
   std::int64_t resting_ms = 0;   ///< since when no request is there
   std::int64_t progress_ms = 0;  ///< when the caller last took any bytes
-  std::int64_t on_the_way = 0;   ///< to the caller, when last looked at
   std::int64_t taken = 0;        ///< by the caller, when last looked at
+  bool has_all = true;           ///< the caller, when last looked at
   std::function<void()> closed_told;
   std::function<void()> drained_told;
 };
--- a/src/net/tests/delivery_test.cc
+++ b/src/net/tests/delivery_test.cc
@@ -124,6 +124,19 @@
   cr_assert(caller.IsClosed());
 }
 
+Test(a_caller_that_takes_nothing, is_given_up_also_where_more_is_written) {
+  constexpr std::int64_t kNowMs = 1'000'000;
+  PlayedAnswer caller(ServerLimits{}, kNowMs);
+  caller.Feed("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  for (const std::int64_t second : {0, 1, 2, 3, 4, 5, 6}) {
+    caller.SetPending(100 * (second + 1));
+    caller.Look(kNowMs + 1'000 * second);
+    cr_assert(!caller.IsClosed());
+  }
+  caller.Look(kNowMs + 6'100);
+  cr_assert(caller.IsClosed());
+}
+
 Test(a_caller_that_takes_nothing, may_rest_while_its_kernel_answers_probes) {
   constexpr std::int64_t kNowMs = 1'000'000;
   PlayedAnswer caller(ServerLimits{}, kNowMs);
--- /dev/null
+++ b/src/serve/detail/relay_host_parts.h
@@ -0,0 +1,119 @@
+#ifndef MEADOWTHREAD_SERVE_DETAIL_RELAY_HOST_PARTS_H_
+#define MEADOWTHREAD_SERVE_DETAIL_RELAY_HOST_PARTS_H_
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "configuration/replicated_view.h"
+#include "configuration/view_feeder.h"
+#include "exchange/datagrams.h"
+#include "exchange/load_datagrams.h"
+#include "exchange/stop_datagrams.h"
+#include "exchange/view_datagrams.h"
+#include "net/http_server.h"
+#include "net/pooled_client.h"
+#include "net/qt_scheduler.h"
+#include "policy/length_model.h"
+#include "policy/pressure_chooser.h"
+#include "policy/stop_plan.h"
+#include "relay/relay.h"
+#include "serve/choice_spread.h"
+#include "serve/exchange_duty.h"
+#include "serve/gone_hosts.h"
+#include "serve/host_entries.h"
+#include "serve/load_notes.h"
+#include "serve/refused_entries.h"
+#include "serve/relay_host.h"
+#include "serve/relay_metrics.h"
+#include "serve/steady_clock.h"
+#include "serve/store_silence.h"
+#include "serve/text_service.h"
+
+namespace meadowthread {
+
+/// @brief The slices of one host, in the order in which they depend on each
+/// other.
+class RelayHost::Parts : public StopView {
+ public:
+  Parts(const RelaySettings& with, RelayPlatform& on);
+
+  absl::Status Start();
+  void Stop();
+  void Reload(const RelaySettings& with);
+
+  // StopView
+  std::int64_t ReturnAfterMs() const override;
+
+ private:
+  void TakeView(const ViewChange& change);
+  void TakePlan(const StoredObject& object);
+  void NoteRead(const StoredObject& object, const absl::Status& read);
+  void TakeBackend(const StoredObject& object);
+  bool IsOfUnknownService(const BackendEntry& entry) const;
+  void TakeSetAsideAgain();
+  void TakeBackendChange(BackendChange change, const Backend& backend);
+  void TakeHosts(const std::vector<EntryHost>& hosts);
+  std::optional<int> WatchPlace() const;
+  bool IsWatcher() const;
+  std::int64_t WatchStaggerMs() const;
+  std::string MetricsText();
+  void SpreadChoices();
+  void AskWhileSilent();
+  void ApplyBounds();
+  void GoOnStopping();
+
+  RelaySettings settings;
+  RelayPlatform& platform;
+  SteadyClock clock;
+  std::mt19937_64 random{std::random_device{}()};
+  QtScheduler scheduler;
+  PooledClient store_client;
+  PooledClient client;
+  std::unique_ptr<ObjectStore> store;
+  std::array<std::string_view, 3> kinds;
+  ReplicatedView view;
+  ViewFeeder feeder;
+  HostDirectory hosts;
+  ExchangeDuty exchange;
+  HostEntries entries;
+  PlanInForce plan;
+  BackendList backends;
+  BackendHealth health;
+  RetryBudgets budgets;
+  RelayMetrics metrics;
+  RefusedEntries refused;
+  LearnedLengthModel lengths;
+  FleetState fleet;
+  GoneHosts gone_hosts;
+  LoadNotes load_notes;
+  DatagramHub hub;
+  LoadDatagrams load_datagrams;
+  StopDatagrams stop_datagrams;
+  StoreSilence silence;
+  ViewDatagrams view_datagrams;
+  ChoiceSpread spread;
+  PressureChooser chooser;
+  Dispatcher dispatcher;
+  FirstTry first_tries;
+  StreamAdmission admission;
+  LinkQuality links;
+  std::unique_ptr<EngineControl> control;
+  Relay relay;
+  ReadyService ready_service;
+  TextService metrics_service;
+  HttpServer server;
+  HttpServer ready_server;
+  HttpServer metrics_server;
+  std::optional<StopPlan> stop_plan;  ///< none: not stopping
+  bool left = false;
+};
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_SERVE_DETAIL_RELAY_HOST_PARTS_H_
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -3,10 +3,7 @@
 #include <QCoreApplication>
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <functional>
-#include <optional>
-#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -14,33 +11,9 @@
 #include "base/error.h"
 #include "base/log_line.h"
 #include "base/log_writer.h"
-#include "configuration/replicated_view.h"
-#include "configuration/view_feeder.h"
-#include "exchange/datagrams.h"
-#include "exchange/load_datagrams.h"
-#include "exchange/stop_datagrams.h"
-#include "exchange/view_datagrams.h"
-#include "net/http_server.h"
-#include "net/pooled_client.h"
-#include "net/qt_scheduler.h"
-#include "policy/length_model.h"
-#include "policy/pressure_chooser.h"
-#include "policy/stop_plan.h"
 #include "policy/stop_return.h"
-#include "relay/relay.h"
-#include "serve/choice_spread.h"
-#include "serve/engine_listing.h"
-#include "serve/exchange_duty.h"
-#include "serve/gone_hosts.h"
-#include "serve/host_entries.h"
-#include "serve/load_notes.h"
-#include "serve/refused_entries.h"
+#include "serve/detail/relay_host_parts.h"
 #include "serve/relay_limits.h"
-#include "serve/relay_metrics.h"
-#include "serve/steady_clock.h"
-#include "serve/store_silence.h"
-#include "serve/text_service.h"
-#include "serve/watcher_choice.h"
 
 namespace meadowthread {
 namespace {
@@ -54,9 +27,6 @@
 // While the store can't tell, engines are asked themselves. They stay for about
 // two seconds, and their word is half a second old.
 constexpr std::int64_t kAskPeriodMs = 150;
-// Four hosts, or so many times as many, watch for a second and a half each.
-constexpr std::int64_t kStaggerMs = 350;
-constexpr int kStaggerPlaces = 4;
 constexpr std::int64_t kDrainPeriodMs = 20;
 // The balancer asks each second and takes a host out after two questions
 // without a yes: for so long new connections still come to a stopping host.
@@ -65,9 +35,6 @@
 // store and served 0.2 to 0.3 s after its start.
 constexpr std::int64_t kRestartMs = 400;
 constexpr std::int64_t kMsPerSecond = 1'000;
-// Requests at an engine that is gone end within this: none may last longer.
-constexpr std::int64_t kLastNotesMs = 60'000;
-
 // Other hosts' entries serve speed only: news of them may wait, and those of a
 // whole fleet that starts come in one read.
 FeederOptions EntriesOptions(FeederOptions options) {
@@ -131,83 +98,6 @@
 
 }  // namespace
 
-/// @brief The slices of one host, in the order in which they depend on each
-/// other.
-class RelayHost::Parts : public StopView {
- public:
-  Parts(const RelaySettings& with, RelayPlatform& on);
-
-  absl::Status Start();
-  void Stop();
-  void Reload(const RelaySettings& with);
-
-  // StopView
-  std::int64_t ReturnAfterMs() const override;
-
- private:
-  void TakeView(const ViewChange& change);
-  void TakePlan(const StoredObject& object);
-  void NoteRead(const StoredObject& object, const absl::Status& read);
-  void TakeBackend(const StoredObject& object);
-  bool IsOfUnknownService(const BackendEntry& entry) const;
-  void TakeSetAsideAgain();
-  void TakeBackendChange(BackendChange change, const Backend& backend);
-  void TakeHosts(const std::vector<EntryHost>& hosts);
-  std::optional<int> WatchPlace() const;
-  bool IsWatcher() const;
-  std::int64_t WatchStaggerMs() const;
-  std::string MetricsText();
-  void SpreadChoices();
-  void AskWhileSilent();
-  void ApplyBounds();
-  void GoOnStopping();
-
-  RelaySettings settings;
-  RelayPlatform& platform;
-  SteadyClock clock;
-  std::mt19937_64 random{std::random_device{}()};
-  QtScheduler scheduler;
-  PooledClient store_client;
-  PooledClient client;
-  std::unique_ptr<ObjectStore> store;
-  std::array<std::string_view, 3> kinds;
-  ReplicatedView view;
-  ViewFeeder feeder;
-  HostDirectory hosts;
-  ExchangeDuty exchange;
-  HostEntries entries;
-  PlanInForce plan;
-  BackendList backends;
-  BackendHealth health;
-  RetryBudgets budgets;
-  RelayMetrics metrics;
-  RefusedEntries refused;
-  LearnedLengthModel lengths;
-  FleetState fleet;
-  GoneHosts gone_hosts;
-  LoadNotes load_notes;
-  DatagramHub hub;
-  LoadDatagrams load_datagrams;
-  StopDatagrams stop_datagrams;
-  StoreSilence silence;
-  ViewDatagrams view_datagrams;
-  ChoiceSpread spread{kDatagramBytesPerSecond};
-  PressureChooser chooser;
-  Dispatcher dispatcher;
-  FirstTry first_tries;
-  StreamAdmission admission;
-  LinkQuality links;
-  std::unique_ptr<EngineControl> control;
-  Relay relay;
-  ReadyService ready_service;
-  TextService metrics_service;
-  HttpServer server;
-  HttpServer ready_server;
-  HttpServer metrics_server;
-  std::optional<StopPlan> stop_plan;  ///< none: not stopping
-  bool left = false;
-};
-
 RelayHost::Parts::Parts(const RelaySettings& with, RelayPlatform& on)
     : settings(with),
       platform(on),
@@ -244,6 +134,7 @@
           std::vector<std::string>{on.Kinds().backends, on.Kinds().plan},
           this->view, this->hub, this->scheduler,
           [this](std::string_view kind) { this->feeder.Hurry(kind); }),
+      spread(kDatagramBytesPerSecond),
       chooser(PressureOf(with)),
       dispatcher(this->fleet, this->chooser),
       admission(AdmissionOf(with.policy)),
@@ -347,162 +238,6 @@
   return absl::OkStatus();
 }
 
-//////////////////////////////
-// What the store and peers say
-//////////////////////////////
-
-void RelayHost::Parts::TakeView(const ViewChange& change) {
-  const RelayKinds& names = this->platform.Kinds();
-  for (const StoredObject& object : change.items) {
-    if (change.kind == names.plan && object.name == names.plan_name) {
-      this->TakePlan(object);
-    } else if (change.kind == names.backends) {
-      this->TakeBackend(object);
-    }
-  }
-}
-
-// A configuration that can't be read is reported and not put in force; the one
-// before it stays.
-void RelayHost::Parts::TakePlan(const StoredObject& object) {
-  absl::StatusOr<ServicePlan> read =
-      object.deleted
-          ? absl::StatusOr<ServicePlan>(absl::NotFoundError("it was removed"))
-          : this->platform.ReadPlan(object.value);
-  this->NoteRead(object, read.status());
-  if (read.ok()) {
-    this->plan.Take(*std::move(read), object.version);
-  }
-}
-
-void RelayHost::Parts::NoteRead(const StoredObject& object,
-                                const absl::Status& read) {
-  if (read.ok()) {
-    this->refused.Forget(object.kind, object.name);
-  } else {
-    this->refused.Refuse(object.kind, object.name, object.version, read);
-  }
-}
-
-// Whatever stands there now, the engine that it named before is not known to be
-// gone: only a removal says so.
-void RelayHost::Parts::TakeBackend(const StoredObject& object) {
-  if (object.deleted) {
-    this->refused.Forget(object.kind, object.name);
-    this->backends.Remove(object.name);
-    return;
-  }
-  const absl::StatusOr<BackendEntry> entry =
-      this->platform.ReadBackend(object.name, object.value);
-  this->NoteRead(object, entry.status());
-  if (entry.ok() && !this->IsOfUnknownService(*entry)) {
-    this->backends.Set(*entry);
-  } else {
-    this->backends.SetAside(object.name);
-  }
-}
-
-// Entries may come before the configuration that names their service, so that
-// they are kept, and are no fault. But an engine in use keeps the service by
-// which its runs are known.
-bool RelayHost::Parts::IsOfUnknownService(const BackendEntry& entry) const {
-  const Backend* const known = this->backends.FindById(entry.id);
-  return known != nullptr && known->entry.service != entry.service &&
-         this->plan.FindService(entry.service) == nullptr;
-}
-
-// The service that such an entry names may be configured now.
-void RelayHost::Parts::TakeSetAsideAgain() {
-  std::vector<std::string> set_aside;
-  for (const Backend* const backend : this->backends.All()) {
-    if (!backend->named) {
-      set_aside.push_back(backend->entry.id);
-    }
-  }
-  for (const std::string& id : set_aside) {
-    if (const StoredObject* const object =
-            this->view.Find(this->kinds[1], id)) {
-      this->TakeBackend(*object);
-    }
-  }
-}
-
-void RelayHost::Parts::TakeBackendChange(BackendChange change,
-                                         const Backend& backend) {
-  if (change == BackendChange::kGone) {
-    if (backend.started_again) {
-      this->relay.OnEngineStartedAgain(backend);
-      this->client.DropResting(backend.entry.address);
-    }
-    this->fleet.RemoveEngine(backend.key);
-    this->health.Forget(backend.key);
-    // What still ends there is noted under its key once more.
-    this->scheduler.After(
-        kLastNotesMs, [this, key = backend.key] { this->health.Forget(key); });
-    return;
-  }
-  const EngineListing listing = ListingOf(
-      backend, this->plan.FindService(backend.entry.service), this->clock);
-  if (!listing.models.empty()) {
-    this->fleet.SetEngine(listing, this->clock.WallMs());
-  } else {
-    this->fleet.RemoveEngine(backend.key);
-  }
-  if (change == BackendChange::kLeaving) {
-    this->relay.OnEngineLeaves(backend);
-  }
-}
-
-// Its place among the hosts that watch.
-std::optional<int> RelayHost::Parts::WatchPlace() const {
-  const std::string& self = this->settings.host.name;
-  const std::vector<const HostEntry*> known =
-      this->hosts.OfRole(HostRole::kEntry);
-  std::vector<std::string_view> answering;
-  for (const HostEntry* const host : known) {
-    if (host->name != self && this->exchange.Answers(host->name)) {
-      answering.push_back(host->name);
-    }
-  }
-  return WatchesStore(self, answering, known.size());
-}
-
-// A host that no peer answers reads for itself.
-bool RelayHost::Parts::IsWatcher() const {
-  return this->exchange.PeersAlive() == 0 || this->WatchPlace().has_value();
-}
-
-// One event answers all that watch: the first watches on at once and tells the
-// others, whose watches end one after the other then. So one of them finds out
-// soon that the store is gone.
-std::int64_t RelayHost::Parts::WatchStaggerMs() const {
-  return this->settings.policy.staggers_watches
-             ? kStaggerMs * (this->WatchPlace().value_or(0) % kStaggerPlaces)
-             : 0;
-}
-
-void RelayHost::Parts::TakeHosts(const std::vector<EntryHost>& known) {
-  HostList list;
-  list.as_of_unix_ms = this->clock.WallMs();
-  std::vector<DatagramPeer> loads;
-  for (const EntryHost& host : known) {
-    HostEntry entry;
-    entry.name = host.name;
-    entry.role = HostRole::kEntry;
-    entry.address = host.address;
-    entry.control_port = host.control_port;
-    entry.zone = host.zone;
-    entry.region = host.region;
-    list.hosts.push_back(std::move(entry));
-    loads.push_back(
-        {host.name, host.address, static_cast<std::uint16_t>(host.loads_port)});
-  }
-  this->hosts.Apply(list);
-  this->gone_hosts.SetKnown(known);
-  this->hub.SetPeers(loads);
-  this->budgets.SetHosts(static_cast<int>(known.size()));
-}
-
 std::string RelayHost::Parts::MetricsText() {
   const auto set = [this](std::string_view what, auto value) {
     this->metrics.SetState(what, static_cast<double>(value));
--- /dev/null
+++ b/src/serve/relay_host_view.cc
@@ -0,0 +1,177 @@
+// What the store and peers say, and what a relay host makes of it.
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "base/error.h"
+#include "base/log_line.h"
+#include "serve/detail/relay_host_parts.h"
+#include "serve/engine_listing.h"
+#include "serve/watcher_choice.h"
+
+namespace meadowthread {
+namespace {
+
+// Four hosts, or so many times as many, watch for a second and a half each.
+constexpr std::int64_t kStaggerMs = 350;
+constexpr int kStaggerPlaces = 4;
+// Requests at an engine that is gone end within this: none may last longer.
+constexpr std::int64_t kLastNotesMs = 60'000;
+
+}  // namespace
+
+void RelayHost::Parts::TakeView(const ViewChange& change) {
+  const RelayKinds& names = this->platform.Kinds();
+  for (const StoredObject& object : change.items) {
+    if (change.kind == names.plan && object.name == names.plan_name) {
+      this->TakePlan(object);
+    } else if (change.kind == names.backends) {
+      this->TakeBackend(object);
+    }
+  }
+}
+
+// A configuration that can't be read is reported and not put in force; the one
+// before it stays.
+void RelayHost::Parts::TakePlan(const StoredObject& object) {
+  absl::StatusOr<ServicePlan> read =
+      object.deleted
+          ? absl::StatusOr<ServicePlan>(absl::NotFoundError("it was removed"))
+          : this->platform.ReadPlan(object.value);
+  this->NoteRead(object, read.status());
+  if (read.ok()) {
+    this->plan.Take(*std::move(read), object.version);
+  }
+}
+
+void RelayHost::Parts::NoteRead(const StoredObject& object,
+                                const absl::Status& read) {
+  if (read.ok()) {
+    this->refused.Forget(object.kind, object.name);
+  } else {
+    this->refused.Refuse(object.kind, object.name, object.version, read);
+  }
+}
+
+// Whatever stands there now, the engine that it named before is not known to be
+// gone: only a removal says so.
+void RelayHost::Parts::TakeBackend(const StoredObject& object) {
+  if (object.deleted) {
+    this->refused.Forget(object.kind, object.name);
+    this->backends.Remove(object.name);
+    return;
+  }
+  const absl::StatusOr<BackendEntry> entry =
+      this->platform.ReadBackend(object.name, object.value);
+  this->NoteRead(object, entry.status());
+  if (entry.ok() && !this->IsOfUnknownService(*entry)) {
+    this->backends.Set(*entry);
+  } else {
+    this->backends.SetAside(object.name);
+  }
+}
+
+// Entries may come before the configuration that names their service, so that
+// they are kept, and are no fault. But an engine in use keeps the service by
+// which its runs are known.
+bool RelayHost::Parts::IsOfUnknownService(const BackendEntry& entry) const {
+  const Backend* const known = this->backends.FindById(entry.id);
+  return known != nullptr && known->entry.service != entry.service &&
+         this->plan.FindService(entry.service) == nullptr;
+}
+
+// The service that such an entry names may be configured now.
+void RelayHost::Parts::TakeSetAsideAgain() {
+  std::vector<std::string> set_aside;
+  for (const Backend* const backend : this->backends.All()) {
+    if (!backend->named) {
+      set_aside.push_back(backend->entry.id);
+    }
+  }
+  for (const std::string& id : set_aside) {
+    if (const StoredObject* const object =
+            this->view.Find(this->kinds[1], id)) {
+      this->TakeBackend(*object);
+    }
+  }
+}
+
+void RelayHost::Parts::TakeBackendChange(BackendChange change,
+                                         const Backend& backend) {
+  if (change == BackendChange::kGone) {
+    if (backend.started_again) {
+      this->relay.OnEngineStartedAgain(backend);
+      this->client.DropResting(backend.entry.address);
+    }
+    this->fleet.RemoveEngine(backend.key);
+    this->health.Forget(backend.key);
+    // What still ends there is noted under its key once more.
+    this->scheduler.After(
+        kLastNotesMs, [this, key = backend.key] { this->health.Forget(key); });
+    return;
+  }
+  const EngineListing listing = ListingOf(
+      backend, this->plan.FindService(backend.entry.service), this->clock);
+  if (!listing.models.empty()) {
+    this->fleet.SetEngine(listing, this->clock.WallMs());
+  } else {
+    this->fleet.RemoveEngine(backend.key);
+  }
+  if (change == BackendChange::kLeaving) {
+    this->relay.OnEngineLeaves(backend);
+  }
+}
+
+// Its place among the hosts that watch.
+std::optional<int> RelayHost::Parts::WatchPlace() const {
+  const std::string& self = this->settings.host.name;
+  const std::vector<const HostEntry*> known =
+      this->hosts.OfRole(HostRole::kEntry);
+  std::vector<std::string_view> answering;
+  for (const HostEntry* const host : known) {
+    if (host->name != self && this->exchange.Answers(host->name)) {
+      answering.push_back(host->name);
+    }
+  }
+  return WatchesStore(self, answering, known.size());
+}
+
+// A host that no peer answers reads for itself.
+bool RelayHost::Parts::IsWatcher() const {
+  return this->exchange.PeersAlive() == 0 || this->WatchPlace().has_value();
+}
+
+// One event answers all that watch: the first watches on at once and tells the
+// others, whose watches end one after the other then. So one of them finds out
+// soon that the store is gone.
+std::int64_t RelayHost::Parts::WatchStaggerMs() const {
+  return this->settings.policy.staggers_watches
+             ? kStaggerMs * (this->WatchPlace().value_or(0) % kStaggerPlaces)
+             : 0;
+}
+
+void RelayHost::Parts::TakeHosts(const std::vector<EntryHost>& known) {
+  HostList list;
+  list.as_of_unix_ms = this->clock.WallMs();
+  std::vector<DatagramPeer> loads;
+  for (const EntryHost& host : known) {
+    HostEntry entry;
+    entry.name = host.name;
+    entry.role = HostRole::kEntry;
+    entry.address = host.address;
+    entry.control_port = host.control_port;
+    entry.zone = host.zone;
+    entry.region = host.region;
+    list.hosts.push_back(std::move(entry));
+    loads.push_back(
+        {host.name, host.address, static_cast<std::uint16_t>(host.loads_port)});
+  }
+  this->hosts.Apply(list);
+  this->gone_hosts.SetKnown(known);
+  this->hub.SetPeers(loads);
+  this->budgets.SetHosts(static_cast<int>(known.size()));
+}
+
+}  // namespace meadowthread
