--- a/tests/soak/relay_world.cc
+++ b/tests/soak/relay_world.cc
@@ -1,6 +1,7 @@
 #include <QUrl>
 
 #include "absl/strings/str_cat.h"
+#include "platform/names.h"
 #include "platform/tests/relay_fleet.h"
 #include "soak/world.h"
 
@@ -180,7 +181,7 @@
   if (answer.status != 200) {
     return PromisesNotRun(answer.status) ? Word::kNotRun : Word::kUnknown;
   }
-  if (FindHeader(answer.headers, "Request-Id") != asked.id) {
+  if (FindHeader(answer.headers, platform::names::kRequestId) != asked.id) {
     return Word::kForeign;
   }
   if (asked.kind == Kind::kStream) {
