One host a group of engines hands out their places

Ruled out: processor time (0.013 of a core), memory. Change: src/allocation. The engines of an availability zone are a group, two hosts of the zone (rendezvous hashing) hand out places and turns at leaving engines' links; the others ask with one datagram, the second after 60 ms, and choose alone after that. Load notes and results of attempts go to these two. Up to direct_hosts (32) all is as before.

--- /dev/null
+++ b/src/allocation/allocation_datagrams.h
@@ -0,0 +1,46 @@
+#ifndef MEADOWTHREAD_ALLOCATION_ALLOCATION_DATAGRAMS_H_
+#define MEADOWTHREAD_ALLOCATION_ALLOCATION_DATAGRAMS_H_
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "allocation/allocation_channel.h"
+#include "exchange/datagrams.h"
+
+namespace meadowthread {
+
+/// @brief Carries messages by datagrams: one that comes late is worth nothing,
+/// so that none is sent again by itself.
+class AllocationDatagrams final : public AllocationChannel {
+ public:
+  /// @param[in] hub,receiver outlive this
+  AllocationDatagrams(std::string_view self, DatagramHub& hub,
+                      AllocationReceiver& receiver);
+  AllocationDatagrams(const AllocationDatagrams&) = delete;
+  AllocationDatagrams& operator=(const AllocationDatagrams&) = delete;
+
+  void Send(std::string_view host, const PlaceAsk& ask) override;
+  void Send(std::string_view host, const PlaceAnswer& answer) override;
+  void Send(std::string_view host, const TurnOver& over) override;
+  void Send(std::string_view host, const GroupPressure& pressure) override;
+  void Send(std::string_view host, const EngineAttempt& attempt) override;
+  void AskAllToTell() override;
+  void LetAllHear() override;
+
+ private:
+  template <typename Message>
+  void SendOrTake(std::string_view host, std::string_view topic,
+                  const Message& message);
+  template <typename Message>
+  void Register(std::string_view topic,
+                absl::StatusOr<Message> (*read)(const nlohmann::json&));
+
+  std::string self;
+  DatagramHub& hub;
+  AllocationReceiver& receiver;
+};
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_ALLOCATION_ALLOCATION_DATAGRAMS_H_
--- a/src/exchange/datagrams.cc
+++ b/src/exchange/datagrams.cc
@@ -1,6 +1,5 @@
 #include "exchange/datagrams.h"
 
-#include <QHostAddress>
 #include <algorithm>
 #include <utility>
 
@@ -95,9 +94,11 @@
   this->peers.clear();
   for (const DatagramPeer& peer : with) {
     if (peer.name != this->host) {
-      this->peers.push_back(peer);
+      this->peers.push_back({peer.name, AddressOf(peer.address), peer.port});
     }
   }
+  std::sort(this->peers.begin(), this->peers.end(),
+            [](const Target& a, const Target& b) { return a.name < b.name; });
 }
 
 void DatagramHub::Refill() {
@@ -109,9 +110,9 @@
   this->refilled_ms = now_ms;
 }
 
-void DatagramHub::SendTo(const DatagramPeer& peer, const std::string& bytes) {
+void DatagramHub::SendTo(const Target& target, const std::string& bytes) {
   this->socket.writeDatagram(bytes.data(), static_cast<qint64>(bytes.size()),
-                             AddressOf(peer.address), peer.port);
+                             target.address, target.port);
   this->allowance -= static_cast<double>(std::ssize(bytes) + kHeaderBytes);
 }
 
@@ -122,7 +123,7 @@
   }
   const std::string bytes =
       EncodeDatagram({std::string(topic), this->host, payload});
-  for (const DatagramPeer& peer : this->peers) {
+  for (const Target& peer : this->peers) {
     this->SendTo(peer, bytes);
   }
   return true;
@@ -133,14 +134,29 @@
   this->Refill();
   const std::string bytes =
       EncodeDatagram({std::string(topic), this->host, payload});
-  std::vector<DatagramPeer> drawn;
+  std::vector<Target> drawn;
   std::sample(this->peers.begin(), this->peers.end(), std::back_inserter(drawn),
               static_cast<std::ptrdiff_t>(count), this->random);
-  for (const DatagramPeer& peer : drawn) {
+  for (const Target& peer : drawn) {
     this->SendTo(peer, bytes);
   }
 }
 
+void DatagramHub::SendToOne(std::string_view topic, const json& payload,
+                            std::string_view to) {
+  const auto found =
+      std::lower_bound(this->peers.begin(), this->peers.end(), to,
+                       [](const Target& peer, std::string_view name) {
+                         return peer.name < name;
+                       });
+  if (found == this->peers.end() || found->name != to) {
+    return;
+  }
+  this->Refill();
+  this->SendTo(*found,
+               EncodeDatagram({std::string(topic), this->host, payload}));
+}
+
 void DatagramHub::Take() {
   while (this->socket.hasPendingDatagrams()) {
     std::string bytes(
--- a/src/exchange/datagrams.h
+++ b/src/exchange/datagrams.h
@@ -1,6 +1,7 @@
 #ifndef MEADOWTHREAD_EXCHANGE_DATAGRAMS_H_
 #define MEADOWTHREAD_EXCHANGE_DATAGRAMS_H_
 
+#include <QHostAddress>
 #include <QUdpSocket>
 #include <cstdint>
 #include <functional>
@@ -71,18 +72,29 @@
   void SendToSome(std::string_view topic, const nlohmann::json& payload,
                   std::size_t count);
 
+  /// @brief Sends to one host, whatever the bound says; nothing where it is not
+  /// known.
+  void SendToOne(std::string_view topic, const nlohmann::json& payload,
+                 std::string_view host);
+
   std::size_t Peers() const { return this->peers.size(); }
 
  private:
   void Take();
-  void SendTo(const DatagramPeer& peer, const std::string& bytes);
+  struct Target {
+    std::string name;
+    QHostAddress address;
+    std::uint16_t port = 0;
+  };
+
+  void SendTo(const Target& target, const std::string& bytes);
   void Refill();
 
   std::string host;
   std::int64_t bytes_per_second;
   const Clock& clock;
   std::mt19937_64 random;
-  std::vector<DatagramPeer> peers;
+  std::vector<Target> peers;  ///< by name
   std::map<std::string, Handler, std::less<>> handlers;
   std::function<void(std::string_view host)> heard;
   QUdpSocket socket;
--- a/src/exchange/load_datagrams.cc
+++ b/src/exchange/load_datagrams.cc
@@ -1,6 +1,8 @@
 #include "exchange/load_datagrams.h"
 
 #include <algorithm>
+#include <map>
+#include <span>
 
 #include "base/error.h"
 #include "base/log_line.h"
@@ -15,7 +17,12 @@
 constexpr std::int64_t kStepMs = 25;
 // All is told again, twice before peers pass old notes over.
 constexpr std::int64_t kAllAgainMs = 3'000;
+// Notes of a datagram to everybody: the heaviest.
 constexpr std::size_t kMostNotes = 48;
+// What goes into one packet of most networks.
+constexpr std::size_t kNotesTogether = 20;
+// A host has no more engines than this in use.
+constexpr std::size_t kMostEngines = 4'096;
 constexpr std::size_t kNoteFields = 6;
 
 bool ReadNote(const json& value, EngineLoadNote* note) {
@@ -66,9 +73,14 @@
 }
 
 LoadDatagrams::LoadDatagrams(DatagramHub& hub, LoadSource& source,
-                             LoadSink& sink, const Clock& clock,
-                             Scheduler& scheduler)
-    : hub(hub), source(source), sink(sink), clock(clock), scheduler(scheduler) {
+                             LoadSink& sink, const LoadAudience& audience,
+                             const Clock& clock, Scheduler& scheduler)
+    : hub(hub),
+      source(source),
+      sink(sink),
+      audience(audience),
+      clock(clock),
+      scheduler(scheduler) {
   // As of now: how old a note is must not rest on another host's clock.
   hub.Register(kTopic, [this](std::string_view host, const json& payload) {
     absl::StatusOr<std::vector<EngineLoadNote>> notes =
@@ -106,12 +118,37 @@
   return changed;
 }
 
+bool LoadDatagrams::Tell(const std::vector<EngineLoadNote>& notes) {
+  if (this->audience.IsEverybody()) {
+    return this->hub.SendToAll(kTopic, LoadsJson(notes));
+  }
+  this->TellAudience(notes);
+  return true;
+}
+
+void LoadDatagrams::TellAudience(const std::vector<EngineLoadNote>& notes) {
+  std::map<std::string, std::vector<EngineLoadNote>> by_host;
+  for (const EngineLoadNote& note : notes) {
+    for (const std::string& host : this->audience.HostsFor(note.engine)) {
+      by_host[host].push_back(note);
+    }
+  }
+  for (const auto& [host, told] : by_host) {
+    for (std::size_t from = 0; from < told.size(); from += kNotesTogether) {
+      const auto part = std::span(told).subspan(
+          from, std::min(kNotesTogether, told.size() - from));
+      this->hub.SendToOne(kTopic, LoadsJson({part.begin(), part.end()}), host);
+    }
+  }
+}
+
 void LoadDatagrams::Step() {
   const std::int64_t now_ms = this->clock.MonotonicMs();
-  std::vector<EngineLoadNote> notes = this->source.NotesFor("", kMostNotes);
+  std::vector<EngineLoadNote> notes = this->source.NotesFor(
+      "", this->audience.IsEverybody() ? kMostNotes : kMostEngines);
   const bool all = now_ms - this->all_told_ms >= kAllAgainMs;
   const std::vector<EngineLoadNote> news = all ? notes : this->Changed(notes);
-  if (!news.empty() && this->hub.SendToAll(kTopic, LoadsJson(news))) {
+  if (!news.empty() && this->Tell(news)) {
     this->told = std::move(notes);
     this->all_told_ms = all ? now_ms : this->all_told_ms;
   }
--- a/src/exchange/load_datagrams.h
+++ b/src/exchange/load_datagrams.h
@@ -22,20 +22,26 @@
 absl::StatusOr<std::vector<EngineLoadNote>> LoadsFrom(
     std::string_view host, const nlohmann::json& payload);
 
-/// @brief Tells all other hosts what this one has at each engine: what changed
-/// at once, and all of it from time to time, as datagrams may be lost.
+/// @brief Tells other hosts what this one has at each engine: what changed at
+/// once, and all of it from time to time, as datagrams may be lost.
 class LoadDatagrams {
  public:
-  /// @param[in] hub,source,sink,clock,scheduler outlive this
+  /// @param[in] hub,source,sink,audience,clock,scheduler outlive this
   LoadDatagrams(DatagramHub& hub, LoadSource& source, LoadSink& sink,
-                const Clock& clock, Scheduler& scheduler);
+                const LoadAudience& audience, const Clock& clock,
+                Scheduler& scheduler);
   LoadDatagrams(const LoadDatagrams&) = delete;
   LoadDatagrams& operator=(const LoadDatagrams&) = delete;
 
   void Start();
 
+  /// @brief Tells all of it with the next step: somebody knows nothing.
+  void TellAllSoon() { this->all_told_ms = 0; }
+
  private:
   void Step();
+  bool Tell(const std::vector<EngineLoadNote>& notes);
+  void TellAudience(const std::vector<EngineLoadNote>& notes);
   /// @brief The notes that differ from what was told.
   std::vector<EngineLoadNote> Changed(
       const std::vector<EngineLoadNote>& notes) const;
@@ -43,6 +49,7 @@
   DatagramHub& hub;
   LoadSource& source;
   LoadSink& sink;
+  const LoadAudience& audience;
   const Clock& clock;
   Scheduler& scheduler;
   std::vector<EngineLoadNote> told;
--- a/src/exchange/load_note.h
+++ b/src/exchange/load_note.h
@@ -40,6 +40,18 @@
                                                std::size_t limit) = 0;
 };
 
+/// @brief Says who is told of the work at which engine.
+class LoadAudience {
+ public:
+  virtual ~LoadAudience() = default;
+
+  /// @brief Whether every host is told of everything.
+  virtual bool IsEverybody() const = 0;
+
+  /// @brief The hosts that are told of an engine, where not everybody is.
+  virtual std::vector<std::string> HostsFor(std::string_view engine) const = 0;
+};
+
 /// @brief Told other hosts' notes.
 class LoadSink {
  public:
--- a/src/policy/dispatcher.cc
+++ b/src/policy/dispatcher.cc
@@ -54,17 +54,6 @@
   return answer;
 }
 
-DispatchAnswer Dispatcher::SendNow(const WorkItem& work, std::int64_t now_ms,
-                                   std::uint64_t random) {
-  DispatchAnswer answer;
-  answer.decision = this->chooser.Choose(work, this->fleet, now_ms, random);
-  if (answer.decision.engine.has_value()) {
-    answer.verdict = AdmissionVerdict::kAdmitted;
-    this->fleet.NoteSent(work, *answer.decision.engine, now_ms);
-  }
-  return answer;
-}
-
 std::vector<SendOrder> Dispatcher::Drain(std::int64_t now_ms,
                                          std::uint64_t random, int most) {
   std::vector<SendOrder> orders;
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -42,11 +42,6 @@
   DispatchAnswer Offer(WorkItem work, std::int64_t now_ms,
                        std::uint64_t random);
 
-  /// @brief Sends work to an engine that it fits now, past what waits; refused
-  /// where there is none.
-  DispatchAnswer SendNow(const WorkItem& work, std::int64_t now_ms,
-                         std::uint64_t random);
-
   /// @brief Queued work that can be sent now. To be called when a stream
   /// ended and every few tens of milliseconds.
   /// @param[in] most orders at once, so that a host whose view of the engines
--- a/src/policy/fleet_state.h
+++ b/src/policy/fleet_state.h
@@ -110,6 +110,9 @@
   /// @brief What another entry host says of its work on one engine.
   void NotePeerLoad(const PeerLoad& load, std::int64_t now_ms);
 
+  /// @brief What a peer had on the engine is no longer there.
+  void ForgetPeerLoad(std::string_view engine, std::string_view peer);
+
   /// @brief What to tell the other entry hosts: engines with own work, and
   /// those whose work ended since the last call.
   std::vector<PeerLoad> OwnLoad(std::string_view self, std::int64_t now_ms);
--- a/src/policy/fleet_state_peers.cc
+++ b/src/policy/fleet_state_peers.cc
@@ -73,6 +73,15 @@
   engine->peers.push_back(load);
 }
 
+void FleetState::ForgetPeerLoad(std::string_view engine,
+                                std::string_view peer) {
+  if (Engine* const found = this->FindEngine(engine)) {
+    std::erase_if(found->peers,
+                  [peer](const PeerLoad& known) { return known.peer == peer; });
+    found->cached_ms = -1;
+  }
+}
+
 bool FleetState::IsFresh(const PeerLoad& load, std::int64_t now_ms) const {
   return load.as_of_unix_ms + this->options.peer_age_ms >= now_ms;
 }
--- /dev/null
+++ b/src/policy/local_allocation.h
@@ -0,0 +1,38 @@
+#ifndef MEADOWTHREAD_POLICY_LOCAL_ALLOCATION_H_
+#define MEADOWTHREAD_POLICY_LOCAL_ALLOCATION_H_
+
+#include <random>
+
+#include "base/clock.h"
+#include "policy/engine_allocation.h"
+
+namespace meadowthread {
+
+/// @brief Chooses by what this host knows of all engines.
+class LocalAllocation final : public EngineAllocation {
+ public:
+  /// @param[in] chooser,fleet,clock,random outlive this
+  LocalAllocation(EngineChooser& chooser, const FleetState& fleet,
+                  const Clock& clock, std::mt19937_64& random)
+      : chooser(chooser), fleet(fleet), clock(clock), random(random) {}
+
+  void Choose(const WorkItem& work, const Chosen& chosen) override {
+    chosen(this->chooser.Choose(work, this->fleet, this->clock.WallMs(),
+                                this->random()));
+  }
+  bool IsShared() const override { return false; }
+  void AskMove(const MoveAsk&, const Chosen& granted) override {
+    granted(Decision{});
+  }
+  void MoveOver(const MoveAsk&) override {}
+
+ private:
+  EngineChooser& chooser;
+  const FleetState& fleet;
+  const Clock& clock;
+  std::mt19937_64& random;
+};
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_POLICY_LOCAL_ALLOCATION_H_
--- a/src/policy/pressure_chooser.cc
+++ b/src/policy/pressure_chooser.cc
@@ -22,7 +22,7 @@
   std::vector<Scored> scored;
   for (const EngineIndex engine : fleet.Serving(work)) {
     const EngineView& view = fleet.View(engine);
-    if (view.Usable()) {
+    if (view.Usable() && (!this->within || this->within(view))) {
       scored.push_back(this->Score(work, fleet, engine, added, now_ms));
       const auto cost = link_costs.find(view.zone);
       scored.back().cost += cost == link_costs.end() ? 0.0 : cost->second;
--- a/src/policy/pressure_chooser.h
+++ b/src/policy/pressure_chooser.h
@@ -2,8 +2,10 @@
 #define MEADOWTHREAD_POLICY_PRESSURE_CHOOSER_H_
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "policy/chooser.h"
@@ -74,6 +76,11 @@
   /// @param[in] with outlives the chooser; null: they are taken for good
   void SetLinks(const LinkQuality* with) { this->links = with; }
 
+  /// @brief Looks only at engines of which this is true.
+  void SetWithin(std::function<bool(const EngineView& view)> with) {
+    this->within = std::move(with);
+  }
+
   /// @complexity O(engines that serve the work)
   Decision Choose(const WorkItem& work, const FleetState& fleet,
                   std::int64_t now_ms, std::uint64_t random) override;
@@ -101,6 +108,7 @@
   PressureOptions options;
   double unseen = 0.0;
   const LinkQuality* links = nullptr;
+  std::function<bool(const EngineView& view)> within;
 };
 
 }  // namespace meadowthread
--- a/src/relay/backend_health.cc
+++ b/src/relay/backend_health.cc
@@ -21,6 +21,13 @@
 
 }  // namespace
 
+std::optional<AttemptResult> AttemptResultOf(int number) {
+  const bool is_one = number >= static_cast<int>(AttemptResult::kGood) &&
+                      number <= static_cast<int>(AttemptResult::kUnreachable);
+  return is_one ? std::optional(static_cast<AttemptResult>(number))
+                : std::nullopt;
+}
+
 double BackendHealth::DecayOf(const Record& record, std::int64_t now_ms) {
   const auto since = static_cast<double>(now_ms - record.counted_ms);
   return std::exp2(-std::max(0.0, since) / kHalfLifeMs);
@@ -28,6 +35,22 @@
 
 void BackendHealth::Note(std::string_view id, AttemptResult result,
                          std::int64_t now_ms) {
+  this->Take({id, 0.0, 0, result, false}, now_ms);
+}
+
+// Several hosts find out at one moment that a server is gone: that is one
+// finding, not several in a row.
+void BackendHealth::NoteTold(std::string_view id, AttemptResult result,
+                             std::int64_t now_ms) {
+  if (result == AttemptResult::kUnreachable && !this->MayUse(id, now_ms)) {
+    return;
+  }
+  this->Take({id, 0.0, 0, result, true}, now_ms);
+}
+
+void BackendHealth::Take(HealthNews news, std::int64_t now_ms) {
+  const std::string_view id = news.id;
+  const AttemptResult result = news.result;
   Record& record = this->records[std::string(id)];
   const double decay = DecayOf(record, now_ms);
   record.good *= decay;
@@ -50,8 +73,9 @@
     (result == AttemptResult::kGood ? record.good : record.failed) += 1.0;
   }
   if (this->listener) {
-    this->listener({id, this->FailureShare(id, now_ms),
-                    std::max<std::int64_t>(0, record.aside_until_ms - now_ms)});
+    news.failure_share = this->FailureShare(id, now_ms);
+    news.aside_ms = std::max<std::int64_t>(0, record.aside_until_ms - now_ms);
+    this->listener(news);
   }
 }
 
--- a/src/relay/backend_health.h
+++ b/src/relay/backend_health.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -18,11 +19,16 @@
   kUnreachable,  ///< no connection came about
 };
 
+/// @brief Reads an attempt's result as a number; nullopt where it is none.
+std::optional<AttemptResult> AttemptResultOf(int number);
+
 /// @brief What is believed of a server since its last attempt.
 struct HealthNews {
   std::string_view id;
   double failure_share = 0.0;  ///< of its recent requests, 0 to 1
   std::int64_t aside_ms = 0;   ///< it is set aside for so long from now on
+  AttemptResult result = AttemptResult::kGood;
+  bool is_told = false;  ///< another host made the attempt
 };
 
 /// @brief Judges backend servers by what becomes of requests sent to them:
@@ -36,6 +42,9 @@
 
   void Note(std::string_view id, AttemptResult result, std::int64_t now_ms);
 
+  /// @brief Takes how an attempt of another host went.
+  void NoteTold(std::string_view id, AttemptResult result, std::int64_t now_ms);
+
   /// @brief Whether it may be sent to: it is not set aside.
   bool MayUse(std::string_view id, std::int64_t now_ms) const;
 
@@ -61,6 +70,7 @@
     std::int64_t aside_until_ms = 0;
   };
 
+  void Take(HealthNews news, std::int64_t now_ms);
   static double DecayOf(const Record& record, std::int64_t now_ms);
 
   StringMap<Record> records;
--- a/src/relay/departures.cc
+++ b/src/relay/departures.cc
@@ -120,22 +120,35 @@
   if (found == this->departures.end()) {
     return;
   }
-  const Departure& departure = found->second;
+  Departure& departure = found->second;
   const std::int64_t now_ms = this->parts.clock.MonotonicMs();
   const std::vector<StreamSession*> sessions = this->runs_at(engine);
   const bool is_gone = this->parts.backends.Find(engine) == nullptr;
   if (sessions.empty() || is_gone ||
       now_ms > departure.begun_ms + kLongestStayMs) {
+    this->EndTurns(departure);
     this->departures.erase(found);
     this->TellCopies();
     return;
   }
+  if (this->stream_parts.allocation.IsShared()) {
+    this->AskTurns(departure, sessions);
+  } else {
+    this->MoveInTurn(departure, sessions);
+  }
+  this->TellCopies();
+  this->parts.scheduler.After(
+      kStepMs, this->life.Guarded([this, engine] { this->Step(engine); }));
+}
+
+void Departures::MoveInTurn(const Departure& departure,
+                            std::span<StreamSession* const> sessions) {
   const bool moving =
       std::any_of(sessions.begin(), sessions.end(),
                   [](const StreamSession* one) { return one->IsMoving(); });
-  const TurnClock clock{departure.latest_ms, now_ms,
+  const TurnClock clock{departure.latest_ms, this->parts.clock.MonotonicMs(),
                         this->parts.clock.WallMs()};
-  if (!moving && IsTurnOf(this->host, this->PeersAt(engine), clock,
+  if (!moving && IsTurnOf(this->host, this->PeersAt(departure.engine), clock,
                           this->parts.random())) {
     for (StreamSession* const session : sessions) {
       if (session->Phase() == StreamPhase::kStreaming &&
@@ -144,9 +157,72 @@
       }
     }
   }
-  this->TellCopies();
-  this->parts.scheduler.After(
-      kStepMs, this->life.Guarded([this, engine] { this->Step(engine); }));
+}
+
+// A copy that is done leaves the link to the next run, though its own last step
+// is still to come: that is ordered first, and links keep the order.
+void Departures::AskTurns(Departure& departure,
+                          std::span<StreamSession* const> sessions) {
+  std::erase_if(departure.copied, [this, &departure](const auto& entry) {
+    const StreamSession* const session =
+        this->FindAt(departure.engine, entry.first);
+    const bool is_over = session == nullptr || !session->IsCopying();
+    if (is_over) {
+      this->stream_parts.allocation.MoveOver(entry.second);
+    }
+    return is_over;
+  });
+  for (StreamSession* const session : sessions) {
+    const std::string& request = session->Request().id;
+    const bool may_ask = session->Phase() == StreamPhase::kStreaming &&
+                         !session->IsMoving() &&
+                         departure.asked.insert(request).second;
+    if (may_ask) {
+      const MoveAsk move{departure.engine, WorkOf(*session)};
+      this->stream_parts.allocation.AskMove(
+          move, this->life.Guarded([this, move](const Decision& granted) {
+            this->TakeTurn(move, granted);
+          }));
+    }
+  }
+}
+
+// Without an answer it goes without a turn: a run that stays is cut off.
+void Departures::TakeTurn(const MoveAsk& move, const Decision& granted) {
+  const auto found = this->departures.find(move.source);
+  if (found == this->departures.end()) {
+    this->stream_parts.allocation.MoveOver(move);
+    return;
+  }
+  Departure& departure = found->second;
+  departure.asked.erase(move.run.request);
+  StreamSession* const session = this->FindAt(move.source, move.run.request);
+  const bool begins =
+      session != nullptr &&
+      (granted.engine.has_value() ? session->MoveTo(*granted.engine)
+                                  : this->MoveOne(departure, *session));
+  if (begins) {
+    departure.copied.emplace(move.run.request, move);
+  } else {
+    this->stream_parts.allocation.MoveOver(move);
+  }
+}
+
+void Departures::EndTurns(Departure& departure) {
+  for (const auto& [request, move] : departure.copied) {
+    this->stream_parts.allocation.MoveOver(move);
+  }
+  departure.copied.clear();
+}
+
+StreamSession* Departures::FindAt(std::string_view engine,
+                                  std::string_view request) {
+  for (StreamSession* const session : this->runs_at(engine)) {
+    if (session->Request().id == request) {
+      return session;
+    }
+  }
+  return nullptr;
 }
 
 // Both ends of a copy have it on their links. A last step is short, and what is
@@ -184,6 +260,13 @@
   options.zone_cost = kOtherZoneCost;
   options.busy_link_cost = kBusyLinkCost;
   PressureChooser chooser(options);
+  const Decision decision =
+      chooser.Choose(WorkOf(session), this->stream_parts.fleet,
+                     this->parts.clock.WallMs(), this->parts.random());
+  return decision.engine.value_or("");
+}
+
+WorkItem Departures::WorkOf(const StreamSession& session) {
   WorkItem work;
   work.request = session.Request().id;
   work.workspace = session.Terms().workspace;
@@ -192,10 +275,7 @@
   work.prompt_tokens = session.MemoryTokens();
   work.is_copy = true;
   work.forced = true;
-  const Decision decision =
-      chooser.Choose(work, this->stream_parts.fleet, this->parts.clock.WallMs(),
-                     this->parts.random());
-  return decision.engine.value_or("");
+  return work;
 }
 
 }  // namespace meadowthread
--- a/src/relay/departures.h
+++ b/src/relay/departures.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -64,12 +65,22 @@
     std::string zone;
     std::int64_t begun_ms = 0;
     std::int64_t latest_ms = 0;  ///< see TurnClock
+    // Only where another host gives the turns, by request:
+    std::set<std::string> asked;            ///< whose turn is awaited
+    std::map<std::string, MoveAsk> copied;  ///< whose turn has come
   };
 
   void Plan(Departure* departure);
   void Step(const std::string& engine);
   void TellCopies();
   bool MoveOne(const Departure& departure, StreamSession& session);
+  void MoveInTurn(const Departure& departure,
+                  std::span<StreamSession* const> sessions);
+  void AskTurns(Departure& departure, std::span<StreamSession* const> sessions);
+  void TakeTurn(const MoveAsk& move, const Decision& granted);
+  void EndTurns(Departure& departure);
+  static WorkItem WorkOf(const StreamSession& session);
+  StreamSession* FindAt(std::string_view engine, std::string_view request);
   std::string ChooseTarget(const Departure& departure,
                            const StreamSession& session) const;
   std::vector<PeerLoad> PeersAt(std::string_view engine) const;
--- a/src/relay/relay_parts.h
+++ b/src/relay/relay_parts.h
@@ -8,6 +8,7 @@
 #include "base/scheduler.h"
 #include "net/http_client.h"
 #include "policy/dispatcher.h"
+#include "policy/engine_allocation.h"
 #include "policy/first_try.h"
 #include "policy/fleet_state.h"
 #include "policy/link_quality.h"
@@ -43,6 +44,7 @@
 
 /// @brief What streams need besides.
 struct StreamParts {
+  EngineAllocation& allocation;
   Dispatcher& dispatcher;
   FleetState& fleet;
   FirstTry& first_tries;
--- a/src/relay/stream_session.h
+++ b/src/relay/stream_session.h
@@ -102,6 +102,10 @@
   static constexpr std::int64_t kNoEngineRetryMs = 400;
 
   void Offer();
+  void TakeChoice(const ArrivalPlan& arrival, const WorkItem& work,
+                  const Decision& decision);
+  void AskAgain(std::int64_t after_ms);
+  void Queue(const WorkItem& work, DecisionReason why, std::int64_t wait_ms);
   void RefuseQueued(DecisionReason why);
   std::int64_t ElapsedMs() const;
   void Send(const Backend& backend, const std::optional<Continuation>& from);
@@ -160,6 +164,7 @@
       held_end;  ///< of a stream that a move may have stopped
   std::int64_t deadline_ms;
   std::int64_t begun_ms;
+  std::int64_t waits_until_ms = -1;     ///< for room; -1: it had not to
   std::int64_t since_first_try_ms = 0;  ///< when it arrived
   std::int64_t first_event_ms = -1;
   std::int64_t last_event_ms = 0;
--- a/src/relay/stream_session_placing.cc
+++ b/src/relay/stream_session_placing.cc
@@ -13,6 +13,8 @@
 
 // Where no engine can be used at all, one may be listed a moment later.
 constexpr std::int64_t kNoEngineWaitMs = 400;
+// Runs of an engine end some three times a second.
+constexpr std::int64_t kAskAgainMs = 250;
 
 Urgency UrgencyOf(int urgency) {
   return urgency <= 0 ? Urgency::kUrgent
@@ -84,34 +86,64 @@
   WorkItem work = this->MakeWork();
   work.first_event_within_ms = arrival.first_event_within_ms;
   work.is_late = arrival.is_late;
-  const std::int64_t now_ms = this->parts.clock.WallMs();
-  Dispatcher& dispatcher = this->stream_parts.dispatcher;
-  const DispatchAnswer answer =
-      dispatcher.SendNow(work, now_ms, this->parts.random());
-  if (answer.verdict == AdmissionVerdict::kAdmitted) {
-    this->SendTo(answer.decision);
+  this->stream_parts.allocation.Choose(
+      work, this->life.Guarded([this, arrival, work](const Decision& chosen) {
+        this->TakeChoice(arrival, work, chosen);
+      }));
+}
+
+// The caller may have gone meanwhile.
+void StreamSession::TakeChoice(const ArrivalPlan& arrival, const WorkItem& work,
+                               const Decision& decision) {
+  if (this->phase != StreamPhase::kQueued) {
     return;
   }
-  std::int64_t wait_ms = arrival.may_wait_ms;
-  if (answer.decision.reason != DecisionReason::kNoneHasRoom) {
-    wait_ms = std::max(wait_ms, kNoEngineWaitMs);
+  if (decision.engine.has_value()) {
+    this->stream_parts.fleet.NoteSent(work, *decision.engine,
+                                      this->parts.clock.WallMs());
+    this->SendTo(decision);
+    return;
   }
+  const std::int64_t now_ms = this->parts.clock.MonotonicMs();
+  if (this->waits_until_ms < 0) {
+    std::int64_t wait_ms = arrival.may_wait_ms;
+    if (decision.reason != DecisionReason::kNoneHasRoom) {
+      wait_ms = std::max(wait_ms, kNoEngineWaitMs);
+    }
+    this->waits_until_ms = now_ms + wait_ms;
+  }
+  const std::int64_t wait_ms = this->waits_until_ms - now_ms;
   LogLine("queue")
       .Add("request", this->request.id)
       .Add("workspace", this->terms.workspace)
-      .Add("why", DecisionReasonName(answer.decision.reason))
-      .Add("candidates", CandidatesText(answer.decision))
+      .Add("why", DecisionReasonName(decision.reason))
+      .Add("candidates", CandidatesText(decision))
       .Add("within_ms", arrival.first_event_within_ms)
       .Add("since_first_try_ms", this->ElapsedMs())
       .Add("wait_ms", wait_ms)
       .Write();
-  const DecisionReason why = answer.decision.reason;
   if (wait_ms <= 0) {
-    this->RefuseQueued(why);
-    return;
+    this->RefuseQueued(decision.reason);
+  } else if (this->stream_parts.allocation.IsShared()) {
+    this->AskAgain(std::min(kAskAgainMs, wait_ms));
+  } else {
+    this->Queue(work, decision.reason, wait_ms);
   }
-  const DispatchAnswer queued =
-      dispatcher.Offer(work, now_ms, this->parts.random());
+}
+
+// Room that another host gives away is asked for until there is some.
+void StreamSession::AskAgain(std::int64_t after_ms) {
+  this->parts.scheduler.After(after_ms, this->life.Guarded([this] {
+    if (this->phase == StreamPhase::kQueued) {
+      this->Offer();
+    }
+  }));
+}
+
+void StreamSession::Queue(const WorkItem& work, DecisionReason why,
+                          std::int64_t wait_ms) {
+  const DispatchAnswer queued = this->stream_parts.dispatcher.Offer(
+      work, this->parts.clock.WallMs(), this->parts.random());
   if (queued.verdict == AdmissionVerdict::kAdmitted) {
     this->SendTo(queued.decision);
     return;
--- a/src/relay/tests/relay_fixture.h
+++ b/src/relay/tests/relay_fixture.h
@@ -20,6 +20,7 @@
 #include "net/tests/played_connection.h"
 #include "policy/dispatcher.h"
 #include "policy/length_model.h"
+#include "policy/local_allocation.h"
 #include "policy/pressure_chooser.h"
 #include "relay/engine_control.h"
 #include "relay/relay_parts.h"
@@ -238,8 +239,10 @@
   FirstTry first_tries;
   StreamAdmission admission;
   LinkQuality links{"z"};
-  StreamParts stream_parts{this->dispatcher, this->fleet, this->first_tries,
-                           this->admission, this->links};
+  LocalAllocation allocation{this->chooser, this->fleet, this->clock,
+                             this->random};
+  StreamParts stream_parts{this->allocation,  this->dispatcher, this->fleet,
+                           this->first_tries, this->admission,  this->links};
   FakeControl control;
   FakeCallers callers;
 };
--- a/src/serve/detail/relay_host_parts.h
+++ b/src/serve/detail/relay_host_parts.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "allocation/allocation_duty.h"
 #include "configuration/replicated_view.h"
 #include "configuration/view_feeder.h"
 #include "exchange/datagrams.h"
@@ -20,6 +21,7 @@
 #include "net/pooled_client.h"
 #include "net/qt_scheduler.h"
 #include "policy/length_model.h"
+#include "policy/local_allocation.h"
 #include "policy/pressure_chooser.h"
 #include "policy/stop_plan.h"
 #include "relay/relay.h"
@@ -65,6 +67,7 @@
   std::string MetricsText();
   void SpreadChoices();
   void AskWhileSilent();
+  std::vector<AllocatorHost> AllocatorHosts() const;
   void ApplyBounds();
   void GoOnStopping();
 
@@ -93,12 +96,14 @@
   GoneHosts gone_hosts;
   LoadNotes load_notes;
   DatagramHub hub;
-  LoadDatagrams load_datagrams;
   StopDatagrams stop_datagrams;
   StoreSilence silence;
   ViewDatagrams view_datagrams;
   ChoiceSpread spread;
   PressureChooser chooser;
+  LocalAllocation local_allocation;
+  AllocationDuty allocation;
+  LoadDatagrams load_datagrams;
   Dispatcher dispatcher;
   FirstTry first_tries;
   StreamAdmission admission;
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -59,6 +59,12 @@
   return options;
 }
 
+AllocationOptions AllocationOf(const RelaySettings& settings) {
+  return {{settings.host.name, settings.host.zone},
+          PressureOf(settings),
+          static_cast<std::size_t>(settings.policy.direct_hosts)};
+}
+
 FeederOptions MakeFeederOptions(const std::string& host, std::uint64_t seed) {
   FeederOptions options;
   options.host = host;
@@ -126,8 +132,6 @@
       gone_hosts(with.host.name, this->clock),
       load_notes(with.host.name, this->clock, this->fleet),
       hub(with.host.name, kDatagramBytesPerSecond, this->random(), this->clock),
-      load_datagrams(this->hub, this->load_notes, this->load_notes, this->clock,
-                     this->scheduler),
       stop_datagrams(this->hub, this->clock, this->scheduler),
       silence(this->hub, this->clock),
       view_datagrams(
@@ -136,6 +140,13 @@
           [this](std::string_view kind) { this->feeder.Hurry(kind); }),
       spread(kDatagramBytesPerSecond),
       chooser(PressureOf(with)),
+      local_allocation(this->chooser, this->fleet, this->clock, this->random),
+      allocation(
+          AllocationOf(with),
+          {this->hub, this->fleet, this->local_allocation, this->load_notes,
+           this->scheduler, this->clock, this->random}),
+      load_datagrams(this->hub, this->load_notes, this->allocation,
+                     this->allocation, this->clock, this->scheduler),
       dispatcher(this->fleet, this->chooser),
       admission(AdmissionOf(with.policy)),
       links(with.host.zone),
@@ -144,8 +155,8 @@
             {this->clock, this->scheduler, this->client, on.Backends(),
              this->backends, this->health, this->budgets, this->metrics,
              this->random},
-            {this->dispatcher, this->fleet, this->first_tries, this->admission,
-             this->links},
+            {this->allocation.Allocation(), this->dispatcher, this->fleet,
+             this->first_tries, this->admission, this->links},
             *this->control, on.Callers(), this->plan),
       ready_service(on.ReadyPath(),
                     [this] {
@@ -170,15 +181,28 @@
   this->health.SetListener([this](const HealthNews& news) {
     this->fleet.SetFailureShare(news.id, news.failure_share);
     this->fleet.SetAside(news.id, this->clock.WallMs() + news.aside_ms);
+    if (!news.is_told) {
+      this->allocation.TellAttempt(
+          {std::string(news.id), static_cast<int>(news.result)});
+    }
   });
+  this->allocation.OnAttempt([this](const EngineAttempt& attempt) {
+    if (const std::optional<AttemptResult> result =
+            AttemptResultOf(attempt.result)) {
+      this->health.NoteTold(attempt.engine, *result, this->clock.MonotonicMs());
+    }
+  });
+  this->allocation.OnTellAll([this] { this->load_datagrams.TellAllSoon(); });
   this->entries.SetListener(
       [this](const std::vector<EntryHost>& known) { this->TakeHosts(known); });
   this->entries.OnRead(
       [this](const StoredObject& object, const absl::Status& read) {
         this->NoteRead(object, read);
       });
-  this->hub.OnHeard(
-      [this](std::string_view host) { this->gone_hosts.NoteHeard(host); });
+  this->hub.OnHeard([this](std::string_view host) {
+    this->gone_hosts.NoteHeard(host);
+    this->allocation.NoteHeard(host);
+  });
   this->exchange.KeepOutOfNews(on.Kinds().backends);
   this->feeder.OnAnsweredAgain([this](std::string_view kind) {
     if (kind == this->kinds[1]) {
@@ -212,6 +236,7 @@
     }
   }
   this->load_datagrams.Start();
+  this->allocation.Start([this] { return this->AllocatorHosts(); });
   this->feeder.Start();
   this->entries.Announce();
   RunEvery(this->scheduler, kRotatePeriodMs,
@@ -258,6 +283,7 @@
     set("passed_over_" + state.kind, state.passed_over);
   }
   set("peers_alive", this->exchange.PeersAlive());
+  set("allocation_groups", this->allocation.Duties());
   for (const Urgency urgency :
        {Urgency::kUrgent, Urgency::kNormal, Urgency::kBatch}) {
     set("queued_" + std::string(UrgencyName(urgency)),
@@ -289,6 +315,20 @@
   this->relay.AskEngines(!is_silent);
 }
 
+// A host that stops hands out nothing any more.
+std::vector<AllocatorHost> RelayHost::Parts::AllocatorHosts() const {
+  std::vector<AllocatorHost> hosts;
+  for (const HostEntry* const host : this->hosts.OfRole(HostRole::kEntry)) {
+    const bool stops = host->name == this->settings.host.name
+                           ? this->stop_plan.has_value()
+                           : this->stop_datagrams.BackInMs(host->name) > 0;
+    if (!stops) {
+      hosts.push_back({host->name, host->zone});
+    }
+  }
+  return hosts;
+}
+
 void RelayHost::Parts::SpreadChoices() {
   this->chooser.SetUnseen(
       this->spread.Unseen(this->relay.Stats().streams, this->hub.Peers()));
--- a/src/settings/relay_settings.cc
+++ b/src/settings/relay_settings.cc
@@ -11,6 +11,7 @@
 constexpr int kLeastDescriptors = 64;
 constexpr int kMostDescriptors = 1'048'576;
 constexpr std::int64_t kMostMemoryMb = 1'048'576;
+constexpr int kMostHosts = 100'000;
 constexpr double kMostRetries = 1e6;
 // Parts of an engine's memory; beyond the whole is for measuring only.
 constexpr double kLeastMemoryPart = 0.1;
@@ -64,6 +65,7 @@
                  &policy->late_work_part);
   section.Number("short_work_limit", kLeastMemoryPart, kMostMemoryPart,
                  &policy->short_work_limit);
+  section.Integer("direct_hosts", 1, kMostHosts, &policy->direct_hosts);
   section.Finish();
 }
 
--- a/src/settings/relay_settings.h
+++ b/src/settings/relay_settings.h
@@ -51,6 +51,9 @@
   double memory_limit = 0.8;      ///< of an engine's, for work that lasts
   double late_work_part = 0.7;    ///< of both limits, for what is late anyhow
   double short_work_limit = 0.9;  ///< of what is used now, for work that ends
+  /// Up to so many hosts tell each other of all their work; among more, one in
+  /// each group of engines hands out places.
+  int direct_hosts = 32;
 
   friend bool operator==(const RelayPolicySettings&,
                          const RelayPolicySettings&) = default;
