--- a/src/serve/detail/relay_host_parts.h
+++ b/src/serve/detail/relay_host_parts.h
@@ -63,7 +63,7 @@
   void TakeHosts(const std::vector<EntryHost>& hosts);
   std::optional<int> WatchPlace() const;
   bool IsWatcher() const;
-  std::int64_t WatchStaggerMs() const;
+  std::int64_t StaggerMs() const;
   std::string MetricsText();
   void SpreadChoices();
   void AskWhileSilent();
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -112,7 +112,7 @@
       view(this->clock, this->kinds),
       feeder(FedKinds(on.Kinds(),
                       MakeFeederOptions(with.host.name, this->random()),
-                      [this] { return this->WatchStaggerMs(); }),
+                      [this] { return this->StaggerMs(); }),
              *this->store, this->view, this->scheduler, this->clock,
              [this] { return this->IsWatcher(); }),
       exchange(ExchangeSettingsOf(with), this->clock.WallMs(), this->clock,
--- a/src/serve/relay_host_view.cc
+++ b/src/serve/relay_host_view.cc
@@ -14,9 +14,6 @@
 namespace meadowthread {
 namespace {
 
-// Four hosts, or so many times as many, watch for a second and a half each.
-constexpr std::int64_t kStaggerMs = 350;
-constexpr int kStaggerPlaces = 4;
 // Requests at an engine that is gone end within this: none may last longer.
 constexpr std::int64_t kLastNotesMs = 60'000;
 
@@ -143,12 +140,9 @@
   return this->exchange.PeersAlive() == 0 || this->WatchPlace().has_value();
 }
 
-// One event answers all that watch: the first watches on at once and tells the
-// others, whose watches end one after the other then. So one of them finds out
-// soon that the store is gone.
-std::int64_t RelayHost::Parts::WatchStaggerMs() const {
+std::int64_t RelayHost::Parts::StaggerMs() const {
   return this->settings.policy.staggers_watches
-             ? kStaggerMs * (this->WatchPlace().value_or(0) % kStaggerPlaces)
+             ? WatchStaggerMs(this->WatchPlace().value_or(0))
              : 0;
 }
 
--- a/src/serve/watcher_choice.h
+++ b/src/serve/watcher_choice.h
@@ -2,6 +2,7 @@
 #define MEADOWTHREAD_SERVE_WATCHER_CHOICE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -19,6 +20,12 @@
                                 std::span<const std::string_view> answering,
                                 std::size_t known);
 
+/// @brief How long a host that watches waits after an answer before it watches
+/// on: one event answers all that watch, so that the first watches on at once
+/// and tells the others, whose watches end one after the other then.
+/// @param[in] place as WatchesStore gives it
+std::int64_t WatchStaggerMs(int place);
+
 }  // namespace meadowthread
 
 #endif  // MEADOWTHREAD_SERVE_WATCHER_CHOICE_H_
