--- a/fuzz/peers_fuzzer.cc
+++ b/fuzz/peers_fuzzer.cc
@@ -1,4 +1,5 @@
 // What other hosts tell: datagrams, and the exchange's calls.
+#include "allocation/allocation_messages.h"
 #include "base/clock.h"
 #include "exchange/datagrams.h"
 #include "exchange/exchange_message.h"
@@ -13,6 +14,12 @@
   const absl::StatusOr<Datagram> datagram = DecodeDatagram(text);
   if (datagram.ok()) {
     (void)LoadsFrom(datagram->host, datagram->payload);
+    (void)PlaceAskFrom(datagram->payload);
+    (void)PlaceAnswerFrom(datagram->payload);
+    (void)TurnOverFrom(datagram->payload);
+    (void)GroupPressureFrom(datagram->payload);
+    (void)EngineAttemptFrom(datagram->payload);
+    (void)ReadingSeenFrom(datagram->payload);
     const absl::StatusOr<std::vector<StoredObject>> items =
         ItemsFrom(datagram->payload);
     if (items.ok()) {
--- a/src/allocation/allocation_duty.cc
+++ b/src/allocation/allocation_duty.cc
@@ -44,8 +44,8 @@
 
 void AllocationDuty::Tick() {
   const std::int64_t now_ms = this->parts.clock.MonotonicMs();
-  const bool stood_still =
-      now_ms - std::exchange(this->ticked_ms, now_ms) > kTickMs + kStoodStillMs;
+  const bool stood_still = this->HasStoodStill();
+  this->ticked_ms = now_ms;
   this->TakeHosts();
   if (this->asking.IsShared()) {
     this->TakeDuties(stood_still);
@@ -61,6 +61,11 @@
                               this->life.Guarded([this] { this->Tick(); }));
 }
 
+bool AllocationDuty::HasStoodStill() const {
+  return this->parts.clock.MonotonicMs() - this->ticked_ms >
+         kTickMs + kStoodStillMs;
+}
+
 void AllocationDuty::TakeHosts() {
   const std::vector<AllocatorHost> hosts = this->hosts_now();
   this->groups.CountEngines(this->parts.fleet);
@@ -167,6 +172,10 @@
 
 void AllocationDuty::On(std::string_view host, const PlaceAsk& ask) {
   const std::int64_t now_ms = this->parts.clock.WallMs();
+  // What came meanwhile is read before the tick that is overdue.
+  if (this->HasStoodStill()) {
+    this->allocator.SetTrustedFrom(now_ms + kCollectMs);
+  }
   AllocatorReply reply =
       this->allocator.Answer(ask, now_ms, this->parts.random());
   const std::vector<std::string>* const others =
--- a/src/allocation/allocation_duty.h
+++ b/src/allocation/allocation_duty.h
@@ -98,6 +98,7 @@
 
  private:
   void Tick();
+  bool HasStoodStill() const;
   void TakeHosts();
   void TakeDuties(bool stood_still);
   void TellPressures();
--- a/src/allocation/tests/allocator_test.cc
+++ b/src/allocation/tests/allocator_test.cc
@@ -11,7 +11,6 @@
 namespace meadowthread {
 namespace {
 
-using testing::EngineName;
 using testing::kCapacity;
 
 /// @brief One zone "z" with engines, and one host that hands them out.
