--- a/src/relay/backend_list.cc
+++ b/src/relay/backend_list.cc
@@ -29,10 +29,8 @@
   return one.has_value() && other.has_value() && *one != *other;
 }
 
-Backend* BackendList::FindId(std::string_view id) {
-  const auto key = this->keys.find(id);
-  return key == this->keys.end() ? nullptr
-                                 : &this->backends.find(key->second)->second;
+Backend* BackendList::FindToChange(std::string_view id) {
+  return const_cast<Backend*>(std::as_const(*this).FindById(id));
 }
 
 // A start before the one that is listed says that a word of it came late, or
@@ -75,7 +73,7 @@
 }
 
 void BackendList::Set(const BackendEntry& entry) {
-  Backend* known = this->FindId(entry.id);
+  Backend* known = this->FindToChange(entry.id);
   if (known != nullptr && this->PassesOver(known, entry)) {
     return;
   }
@@ -126,7 +124,7 @@
 }
 
 void BackendList::Remove(std::string_view id) {
-  Backend* const found = this->FindId(id);
+  Backend* const found = this->FindToChange(id);
   if (found == nullptr || !found->listed) {
     return;
   }
@@ -160,7 +158,7 @@
 // it leave, its entry's removal or its own report says so. An entry that has
 // lapsed is not listed anew by what another writer put there.
 void BackendList::SetAside(std::string_view id) {
-  Backend* const found = this->FindId(id);
+  Backend* const found = this->FindToChange(id);
   if (found == nullptr || !std::exchange(found->named, false)) {
     return;
   }
--- a/src/relay/backend_list.h
+++ b/src/relay/backend_list.h
@@ -117,7 +117,7 @@
   std::size_t Count() const { return this->backends.size(); }
 
  private:
-  Backend* FindId(std::string_view id);
+  Backend* FindToChange(std::string_view id);
   bool PassesOver(Backend* known, const BackendEntry& entry) const;
   void EndStart(const std::string& key, const BackendEntry& next);
   void Leave(Backend* backend, std::string_view why);
