A place counts once, as soon as its host tells of it

Cause: 60 in 100 notes tell of a place sooner than 15 ms after it was given (the notes' timer is 25 ms), and the place was counted besides until the next note or for 0.3 s: prompts that nobody reads (reasoning from the timers, not measured apart). Change: a note with one request more than before tells of the place; one with as many does after 40 ms. Tests: a_place::counts_once_when_its_host_tells_of_it and the one after it.

--- a/src/allocation/allocation_duty.cc
+++ b/src/allocation/allocation_duty.cc
@@ -236,11 +236,7 @@
 void AllocationDuty::OnNotes(std::string_view host,
                              std::span<const EngineLoadNote> notes) {
   this->parts.loads.OnNotes(host, notes);
-  std::vector<std::string> engines;
-  for (const EngineLoadNote& note : notes) {
-    engines.push_back(note.engine);
-  }
-  this->allocator.NoteTold(host, engines, this->parts.clock.WallMs());
+  this->allocator.NoteTold(host, notes, this->parts.clock.WallMs());
 }
 
 }  // namespace meadowthread
--- a/src/allocation/allocator.cc
+++ b/src/allocation/allocator.cc
@@ -10,9 +10,9 @@
 namespace meadowthread {
 namespace {
 
-// A host's word of its work tells of a place given so long before: the way
-// there and back in a zone, and a turn of its event loop.
-constexpr std::int64_t kKnownAfterMs = 15;
+// A host's word of its work tells of a place given so long before, whatever it
+// says: the way there and back in a zone, and a step of its notes' timer.
+constexpr std::int64_t kKnownAfterMs = 40;
 // A place of which the host has said nothing for so long was not taken, or its
 // word was lost: it comes again with all others. Hosts whose share of processor
 // time is used up stand still for less.
@@ -139,7 +139,8 @@
     return;  // its own work is known
   }
   Given one{ask.origin, engine,
-            absl::StrCat(ask.origin, "/", ++this->last_given), now_ms};
+            absl::StrCat(ask.origin, "/", ++this->last_given), now_ms,
+            this->RequestsOf(ask.origin, engine, now_ms)};
   PeerLoad load;
   load.peer = one.name;
   load.engine = engine;
@@ -158,13 +159,34 @@
   this->fleet.ForgetPeerLoad(one.engine, one.name);
 }
 
+// Told, and given but not told of yet.
+std::int64_t Allocator::RequestsOf(std::string_view host,
+                                   std::string_view engine,
+                                   std::int64_t now_ms) const {
+  std::int64_t requests = 0;
+  for (const PeerLoad& load : this->fleet.PeersAt(engine, now_ms)) {
+    requests += load.peer == host ? load.in_flight : 0;
+  }
+  return requests + std::count_if(this->given.begin(), this->given.end(),
+                                  [&](const Given& one) {
+                                    return one.host == host &&
+                                           one.engine == engine;
+                                  });
+}
+
+// One request more than before is the one that was given; with as many, an
+// older one may have ended, or the word left before the place was known.
 void Allocator::NoteTold(std::string_view host,
-                         std::span<const std::string> engines,
+                         std::span<const EngineLoadNote> notes,
                          std::int64_t now_ms) {
   std::erase_if(this->given, [&](const Given& one) {
-    const bool is_told =
-        one.host == host && now_ms - one.given_ms >= kKnownAfterMs &&
-        std::find(engines.begin(), engines.end(), one.engine) != engines.end();
+    const auto note = std::find_if(notes.begin(), notes.end(),
+                                   [&one](const EngineLoadNote& told) {
+                                     return told.engine == one.engine;
+                                   });
+    const bool is_told = one.host == host && note != notes.end() &&
+                         (note->in_flight > one.before ||
+                          now_ms - one.given_ms >= kKnownAfterMs);
     if (is_told) {
       this->Forget(one);
     }
--- a/src/allocation/allocator.h
+++ b/src/allocation/allocator.h
@@ -13,6 +13,7 @@
 #include "allocation/allocation_messages.h"
 #include "allocation/engine_groups.h"
 #include "allocation/link_turns.h"
+#include "exchange/load_note.h"
 #include "policy/fleet_state.h"
 #include "policy/pressure_chooser.h"
 
@@ -65,9 +66,9 @@
   std::vector<GrantedTurn> GrantTurns(std::int64_t now_ms,
                                       std::uint64_t random);
 
-  /// @brief A host told of its work at these engines: it knows by now of the
-  /// places that it was given.
-  void NoteTold(std::string_view host, std::span<const std::string> engines,
+  /// @brief A host told of its work, which the fleet's state has taken: with
+  /// it, of places that it was given.
+  void NoteTold(std::string_view host, std::span<const EngineLoadNote> notes,
                 std::int64_t now_ms);
 
   /// @brief Another group's allocator told of the pressure there.
@@ -89,6 +90,7 @@
     std::string engine;
     std::string name;  ///< what the fleet's state knows it by
     std::int64_t given_ms = 0;
+    std::int64_t before = 0;  ///< requests that the host had there then
   };
   struct ToldPressure {
     double cost = 0.0;
@@ -110,6 +112,8 @@
   void Give(const PlaceAsk& ask, const std::string& engine,
             std::int64_t now_ms);
   void Forget(const Given& given);
+  std::int64_t RequestsOf(std::string_view host, std::string_view engine,
+                          std::int64_t now_ms) const;
 
   std::string self;
   PressureOptions options;
--- a/src/allocation/tests/allocator_test.cc
+++ b/src/allocation/tests/allocator_test.cc
@@ -34,17 +34,20 @@
     return this->allocator.Answer(ask, now_ms, 0).answer;
   }
   void Tell(const std::string& engine, std::int64_t reserved,
-            std::int64_t reading, std::int64_t now_ms) {
+            std::int64_t reading, std::int64_t now_ms, int in_flight = 1) {
     PeerLoad load;
     load.peer = "asking";
     load.engine = engine;
     load.as_of_unix_ms = now_ms;
-    load.in_flight = 1;
+    load.in_flight = in_flight;
     load.kv_held = reserved;
     load.reading = reading;
     load.forecast.AddFlat(static_cast<double>(reserved));
     this->fleet.state.NotePeerLoad(load, now_ms);
-    this->allocator.NoteTold("asking", std::vector<std::string>{engine},
+    EngineLoadNote note;
+    note.engine = engine;
+    note.in_flight = in_flight;
+    this->allocator.NoteTold("asking", std::vector<EngineLoadNote>{note},
                              now_ms);
   }
 
@@ -74,13 +77,24 @@
 
 Test(a_place, counts_once_when_its_host_tells_of_it) {
   Story story(1);
+  story.Tell("e0", 500, 500, 1);
   story.Place(story.Ask(), 1);
-  cr_assert(story.fleet.state.ReadingTokens(0, 1) == 2'000);
+  cr_assert(story.fleet.state.ReadingTokens(0, 1) == 2'500);
   story.Tell("e0", 500, 500, 5);
   cr_assert(story.fleet.state.ReadingTokens(0, 5) == 2'500,
-            "too soon to know of it");
-  story.Tell("e0", 2'500, 2'500, 40);
-  cr_assert(story.fleet.state.ReadingTokens(0, 40) == 2'500);
+            "it left before the place was known");
+  story.Tell("e0", 2'500, 2'500, 8, 2);
+  cr_assert(story.fleet.state.ReadingTokens(0, 8) == 2'500);
+}
+
+Test(a_place, counts_once_a_little_later_where_another_has_ended) {
+  Story story(1);
+  story.Tell("e0", 500, 500, 1);
+  story.Place(story.Ask(), 1);
+  story.Tell("e0", 2'000, 2'000, 20);
+  cr_assert(story.fleet.state.ReadingTokens(0, 20) == 4'000);
+  story.Tell("e0", 2'000, 2'000, 45);
+  cr_assert(story.fleet.state.ReadingTokens(0, 45) == 2'000);
 }
 
 Test(a_place, that_nobody_took_is_free_again) {
