--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -192,9 +192,8 @@
       this->health.NoteTold(attempt.engine, *result, this->clock.MonotonicMs());
     }
   });
-  this->fleet.OnReading([this](const ReadingSeen& seen) {
-    this->allocation.TellReading(seen);
-  });
+  this->fleet.OnReading(
+      [this](const ReadingSeen& seen) { this->allocation.TellReading(seen); });
   this->allocation.OnTellAll([this] { this->load_datagrams.TellAllSoon(); });
   this->entries.SetListener(
       [this](const std::vector<EntryHost>& known) { this->TakeHosts(known); });
