--- a/src/policy/tests/fleet_state_test.cc
+++ b/src/policy/tests/fleet_state_test.cc
@@ -277,5 +277,26 @@
   cr_assert(fleet.state.Find("e0")->own_kv == 4'000);
 }
 
+// A host that asked where to send knows from the answer what is ahead of its
+// prompt, and tells the host that answered how long that took.
+Test(a_first_event, tells_how_fast_all_that_was_ahead_is_read) {
+  testing::Fleet fleet(1);
+  std::vector<ReadingSeen> told;
+  fleet.state.OnReading(
+      [&told](const ReadingSeen& seen) { told.push_back(seen); });
+  WorkItem work = testing::Work("r");
+  work.prompt_tokens = 2'000;
+  work.reading_ahead = 6'000;
+  fleet.state.NoteSent(work, "e0", 1'000);
+  fleet.state.NoteTokens("r", 4, 1'800);
+  fleet.state.NoteTokens("r", 8, 1'900);
+  cr_assert(told.size() == 1 && told[0].engine == "e0");
+  cr_assert(told[0].tokens == 8'000 && told[0].took_ms == 800);
+  testing::Fleet other(1);
+  const double before = other.state.Reading().MsPerToken();
+  other.state.ObserveReading(told[0]);
+  cr_assert(other.state.Reading().MsPerToken() < before, "0.1 ms a token");
+}
+
 }  // namespace
 }  // namespace meadowthread
