One place for what copies of runs take, one way to tell an engine's allocators

The longest copy (900 ms) and the cost of a busy link (0.5) stood twice, in the departures and in the allocator; attempts and reading rates were told by two alike loops. Values and behaviour as before; tests of allocation, relay, policy, serve and exchange pass.

--- a/src/allocation/allocation_duty.cc
+++ b/src/allocation/allocation_duty.cc
@@ -140,22 +140,22 @@
   }
 }
 
-void AllocationDuty::TellAttempt(const EngineAttempt& attempt) {
+template <typename Message>
+void AllocationDuty::TellAllocators(const Message& message) {
   if (this->IsEverybody()) {
     return;
   }
-  for (const std::string& host : this->HostsFor(attempt.engine)) {
-    this->channel.Send(host, attempt);
+  for (const std::string& host : this->HostsFor(message.engine)) {
+    this->channel.Send(host, message);
   }
 }
 
+void AllocationDuty::TellAttempt(const EngineAttempt& attempt) {
+  this->TellAllocators(attempt);
+}
+
 void AllocationDuty::TellReading(const ReadingSeen& seen) {
-  if (this->IsEverybody()) {
-    return;
-  }
-  for (const std::string& host : this->HostsFor(seen.engine)) {
-    this->channel.Send(host, seen);
-  }
+  this->TellAllocators(seen);
 }
 
 std::vector<std::string> AllocationDuty::HostsFor(
--- a/src/allocation/allocation_duty.h
+++ b/src/allocation/allocation_duty.h
@@ -101,6 +101,8 @@
   bool HasStoodStill() const;
   void TakeHosts();
   void TakeDuties(bool stood_still);
+  template <typename Message>
+  void TellAllocators(const Message& message);
   void TellPressures();
   void GrantTurns();
 
--- a/src/allocation/allocator.cc
+++ b/src/allocation/allocator.cc
@@ -1,7 +1,6 @@
 #include "allocation/allocator.h"
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 #include <utility>
 
@@ -26,8 +25,6 @@
 // tells anew: one prompt's reading over some dozen engines, as many times as
 // there are groups that see the same and pass on as well.
 constexpr double kPassedOnCost = 0.1;
-// Moves look for a link without another copy on it.
-constexpr double kBusyLinkCost = 0.5;
 
 PlaceAnswer AnswerOf(const PlaceAsk& ask, const Decision& decision) {
   PlaceAnswer answer;
@@ -90,6 +87,7 @@
   with.zone_cost = 0.0;
   // Nobody else chooses here, so that the best is the best.
   with.near_equal = 0.0;
+  // Moves look for a link without another copy on it.
   if (!ask.source.empty()) {
     with.busy_link_cost = kBusyLinkCost;
   }
--- a/src/allocation/link_turns.cc
+++ b/src/allocation/link_turns.cc
@@ -3,12 +3,11 @@
 #include <algorithm>
 #include <iterator>
 
+#include "policy/shared_work.h"
+
 namespace meadowthread {
 namespace {
 
-// A copy that began so long ago is over, or its host is gone: the longest ones,
-// behind two others on both of their links, took 0.7 s.
-constexpr std::int64_t kLongestCopyMs = 900;
 // Hosts ask again each quarter of a second; one of two askings may be lost.
 constexpr std::int64_t kWaitsMs = 600;
 
--- a/src/policy/shared_work.h
+++ b/src/policy/shared_work.h
@@ -8,6 +8,16 @@
 
 namespace meadowthread {
 
+/// @brief A copy of a run that began so many milliseconds ago is over, or its
+/// host is gone: the longest ones, behind two others on both of their links,
+/// took 0.7 s.
+inline constexpr std::int64_t kLongestCopyMs = 900;
+
+/// @brief Cost of a copy behind another one, in PressureOptions' unit: it waits
+/// for about as long as one to another zone takes longer, and the run's last
+/// step may come to wait as well.
+inline constexpr double kBusyLinkCost = 0.5;
+
 /// @brief What one entry host tells the others of its work on one engine.
 /// Late, lost or doubled, it makes choices worse but never wrong.
 struct PeerLoad {
--- a/src/relay/departures.cc
+++ b/src/relay/departures.cc
@@ -19,16 +19,10 @@
 // second and a half at least. A host that would not be done by then no longer
 // lets the hosts before it go first.
 constexpr double kWindowMs = 1'300.0;
-// A copy that was told of so long ago is over, or its host is gone: the longest
-// ones, behind two others on both of their links, took 0.7 s.
-constexpr std::int64_t kLongestCopyMs = 900;
 // A link whose speed nobody told: one report's memory in about 200 ms.
 constexpr double kUsualTokensPerMs = 17.0;
 // Moves to another zone take twice as long on the link.
 constexpr double kOtherZoneCost = 0.6;
-// A copy behind another one waits for about as long as one to another zone
-// takes longer, and the run's last step may come to wait as well.
-constexpr double kBusyLinkCost = 0.5;
 
 }  // namespace
 
