--- /dev/null
+++ b/src/base/sha256.h
@@ -0,0 +1,18 @@
+#ifndef MEADOWTHREAD_BASE_SHA256_H_
+#define MEADOWTHREAD_BASE_SHA256_H_
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace meadowthread {
+
+/// @brief A SHA-256.
+using Hash256 = std::array<std::uint8_t, 32>;
+
+/// @brief The SHA-256 of these bytes.
+Hash256 Sha256Of(std::string_view bytes);
+
+}  // namespace meadowthread
+
+#endif  // MEADOWTHREAD_BASE_SHA256_H_
--- a/src/claims/claim_key.cc
+++ b/src/claims/claim_key.cc
@@ -1,6 +1,5 @@
 #include "claims/claim_key.h"
 
-#include <QCryptographicHash>
 #include <QRandomGenerator>
 #include <algorithm>
 #include <charconv>
@@ -37,17 +36,8 @@
 
 }  // namespace
 
-Hash256 BodyDigest(std::string_view body) {
-  const QByteArray digest = QCryptographicHash::hash(
-      QByteArray::fromRawData(body.data(), static_cast<int>(body.size())),
-      QCryptographicHash::Sha256);
-  Hash256 hash{};
-  std::memcpy(hash.data(), digest.constData(), hash.size());
-  return hash;
-}
-
 Hash256 KeyHash(std::string_view workspace, std::string_view key) {
-  return BodyDigest(Joined(workspace, key));
+  return Sha256Of(Joined(workspace, key));
 }
 
 std::uint32_t ShardOf(std::string_view workspace, std::string_view key,
--- a/src/claims/claim_key.h
+++ b/src/claims/claim_key.h
@@ -9,9 +9,6 @@
 
 namespace meadowthread {
 
-/// @brief SHA-256 of a request body.
-Hash256 BodyDigest(std::string_view body);
-
 /// @brief SHA-256 of workspace and key, each with its length, so that no two
 /// pairs run into each other.
 Hash256 KeyHash(std::string_view workspace, std::string_view key);
--- a/src/claims/claim_types.h
+++ b/src/claims/claim_types.h
@@ -7,10 +7,9 @@
 #include <string>
 #include <variant>
 
-namespace meadowthread {
+#include "base/sha256.h"
 
-/// @brief A SHA-256.
-using Hash256 = std::array<std::uint8_t, 32>;
+namespace meadowthread {
 
 /// @brief A random number that names one submission for good.
 using ClaimNonce = std::array<std::uint8_t, 16>;
--- a/src/claims/tests/claim_fixture.h
+++ b/src/claims/tests/claim_fixture.h
@@ -79,7 +79,7 @@
     ClaimRequest request;
     request.workspace = "lukot";
     request.key = std::string(key);
-    request.body_digest = BodyDigest(body);
+    request.body_digest = Sha256Of(body);
     request.key_form = this->form;
     request.deadline_unix_ms = this->clock.WallMs() + within_ms;
     auto told = std::make_shared<Told>();
--- a/src/claims/tests/claim_log_test.cc
+++ b/src/claims/tests/claim_log_test.cc
@@ -225,7 +225,7 @@
   ClaimRequest request;
   request.workspace = "lukot";
   request.key = std::string(key);
-  request.body_digest = BodyDigest("body");
+  request.body_digest = Sha256Of("body");
   request.deadline_unix_ms = clock->WallMs() + 10'000;
   bool granted = false;
   service.Claim(request, [&granted](const absl::StatusOr<ClaimAnswer>& answer) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -279,7 +279,7 @@
   terms.key_form = service.not_repeatable.key_form;
   start.idempotency_key = std::string(key);
   if (terms.at_most_once) {
-    start.body_digest = BodyDigest(request.body);
+    start.body_digest = Sha256Of(request.body);
   }
   if (terms.at_most_once && key.empty()) {
     return Refuse(ErrorId::kIdempotencyKeyMissing, "route", "Idempotency-Key",
--- a/src/gateway/service_forwarder.cc
+++ b/src/gateway/service_forwarder.cc
@@ -127,8 +127,8 @@
   request.key = call.idempotency_key;
   request.key_form = form;
   request.body_digest =
-      BodyDigest(absl::StrCat(call.method, "\n", call.service, "\n", call.path,
-                              "\n", call.query, "\n", call.body));
+      Sha256Of(absl::StrCat(call.method, "\n", call.service, "\n", call.path,
+                            "\n", call.query, "\n", call.body));
   request.deadline_unix_ms =
       this->parts.relay.clock.WallMs() + this->parts.timeout_ms;
   this->parts.claims.Claim(
--- a/src/relay/call_session.cc
+++ b/src/relay/call_session.cc
@@ -326,6 +326,7 @@
   LogLine("attempt-failed")
       .Add("request", this->request.id)
       .Add("engine", attempt.BackendId())
+      .Add("content", ContentKeyOf(this->request, this->terms))
       .Add("outcome", OutcomeName(verdict.outcome))
       .Add("took_ms", now_ms - attempt.SentMs())
       .Add("why", std::string{end.status.message()})
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "quarantine/content_key.h"
+
 namespace meadowthread {
 
 std::string_view RunRuleName(RunRule rule) {
@@ -16,6 +18,11 @@
   return "once";
 }
 
+std::string ContentKeyOf(const RelayRequest& request, const RelayTerms& terms) {
+  return ContentKeyOf(
+      {terms.workspace, request.host, request.target, request.body});
+}
+
 std::int64_t DeadlineMs(const RelayRequest& request, const RelayTerms& terms,
                         std::int64_t default_limit_ms) {
   std::int64_t limit_ms =
--- a/src/relay/relay_request.h
+++ b/src/relay/relay_request.h
@@ -63,6 +63,10 @@
   std::int64_t send_until_unix_ms = 0;
 };
 
+/// @brief The content's key of a request: the same for each try of it.
+/// @complexity linear in the body
+std::string ContentKeyOf(const RelayRequest& request, const RelayTerms& terms);
+
 /// @brief Until when a request may be held, monotonic: the shorter of what its
 /// route and its caller allow.
 /// @param[in] default_limit_ms for a route that sets no limit
--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -253,6 +253,7 @@
   LogLine("attempt-failed")
       .Add("request", this->request.id)
       .Add("engine", this->engine)
+      .Add("content", ContentKeyOf(this->request, this->terms))
       .Add("outcome", OutcomeName(verdict.outcome))
       .Add("events", this->events)
       .Add("why", std::string{end.status.message()})
