--- /dev/null
+++ b/src/cli/quarantine_change_command.cc
@@ -0,0 +1,166 @@
+#include "absl/strings/str_cat.h"
+#include "base/error.h"
+#include "cli/await.h"
+#include "cli/entry_hosts.h"
+#include "cli/operator_options.h"
+#include "cli/platform_command.h"
+#include "cli/quarantine_commands.h"
+#include "quarantine/content_key.h"
+#include "quarantine/crash_messages.h"
+
+namespace meadowthread {
+namespace {
+
+// Hosts write to the same object while servers end.
+constexpr int kAttempts = 6;
+
+enum class Ruling { kKeep, kLift };
+
+/// @brief One ruling of an operator, on its way to the store. To make it twice
+/// changes nothing, so that an unknown end is simply tried again.
+class RulingChange {
+ public:
+  RulingChange(Platform& platform, std::string content, Ruling ruling,
+               std::int64_t now_unix_ms)
+      : platform(platform),
+        content(std::move(content)),
+        ruling(ruling),
+        now_unix_ms(now_unix_ms) {}
+
+  CommandResult Run() {
+    absl::Status last = absl::OkStatus();
+    for (int n = 0; n < kAttempts; ++n) {
+      const absl::StatusOr<StoredObject> lies =
+          AwaitGet(this->platform, kQuarantineKind, this->content);
+      if (!lies.ok()) {
+        last = lies.status();
+        if (DetailOf(last).id == ErrorId::kNotFound) {
+          return FailedResult(last);
+        }
+        continue;
+      }
+      const absl::StatusOr<CrashRecord> record =
+          DecodeCrashRecord(lies->name, lies->value);
+      if (!record.ok()) {
+        return FailedResult(record.status());
+      }
+      const absl::StatusOr<StoredObject> written = this->Write(*lies, *record);
+      if (written.ok()) {
+        return this->Tell(*written);
+      }
+      last = written.status();
+    }
+    return FailedResult(last);
+  }
+
+ private:
+  absl::StatusOr<StoredObject> Write(const StoredObject& lies,
+                                     CrashRecord record) {
+    if (this->ruling == Ruling::kKeep) {
+      record.kept_ms = this->now_unix_ms;
+    } else {
+      record.cleared_ms = this->now_unix_ms;
+    }
+    StoredObject next = lies;
+    next.value = EncodeCrashRecord(record);
+    const absl::StatusOr<std::int64_t> version = Await<std::int64_t>(
+        this->platform,
+        StoreError(ErrorId::kStoreUnknown, "put", kQuarantineKind),
+        [&](const ObjectStore::PutDone& done) {
+          this->platform.Store().Put(kQuarantineKind, next.name, next.value,
+                                     lies.version, done);
+        });
+    if (!version.ok()) {
+      return version.status();
+    }
+    next.version = *version;
+    return next;
+  }
+
+  CommandResult Tell(const StoredObject& written) {
+    CommandResult result;
+    result.json["content"] = written.name;
+    result.json["version"] = written.version;
+    result.text =
+        absl::StrCat(this->ruling == Ruling::kKeep ? "kept" : "lifted", ": ",
+                     written.name, " as version ", written.version, "\n");
+    const OfferReport offered = OfferToAll(this->platform, written);
+    result.json["offered"] = offered.Json();
+    result.text += offered.Text();
+    return result;
+  }
+
+  Platform& platform;
+  std::string content;
+  Ruling ruling;
+  std::int64_t now_unix_ms;
+};
+
+class ChangeInvocation final : public Invocation {
+ public:
+  ChangeInvocation(TCLAP::CmdLine& line, Ruling ruling, const Clock& clock)
+      : content("content", "the content, as `quarantine list` tells it", true,
+                "", "CONTENT", line),
+        ruling(ruling),
+        clock(clock) {}
+
+  CommandResult Run(const RunContext& context) override {
+    if (!IsContentKey(this->content.getValue())) {
+      return UsageResult("CONTENT is 32 hexadecimal digits");
+    }
+    return RulingChange(context.platform, this->content.getValue(),
+                        this->ruling, this->clock.WallMs())
+        .Run();
+  }
+
+ private:
+  TCLAP::UnlabeledValueArg<std::string> content;
+  Ruling ruling;
+  const Clock& clock;
+};
+
+class ChangeCommand final : public PlatformCommand {
+ public:
+  ChangeCommand(PlatformConnector& connector, const CommandHelp& help,
+                Ruling ruling, const Clock& clock)
+      : PlatformCommand(connector, help), ruling(ruling), clock(clock) {}
+
+ protected:
+  std::unique_ptr<Invocation> Prepare(TCLAP::CmdLine& line) override {
+    return std::make_unique<ChangeInvocation>(line, this->ruling, this->clock);
+  }
+
+ private:
+  Ruling ruling;
+  const Clock& clock;
+};
+
+constexpr char kExample[] = "3f0c1d5be2a94477a1b0c9d8e7f60512";
+
+}  // namespace
+
+std::unique_ptr<Command> MakeQuarantineKeepCommand(PlatformConnector& connector,
+                                                   const Clock& clock) {
+  const CommandHelp help = {
+      "quarantine keep",
+      "keeps a content from all servers until it is lifted",
+      "A quarantine ends by itself after a while, and one more server's end "
+      "begins the next.\nKept, no host sends such a request to any server "
+      "until an operator lifts it.",
+      {absl::StrCat("meadowthread quarantine keep ", kExample)}};
+  return std::make_unique<ChangeCommand>(connector, help, Ruling::kKeep, clock);
+}
+
+std::unique_ptr<Command> MakeQuarantineLiftCommand(PlatformConnector& connector,
+                                                   const Clock& clock) {
+  const CommandHelp help = {
+      "quarantine lift",
+      "takes back what speaks against a content",
+      "The ends of servers up to now speak against the content no more: its "
+      "next try is sent\nto a server. Three more ends put it in quarantine "
+      "again.",
+      {absl::StrCat("meadowthread quarantine lift ", kExample)}};
+  return std::make_unique<ChangeCommand>(connector, help, Ruling::kLift, clock);
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/cli/quarantine_list_command.cc
@@ -0,0 +1,107 @@
+#include "absl/strings/str_cat.h"
+#include "cli/await.h"
+#include "cli/platform_command.h"
+#include "cli/quarantine_commands.h"
+#include "cli/text_table.h"
+#include "cli/utc_time.h"
+#include "quarantine/crash_messages.h"
+
+namespace meadowthread {
+namespace {
+
+std::string StateOf(const CrashRecord& record, const CrashVerdict& verdict) {
+  if (record.kept_ms > record.cleared_ms) {
+    return "kept";
+  }
+  if (verdict.in_quarantine) {
+    return "quarantined";
+  }
+  return record.ends.empty() ? "cleared" : "suspected";
+}
+
+std::string ServersOf(const CrashRecord& record) {
+  std::string servers;
+  for (const ServerEnd& end : record.ends) {
+    absl::StrAppend(&servers, servers.empty() ? "" : ",", end.server);
+  }
+  return servers;
+}
+
+CommandResult Tell(const ObjectList& list, std::int64_t now_unix_ms) {
+  CommandResult result;
+  result.json["contents"] = nlohmann::ordered_json::array();
+  TextTable table({"CONTENT", "WORKSPACE", "ROUTE", "STATE", "UNTIL", "ENDS",
+                   "A REQUEST", "SERVERS"});
+  for (const StoredObject& object : list.items) {
+    const absl::StatusOr<CrashRecord> record =
+        DecodeCrashRecord(object.name, object.value);
+    if (!record.ok()) {
+      table.Add({object.name, "?", "?", "unreadable", "-", "-", "-", "-"});
+      result.json["contents"].push_back(
+          {{"content", object.name}, {"unreadable", true}});
+      continue;
+    }
+    const CrashVerdict verdict = Judge(*record, now_unix_ms);
+    const std::string state = StateOf(*record, verdict);
+    const bool has_end = state == "quarantined";
+    table.Add({object.name, record->id.workspace, record->route, state,
+               UtcTime(has_end ? verdict.until_ms : 0),
+               std::to_string(record->ends.size()), record->request,
+               ServersOf(*record)});
+    nlohmann::ordered_json told = CrashRecordJson(*record);
+    told["state"] = state;
+    told["until_unix_ms"] = has_end ? verdict.until_ms : 0;
+    told["strikes"] = verdict.strikes;
+    result.json["contents"].push_back(told);
+  }
+  result.text = table.Text();
+  return result;
+}
+
+class ListInvocation final : public Invocation {
+ public:
+  explicit ListInvocation(const Clock& clock) : clock(clock) {}
+
+  CommandResult Run(const RunContext& context) override {
+    const absl::StatusOr<ObjectList> list =
+        AwaitList(context.platform, kQuarantineKind);
+    if (!list.ok()) {
+      return FailedResult(list.status());
+    }
+    return Tell(*list, this->clock.WallMs());
+  }
+
+ private:
+  const Clock& clock;
+};
+
+class ListCommand final : public PlatformCommand {
+ public:
+  ListCommand(PlatformConnector& connector, const Clock& clock)
+      : PlatformCommand(
+            connector,
+            {"quarantine list",
+             "tells the requests that end the servers which run them",
+             "Tells the contents (workspace, path, body) under which servers "
+             "ended without a word,\nwhich servers those were, and until when "
+             "no host sends such a request to any server.",
+             {"meadowthread quarantine list --settings entry-1.yaml"}}),
+        clock(clock) {}
+
+ protected:
+  std::unique_ptr<Invocation> Prepare(TCLAP::CmdLine& /*line*/) override {
+    return std::make_unique<ListInvocation>(this->clock);
+  }
+
+ private:
+  const Clock& clock;
+};
+
+}  // namespace
+
+std::unique_ptr<Command> MakeQuarantineListCommand(PlatformConnector& connector,
+                                                   const Clock& clock) {
+  return std::make_unique<ListCommand>(connector, clock);
+}
+
+}  // namespace meadowthread
--- /dev/null
+++ b/src/cli/tests/quarantine_test.cc
@@ -0,0 +1,104 @@
+// How operators see, keep and lift what ends servers.
+#include <criterion/criterion.h>
+
+#include "cli/quarantine_commands.h"
+#include "cli/tests/fake_platform.h"
+#include "quarantine/crash_messages.h"
+
+namespace meadowthread {
+namespace {
+
+using Maker = std::unique_ptr<Command> (*)(PlatformConnector&, const Clock&);
+
+constexpr char kContent[] = "0123456789abcdef0123456789abcdef";
+constexpr std::int64_t kNow = 1'790'000'000'000;
+
+struct Story {
+  Story() {
+    this->record.id = {"makati", kContent};
+    this->record.route = "report";
+    this->record.request = "r-7";
+    this->record.ends = {{"s-1", true, kNow - 3'000},
+                         {"s-2", true, kNow - 2'000},
+                         {"s-3", true, kNow - 1'000}};
+    this->world.Put(kQuarantineKind, kContent, EncodeCrashRecord(this->record));
+  }
+
+  RunRecord Run(Maker make, std::vector<std::string> arguments) {
+    FakeConnector connector(this->world);
+    arguments.insert(arguments.end(), {"--object-api", "http://h"});
+    return RunCommand(*make(connector, this->clock), arguments);
+  }
+
+  CrashRecord Stored() {
+    CrashRecord stored;
+    this->world.store.Get(kQuarantineKind, kContent,
+                          [&stored](const absl::StatusOr<StoredObject>& lies) {
+                            stored =
+                                *DecodeCrashRecord(lies->name, lies->value);
+                          });
+    this->world.store.Settle();
+    return stored;
+  }
+
+  FakeWorld world;
+  ManualClock clock{kNow};
+  CrashRecord record;
+};
+
+Test(a_quarantine, is_listed_with_its_evidence) {
+  Story story;
+  story.world.Put(kQuarantineKind, "torn", "{");
+  const RunRecord run =
+      story.Run(MakeQuarantineListCommand, {"--output", "json"});
+  const auto contents = nlohmann::json::parse(run.out)["contents"];
+  cr_assert(contents.size() == 2);
+  cr_assert(contents[0]["state"] == "quarantined");
+  cr_assert(contents[0]["ends"][2]["server"] == "s-3");
+  cr_assert(contents[0]["until_unix_ms"] == kNow - 1'000 + 600'000);
+  cr_assert(contents[1]["unreadable"] == true);
+  const RunRecord text = story.Run(MakeQuarantineListCommand, {});
+  cr_assert(Contains(text.out, "s-1,s-2,s-3"));
+}
+
+Test(a_quarantine, is_lifted_and_kept_by_an_operator) {
+  Story story;
+  cr_assert(story.Run(MakeQuarantineLiftCommand, {kContent}).code ==
+            ExitCode::kOk);
+  cr_assert_not(Judge(story.Stored(), kNow).in_quarantine);
+  story.clock.Advance(1'000);
+  cr_assert(story.Run(MakeQuarantineKeepCommand, {kContent}).code ==
+            ExitCode::kOk);
+  cr_assert(Judge(story.Stored(), kNow + 90'000'000).in_quarantine);
+}
+
+// A host that saw one more end writes at the same time.
+Test(a_quarantine, is_lifted_though_a_host_writes_in_between) {
+  Story story;
+  bool wrote = false;
+  story.world.at_pause = [&story, &wrote] {
+    CrashRecord more = story.record;
+    more.ends.push_back({"s-4", true, kNow - 500});
+    story.world.store.Put(kQuarantineKind, kContent, EncodeCrashRecord(more), 1,
+                          [&wrote](const auto& put) { wrote = put.ok(); });
+    story.world.store.Settle();
+  };
+  cr_assert(story.Run(MakeQuarantineLiftCommand, {kContent}).code ==
+            ExitCode::kOk);
+  cr_assert_not(Judge(story.Stored(), kNow).in_quarantine);
+}
+
+Test(what_is_in_no_quarantine, is_told_so) {
+  Story story;
+  cr_assert(story.Run(MakeQuarantineLiftCommand, {"short"}).code ==
+            ExitCode::kUsage);
+  cr_assert(
+      story.Run(MakeQuarantineLiftCommand, {"ffffffffffffffffffffffffffffffff"})
+          .code == ExitCode::kNotFound);
+  story.world.store.SetDown(true);
+  cr_assert(story.Run(MakeQuarantineListCommand, {}).code ==
+            ExitCode::kUnavailable);
+}
+
+}  // namespace
+}  // namespace meadowthread
--- a/src/main/main.cc
+++ b/src/main/main.cc
@@ -14,6 +14,7 @@
 #include "cli/host_commands.h"
 #include "cli/ownership_commands.h"
 #include "cli/qt_platform.h"
+#include "cli/quarantine_commands.h"
 #include "cli/status_command.h"
 #include "cli/template_commands.h"
 #include "cli/version_command.h"
@@ -56,6 +57,9 @@
   registry.Add(MakeCheckCommand());
   registry.Add(MakeOwnershipShowCommand(connector));
   registry.Add(MakeOwnershipMoveCommand(connector, clock, operations));
+  registry.Add(MakeQuarantineListCommand(connector, clock));
+  registry.Add(MakeQuarantineKeepCommand(connector, clock));
+  registry.Add(MakeQuarantineLiftCommand(connector, clock));
   registry.Add(MakeVersionCommand());
   Console console = {std::cin, std::cout, std::cerr};
   return static_cast<int>(registry.Run(words, console));
