--- a/fuzz/peers_fuzzer.cc
+++ b/fuzz/peers_fuzzer.cc
@@ -6,6 +6,8 @@
 #include "exchange/load_datagrams.h"
 #include "exchange/view_datagrams.h"
 #include "fuzz/fuzz_input.h"
+#include "quarantine/crash_book.h"
+#include "quarantine/crash_messages.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
@@ -20,6 +22,13 @@
     (void)GroupPressureFrom(datagram->payload);
     (void)EngineAttemptFrom(datagram->payload);
     (void)ReadingSeenFrom(datagram->payload);
+    CrashBook book;
+    for (const nlohmann::json& one : datagram->payload) {
+      const absl::StatusOr<CrashRecord> record = CrashRecordFrom(one);
+      if (record.ok()) {
+        book.Take(*record, record->cleared_ms);
+      }
+    }
     const absl::StatusOr<std::vector<StoredObject>> items =
         ItemsFrom(datagram->payload);
     if (items.ok()) {
@@ -31,5 +40,6 @@
   }
   (void)DecodeExchange(text, "peer");
   (void)DecodeOffer(text);
+  (void)DecodeCrashRecord("0123456789abcdef0123456789abcdef", text);
   return 0;
 }
--- a/src/quarantine/crash_record.h
+++ b/src/quarantine/crash_record.h
@@ -25,6 +25,8 @@
   std::string workspace;
   std::string content;  ///< see ContentKeyOf
 
+  // The linter takes the defaulted comparison for a null pointer's.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const CrashRecordId&, const CrashRecordId&) = default;
 };
 
