A run cut while its server went on is no part of that server's later end

Found by reading: a spoilt answer's run waited five seconds for its server's end, kept the next cut from being checked and was blamed for it. Test a_cut_run::is_no_part_of_an_end_that_came_after_it failed before; 33 quarantine tests pass.

--- a/src/quarantine/server_end_watch.cc
+++ b/src/quarantine/server_end_watch.cc
@@ -29,36 +29,51 @@
 
 void ServerEndWatch::Add(const CutRun& run) {
   std::vector<Waiting>& runs = this->waiting[run.server];
-  const bool is_asked =
-      std::any_of(runs.begin(), runs.end(),
-                  [](const Waiting& one) { return !one.run.was_silent; });
   if (runs.size() >= kMostOfServer) {
     LogLine("cut-run-dropped").Add("server", run.server).WriteImportant();
     return;
   }
   runs.push_back({run, this->clock.WallMs()});
-  if (!is_asked && !run.was_silent) {
+  if (!run.was_silent && this->asking.insert(run.server).second) {
     this->Ask(run);
   }
   this->scheduler.After(kWaitMs,
                         this->life.Guarded([this] { this->DropOld(); }));
 }
 
-// A machine that does not answer may only be cut off from this one.
 void ServerEndWatch::Ask(const CutRun& run) {
   this->check.Ask(
       run.address, kCheckMs,
       this->life.Guarded([this, server = run.server](ListenState state) {
-        LogLine("server-checked")
-            .Add("server", server)
-            .Add("state", ListenStateName(state))
-            .WriteImportant();
-        if (state == ListenState::kRefused) {
-          this->End(server, ListenStateName(state));
-        }
+        this->TakeState(server, state);
       }));
 }
 
+// A machine that does not answer may only be cut off from this one. What takes
+// connections there may stand before the server, whose entry tells then; but an
+// end that is seen later by a connection came after the runs of now were cut.
+void ServerEndWatch::TakeState(const std::string& server, ListenState state) {
+  this->asking.erase(server);
+  LogLine("server-checked")
+      .Add("server", server)
+      .Add("state", ListenStateName(state))
+      .WriteImportant();
+  const auto found = this->waiting.find(server);
+  if (found == this->waiting.end()) {
+    return;
+  }
+  if (state == ListenState::kListens) {
+    for (Waiting& one : found->second) {
+      one.found_alive = true;
+    }
+  }
+  if (state == ListenState::kRefused) {
+    std::erase_if(found->second,
+                  [](const Waiting& one) { return one.found_alive; });
+    this->End(server, ListenStateName(state));
+  }
+}
+
 void ServerEndWatch::NoteGone(std::string_view server) {
   this->End(server, "gone");
 }
--- a/src/quarantine/server_end_watch.h
+++ b/src/quarantine/server_end_watch.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -53,9 +54,11 @@
   struct Waiting {
     CutRun run;
     std::int64_t unix_ms = 0;
+    bool found_alive = false;  ///< its server took connections after the cut
   };
 
   void Ask(const CutRun& run);
+  void TakeState(const std::string& server, ListenState state);
   void End(std::string_view server, std::string_view how);
   void DropOld();
 
@@ -64,6 +67,7 @@
   Scheduler& scheduler;
   Listener listener;
   std::map<std::string, std::vector<Waiting>, std::less<>> waiting;
+  std::set<std::string> asking;  ///< servers whose answer is awaited
   Lifetime life;
 };
 
--- a/src/quarantine/tests/server_end_watch_test.cc
+++ b/src/quarantine/tests/server_end_watch_test.cc
@@ -77,6 +77,18 @@
   cr_assert(story.told.size() == 1);
 }
 
+// An answer was spoilt, and seconds later a request ends the same server.
+Test(a_cut_run, is_no_part_of_an_end_that_came_after_it) {
+  Story story;
+  story.watch.Add(Story::Run("c-1", "s-1"));
+  story.check.Answer(ListenState::kListens);
+  story.Pass(2'000);
+  story.watch.Add(Story::Run("c-2", "s-1"));
+  cr_assert(story.check.asked.size() == 1, "asked again");
+  story.check.Answer(ListenState::kRefused);
+  cr_assert(story.told.size() == 1 && story.told[0].id.content == "c-2");
+}
+
 Test(a_run_that_got_no_answer_in_time, waits_for_the_servers_end_only) {
   Story story;
   CutRun run = Story::Run("c-1", "s-1");
