--- a/src/relay/tests/stream_session_test.cc
+++ b/src/relay/tests/stream_session_test.cc
@@ -489,5 +489,54 @@
   cr_assert(streaming.client.cancelled == 1);
 }
 
+/// @brief A host that hands out places by what it knew a moment ago.
+class BelatedAllocation final : public EngineAllocation {
+ public:
+  void Choose(const WorkItem&, const Chosen& chosen) override {
+    this->asked.push_back(chosen);
+  }
+  bool IsShared() const override { return true; }
+  void AskMove(const MoveAsk&, const Chosen& granted) override {
+    granted(Decision{});
+  }
+  void MoveOver(const MoveAsk&) override {}
+
+  /// @brief The n-th ask is answered.
+  void Give(std::size_t n, const std::string& engine) {
+    Decision decision;
+    decision.engine = engine;
+    this->asked.at(n)(decision);
+  }
+  std::vector<Chosen> asked;
+};
+
+// The host that handed out the place had not heard of it.
+Test(an_engine_that_left, gets_no_stream_that_another_host_placed_there) {
+  StreamStory story(2);
+  BelatedAllocation allocation;
+  StreamParts parts{allocation,        story.dispatcher, story.fleet,
+                    story.first_tries, story.admission,  story.links};
+  StreamSession session(story.parts, parts, story.control, story.callers,
+                        story.request, story.terms, 4,
+                        story.caller.TakeWriter(), [] {});
+  session.Begin();
+  story.backends.Remove("s-1");
+  allocation.Give(0, "s-1");
+  cr_assert(story.client.sent.empty(), "not sent where it can't stay");
+  story.Pass(1'000);
+  cr_assert(allocation.asked.size() == 2, "asked for another place");
+  allocation.Give(1, "s-2");
+  cr_assert(story.client.sent.size() == 1 && story.ServerOf(0) == "s-2");
+}
+
+// Its host hears that the target leaves between the order and its turn.
+Test(an_engine_that_left, is_no_target_of_a_run_that_moves) {
+  StreamStory story(3);
+  StreamSession& session = story.BeginWithEvent();
+  story.backends.Remove(story.Other());
+  cr_assert(!session.MoveTo(story.Other()));
+  cr_assert(story.control.orders.empty());
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -144,6 +144,9 @@
 
   // False once it is over.
   bool Turn(const LinkFault& to_target, const LinkFault& to_caller) {
+    if (this->silent) {
+      return true;
+    }
     if (!this->up.Turn(to_target) || !this->down.Turn(to_caller)) {
       this->ResetBoth();
       return false;
@@ -154,10 +157,12 @@
     Reset(this->caller);
     Reset(this->target);
   }
+  void Silence() { this->silent = true; }
 
  private:
   int caller;
   int target;
+  bool silent = false;
   Direction up;
   Direction down;
 };
@@ -194,6 +199,12 @@
   this->connections.clear();
 }
 
+void FaultProxy::SilenceStanding() {
+  for (const auto& connection : this->connections) {
+    connection->Silence();
+  }
+}
+
 void FaultProxy::Turn() {
   this->Accept();
   std::erase_if(this->connections, [this](const auto& connection) {
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -33,6 +33,10 @@
   /// @brief Resets every connection that stands, on both sides.
   void ResetAll();
 
+  /// @brief Every connection that stands passes nothing any more, for good and
+  /// without an end; new ones work.
+  void SilenceStanding();
+
  private:
   class Connection;
 
