The store's return is dated by the answers that any host hears of

What callers saw: calls at back ends more than two seconds after these had left, and, the other way round, refusals while all back ends lived. Cause: a host dated the store's return by its own watch of the servers, whose first answer after a failure can be the removal itself, up to three seconds late; every fault of its own way to the store counted as an outage; and hosts that don't watch knew of no outage at all, so that lapsed entries were removals to them.

Now StoreAbsence judges by signs of any answer (own calls, confirmations and changes by way of peers): no sign for 2.1 s is an absence, since entries lapse after two heartbeats at the earliest. A host that finds one over asks the hosts that watch for how long they have been answered, and takes theirs. After a failure a watch asks without waiting for news, so that the return shows with the first call.

--- a/src/configuration/kind_view.cc
+++ b/src/configuration/kind_view.cc
@@ -88,13 +88,15 @@
   return true;
 }
 
-void KindView::Confirm(std::int64_t revision,
+bool KindView::Confirm(std::int64_t revision,
                        const Confirmation& confirmation) {
   // A later read that shows less is a stale one and confirms nothing.
-  if (revision == this->watermark &&
-      confirmation.unix_ms > this->confirmed.unix_ms) {
+  const bool is_later = revision == this->watermark &&
+                        confirmation.unix_ms > this->confirmed.unix_ms;
+  if (is_later) {
     this->confirmed = confirmation;
   }
+  return is_later;
 }
 
 ViewDigest KindView::Digest() const {
--- a/src/configuration/kind_view.h
+++ b/src/configuration/kind_view.h
@@ -46,7 +46,8 @@
 
   /// @brief Adopts a confirmation of a read at `revision`, if that is the
   /// watermark and the confirmation is the latest.
-  void Confirm(std::int64_t revision, const Confirmation& confirmation);
+  /// @return whether it was adopted
+  bool Confirm(std::int64_t revision, const Confirmation& confirmation);
 
   ViewDigest Digest() const;
 
--- a/src/configuration/view_feeder.cc
+++ b/src/configuration/view_feeder.cc
@@ -73,6 +73,8 @@
                                                 : ReadKind::kWatch;
 }
 
+// After a failure a watch that waits for news would leave open whether the
+// store is back.
 void KindFeeder::Send(ReadKind read_kind) {
   Read read;
   read.kind = read_kind;
@@ -80,9 +82,8 @@
   read.sent_wall_ms = this->clock.WallMs();
   read.sent_ms = this->clock.MonotonicMs();
   this->pending = true;
-  std::int64_t wait_ms = 0;
   if (read_kind == ReadKind::kWatch) {
-    wait_ms = this->options.wait_ms;
+    read.wait_ms = this->state.failures > 0 ? 0 : this->options.wait_ms;
     read.since = this->view.Digest(this->kind).revision;
   } else if (read_kind == ReadKind::kRepair) {
     read.since = this->proved_revision;
@@ -91,10 +92,10 @@
       [this, read](const absl::StatusOr<ObjectList>& answer) {
         this->Answered(read, answer);
       });
-  this->Later(wait_ms + this->options.answer_margin_ms,
+  this->Later(read.wait_ms + this->options.answer_margin_ms,
               [this, number = read.number] { this->GiveUp(number); });
   if (read_kind == ReadKind::kWatch) {
-    this->store.Watch(this->kind, read.since, wait_ms, done);
+    this->store.Watch(this->kind, read.since, read.wait_ms, done);
   } else {
     this->store.List(this->kind, read.since, done);
   }
@@ -116,8 +117,8 @@
     return;
   }
   this->state.last_answer_unix_ms = this->clock.WallMs();
-  if (this->state.stalled && this->answered_again) {
-    this->answered_again();
+  if (this->answered) {
+    this->answered();
   }
   this->Take(read, *answer);
 }
@@ -201,8 +202,8 @@
                                      const ObjectList& list) const {
   const std::int64_t took_ms = this->clock.MonotonicMs() - read.sent_ms;
   const bool ran_out = read.kind == ReadKind::kWatch && list.items.empty() &&
-                       took_ms >= this->options.wait_ms;
-  return read.sent_wall_ms + (ran_out ? this->options.wait_ms : 0);
+                       took_ms >= read.wait_ms;
+  return read.sent_wall_ms + (ran_out ? read.wait_ms : 0);
 }
 
 std::int64_t KindFeeder::Backoff() {
@@ -260,11 +261,9 @@
   }
 }
 
-void ViewFeeder::OnAnsweredAgain(
-    const std::function<void(std::string_view kind)>& told) {
+void ViewFeeder::OnAnswered(const std::function<void()>& told) {
   for (const auto& feeder : this->feeders) {
-    feeder->OnAnsweredAgain(
-        [told, kind = feeder->State().kind] { told(kind); });
+    feeder->OnAnswered(told);
   }
 }
 
--- a/src/configuration/view_feeder.h
+++ b/src/configuration/view_feeder.h
@@ -71,10 +71,8 @@
   /// whether or not it is one that watches.
   void Hurry();
 
-  /// @brief Calls `told` when reading goes on after it had stalled.
-  void OnAnsweredAgain(const std::function<void()>& told) {
-    this->answered_again = told;
-  }
+  /// @brief Calls `told` at each answer, before it is taken over.
+  void OnAnswered(const std::function<void()>& told) { this->answered = told; }
 
   FeederState State() const { return this->state; }
 
@@ -84,6 +82,7 @@
     ReadKind kind = ReadKind::kWatch;
     std::uint64_t number = 0;
     std::int64_t since = 0;
+    std::int64_t wait_ms = 0;
     std::int64_t sent_wall_ms = 0;
     std::int64_t sent_ms = 0;
   };
@@ -110,7 +109,7 @@
   const Clock& clock;
   FeederOptions options;
   std::function<bool()> is_watcher;
-  std::function<void()> answered_again;
+  std::function<void()> answered;
   std::mt19937_64 random;
   FeederState state;
   std::uint64_t reads = 0;  ///< the number of the call awaited, if any
@@ -148,9 +147,8 @@
   /// @brief As KindFeeder::Hurry, for one kind.
   void Hurry(std::string_view kind);
 
-  /// @brief Calls `told` with a kind whose reading goes on after a stall,
-  /// before what was read is taken over.
-  void OnAnsweredAgain(const std::function<void(std::string_view kind)>& told);
+  /// @brief As KindFeeder::OnAnswered, for every kind.
+  void OnAnswered(const std::function<void()>& told);
 
   std::vector<FeederState> States() const;
 
--- a/src/gateway/tests/service_backends_test.cc
+++ b/src/gateway/tests/service_backends_test.cc
@@ -23,7 +23,8 @@
   ManualClock clock{1'000};
   ManualScheduler scheduler{&this->clock};
   HostDirectory hosts;
-  BackendList backends{this->clock, this->scheduler};
+  StoreAbsence absence;
+  BackendList backends{this->clock, this->scheduler, this->absence};
   ServiceBackends feed{this->hosts, this->backends};
 };
 
--- a/src/relay/backend_list.cc
+++ b/src/relay/backend_list.cc
@@ -1,5 +1,6 @@
 #include "relay/backend_list.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -8,9 +9,6 @@
 namespace meadowthread {
 namespace {
 
-// After the store's return living servers are listed anew within about two
-// seconds; an entry that is missing then is that of a server that is gone.
-constexpr std::int64_t kRelistMs = 2'200;
 // Longer than any generation lasts that a gone server may still end.
 constexpr std::int64_t kKeptMs = 60'000;
 // In log lines, the start of a server that does not tell it.
@@ -94,6 +92,7 @@
     backend.entry.started_ms = told_ms;
   }
   backend.listed = true;
+  backend.lapses_until_ms.reset();
   const bool was_named = std::exchange(backend.named, true);
   backend.warm_at_ms = this->clock.MonotonicMs() + entry.slow_for_ms;
   if (is_new) {
@@ -131,27 +130,39 @@
   Backend& backend = *found;
   backend.listed = false;
   const std::int64_t now_ms = this->clock.MonotonicMs();
-  const std::int64_t since_ms = now_ms - this->store_back_ms;
-  const bool may_have_lapsed = this->store_back_ms >= 0 &&
-                               since_ms < kRelistMs && !backend.entry.leaving;
-  if (!may_have_lapsed) {
+  const std::int64_t lapses_until_ms = this->absence.LapsesUntilMs();
+  if (lapses_until_ms <= now_ms || backend.entry.leaving) {
     this->Leave(&backend, "removed");
     this->ForgetLater(backend.key);
     return;
   }
+  backend.lapses_until_ms = lapses_until_ms;
   LogLine("backend")
       .Add("id", id)
       .Add("change", "lapsed")
-      .Add("store_back_ms", since_ms)
+      .Add("store_back_ms", this->absence.BackForMs(now_ms).value_or(0))
       .WriteImportant();
-  this->scheduler.After(
-      kRelistMs - since_ms, this->life.Guarded([this, gone = backend.key] {
-        const auto kept = this->backends.find(gone);
-        if (kept != this->backends.end() && !kept->second.listed) {
-          this->Leave(&kept->second, "not_listed_anew");
-          this->ForgetLater(gone);
-        }
-      }));
+  this->scheduler.After(lapses_until_ms - now_ms,
+                        this->life.Guarded([this] { this->ReviewLapsed(); }));
+}
+
+// Another absence meanwhile gives them no more time.
+void BackendList::ReviewLapsed() {
+  const std::int64_t now_ms = this->clock.MonotonicMs();
+  std::vector<std::string> gone;
+  for (const auto& [key, backend] : this->backends) {
+    if (backend.lapses_until_ms.has_value() &&
+        std::min(*backend.lapses_until_ms, this->absence.LapsesUntilMs()) <=
+            now_ms) {
+      gone.push_back(key);
+    }
+  }
+  for (const std::string& key : gone) {
+    Backend& backend = this->backends.at(key);
+    backend.lapses_until_ms.reset();
+    this->Leave(&backend, "not_listed_anew");
+    this->ForgetLater(key);
+  }
 }
 
 // Its runs are not moved either: it lives as far as anybody knows, and should
@@ -179,10 +190,6 @@
   }
 }
 
-void BackendList::NoteStoreBack() {
-  this->store_back_ms = this->clock.MonotonicMs();
-}
-
 void BackendList::Leave(Backend* backend, std::string_view why) {
   if (backend->leaving) {
     return;
--- a/src/relay/backend_list.h
+++ b/src/relay/backend_list.h
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "base/lifetime.h"
 #include "base/scheduler.h"
+#include "relay/store_absence.h"
 
 namespace meadowthread {
 
@@ -41,6 +42,8 @@
   bool said_so = false;        ///< told of leaving by itself, not by its entry
   bool started_again = false;  ///< gone, as its id has a newer start now
   std::optional<std::int64_t> passed_over_ms;  ///< an older start, logged
+  /// Not listed, and may be listed anew up to then; monotonic.
+  std::optional<std::int64_t> lapses_until_ms;
   /// Its entry names it; where another writer's stands in its place, it gets
   /// nothing new, and what runs there goes on.
   bool named = true;
@@ -61,8 +64,8 @@
 ///
 /// A server whose entry vanished gets nothing new, but is known until what
 /// runs there has ended. Entries that vanish just after the store was away may
-/// have lapsed: they count for a short while, in which a living server comes
-/// back.
+/// have lapsed: they count until StoreAbsence says that a living server would
+/// have come back.
 ///
 /// A server that starts again under its id is another one: it holds and knows
 /// nothing of before. Its entry makes the start before gone, at once and with
@@ -72,9 +75,10 @@
  public:
   using Listener = std::function<void(BackendChange, const Backend&)>;
 
-  /// @param[in] clock,scheduler outlive the list
-  BackendList(const Clock& clock, Scheduler& scheduler)
-      : clock(clock), scheduler(scheduler) {}
+  /// @param[in] clock,scheduler,absence outlive the list
+  BackendList(const Clock& clock, Scheduler& scheduler,
+              const StoreAbsence& absence)
+      : clock(clock), scheduler(scheduler), absence(absence) {}
   BackendList(const BackendList&) = delete;
   BackendList& operator=(const BackendList&) = delete;
 
@@ -95,8 +99,9 @@
   /// @brief The server itself says that it leaves, and its entry does not yet.
   void NoteLeaving(std::string_view key);
 
-  /// @brief The store answers again after it had been away.
-  void NoteStoreBack();
+  /// @brief Servers that would have been listed anew by now have left: to be
+  /// called where the end of the store's absence turns out to be another.
+  void ReviewLapsed();
 
   /// @brief The server, null where it is not known or has started again.
   const Backend* Find(std::string_view key) const;
@@ -126,11 +131,11 @@
 
   const Clock& clock;
   Scheduler& scheduler;
+  const StoreAbsence& absence;
   std::map<std::string, Backend, std::less<>> backends;  ///< by key
   /// The key of each id's one start that is known.
   std::map<std::string, std::string, std::less<>> keys;
   std::vector<Listener> listeners;
-  std::int64_t store_back_ms = -1;
   Lifetime life;
 };
 
--- a/src/relay/tests/backend_list_test.cc
+++ b/src/relay/tests/backend_list_test.cc
@@ -22,7 +22,8 @@
 struct Story {
   ManualClock clock{1'000};
   ManualScheduler scheduler{&this->clock};
-  BackendList list{this->clock, this->scheduler};
+  StoreAbsence absence;
+  BackendList list{this->clock, this->scheduler, this->absence};
   std::vector<BackendChange> told;
 
   Story() {
@@ -34,6 +35,12 @@
     this->told.clear();
   }
   std::size_t Usable() const { return this->list.Usable("pool").size(); }
+  /// @brief The store was away for long enough and answers again.
+  void ComeBack() {
+    this->absence.NoteAnswer(this->clock.MonotonicMs());
+    this->Pass(10'000);
+    this->absence.NoteAnswer(this->clock.MonotonicMs());
+  }
   void Pass(std::int64_t ms) {
     this->clock.Advance(ms);
     this->scheduler.RunDue();
@@ -86,7 +93,7 @@
 
 Test(a_server_whose_entry_names_it_no_more, is_not_listed_anew_by_it) {
   Story story;
-  story.list.NoteStoreBack();
+  story.ComeBack();
   story.list.Remove("a");
   cr_assert(story.Usable() == 2, "it may have lapsed");
   story.list.SetAside("a");
--- a/src/relay/tests/relay_fixture.h
+++ b/src/relay/tests/relay_fixture.h
@@ -225,7 +225,8 @@
   ManualScheduler scheduler{&this->clock};
   FakeClient client;
   FakeWire wire;
-  BackendList backends{this->clock, this->scheduler};
+  StoreAbsence absence;
+  BackendList backends{this->clock, this->scheduler, this->absence};
   BackendHealth health;
   RetryBudgets budgets{{1.0, 100.0}};
   FakeObserver observer;
--- a/src/relay/tests/retry_budgets_test.cc
+++ b/src/relay/tests/retry_budgets_test.cc
@@ -16,7 +16,8 @@
 struct Fixture {
   ManualClock clock{10'000};
   ManualScheduler scheduler{&clock};
-  BackendList list{clock, scheduler};
+  StoreAbsence absence;
+  BackendList list{clock, scheduler, absence};
   std::vector<BackendChange> changes;
   std::vector<Backend> about;  ///< what each change was about
 
@@ -26,6 +27,12 @@
       about.push_back(backend);
     });
   }
+  /// @brief The store was away for long enough and answers again.
+  void ComeBack() {
+    absence.NoteAnswer(clock.MonotonicMs());
+    Pass(10'000);
+    absence.NoteAnswer(clock.MonotonicMs());
+  }
   void Set(const std::string& id, bool leaving = false) {
     this->SetStart(id, std::nullopt, leaving);
   }
@@ -79,7 +86,7 @@
   Fixture f;
   f.Set("a");
   f.Set("b");
-  f.list.NoteStoreBack();
+  f.ComeBack();
   f.Pass(100);
   f.list.Remove("a");
   f.list.Remove("b");
@@ -94,7 +101,7 @@
 Test(a_server, that_was_leaving_is_not_taken_for_lapsed) {
   Fixture f;
   f.Set("a", true);
-  f.list.NoteStoreBack();
+  f.ComeBack();
   f.list.Remove("a");
   cr_assert(f.Usable() == 0);
 }
@@ -162,7 +169,7 @@
 Test(a_server_that_starts_again, does_not_lapse_for_the_start_before) {
   Fixture f;
   f.SetStart("a", 5'000);
-  f.list.NoteStoreBack();
+  f.ComeBack();
   f.list.Remove("a");
   f.SetStart("a", 6'000);
   f.list.Remove("a");
--- a/src/serve/detail/relay_host_parts.h
+++ b/src/serve/detail/relay_host_parts.h
@@ -39,6 +39,7 @@
 #include "serve/relay_host.h"
 #include "serve/relay_metrics.h"
 #include "serve/steady_clock.h"
+#include "serve/store_contact.h"
 #include "serve/store_silence.h"
 #include "serve/text_service.h"
 
@@ -67,6 +68,7 @@
   void TakeBackendChange(BackendChange change, const Backend& backend);
   void TakeHosts(const std::vector<EntryHost>& hosts);
   std::optional<int> WatchPlace() const;
+  std::vector<std::string> OtherWatchers() const;
   bool IsWatcher() const;
   std::int64_t StaggerMs() const;
   std::string MetricsText();
@@ -91,6 +93,7 @@
   ExchangeDuty exchange;
   HostEntries entries;
   PlanInForce plan;
+  StoreAbsence absence;
   BackendList backends;
   BackendHealth health;
   RetryBudgets budgets;
@@ -103,6 +106,7 @@
   DatagramHub hub;
   StopDatagrams stop_datagrams;
   StoreSilence silence;
+  StoreContact contact;
   ViewDatagrams view_datagrams;
   QtListenCheck listen_check;
   Quarantine quarantine;
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -133,7 +133,7 @@
               {with.host.name, with.host.address, with.host.control_port,
                with.listen.loads_port, with.host.zone, with.host.region},
               *this->store, this->view, this->scheduler),
-      backends(this->clock, this->scheduler),
+      backends(this->clock, this->scheduler, this->absence),
       budgets(RetryBoundsOf(with)),
       refused(this->clock,
               [this](std::string_view kind, std::string_view field) {
@@ -146,6 +146,8 @@
       hub(with.host.name, kDatagramBytesPerSecond, this->random(), this->clock),
       stop_datagrams(this->hub, this->clock, this->scheduler),
       silence(this->hub, this->clock),
+      contact(this->hub, this->clock, this->absence,
+              [this] { return this->OtherWatchers(); }),
       view_datagrams(
           std::vector<std::string>{on.Kinds().backends, on.Kinds().plan},
           this->view, this->hub, this->scheduler,
@@ -229,11 +231,9 @@
     this->relay.EndQuarantined(quarantined);
   });
   this->exchange.KeepOutOfNews(on.Kinds().backends);
-  this->feeder.OnAnsweredAgain([this](std::string_view kind) {
-    if (kind == this->kinds[1]) {
-      this->backends.NoteStoreBack();
-    }
-  });
+  this->feeder.OnAnswered([this] { this->contact.NoteAnswer(); });
+  this->view.OnConfirmed([this] { this->contact.NoteSign(); });
+  this->contact.OnCorrected([this] { this->backends.ReviewLapsed(); });
 }
 
 absl::Status RelayHost::Parts::Start() {
--- a/src/serve/relay_host_view.cc
+++ b/src/serve/relay_host_view.cc
@@ -19,7 +19,9 @@
 
 }  // namespace
 
+// Whoever read it, the store took and told a change.
 void RelayHost::Parts::TakeView(const ViewChange& change) {
+  this->contact.NoteSign();
   const RelayKinds& names = this->platform.Kinds();
   for (const StoredObject& object : change.items) {
     if (change.kind == names.plan && object.name == names.plan_name) {
@@ -139,6 +141,19 @@
   return WatchesStore(self, answering, known.size());
 }
 
+std::vector<std::string> RelayHost::Parts::OtherWatchers() const {
+  std::vector<std::string_view> answering;
+  for (const HostEntry* const host : this->hosts.OfRole(HostRole::kEntry)) {
+    if (host->name != this->settings.host.name &&
+        this->exchange.Answers(host->name)) {
+      answering.push_back(host->name);
+    }
+  }
+  const std::vector<std::string_view> watchers =
+      StoreWatchers(std::move(answering));
+  return {watchers.begin(), watchers.end()};
+}
+
 // A host that no peer answers reads for itself.
 bool RelayHost::Parts::IsWatcher() const {
   return this->exchange.PeersAlive() == 0 || this->WatchPlace().has_value();
--- a/src/serve/watcher_choice.h
+++ b/src/serve/watcher_choice.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <span>
 #include <string_view>
+#include <vector>
 
 namespace meadowthread {
 
@@ -20,6 +21,11 @@
                                 std::span<const std::string_view> answering,
                                 std::size_t known);
 
+/// @brief The hosts that watch the store, where all of these answer.
+/// @complexity O(hosts log hosts)
+std::vector<std::string_view> StoreWatchers(
+    std::vector<std::string_view> hosts);
+
 /// @brief How long a host that watches waits after an answer before it watches
 /// on: one event answers all that watch, so that the first watches on at once
 /// and tells the others, whose watches end one after the other then.
