A watch that is overdue is asked again by another connection

What callers saw: calls at a back end that left more than two seconds before. Now it is asked again, without a wait and beside the first call, 0.2 s after its wait; only if that brings nothing either is the store taken for silent.

--- a/src/configuration/tests/view_feeder_test.cc
+++ b/src/configuration/tests/view_feeder_test.cc
@@ -28,7 +28,7 @@
   void Watch(std::string_view kind, std::int64_t since, std::int64_t wait_ms,
              const ListDone& done) override {
     ++this->watches;
-    if (this->swallows) {
+    if (this->swallows || (this->silences_waits && wait_ms > 0)) {
       this->swallowed.push_back(done);
     } else if (this->malformed) {
       done(StoreError(ErrorId::kStoreMalformed, "watch", kind));
@@ -47,6 +47,7 @@
   MemoryStore memory;
   std::vector<ListDone> swallowed;
   bool swallows = false;
+  bool silences_waits = false;  ///< new calls work, those that wait go silent
   bool gone = false;
   bool malformed = false;
   bool loses_events = false;
@@ -195,6 +196,32 @@
   }
 }
 
+// The pattern: a connection falls silent, and the store is as before.
+Test(a_watching_host, asks_by_another_connection_when_a_watch_is_overdue) {
+  Fixture f;
+  f.feeder.Start();
+  f.store.silences_waits = true;
+  f.Run(500);
+  f.Write("x", 0);
+  f.Run(10'000);
+  cr_assert(f.VersionOf("x") == 0, "its watch may still be answered");
+  f.Run(1'000);
+  cr_assert(f.VersionOf("x") == 1 && !f.feeder.State().stalled);
+}
+
+// The pattern: the store is back while a host backs off, and nothing changes.
+Test(a_watching_host, learns_of_the_return_without_waiting_for_news) {
+  Fixture f;
+  f.feeder.Start();
+  f.Run(50);
+  f.store.memory.SetDown(true);
+  f.Run(30'000);
+  cr_assert(f.feeder.State().stalled);
+  f.store.memory.SetDown(false);
+  f.Run(15'000);
+  cr_assert(!f.feeder.State().stalled, "within one backoff of ten seconds");
+}
+
 Test(a_watching_host, is_told_of_stale_reads_and_keeps_what_it_knows) {
   Fixture f;
   f.Write("x", 0);
--- a/src/configuration/view_feeder.cc
+++ b/src/configuration/view_feeder.cc
@@ -42,7 +42,10 @@
     this->Later(this->Jitter(this->options.idle_ms), [this] { this->Next(); });
     return;
   }
-  this->Send(this->Choose());
+  // After a failure a watch that waits for news would leave open whether the
+  // store is back.
+  const bool waits = this->state.failures == 0;
+  this->Send(this->Choose(), waits ? this->options.wait_ms : 0);
 }
 
 // Some hosts watch and tell the others. A host that hears of no fresh read
@@ -73,9 +76,7 @@
                                                 : ReadKind::kWatch;
 }
 
-// After a failure a watch that waits for news would leave open whether the
-// store is back.
-void KindFeeder::Send(ReadKind read_kind) {
+void KindFeeder::Send(ReadKind read_kind, std::int64_t wait_ms) {
   Read read;
   read.kind = read_kind;
   read.number = ++this->reads;
@@ -83,7 +84,7 @@
   read.sent_ms = this->clock.MonotonicMs();
   this->pending = true;
   if (read_kind == ReadKind::kWatch) {
-    read.wait_ms = this->state.failures > 0 ? 0 : this->options.wait_ms;
+    read.wait_ms = wait_ms;
     read.since = this->view.Digest(this->kind).revision;
   } else if (read_kind == ReadKind::kRepair) {
     read.since = this->proved_revision;
@@ -92,8 +93,12 @@
       [this, read](const absl::StatusOr<ObjectList>& answer) {
         this->Answered(read, answer);
       });
-  this->Later(read.wait_ms + this->options.answer_margin_ms,
-              [this, number = read.number] { this->GiveUp(number); });
+  if (read.wait_ms > 0) {
+    this->Later(read.wait_ms + this->options.overdue_ms,
+                [this, number = read.number] { this->LookAgain(number); });
+  } else {
+    this->GiveUpAfter(this->options.answer_margin_ms);
+  }
   if (read_kind == ReadKind::kWatch) {
     this->store.Watch(this->kind, read.since, read.wait_ms, done);
   } else {
@@ -159,6 +164,21 @@
   this->Later(this->Backoff(), [this] { this->Next(); });
 }
 
+// Whether the store or the connection is silent shows by another one. What the
+// first call still brings is taken as well.
+void KindFeeder::LookAgain(std::uint64_t number) {
+  if (!this->pending || number != this->reads) {
+    return;
+  }
+  LogLine("watch-overdue").Add("kind", this->kind).WriteImportant();
+  this->Send(ReadKind::kWatch, 0);
+  this->GiveUpAfter(this->options.answer_margin_ms - this->options.overdue_ms);
+}
+
+void KindFeeder::GiveUpAfter(std::int64_t delay_ms) {
+  this->Later(delay_ms, [this, number = this->reads] { this->GiveUp(number); });
+}
+
 // The store should end every call in time; should one be lost, the view must
 // not stand still for ever.
 void KindFeeder::GiveUp(std::uint64_t number) {
--- a/src/configuration/view_feeder.h
+++ b/src/configuration/view_feeder.h
@@ -35,6 +35,9 @@
   std::int64_t most_backoff_ms = 10'000;
   /// A call without an answer for this long beyond its wait is given up.
   std::int64_t answer_margin_ms = 5'000;
+  /// A watch that is overdue by this is asked again without a wait, by another
+  /// connection: its own may have fallen silent.
+  std::int64_t overdue_ms = 1'000;
   /// A host that need not watch looks this often whether it now must.
   std::int64_t idle_ms = 1'000;
   /// A view that no host confirmed for this long is read by every host.
@@ -90,10 +93,12 @@
   void Next();
   bool MustRead() const;
   ReadKind Choose() const;
-  void Send(ReadKind kind);
+  void Send(ReadKind kind, std::int64_t wait_ms);
   void Answered(const Read& read, const absl::StatusOr<ObjectList>& answer);
   void Take(const Read& read, const ObjectList& list);
   void Failed(const absl::Status& status);
+  void LookAgain(std::uint64_t number);
+  void GiveUpAfter(std::int64_t delay_ms);
   void GiveUp(std::uint64_t number);
   void SetStalled(bool stalled, std::string_view why);
   void NotePassedOver(std::int64_t count);
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -83,6 +83,7 @@
   // configuration has to be in force soon after the cut has healed.
   options.wait_ms = 1'500;
   options.answer_margin_ms = 1'000;
+  options.overdue_ms = 200;
   options.pace_ms = 20;
   options.most_backoff_ms = 800;
   options.idle_ms = 300;
