Places and moves are checked against what this host knows when it sends

What callers saw: nothing yet; a review of the incident's class found it. A stream was sent to whatever engine another host's word named, and a run copied to it, also where this host knew by then that the engine leaves. Now such a place is asked for again after 50 ms, and such a target is none.

Both tests failed on the code before (sent to s-1 that had left; an order to the target).

--- a/src/relay/backend_list.cc
+++ b/src/relay/backend_list.cc
@@ -227,6 +227,11 @@
   return found == this->backends.end() ? nullptr : &found->second;
 }
 
+bool BackendList::TakesNew(std::string_view key) const {
+  const Backend* const backend = this->Find(key);
+  return backend != nullptr && backend->TakesNew();
+}
+
 const Backend* BackendList::FindById(std::string_view id) const {
   const auto key = this->keys.find(id);
   return key == this->keys.end() ? nullptr : this->Find(key->second);
--- a/src/relay/backend_list.h
+++ b/src/relay/backend_list.h
@@ -106,6 +106,9 @@
   /// @brief The server, null where it is not known or has started again.
   const Backend* Find(std::string_view key) const;
 
+  /// @brief Whether the server may get something new.
+  bool TakesNew(std::string_view key) const;
+
   /// @brief The one start of an id that is known, null where there is none.
   const Backend* FindById(std::string_view id) const;
 
--- a/src/relay/stream_session_move.cc
+++ b/src/relay/stream_session_move.cc
@@ -25,7 +25,8 @@
   const Backend* const source = this->parts.backends.Find(this->engine);
   const Backend* const to = this->parts.backends.Find(target);
   if (this->phase != StreamPhase::kStreaming || this->move != nullptr ||
-      this->resumes >= kMostResumes || source == nullptr || to == nullptr) {
+      this->resumes >= kMostResumes || source == nullptr ||
+      !this->parts.backends.TakesNew(target)) {
     return false;
   }
   MovePlan plan;
--- a/src/relay/stream_session_placing.cc
+++ b/src/relay/stream_session_placing.cc
@@ -15,6 +15,8 @@
 constexpr std::int64_t kNoEngineWaitMs = 400;
 // Runs of an engine end some three times a second.
 constexpr std::int64_t kAskAgainMs = 250;
+// Within this the host that hands out places has heard of a change as well.
+constexpr std::int64_t kTellMs = 50;
 
 Urgency UrgencyOf(int urgency) {
   return urgency <= 0 ? Urgency::kUrgent
@@ -104,13 +106,16 @@
   return lasts_ms.has_value();
 }
 
-// The caller may have gone meanwhile.
+// The caller may have gone meanwhile, and so may the engine: another host
+// chose it by what it knew then.
 void StreamSession::TakeChoice(const ArrivalPlan& arrival, WorkItem work,
                                const Decision& decision) {
   if (this->phase != StreamPhase::kQueued) {
     return;
   }
-  if (decision.engine.has_value()) {
+  const bool is_usable = decision.engine.has_value() &&
+                         this->parts.backends.TakesNew(*decision.engine);
+  if (is_usable) {
     work.reading_ahead = decision.reading_ahead;
     this->stream_parts.fleet.NoteSent(work, *decision.engine,
                                       this->parts.clock.WallMs());
@@ -138,7 +143,8 @@
   if (wait_ms <= 0) {
     this->RefuseQueued(decision.reason);
   } else if (this->stream_parts.allocation.IsShared()) {
-    this->AskAgain(std::min(kAskAgainMs, wait_ms));
+    const bool was_given = decision.engine.has_value();
+    this->AskAgain(std::min(was_given ? kTellMs : kAskAgainMs, wait_ms));
   } else {
     this->Queue(work, decision.reason, wait_ms);
   }
@@ -213,10 +219,10 @@
   line.Add("candidates", CandidatesText(decision))
       .Add("left_ms", this->LeftMs())
       .Write();
-  if (backend == nullptr) {
+  if (backend == nullptr || !backend->TakesNew()) {
     this->LeaveEngine(AttemptResult::kGood);
     this->Refuse(ErrorId::kNoEngine, Outcome::kNotRun, "choose",
-                 "the chosen engine is gone", kNoEngineRetryMs);
+                 "the chosen engine has left", kNoEngineRetryMs);
     return;
   }
   this->Send(*backend, std::nullopt);
