Hosts vouch for the store's answers, and replace those that it fails

What callers saw: as before, where the store turned away just the hosts that watch it: the others heard nothing until their view was 3.5 s old.

Now a host whose own answers do not reach back far enough asks those that read the store from when to when they were answered (ages, two hosts first), joins the stretches, and goes by own words of nobody else. Hosts that the store fails say so, again while it lasts and once it is over, and as many others read it instead.

--- a/src/configuration/kind_view.cc
+++ b/src/configuration/kind_view.cc
@@ -88,15 +88,13 @@
   return true;
 }
 
-bool KindView::Confirm(std::int64_t revision,
+void KindView::Confirm(std::int64_t revision,
                        const Confirmation& confirmation) {
   // A later read that shows less is a stale one and confirms nothing.
-  const bool is_later = revision == this->watermark &&
-                        confirmation.unix_ms > this->confirmed.unix_ms;
-  if (is_later) {
+  if (revision == this->watermark &&
+      confirmation.unix_ms > this->confirmed.unix_ms) {
     this->confirmed = confirmation;
   }
-  return is_later;
 }
 
 ViewDigest KindView::Digest() const {
--- a/src/configuration/kind_view.h
+++ b/src/configuration/kind_view.h
@@ -46,8 +46,7 @@
 
   /// @brief Adopts a confirmation of a read at `revision`, if that is the
   /// watermark and the confirmation is the latest.
-  /// @return whether it was adopted
-  bool Confirm(std::int64_t revision, const Confirmation& confirmation);
+  void Confirm(std::int64_t revision, const Confirmation& confirmation);
 
   ViewDigest Digest() const;
 
--- a/src/configuration/replicated_view.cc
+++ b/src/configuration/replicated_view.cc
@@ -123,10 +123,8 @@
 void ReplicatedView::Confirm(KindView* view, std::int64_t revision,
                              const Confirmation& confirmation) {
   // A peer whose clock runs ahead would make every view look fresh for ever.
-  const bool is_believed =
-      confirmation.unix_ms <= this->clock.WallMs() + kMaxClockSkewMs;
-  if (is_believed && view->Confirm(revision, confirmation) && this->confirmed) {
-    this->confirmed();
+  if (confirmation.unix_ms <= this->clock.WallMs() + kMaxClockSkewMs) {
+    view->Confirm(revision, confirmation);
   }
 }
 
--- a/src/configuration/replicated_view.h
+++ b/src/configuration/replicated_view.h
@@ -37,12 +37,6 @@
   /// may read the view, but not feed it.
   void AddListener(const Listener& listener);
 
-  /// @brief Calls `told` when a later read of the platform is known of a kind,
-  /// whoever made it.
-  void OnConfirmed(const std::function<void()>& told) {
-    this->confirmed = told;
-  }
-
   ///////////////////
   // 1. feeding it //
   ///////////////////
@@ -97,7 +91,6 @@
   const Clock& clock;
   std::map<std::string, KindView, std::less<>> kinds;
   std::vector<Listener> listeners;
-  std::function<void()> confirmed;
 };
 
 }  // namespace meadowthread
--- a/src/gateway/tests/service_backends_test.cc
+++ b/src/gateway/tests/service_backends_test.cc
@@ -23,8 +23,8 @@
   ManualClock clock{1'000};
   ManualScheduler scheduler{&this->clock};
   HostDirectory hosts;
-  StoreAbsence absence;
-  BackendList backends{this->clock, this->scheduler, this->absence};
+  NoEntryLapses lapses;
+  BackendList backends{this->clock, this->scheduler, this->lapses};
   ServiceBackends feed{this->hosts, this->backends};
 };
 
--- a/src/relay/backend_list.cc
+++ b/src/relay/backend_list.cc
@@ -92,7 +92,7 @@
     backend.entry.started_ms = told_ms;
   }
   backend.listed = true;
-  backend.lapses_until_ms.reset();
+  backend.vanished_ms.reset();
   const bool was_named = std::exchange(backend.named, true);
   backend.warm_at_ms = this->clock.MonotonicMs() + entry.slow_for_ms;
   if (is_new) {
@@ -122,44 +122,59 @@
   }
 }
 
-void BackendList::Remove(std::string_view id) {
+bool BackendList::Remove(std::string_view id) {
   Backend* const found = this->FindToChange(id);
   if (found == nullptr || !found->listed) {
-    return;
+    return false;
   }
   Backend& backend = *found;
   backend.listed = false;
   const std::int64_t now_ms = this->clock.MonotonicMs();
-  const std::int64_t lapses_until_ms = this->absence.LapsesUntilMs();
-  if (lapses_until_ms <= now_ms || backend.entry.leaving) {
+  const std::int64_t until_ms = this->lapse.LapsesUntilMs(now_ms, now_ms);
+  if (until_ms <= now_ms || backend.entry.leaving) {
     this->Leave(&backend, "removed");
     this->ForgetLater(backend.key);
-    return;
+    return false;
   }
-  backend.lapses_until_ms = lapses_until_ms;
+  backend.vanished_ms = now_ms;
   LogLine("backend")
       .Add("id", id)
       .Add("change", "lapsed")
-      .Add("store_back_ms", this->absence.BackForMs(now_ms).value_or(0))
+      .Add("counts_ms", until_ms - now_ms)
       .WriteImportant();
-  this->scheduler.After(lapses_until_ms - now_ms,
+  this->ReviewLater(until_ms - now_ms);
+  return true;
+}
+
+void BackendList::ReviewLater(std::int64_t delay_ms) {
+  this->scheduler.After(delay_ms,
                         this->life.Guarded([this] { this->ReviewLapsed(); }));
 }
 
-// Another absence meanwhile gives them no more time.
+bool BackendList::HasLapsed() const {
+  return std::any_of(
+      this->backends.begin(), this->backends.end(),
+      [](const auto& entry) { return entry.second.vanished_ms.has_value(); });
+}
+
 void BackendList::ReviewLapsed() {
   const std::int64_t now_ms = this->clock.MonotonicMs();
   std::vector<std::string> gone;
   for (const auto& [key, backend] : this->backends) {
-    if (backend.lapses_until_ms.has_value() &&
-        std::min(*backend.lapses_until_ms, this->absence.LapsesUntilMs()) <=
-            now_ms) {
+    if (!backend.vanished_ms.has_value()) {
+      continue;
+    }
+    const std::int64_t until_ms =
+        this->lapse.LapsesUntilMs(*backend.vanished_ms, now_ms);
+    if (until_ms <= now_ms) {
       gone.push_back(key);
+    } else {
+      this->ReviewLater(until_ms - now_ms);
     }
   }
   for (const std::string& key : gone) {
     Backend& backend = this->backends.at(key);
-    backend.lapses_until_ms.reset();
+    backend.vanished_ms.reset();
     this->Leave(&backend, "not_listed_anew");
     this->ForgetLater(key);
   }
--- a/src/relay/backend_list.h
+++ b/src/relay/backend_list.h
@@ -12,7 +12,7 @@
 #include "base/clock.h"
 #include "base/lifetime.h"
 #include "base/scheduler.h"
-#include "relay/store_absence.h"
+#include "relay/entry_lapse.h"
 
 namespace meadowthread {
 
@@ -42,8 +42,8 @@
   bool said_so = false;        ///< told of leaving by itself, not by its entry
   bool started_again = false;  ///< gone, as its id has a newer start now
   std::optional<std::int64_t> passed_over_ms;  ///< an older start, logged
-  /// Not listed, and may be listed anew up to then; monotonic.
-  std::optional<std::int64_t> lapses_until_ms;
+  /// When its entry went, where it may be listed anew; monotonic.
+  std::optional<std::int64_t> vanished_ms;
   /// Its entry names it; where another writer's stands in its place, it gets
   /// nothing new, and what runs there goes on.
   bool named = true;
@@ -64,7 +64,7 @@
 ///
 /// A server whose entry vanished gets nothing new, but is known until what
 /// runs there has ended. Entries that vanish just after the store was away may
-/// have lapsed: they count until StoreAbsence says that a living server would
+/// have lapsed: they count until EntryLapse says that a living server would
 /// have come back.
 ///
 /// A server that starts again under its id is another one: it holds and knows
@@ -75,10 +75,9 @@
  public:
   using Listener = std::function<void(BackendChange, const Backend&)>;
 
-  /// @param[in] clock,scheduler,absence outlive the list
-  BackendList(const Clock& clock, Scheduler& scheduler,
-              const StoreAbsence& absence)
-      : clock(clock), scheduler(scheduler), absence(absence) {}
+  /// @param[in] clock,scheduler,lapse outlive the list
+  BackendList(const Clock& clock, Scheduler& scheduler, const EntryLapse& lapse)
+      : clock(clock), scheduler(scheduler), lapse(lapse) {}
   BackendList(const BackendList&) = delete;
   BackendList& operator=(const BackendList&) = delete;
 
@@ -90,7 +89,8 @@
   void Set(const BackendEntry& entry);
 
   /// @brief Takes that an entry is listed no more.
-  void Remove(std::string_view id);
+  /// @return whether it counts as lapsed for now: the server may live
+  bool Remove(std::string_view id);
 
   /// @brief Takes that what stands under this name names no server to use,
   /// until it is set or removed again.
@@ -99,8 +99,11 @@
   /// @brief The server itself says that it leaves, and its entry does not yet.
   void NoteLeaving(std::string_view key);
 
+  /// @brief Whether an entry that vanished may still have lapsed.
+  bool HasLapsed() const;
+
   /// @brief Servers that would have been listed anew by now have left: to be
-  /// called where the end of the store's absence turns out to be another.
+  /// called where more is known of the store's absence.
   void ReviewLapsed();
 
   /// @brief The server, null where it is not known or has started again.
@@ -128,13 +131,14 @@
   Backend* FindToChange(std::string_view id);
   bool PassesOver(Backend* known, const BackendEntry& entry) const;
   void EndStart(const std::string& key, const BackendEntry& next);
+  void ReviewLater(std::int64_t delay_ms);
   void Leave(Backend* backend, std::string_view why);
   void ForgetLater(const std::string& key);
   void Tell(BackendChange change, const Backend& backend);
 
   const Clock& clock;
   Scheduler& scheduler;
-  const StoreAbsence& absence;
+  const EntryLapse& lapse;
   std::map<std::string, Backend, std::less<>> backends;  ///< by key
   /// The key of each id's one start that is known.
   std::map<std::string, std::string, std::less<>> keys;
--- a/src/relay/store_absence.cc
+++ b/src/relay/store_absence.cc
@@ -3,48 +3,44 @@
 #include <algorithm>
 
 namespace meadowthread {
+namespace {
 
-bool StoreAbsence::NoteSign(std::int64_t now_ms) {
-  const bool was_away =
-      this->sign_ms.has_value() && now_ms - *this->sign_ms >= kAwayMs;
-  this->sign_ms = now_ms;
-  if (was_away) {
-    this->back_ms = now_ms;
-  }
-  return was_away;
+bool IsOneStretch(const StoreStretch& one, const StoreStretch& other) {
+  const std::int64_t gap_ms =
+      std::max(one.from_ms, other.from_ms) - std::min(one.to_ms, other.to_ms);
+  return gap_ms < StoreAbsence::kAwayMs;
 }
 
-bool StoreAbsence::NoteAnswer(std::int64_t now_ms) {
-  const bool goes_on =
-      this->answer_ms.has_value() && now_ms - *this->answer_ms < kAwayMs;
-  if (!goes_on) {
-    this->answering_since = now_ms;
+// What one host could not read, another did: together they know of no break.
+StoreStretch Joined(const StoreStretch& one, const StoreStretch& other) {
+  if (IsOneStretch(one, other)) {
+    return {std::min(one.from_ms, other.from_ms),
+            std::max(one.to_ms, other.to_ms)};
   }
-  this->answer_ms = now_ms;
-  return this->NoteSign(now_ms);
+  return one.to_ms > other.to_ms ? one : other;
 }
 
-void StoreAbsence::NoteAnsweredFor(std::int64_t for_ms, std::int64_t now_ms) {
-  if (this->back_ms.has_value()) {
-    this->back_ms = std::min(*this->back_ms, now_ms - for_ms);
-  }
-}
+}  // namespace
 
-std::optional<std::int64_t> StoreAbsence::AnsweredForMs(
-    std::int64_t now_ms) const {
-  const bool goes_on =
-      this->answer_ms.has_value() && now_ms - *this->answer_ms < kAwayMs;
-  return goes_on ? std::optional(now_ms - *this->answering_since)
-                 : std::nullopt;
+void StoreAbsence::NoteAnswer(std::int64_t now_ms) {
+  const StoreStretch answer = {now_ms, now_ms};
+  this->own = this->own.has_value() ? Joined(*this->own, answer) : answer;
 }
 
-std::int64_t StoreAbsence::LapsesUntilMs() const {
-  return this->back_ms.has_value() ? *this->back_ms + kRelistMs : 0;
+void StoreAbsence::NoteWord(const StoreStretch& word) {
+  this->told = this->told.has_value() ? Joined(*this->told, word) : word;
 }
 
-std::optional<std::int64_t> StoreAbsence::BackForMs(std::int64_t now_ms) const {
-  return this->back_ms.has_value() ? std::optional(now_ms - *this->back_ms)
-                                   : std::nullopt;
+std::int64_t StoreAbsence::LapsesUntilMs(std::int64_t vanished_ms,
+                                         std::int64_t now_ms) const {
+  std::optional<StoreStretch> known = this->own;
+  if (this->told.has_value()) {
+    known = known.has_value() ? Joined(*known, *this->told) : *this->told;
+  }
+  const bool goes_on =
+      known.has_value() && IsOneStretch(*known, {now_ms, now_ms});
+  return goes_on ? std::min(known->from_ms, vanished_ms) + kRelistMs
+                 : vanished_ms + kUnknownMs;
 }
 
 }  // namespace meadowthread
--- a/src/relay/tests/backend_list_test.cc
+++ b/src/relay/tests/backend_list_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/manual_scheduler.h"
+#include "relay/tests/played_lapse.h"
 
 namespace meadowthread {
 namespace {
@@ -22,8 +23,8 @@
 struct Story {
   ManualClock clock{1'000};
   ManualScheduler scheduler{&this->clock};
-  StoreAbsence absence;
-  BackendList list{this->clock, this->scheduler, this->absence};
+  testing::PlayedLapse lapse;
+  BackendList list{this->clock, this->scheduler, this->lapse};
   std::vector<BackendChange> told;
 
   Story() {
@@ -35,12 +36,8 @@
     this->told.clear();
   }
   std::size_t Usable() const { return this->list.Usable("pool").size(); }
-  /// @brief The store was away for long enough and answers again.
-  void ComeBack() {
-    this->absence.NoteAnswer(this->clock.MonotonicMs());
-    this->Pass(10'000);
-    this->absence.NoteAnswer(this->clock.MonotonicMs());
-  }
+  /// @brief The store is back: entries may have lapsed.
+  void ComeBack() { this->lapse.until_ms = this->clock.MonotonicMs() + 2'200; }
   void Pass(std::int64_t ms) {
     this->clock.Advance(ms);
     this->scheduler.RunDue();
--- a/src/relay/tests/relay_fixture.h
+++ b/src/relay/tests/relay_fixture.h
@@ -225,8 +225,8 @@
   ManualScheduler scheduler{&this->clock};
   FakeClient client;
   FakeWire wire;
-  StoreAbsence absence;
-  BackendList backends{this->clock, this->scheduler, this->absence};
+  NoEntryLapses lapses;
+  BackendList backends{this->clock, this->scheduler, this->lapses};
   BackendHealth health;
   RetryBudgets budgets{{1.0, 100.0}};
   FakeObserver observer;
--- a/src/relay/tests/retry_budgets_test.cc
+++ b/src/relay/tests/retry_budgets_test.cc
@@ -10,14 +10,15 @@
 #include "base/manual_scheduler.h"
 #include "relay/backend_health.h"
 #include "relay/backend_list.h"
+#include "relay/tests/played_lapse.h"
 namespace meadowthread {
 namespace {
 
 struct Fixture {
   ManualClock clock{10'000};
   ManualScheduler scheduler{&clock};
-  StoreAbsence absence;
-  BackendList list{clock, scheduler, absence};
+  testing::PlayedLapse lapse;
+  BackendList list{clock, scheduler, lapse};
   std::vector<BackendChange> changes;
   std::vector<Backend> about;  ///< what each change was about
 
@@ -27,12 +28,8 @@
       about.push_back(backend);
     });
   }
-  /// @brief The store was away for long enough and answers again.
-  void ComeBack() {
-    absence.NoteAnswer(clock.MonotonicMs());
-    Pass(10'000);
-    absence.NoteAnswer(clock.MonotonicMs());
-  }
+  /// @brief The store is back: entries may have lapsed.
+  void ComeBack() { lapse.until_ms = clock.MonotonicMs() + 2'200; }
   void Set(const std::string& id, bool leaving = false) {
     this->SetStart(id, std::nullopt, leaving);
   }
--- a/src/serve/detail/relay_host_parts.h
+++ b/src/serve/detail/relay_host_parts.h
@@ -42,6 +42,7 @@
 #include "serve/store_contact.h"
 #include "serve/store_silence.h"
 #include "serve/text_service.h"
+#include "serve/watcher_choice.h"
 
 namespace meadowthread {
 
@@ -67,8 +68,9 @@
   void TakeSetAsideAgain();
   void TakeBackendChange(BackendChange change, const Backend& backend);
   void TakeHosts(const std::vector<EntryHost>& hosts);
+  std::vector<WatchPeer> AnsweringPeers() const;
   std::optional<int> WatchPlace() const;
-  std::vector<std::string> OtherWatchers() const;
+  std::vector<std::string> OtherReaders() const;
   bool IsWatcher() const;
   std::int64_t StaggerMs() const;
   std::string MetricsText();
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -164,7 +164,7 @@
   HostGate gate;
   PlacementDuty placement;
   ServiceWire service_wire;
-  StoreAbsence absence;  ///< never: hosts come by another list
+  NoEntryLapses lapses;
   BackendList backends;
   ServiceBackends service_backends;
   BackendHealth health;
@@ -235,7 +235,7 @@
                 {this->clock, this->scheduler, this->store, this->client,
                  this->catalog, this->hosts, this->engines, this->gate,
                  this->ownership.View()}),
-      backends(this->clock, this->scheduler, this->absence),
+      backends(this->clock, this->scheduler, this->lapses),
       service_backends(this->hosts, this->backends),
       service_retries({with.policy.retry_budget_ratio, kExtraServiceRetries}),
       quarantine(this->listen_check, this->clock, this->scheduler),
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -147,8 +147,8 @@
       hub(with.host.name, kDatagramBytesPerSecond, this->random(), this->clock),
       stop_datagrams(this->hub, this->clock, this->scheduler),
       silence(this->hub, this->clock),
-      contact(this->hub, this->clock, this->absence,
-              [this] { return this->OtherWatchers(); }),
+      contact(this->hub, this->clock, this->scheduler, this->absence,
+              this->random, [this] { return this->OtherReaders(); }),
       view_datagrams(
           std::vector<std::string>{on.Kinds().backends, on.Kinds().plan},
           this->view, this->hub, this->scheduler,
@@ -232,9 +232,9 @@
     this->relay.EndQuarantined(quarantined);
   });
   this->exchange.KeepOutOfNews(on.Kinds().backends);
-  this->feeder.OnAnswered([this] { this->contact.NoteAnswer(); });
-  this->view.OnConfirmed([this] { this->contact.NoteSign(); });
-  this->contact.OnCorrected([this] { this->backends.ReviewLapsed(); });
+  this->feeder.OnAnswered(
+      [this] { this->absence.NoteAnswer(this->clock.MonotonicMs()); });
+  this->contact.OnWord([this] { this->backends.ReviewLapsed(); });
 }
 
 absl::Status RelayHost::Parts::Start() {
--- a/src/serve/relay_host_view.cc
+++ b/src/serve/relay_host_view.cc
@@ -19,9 +19,7 @@
 
 }  // namespace
 
-// Whoever read it, the store took and told a change.
 void RelayHost::Parts::TakeView(const ViewChange& change) {
-  this->contact.NoteSign();
   const RelayKinds& names = this->platform.Kinds();
   for (const StoredObject& object : change.items) {
     if (change.kind == names.plan && object.name == names.plan_name) {
@@ -59,7 +57,9 @@
 void RelayHost::Parts::TakeBackend(const StoredObject& object) {
   if (object.deleted) {
     this->refused.Forget(object.kind, object.name);
-    this->backends.Remove(object.name);
+    if (this->backends.Remove(object.name)) {
+      this->contact.Ask([this] { return this->backends.HasLapsed(); });
+    }
     return;
   }
   const absl::StatusOr<BackendEntry> entry =
@@ -127,31 +127,26 @@
   }
 }
 
-// Its place among the hosts that watch.
-std::optional<int> RelayHost::Parts::WatchPlace() const {
-  const std::string& self = this->settings.host.name;
-  const std::vector<const HostEntry*> known =
-      this->hosts.OfRole(HostRole::kEntry);
-  std::vector<std::string_view> answering;
-  for (const HostEntry* const host : known) {
-    if (host->name != self && this->exchange.Answers(host->name)) {
-      answering.push_back(host->name);
-    }
-  }
-  return WatchesStore(self, answering, known.size());
-}
-
-std::vector<std::string> RelayHost::Parts::OtherWatchers() const {
-  std::vector<std::string_view> answering;
+// The entry hosts that answer this one.
+std::vector<WatchPeer> RelayHost::Parts::AnsweringPeers() const {
+  std::vector<WatchPeer> answering;
   for (const HostEntry* const host : this->hosts.OfRole(HostRole::kEntry)) {
     if (host->name != this->settings.host.name &&
         this->exchange.Answers(host->name)) {
-      answering.push_back(host->name);
+      answering.push_back({host->name, !this->silence.Fails(host->name)});
     }
   }
-  const std::vector<std::string_view> watchers =
-      StoreWatchers(std::move(answering));
-  return {watchers.begin(), watchers.end()};
+  return answering;
+}
+
+// Its place among the hosts that watch.
+std::optional<int> RelayHost::Parts::WatchPlace() const {
+  return WatchesStore(this->settings.host.name, this->AnsweringPeers(),
+                      this->hosts.OfRole(HostRole::kEntry).size());
+}
+
+std::vector<std::string> RelayHost::Parts::OtherReaders() const {
+  return StoreReaders(this->AnsweringPeers());
 }
 
 // A host that no peer answers reads for itself.
--- a/src/serve/store_contact.h
+++ b/src/serve/store_contact.h
@@ -1,53 +1,60 @@
 #ifndef MEADOWTHREAD_SERVE_STORE_CONTACT_H_
 #define MEADOWTHREAD_SERVE_STORE_CONTACT_H_
 
+#include <cstddef>
 #include <functional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/clock.h"
+#include "base/lifetime.h"
+#include "base/scheduler.h"
 #include "exchange/datagrams.h"
 #include "relay/store_absence.h"
 
 namespace meadowthread {
 
-/// @brief Keeps a host's StoreAbsence by its own calls and by other hosts'
-/// words.
+/// @brief Lets hosts ask each other for how long the store has answered them.
 ///
-/// A host that finds the store back after an absence asks those that watch it
-/// for how long they have been answered: the way to the store may have been bad
-/// from here alone. A lost word leaves it with what it saw itself.
+/// A host asks where an entry vanished and it can't tell itself whether it
+/// lapsed. Words that are lost leave it with what it knows.
 class StoreContact {
  public:
-  /// @param[in] hub,clock,absence outlive this
-  /// @param[in] watchers names the hosts that watch the store
-  StoreContact(DatagramHub& hub, const Clock& clock, StoreAbsence& absence,
-               std::function<std::vector<std::string>()> watchers);
+  /// @brief The hosts that watch the store, as far as this one knows.
+  using Watchers = std::function<std::vector<std::string>()>;
+
+  /// @param[in] hub,clock,scheduler,absence,random outlive this
+  StoreContact(DatagramHub& hub, const Clock& clock, Scheduler& scheduler,
+               StoreAbsence& absence, std::mt19937_64& random,
+               Watchers watchers);
   StoreContact(const StoreContact&) = delete;
   StoreContact& operator=(const StoreContact&) = delete;
 
-  /// @brief A call of this host was answered by the store.
-  void NoteAnswer();
+  /// @brief Whether it is still open what became of an entry.
+  using IsOpen = std::function<bool()>;
 
-  /// @brief News of another host's answer has come.
-  void NoteSign();
+  /// @brief Asks two hosts, and all that watch where it is still open then.
+  void Ask(const IsOpen& is_open);
 
-  /// @brief Calls `told` when the end of an absence turns out to be another.
-  void OnCorrected(const std::function<void()>& told) {
-    this->corrected = told;
-  }
+  /// @brief Calls `told` after each word that was asked for.
+  void OnWord(const std::function<void()>& told) { this->word = told; }
 
  private:
-  void Ask();
+  void AskSome(std::size_t count);
   void TellTo(std::string_view host);
   void Take(std::string_view host, const nlohmann::json& payload);
 
   DatagramHub& hub;
   const Clock& clock;
+  Scheduler& scheduler;
   StoreAbsence& absence;
-  std::function<std::vector<std::string>()> watchers;
-  std::function<void()> corrected;
+  std::mt19937_64& random;
+  Watchers watchers;
+  std::function<void()> word;
+  bool is_asking = false;
+  Lifetime life;
 };
 
 }  // namespace meadowthread
--- a/src/serve/store_silence.h
+++ b/src/serve/store_silence.h
@@ -2,6 +2,8 @@
 #define MEADOWTHREAD_SERVE_STORE_SILENCE_H_
 
 #include <cstdint>
+#include <map>
+#include <string>
 #include <string_view>
 
 #include "base/clock.h"
@@ -9,7 +11,8 @@
 
 namespace meadowthread {
 
-/// @brief Knows whether the store can tell of the engines now.
+/// @brief Knows whether the store can tell of the engines now, and which hosts
+/// it fails.
 ///
 /// Answers the load pattern "engines leave while the store is away": they stay
 /// for two seconds, so the first host whose watch fails tells the others, whose
@@ -24,8 +27,12 @@
   /// @brief Takes how this host's own watch stands; to be called often.
   void NoteOwn(bool is_stalled);
 
-  /// @brief Another host's watch has failed just now.
-  void NotePeer() { this->peer_told_unix_ms = this->clock.WallMs(); }
+  /// @brief Takes another host's word of its own watch, told at each change and
+  /// again while it fails.
+  void NotePeer(std::string_view host, bool is_stalled);
+
+  /// @brief Whether the store fails another host, as far as that told.
+  bool Fails(std::string_view host) const;
 
   /// @param[in] confirmed_unix_ms up to when the view of the engines is known
   /// to be whole, whoever read it
@@ -35,7 +42,10 @@
   DatagramHub& hub;
   const Clock& clock;
   bool is_stalled = false;
+  std::int64_t told_ms = 0;  ///< when this host last told, monotonic
   std::int64_t peer_told_unix_ms = 0;
+  /// When hosts last told that the store fails them, monotonic.
+  std::map<std::string, std::int64_t, std::less<>> failed;
 };
 
 }  // namespace meadowthread
--- a/src/serve/tests/store_silence_test.cc
+++ b/src/serve/tests/store_silence_test.cc
@@ -34,11 +34,25 @@
   Story story;
   const std::int64_t read_at = story.Now();
   story.clock.Advance(200);
-  story.silence.NotePeer();
+  story.silence.NotePeer("b", true);
   cr_assert(story.silence.IsSilent(read_at));
   story.clock.Advance(300);
   cr_assert(!story.silence.IsSilent(story.Now()), "it turned that one away");
 }
 
+Test(a_host_that_the_store_fails, is_known_until_it_says_otherwise_or_nothing) {
+  Story story;
+  cr_assert(!story.silence.Fails("b"));
+  story.silence.NotePeer("b", true);
+  cr_assert(story.silence.Fails("b") && !story.silence.Fails("c"));
+  story.silence.NotePeer("b", false);
+  cr_assert(!story.silence.Fails("b"));
+  story.silence.NotePeer("b", true);
+  story.clock.Advance(4'900);
+  cr_assert(story.silence.Fails("b"), "two of its words may be lost");
+  story.clock.Advance(200);
+  cr_assert(!story.silence.Fails("b"));
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/serve/tests/watcher_choice_test.cc
+++ b/src/serve/tests/watcher_choice_test.cc
@@ -2,24 +2,30 @@
 
 #include <criterion/criterion.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
 namespace meadowthread {
 namespace {
 
-// How many of the hosts watch while each is answered by all others.
-int WatchersOf(int hosts) {
+std::vector<std::string> NamesOf(int hosts) {
   std::vector<std::string> names(static_cast<std::size_t>(hosts));
   for (std::size_t i = 0; i < names.size(); ++i) {
     names[i] = "entry-" + std::to_string(i);
   }
+  return names;
+}
+
+// How many of the hosts watch while each is answered by all others.
+int WatchersOf(int hosts, const std::set<std::string_view>& failed = {}) {
+  const std::vector<std::string> names = NamesOf(hosts);
   int watchers = 0;
   for (const std::string& self : names) {
-    std::vector<std::string_view> answering;
+    std::vector<WatchPeer> answering;
     for (const std::string& name : names) {
       if (name != self) {
-        answering.push_back(name);
+        answering.push_back({name, !failed.contains(name)});
       }
     }
     watchers += WatchesStore(self, answering, names.size()) ? 1 : 0;
@@ -52,9 +58,34 @@
 }
 
 Test(hosts_that_watch_the_store, come_anew_where_others_do_not_answer) {
-  const std::vector<std::string_view> none;
+  const std::vector<WatchPeer> none;
   cr_assert(WatchesStore("entry-0", none, 350));
 }
 
+// The pattern: the store turns away some hosts, all that watch it among them,
+// and answers the rest, which heard nothing for seconds.
+Test(hosts_that_watch_the_store, are_replaced_where_it_fails_them) {
+  const std::vector<std::string> names = NamesOf(9);
+  std::vector<WatchPeer> peers;
+  for (const std::string& name : names) {
+    peers.push_back({name, true});
+  }
+  const std::vector<std::string> watchers = StoreReaders(peers);
+  cr_assert(watchers.size() == 4);
+  const std::set<std::string_view> failed(watchers.begin(), watchers.end());
+  cr_assert(WatchersOf(9, failed) == 8, "four others beside them");
+  for (WatchPeer& peer : peers) {
+    peer.sees_store = !failed.contains(peer.name);
+  }
+  cr_assert(StoreReaders(peers).size() == 8, "both know when it answered");
+}
+
+// The pattern: the store is away for all; each failing call of a host costs.
+Test(hosts_that_watch_the_store, are_not_all_where_it_fails_everybody) {
+  const std::vector<std::string> names = NamesOf(350);
+  const std::set<std::string_view> failed(names.begin(), names.end());
+  cr_assert(WatchersOf(350, failed) == 16);
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/serve/watcher_choice.cc
+++ b/src/serve/watcher_choice.cc
@@ -32,27 +32,41 @@
 
 // Those whose names' hashes are the lowest among the hosts that answer.
 std::optional<int> WatchesStore(std::string_view self,
-                                std::span<const std::string_view> answering,
+                                std::span<const WatchPeer> answering,
                                 std::size_t known) {
   const std::uint64_t own = RankOf(self);
-  const auto before = std::count_if(
-      answering.begin(), answering.end(),
-      [own](std::string_view peer) { return RankOf(peer) < own; });
-  if (before >= WatchersAmong(known)) {
+  std::ptrdiff_t before = 0;
+  std::ptrdiff_t seeing_before = 0;
+  for (const WatchPeer& peer : answering) {
+    const bool is_before = RankOf(peer.name) < own;
+    before += is_before ? 1 : 0;
+    seeing_before += is_before && peer.sees_store ? 1 : 0;
+  }
+  const std::ptrdiff_t watchers = WatchersAmong(known);
+  if (seeing_before >= watchers || before >= 2 * watchers) {
     return std::nullopt;
   }
-  return static_cast<int>(before);
+  return static_cast<int>(seeing_before);
 }
 
-std::vector<std::string_view> StoreWatchers(
-    std::vector<std::string_view> hosts) {
-  std::sort(hosts.begin(), hosts.end(),
-            [](std::string_view one, std::string_view other) {
-              return RankOf(one) < RankOf(other);
+std::vector<std::string> StoreReaders(std::vector<WatchPeer> peers) {
+  std::sort(peers.begin(), peers.end(),
+            [](const WatchPeer& one, const WatchPeer& other) {
+              return RankOf(one.name) < RankOf(other.name);
             });
-  const auto watchers = static_cast<std::size_t>(WatchersAmong(hosts.size()));
-  hosts.resize(std::min(hosts.size(), watchers));
-  return hosts;
+  const std::ptrdiff_t watchers = WatchersAmong(peers.size());
+  std::vector<std::string> readers;
+  std::ptrdiff_t seeing = 0;
+  for (const WatchPeer& peer : peers) {
+    const bool is_over =
+        seeing >= watchers || std::ssize(readers) >= 2 * watchers;
+    if (is_over) {
+      break;
+    }
+    seeing += peer.sees_store ? 1 : 0;
+    readers.emplace_back(peer.name);
+  }
+  return readers;
 }
 
 // Those beyond the first four are there for when these lose the store: what
