--- a/src/serve/detail/relay_host_parts.h
+++ b/src/serve/detail/relay_host_parts.h
@@ -77,6 +77,7 @@
   void SpreadChoices();
   void AskWhileSilent();
   std::vector<AllocatorHost> AllocatorHosts() const;
+  void CheckWaits() const;
   void ApplyBounds();
   void GoOnStopping();
 
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -40,6 +40,7 @@
 #include "serve/placement_duty.h"
 #include "serve/policy_parts.h"
 #include "serve/quarantine_entries.h"
+#include "serve/reading_options.h"
 #include "serve/relay_metrics.h"
 #include "settings/secret_file.h"
 #include "store/http_object_store.h"
@@ -193,7 +194,7 @@
       host_list(this->client, this->scheduler, this->hosts,
                 with.platform.host_list, with.platform.host_list_period_ms),
       incarnation(this->clock.WallMs()),
-      feeder(FedAlike(kViewKinds, {with.host.name, this->random()}),
+      feeder(FedAlike(kViewKinds, HostReading(with.host.name, this->random())),
              this->store, this->view, this->scheduler, this->clock,
              [this] { return this->IsWatcher(); }),
       ownership(with, this->incarnation, this->clock, this->scheduler,
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -13,7 +13,9 @@
 #include "base/log_writer.h"
 #include "policy/stop_return.h"
 #include "serve/detail/relay_host_parts.h"
+#include "serve/reading_options.h"
 #include "serve/relay_limits.h"
+#include "serve/word_waits.h"
 
 namespace meadowthread {
 namespace {
@@ -75,23 +77,6 @@
           static_cast<std::size_t>(settings.policy.direct_hosts)};
 }
 
-FeederOptions MakeFeederOptions(const std::string& host, std::uint64_t seed) {
-  FeederOptions options;
-  options.host = host;
-  options.seed = seed;
-  // A connection that a cut has silenced is noticed after a watch's wait: the
-  // configuration has to be in force soon after the cut has healed.
-  options.wait_ms = 1'500;
-  options.answer_margin_ms = 1'000;
-  options.overdue_ms = 200;
-  options.pace_ms = 20;
-  options.most_backoff_ms = 800;
-  options.idle_ms = 300;
-  // A watch confirms a view at the latest when its wait is over.
-  options.self_watch_ms = 3'500;
-  return options;
-}
-
 std::vector<FedKind> FedKinds(const RelayKinds& kinds,
                               const FeederOptions& options,
                               const std::function<std::int64_t()>& stagger_ms) {
@@ -123,8 +108,7 @@
       kinds({on.Kinds().plan, on.Kinds().backends, on.Kinds().hosts,
              on.Kinds().quarantine}),
       view(this->clock, this->kinds),
-      feeder(FedKinds(on.Kinds(),
-                      MakeFeederOptions(with.host.name, this->random()),
+      feeder(FedKinds(on.Kinds(), RelayReading(with.host.name, this->random()),
                       [this] { return this->StaggerMs(); }),
              *this->store, this->view, this->scheduler, this->clock,
              [this] { return this->IsWatcher(); }),
@@ -196,6 +180,7 @@
   this->view.AddListener(
       [this](const ViewChange& change) { this->TakeView(change); });
   this->plan.AddListener([this] { this->ApplyBounds(); });
+  this->CheckWaits();
   this->backends.AddListener(
       [this](BackendChange change, const Backend& backend) {
         this->TakeBackendChange(change, backend);
@@ -237,6 +222,14 @@
   this->contact.OnWord([this] { this->backends.ReviewLapsed(); });
 }
 
+void RelayHost::Parts::CheckWaits() const {
+  const WordPath path = RelayPath(this->settings.exchange);
+  const RelayBoundSettings& set = this->settings.bounds;
+  const WordBounds bounds = {set.change_ms, set.leaving_ms, set.settle_ms};
+  TellWaits(ChangeWaits(path, bounds));
+  TellWaits(LeavingWaits(path, bounds));
+}
+
 absl::Status RelayHost::Parts::Start() {
   const HostSettings& host = this->settings.host;
   const auto listen = [&host](HttpServer& at, int port) {
--- a/src/settings/relay_settings.cc
+++ b/src/settings/relay_settings.cc
@@ -11,6 +11,7 @@
 constexpr int kLeastDescriptors = 64;
 constexpr int kMostDescriptors = 1'048'576;
 constexpr std::int64_t kMostMemoryMb = 1'048'576;
+constexpr std::int64_t kMostBoundMs = 3'600'000;
 constexpr int kMostHosts = 100'000;
 constexpr double kMostRetries = 1e6;
 // Parts of an engine's memory; beyond the whole is for measuring only.
@@ -49,6 +50,9 @@
   section.Integer("descriptors", kLeastDescriptors, kMostDescriptors,
                   &bounds->descriptors);
   section.Integer("memory_mb", 16, kMostMemoryMb, &bounds->memory_mb);
+  section.Integer("change_ms", 1, kMostBoundMs, &bounds->change_ms);
+  section.Integer("leaving_ms", 1, kMostBoundMs, &bounds->leaving_ms);
+  section.Integer("settle_ms", 0, kMostBoundMs, &bounds->settle_ms);
   section.Finish();
 }
 
--- a/src/settings/relay_settings.h
+++ b/src/settings/relay_settings.h
@@ -34,6 +34,12 @@
   double grace_s = 8.0;  ///< from a stop's signal to its end by force
   int descriptors = 4'096;
   std::int64_t memory_mb = 128;
+  /// Within these the store's word is followed, milliseconds: a configuration
+  /// is in force, a server that leaves gets nothing new.
+  std::int64_t change_ms = 2'000;
+  std::int64_t leaving_ms = 2'000;
+  /// So long after the store or connections were disturbed they hold again.
+  std::int64_t settle_ms = 3'000;
 
   friend bool operator==(const RelayBoundSettings&,
                          const RelayBoundSettings&) = default;
--- a/src/settings/tests/relay_settings_test.cc
+++ b/src/settings/tests/relay_settings_test.cc
@@ -11,7 +11,8 @@
     "  control: \"127.0.0.1:8748\", loads_port: 7200}\n"
     "store: \"http://127.0.0.1:8742\"\n"
     "retries: {per_request: 0.2, extra: 58}\n"
-    "bounds: {grace_s: 8, descriptors: 4100, memory_mb: 110}\n";
+    "bounds: {grace_s: 8, descriptors: 4100, memory_mb: 110,\n"
+    "  leaving_ms: 1900, settle_ms: 2800}\n";
 
 Test(a_relay_hosts_settings, are_read_whole) {
   const ParsedRelaySettings parsed = ParseRelaySettings(kWhole);
@@ -23,6 +24,9 @@
   cr_assert(parsed.settings.store == "http://127.0.0.1:8742");
   cr_assert(parsed.settings.retries.extra == 58.0);
   cr_assert(parsed.settings.bounds.memory_mb == 110);
+  cr_assert(parsed.settings.bounds.leaving_ms == 1'900);
+  cr_assert(parsed.settings.bounds.settle_ms == 2'800);
+  cr_assert(parsed.settings.bounds.change_ms == 2'000, "not set");
 }
 
 Test(a_relay_hosts_settings, that_lack_something_name_every_field) {
