--- /dev/null
+++ b/tests/soak/leaving_finale.cc
@@ -0,0 +1,150 @@
+#include "soak/leaving_finale.h"
+
+#include <chrono>
+
+#include "absl/strings/str_cat.h"
+#include "net/pooled_client.h"
+#include "process/caller.h"
+
+namespace meadowthread::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kLeavings = 3;
+// A server that left gets nothing after this.
+constexpr milliseconds kLeaving{2'000};
+// Entries lapse once the store was away for three heartbeats of servers.
+constexpr milliseconds kLapse{4'000};
+// Living servers are listed anew within two seconds.
+constexpr int kListedAnewMs = 1'700;
+constexpr int kCallsAfter = 60;
+constexpr int kOk = 200;
+
+class Finale {
+ public:
+  explicit Finale(Course& course) : course(course) {}
+
+  void Play() {
+    for (int n = 0; n < kLeavings && this->course.complaints.empty(); ++n) {
+      this->Leave(n % this->course.world.PlainServers());
+    }
+    if (this->course.complaints.empty()) {
+      this->Lapse();
+    }
+  }
+
+ private:
+  // One of the ways to the store of each host, or of one, is bad for a moment.
+  void Disturb() {
+    Draw& draw = this->course.draw;
+    const bool all = draw.OneIn(2);
+    const bool silent = draw.OneIn(2);
+    const int only = draw.Below(kHosts);
+    const int times = draw.Between(1, 5);
+    this->course.story.push_back(
+        absl::StrCat("ways to the store of ", all ? "all" : "one",
+                     silent ? " fall silent" : " are reset, times=", times));
+    for (int time = 0; time < times; ++time) {
+      for (int host = 0; host < kHosts; ++host) {
+        if (!all && host != only) {
+          continue;
+        }
+        if (silent) {
+          this->course.world.StoreLink(host).SilenceStanding();
+        } else {
+          this->course.world.StoreLink(host).ResetAll();
+        }
+      }
+      tests::Pass(milliseconds(draw.Between(10, 60)));
+    }
+  }
+
+  void Leave(int server) {
+    World& world = this->course.world;
+    Draw& draw = this->course.draw;
+    this->Call(kHosts * 2);
+    const bool before = draw.OneIn(4);
+    if (before) {
+      world.RemoveEntry(server);
+    }
+    this->Disturb();
+    if (!before) {
+      tests::Pass(milliseconds(draw.Between(0, 1'200)));
+      world.RemoveEntry(server);
+    }
+    this->course.story.push_back(
+        absl::StrCat("plain server ", server, " left, before=", before));
+    tests::Pass(kLeaving);
+    const int runs = world.RunsAtPlain(server);
+    const int unserved = this->Call(kCallsAfter);
+    const int late = world.RunsAtPlain(server) - runs;
+    if (late > 0 || unserved > 0) {
+      this->Complain(absl::StrCat(late,
+                                  " calls reached a server that had left, ",
+                                  unserved, " were not served"));
+    }
+    world.ListAgain(server);
+    tests::Pass(milliseconds(draw.Between(100, 600)));
+  }
+
+  // All entries go while the store is away and come back after it.
+  void Lapse() {
+    World& world = this->course.world;
+    this->course.story.emplace_back("all plain servers lapse");
+    world.SetStoreDown(true);
+    tests::Pass(kLapse);
+    for (int server = 0; server < world.PlainServers(); ++server) {
+      world.RemoveEntry(server);
+    }
+    world.SetStoreDown(false);
+    const auto until =
+        std::chrono::steady_clock::now() + milliseconds(kListedAnewMs);
+    int unserved = 0;
+    while (std::chrono::steady_clock::now() < until) {
+      unserved += this->Call(kHosts);
+    }
+    for (int server = 0; server < world.PlainServers(); ++server) {
+      world.ListAgain(server);
+    }
+    if (unserved > 0) {
+      this->Complain(
+          absl::StrCat(unserved, " calls were not served as entries lapsed"));
+    }
+    tests::Pass(milliseconds(1'000));
+  }
+
+  // Calls at all hosts in turn; how many were not served.
+  int Call(int count) {
+    int unserved = 0;
+    for (int n = 0; n < count; ++n) {
+      Asked asked;
+      asked.id = absl::StrCat("leaving-", ++this->asked);
+      asked.host = n % kHosts;
+      asked.kind = Kind::kAgain;
+      const int status =
+          tests::Call(this->client, this->course.world.RequestOf(asked))
+              .response.http_status;
+      unserved += status == kOk ? 0 : 1;
+    }
+    return unserved;
+  }
+
+  void Complain(const std::string& what) {
+    this->course.complaints.push_back(what);
+  }
+
+  Course& course;
+  PooledClient client;
+  int asked = 0;
+};
+
+}  // namespace
+
+void PlayLeavingFinale(Course& course) {
+  if (course.world.PlainServers() > 0) {
+    Finale(course).Play();
+  }
+}
+
+}  // namespace meadowthread::soak
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -12,6 +12,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "soak/guilty_finale.h"
+#include "soak/leaving_finale.h"
 #include "soak/round.h"
 #include "soak/world.h"
 
@@ -61,6 +62,9 @@
     Round(course).PlayQuiet();
     JudgeCourse(course);
   }
+  if (course.complaints.empty()) {
+    PlayLeavingFinale(course);
+  }
   if (course.complaints.empty()) {
     PlayGuiltyFinale(course);
   }
--- a/tests/soak/relay_world.cc
+++ b/tests/soak/relay_world.cc
@@ -66,7 +66,22 @@
   void ReplaceEngine(int n) override;
   std::string EngineName(int n) const override { return this->engines.at(n); }
 
+  int PlainServers() const override { return kPlainServers; }
+  void RemoveEntry(int server) override {
+    this->fleet.Control("remove", {{"id", this->PlainName(server)}});
+  }
+  void ListAgain(int server) override {
+    this->fleet.Control("beat", {{"id", this->PlainName(server)}});
+  }
+  int RunsAtPlain(int server) override;
+  void SetStoreDown(bool is_down) override {
+    this->fleet.Control("faults", {{"down", is_down}});
+  }
+
  private:
+  const std::string& PlainName(int server) const {
+    return this->engines.at(kEngines + server);
+  }
   // Has hosts reach an engine over a link of ours.
   void LinkEngine(int n, const json& addresses);
   Word WordOfWhole(const Asked& asked, const Answer& answer) const;
@@ -147,6 +162,15 @@
                                : std::vector<std::string>{"key-1"});
 }
 
+int RelayWorld::RunsAtPlain(int server) {
+  int runs = 0;
+  const json record = this->fleet.Control("record", json::object());
+  for (const json& run : record["runs"]) {
+    runs += run["server"] == this->PlainName(server) ? 1 : 0;
+  }
+  return runs;
+}
+
 void RelayWorld::ReadRecord() {
   this->runs.clear();
   const json record = this->fleet.Control("record", json::object());
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -72,6 +72,16 @@
   /// @brief Its name in what the back ends saw.
   virtual std::string EngineName(int n) const = 0;
 
+  /// @brief Servers of plain calls whose entries can be taken away.
+  virtual int PlainServers() const { return 0; }
+  /// @brief A plain server leaves by its entry's removal and serves on.
+  virtual void RemoveEntry(int /*server*/) {}
+  virtual void ListAgain(int /*server*/) {}
+  /// @brief Requests that a plain server began so far.
+  virtual int RunsAtPlain(int /*server*/) { return 0; }
+  /// @brief The store answers nobody, or everybody again.
+  virtual void SetStoreDown(bool /*is_down*/) {}
+
   /// @brief Links to back ends: engines first, then others.
   int BackEndLinks() const {
     return static_cast<int>(this->engine_links.size());
