--- a/src/serve/tests/watcher_choice_test.cc
+++ b/src/serve/tests/watcher_choice_test.cc
@@ -67,6 +67,7 @@
 Test(hosts_that_watch_the_store, are_replaced_where_it_fails_them) {
   const std::vector<std::string> names = NamesOf(9);
   std::vector<WatchPeer> peers;
+  peers.reserve(names.size());
   for (const std::string& name : names) {
     peers.push_back({name, true});
   }
