--- a/tests/soak/relay_world.cc
+++ b/tests/soak/relay_world.cc
@@ -73,7 +73,9 @@
   void ListAgain(int server) override {
     this->fleet.Control("beat", {{"id", this->PlainName(server)}});
   }
-  int RunsAtPlain(int server) override;
+  int RunsAtPlain(int server) override {
+    return this->fleet.RunsAt(this->PlainName(server));
+  }
   void SetStoreDown(bool is_down) override {
     this->fleet.Control("faults", {{"down", is_down}});
   }
@@ -162,15 +164,6 @@
                                : std::vector<std::string>{"key-1"});
 }
 
-int RelayWorld::RunsAtPlain(int server) {
-  int runs = 0;
-  const json record = this->fleet.Control("record", json::object());
-  for (const json& run : record["runs"]) {
-    runs += run["server"] == this->PlainName(server) ? 1 : 0;
-  }
-  return runs;
-}
-
 void RelayWorld::ReadRecord() {
   this->runs.clear();
   const json record = this->fleet.Control("record", json::object());
