--- a/src/allocation/allocation_duty.cc
+++ b/src/allocation/allocation_duty.cc
@@ -33,7 +33,10 @@
       channel(options.self.host, parts.hub, *this),
       allocator(options.self.host, options.pressure, parts.fleet, this->groups),
       asking(options.self, this->groups, parts.fleet, parts.local,
-             this->channel, parts.scheduler, parts.clock) {}
+             this->channel, parts.scheduler, parts.clock) {
+  this->allocator.SetArrivals(parts.arrivals, parts.clock);
+  this->asking.SetArrivals(parts.arrivals);
+}
 
 void AllocationDuty::Start(
     const std::function<std::vector<AllocatorHost>()>& hosts) {
--- a/src/allocation/allocation_duty.h
+++ b/src/allocation/allocation_duty.h
@@ -28,6 +28,7 @@
   LoadSink& loads;
   Scheduler& scheduler;
   const Clock& clock;
+  const ArrivalLimits& arrivals;
   std::mt19937_64& random;
 };
 
--- a/src/allocation/allocation_messages.cc
+++ b/src/allocation/allocation_messages.cc
@@ -11,8 +11,6 @@
 
 using nlohmann::json;
 
-// Longer than any host's list of engines that it can't use for the moment.
-constexpr std::size_t kMostAvoided = 64;
 // Beyond this a count of tokens or milliseconds is no prompt's and no wait's.
 constexpr std::int64_t kMostCount = 1'000'000'000;
 
@@ -73,15 +71,17 @@
                       work.template_name, work.model, work.prompt_tokens,
                       work.max_output_tokens, static_cast<int>(work.urgency),
                       work.first_event_within_ms, work.is_late,
-                      ask.is_passed_on});
+                      ask.is_passed_on, work.homes.has_value(),
+                      work.homes.value_or(std::vector<std::string>{})});
 }
 
 absl::StatusOr<PlaceAsk> PlaceAskFrom(const json& payload) {
   constexpr Field kText = Field::kText;
   constexpr Field kCount = Field::kCount;
-  if (!Fits(payload, {kCount, kText, kText, kText, Field::kTexts, Field::kFlag,
-                      kText, kText, kText, kText, kCount, kCount, kCount,
-                      kCount, Field::kFlag, Field::kFlag})) {
+  if (!Fits(payload,
+            {kCount, kText, kText, kText, Field::kTexts, Field::kFlag, kText,
+             kText, kText, kText, kCount, kCount, kCount, kCount, Field::kFlag,
+             Field::kFlag, Field::kFlag, Field::kTexts})) {
     return Malformed("not an asking for an engine");
   }
   PlaceAsk ask;
@@ -102,7 +102,11 @@
       static_cast<Urgency>(std::min<std::int64_t>(CountOf(*at++), 2));
   ask.work.first_event_within_ms = CountOf(*at++);
   ask.work.is_late = (at++)->get<bool>();
-  ask.is_passed_on = at->get<bool>();
+  ask.is_passed_on = (at++)->get<bool>();
+  const bool has_homes = (at++)->get<bool>();
+  if (has_homes) {
+    ask.work.homes = at->get<std::vector<std::string>>();
+  }
   ask.work.is_copy = !ask.source.empty();
   ask.work.forced = ask.work.is_copy;
   return ask;
--- a/src/allocation/allocation_messages.h
+++ b/src/allocation/allocation_messages.h
@@ -1,6 +1,7 @@
 #ifndef MEADOWTHREAD_ALLOCATION_ALLOCATION_MESSAGES_H_
 #define MEADOWTHREAD_ALLOCATION_ALLOCATION_MESSAGES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -13,6 +14,9 @@
 
 namespace meadowthread {
 
+/// @brief Engines that a host may name as not usable in one asking.
+inline constexpr std::size_t kMostAvoided = 64;
+
 /// @brief A host asks for an engine.
 struct PlaceAsk {
   std::uint64_t ticket = 0;
--- a/src/allocation/allocator.cc
+++ b/src/allocation/allocator.cc
@@ -80,6 +80,12 @@
   return {answer, ""};
 }
 
+bool Allocator::HasPart(std::string_view host, std::string_view engine) const {
+  return host.empty() || this->arrivals == nullptr ||
+         this->arrivals->HasPart(host, engine,
+                                 this->arrivals_clock->MonotonicMs());
+}
+
 Decision Allocator::ChooseFor(const PlaceAsk& ask, std::int64_t now_ms,
                               std::uint64_t random) {
   PressureOptions with = this->options;
@@ -95,7 +101,7 @@
   chooser.SetWithin([this, &ask](const EngineView& view) {
     const bool is_avoided = std::find(ask.avoid.begin(), ask.avoid.end(),
                                       view.engine) != ask.avoid.end();
-    return !is_avoided &&
+    return !is_avoided && this->HasPart(ask.origin, view.engine) &&
            this->groups.GroupOf(view.engine, view.zone) == ask.group;
   });
   return chooser.Choose(ask.work, this->fleet, now_ms, random);
--- a/src/allocation/allocator.h
+++ b/src/allocation/allocator.h
@@ -13,7 +13,9 @@
 #include "allocation/allocation_messages.h"
 #include "allocation/engine_groups.h"
 #include "allocation/link_turns.h"
+#include "base/clock.h"
 #include "exchange/load_note.h"
+#include "policy/arrival_limits.h"
 #include "policy/fleet_state.h"
 #include "policy/pressure_chooser.h"
 
@@ -47,6 +49,13 @@
   Allocator(const Allocator&) = delete;
   Allocator& operator=(const Allocator&) = delete;
 
+  /// @brief Gives places only to hosts that may send something there.
+  /// @param[in] with,clock outlive the allocator
+  void SetArrivals(const ArrivalLimits& with, const Clock& clock) {
+    this->arrivals = &with;
+    this->arrivals_clock = &clock;
+  }
+
   /// @brief Until then its picture of the engines is not whole.
   void SetTrustedFrom(std::int64_t from_ms) { this->trusted_from_ms = from_ms; }
 
@@ -101,6 +110,7 @@
     std::int64_t asked_ms = 0;
   };
 
+  bool HasPart(std::string_view host, std::string_view engine) const;
   Decision ChooseFor(const PlaceAsk& ask, std::int64_t now_ms,
                      std::uint64_t random);
   AllocatorReply AnswerMove(const PlaceAsk& ask, std::int64_t now_ms,
@@ -119,6 +129,8 @@
   PressureOptions options;
   FleetState& fleet;
   const EngineGroups& groups;
+  const ArrivalLimits* arrivals = nullptr;  ///< null: none are kept
+  const Clock* arrivals_clock = nullptr;
   LinkTurns turns;
   std::deque<Given> given;
   std::map<std::string, ToldPressure, std::less<>> pressures;
--- a/src/allocation/group_allocation.cc
+++ b/src/allocation/group_allocation.cc
@@ -71,6 +71,13 @@
          found->second > this->clock.MonotonicMs();
 }
 
+// The allocator knows who has a part, and not who has used it.
+bool GroupAllocation::HasUsedItsPart(std::string_view engine) const {
+  const std::int64_t now_ms = this->clock.MonotonicMs();
+  return this->arrivals != nullptr && !this->arrivals->May(engine, now_ms) &&
+         this->arrivals->HasPart(this->self.host, engine, now_ms);
+}
+
 // What this host has found out itself and the allocator may not know yet.
 std::vector<std::string> GroupAllocation::NotUsableHere() const {
   const std::int64_t now_ms = this->clock.WallMs();
@@ -79,7 +86,8 @@
     const EngineView& view = this->fleet.View(static_cast<EngineIndex>(i));
     const bool is_set_aside =
         view.aside_until_ms > now_ms || view.no_room_until_ms > now_ms;
-    if (view.live && is_set_aside) {
+    const bool is_avoided = is_set_aside || this->HasUsedItsPart(view.engine);
+    if (view.live && is_avoided && engines.size() < kMostAvoided) {
       engines.push_back(view.engine);
     }
   }
--- a/src/allocation/group_allocation.h
+++ b/src/allocation/group_allocation.h
@@ -13,6 +13,7 @@
 #include "base/clock.h"
 #include "base/lifetime.h"
 #include "base/scheduler.h"
+#include "policy/arrival_limits.h"
 #include "policy/engine_allocation.h"
 #include "policy/fleet_state.h"
 
@@ -36,6 +37,10 @@
   GroupAllocation(const GroupAllocation&) = delete;
   GroupAllocation& operator=(const GroupAllocation&) = delete;
 
+  /// @brief Asks for no place at an engine that this host may not send to now.
+  /// @param[in] with outlives this
+  void SetArrivals(const ArrivalLimits& with) { this->arrivals = &with; }
+
   /// @brief Whether others are asked; if not, this host chooses by itself.
   void SetShared(bool is_shared) { this->is_shared = is_shared; }
 
@@ -75,12 +80,14 @@
   void ChooseAlone(std::uint64_t ticket);
   void After(std::uint64_t ticket, std::int64_t delay_ms);
   std::vector<std::string> NotUsableHere() const;
+  bool HasUsedItsPart(std::string_view engine) const;
   bool IsSuspect(const std::string& host) const;
 
   AllocationSelf self;
   const EngineGroups& groups;
   const FleetState& fleet;
   EngineAllocation& local;
+  const ArrivalLimits* arrivals = nullptr;  ///< null: none are kept
   AllocationChannel& channel;
   Scheduler& scheduler;
   const Clock& clock;
--- a/src/allocation/tests/allocation_duty_test.cc
+++ b/src/allocation/tests/allocation_duty_test.cc
@@ -27,7 +27,8 @@
     this->duty = std::make_unique<AllocationDuty>(
         this->options,
         AllocationParts{this->hub, this->fleet.state, this->local, this->loads,
-                        this->scheduler, this->clock, this->random});
+                        this->scheduler, this->clock, this->arrivals,
+                        this->random});
     this->duty->Start([this] { return this->hosts; });
   }
   void Pass(std::int64_t ms) {
@@ -56,6 +57,7 @@
   ManualScheduler scheduler{&this->clock};
   testing::Fleet fleet;
   PressureChooser chooser{PressureOptions{}};
+  ArrivalLimits arrivals{"self"};
   std::mt19937_64 random{1};
   LocalAllocation local{this->chooser, this->fleet.state, this->clock,
                         this->random};
--- a/src/allocation/tests/allocation_messages_test.cc
+++ b/src/allocation/tests/allocation_messages_test.cc
@@ -24,6 +24,7 @@
   ask.work.urgency = Urgency::kBatch;
   ask.work.first_event_within_ms = 900;
   ask.work.is_late = true;
+  ask.work.homes = HomeRegions({"cebu"});
   return ask;
 }
 
--- a/src/allocation/tests/allocator_test.cc
+++ b/src/allocation/tests/allocator_test.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 
+#include "base/manual_scheduler.h"
 #include "policy/tests/fleet_fixture.h"
 
 namespace meadowthread {
@@ -118,6 +119,33 @@
   cr_assert(story.Place(ask, 1).verdict == PlaceVerdict::kNoRoom);
 }
 
+Test(a_cold_engine, is_given_only_to_hosts_that_have_a_part_there) {
+  Story story(1);
+  const ManualClock clock{1'000};
+  ArrivalLimits arrivals("self");
+  arrivals.SetHosts(std::vector<std::string>{"asking", "other"});
+  arrivals.SetServer("e0", {1.0, 1.0}, 100'000);
+  story.allocator.SetArrivals(arrivals, clock);
+  int placed = 0;
+  for (const char* const host : {"asking", "other"}) {
+    PlaceAsk ask = story.Ask();
+    ask.origin = host;
+    placed += story.Place(ask, 1).verdict == PlaceVerdict::kPlaced ? 1 : 0;
+  }
+  cr_assert(placed == 1);
+}
+
+Test(work_with_homes, is_given_no_engine_elsewhere) {
+  Story story(1);
+  PlaceAsk ask = story.Ask();
+  ask.work.homes = HomeRegions({"cebu"});
+  cr_assert(story.Place(ask, 1).verdict == PlaceVerdict::kNoEngine);
+  EngineListing listing{"e0", "z", true, false};
+  listing.region = "cebu";
+  story.fleet.state.SetEngine(listing, 1);
+  cr_assert(story.Place(ask, 1).verdict == PlaceVerdict::kPlaced);
+}
+
 Test(an_engine, that_the_asking_host_cannot_use_is_not_given_to_it) {
   Story story(2);
   PlaceAsk ask = story.Ask();
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -36,6 +36,7 @@
   kHostNotReady = 206,
   kOwnedElsewhere = 207,
   kQuarantined = 208,
+  kOutsideHomes = 209,
   // 3xx: engines and backend servers.
   kConnectFailed = 301,
   kRejectedByPeer = 302,
--- a/src/net/problem.cc
+++ b/src/net/problem.cc
@@ -58,6 +58,7 @@
     case ErrorId::kBodyTooLarge:
       return 413;
     case ErrorId::kOwnedElsewhere:
+    case ErrorId::kOutsideHomes:
       return 421;
     case ErrorId::kIdempotencyKeyReused:
       return 422;
--- a/src/policy/engine_view.h
+++ b/src/policy/engine_view.h
@@ -22,6 +22,7 @@
   std::int64_t kv_capacity = 0;
   /// What is loaded, where the list tells; empty: only reports do.
   std::vector<ServedModel> models = {};
+  std::string region = {};
 };
 
 /// @brief One load report of an engine; it describes the past.
@@ -43,6 +44,7 @@
 struct EngineView {
   std::string engine;
   std::string zone;
+  std::string region;
   bool live = true;
   bool leaving = false;
   bool stalled = false;  ///< ejected until it answers again
--- a/src/policy/pressure_chooser.cc
+++ b/src/policy/pressure_chooser.cc
@@ -22,7 +22,8 @@
   std::vector<Scored> scored;
   for (const EngineIndex engine : fleet.Serving(work)) {
     const EngineView& view = fleet.View(engine);
-    if (view.Usable() && (!this->within || this->within(view))) {
+    if (view.Usable() && MayRunIn(work.homes, view.region) &&
+        (!this->within || this->within(view))) {
       scored.push_back(this->Score(work, fleet, engine, added, now_ms));
       const auto cost = link_costs.find(view.zone);
       scored.back().cost += cost == link_costs.end() ? 0.0 : cost->second;
--- a/src/policy/work.h
+++ b/src/policy/work.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include "policy/home_regions.h"
+
 namespace meadowthread {
 
 /// @brief How urgent a template's work is; lower values go first.
@@ -38,6 +40,7 @@
   /// host knows of.
   std::int64_t reading_ahead = -1;
   bool is_copy = false;  ///< its memory comes by a copy: nothing is to be read
+  HomeRegions homes;     ///< it may run nowhere else
 };
 
 }  // namespace meadowthread
--- a/src/relay/backend_list.cc
+++ b/src/relay/backend_list.cc
@@ -95,6 +95,9 @@
   backend.vanished_ms.reset();
   const bool was_named = std::exchange(backend.named, true);
   backend.warm_at_ms = this->clock.MonotonicMs() + entry.slow_for_ms;
+  backend.emptied_ms = this->EmptiedSince(entry.zone);
+  const auto region = this->regions.find(entry.zone);
+  backend.region = region == this->regions.end() ? "" : region->second;
   if (is_new) {
     LogLine("backend")
         .Add("id", entry.id)
@@ -197,6 +200,66 @@
   this->Tell(BackendChange::kChanged, *found);
 }
 
+std::optional<std::int64_t> BackendList::EmptiedSince(
+    std::string_view zone) const {
+  const auto found = this->emptied.find(zone);
+  return found == this->emptied.end() ? std::nullopt
+                                      : std::optional(found->second);
+}
+
+// An emptied zone of which no server is known may be misspelt, or its servers
+// may be listed later: the word stands.
+void BackendList::SetZoneEmptied(std::string_view zone, bool is_emptied) {
+  if (this->emptied.contains(zone) == is_emptied) {
+    return;
+  }
+  if (is_emptied) {
+    this->emptied.emplace(zone, this->clock.MonotonicMs());
+  } else {
+    this->emptied.erase(this->emptied.find(zone));
+  }
+  int servers = 0;
+  for (auto& [key, backend] : this->backends) {
+    if (backend.entry.zone == zone) {
+      ++servers;
+      backend.emptied_ms = this->EmptiedSince(zone);
+      this->Tell(BackendChange::kChanged, backend);
+    }
+  }
+  LogLine(is_emptied ? "zone-emptied" : "zone-taken-back")
+      .Add("zone", zone)
+      .Add("servers", servers)
+      .WriteImportant();
+}
+
+void BackendList::SetRegions(
+    const std::map<std::string, std::string>& by_zone) {
+  this->regions.insert(by_zone.begin(), by_zone.end());
+}
+
+bool BackendList::HasHome(std::string_view service,
+                          const HomeRegions& homes) const {
+  return std::any_of(this->backends.begin(), this->backends.end(),
+                     [service, &homes](const auto& one) {
+                       const Backend& backend = one.second;
+                       return backend.entry.service == service &&
+                              MayRunIn(homes, backend.region);
+                     });
+}
+
+bool BackendList::IsEmptied(std::string_view service) const {
+  bool has_emptied = false;
+  for (const auto& [key, backend] : this->backends) {
+    const bool is_live =
+        backend.entry.service == service && !backend.leaving && backend.named;
+    if (is_live && !backend.emptied_ms.has_value()) {
+      return false;
+    }
+    has_emptied = has_emptied || is_live;
+  }
+  return has_emptied;
+}
+
 void BackendList::NoteLeaving(std::string_view key) {
   const auto found = this->backends.find(key);
   if (found != this->backends.end()) {
--- a/src/relay/backend_list.h
+++ b/src/relay/backend_list.h
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "base/lifetime.h"
 #include "base/scheduler.h"
+#include "policy/home_regions.h"
 #include "relay/entry_lapse.h"
 
 namespace meadowthread {
@@ -36,6 +37,7 @@
   /// where that is known. All that is kept by server is kept by it.
   std::string key;
   BackendEntry entry;
+  std::string region;           ///< of its zone; empty: not known
   std::int64_t warm_at_ms = 0;  ///< monotonic
   bool listed = true;
   bool leaving = false;        ///< gets nothing new
@@ -47,9 +49,24 @@
   /// Its entry names it; where another writer's stands in its place, it gets
   /// nothing new, and what runs there goes on.
   bool named = true;
+  /// Since when this host knows that its availability zone is emptied; nothing
+  /// new goes there, and what runs there goes on. Monotonic.
+  std::optional<std::int64_t> emptied_ms;
 
   /// @brief Whether it may get something new.
-  bool TakesNew() const { return !this->leaving && this->named; }
+  bool TakesNew() const {
+    return !this->leaving && this->named && !this->emptied_ms.has_value();
+  }
+
+  /// @brief Whether a run whose memory it holds may still go on there.
+  bool MayGoOn(std::int64_t now_ms) const {
+    return !this->emptied_ms.has_value() ||
+           now_ms - *this->emptied_ms < kGoesOnMs;
+  }
+
+  /// A move into a zone that was under way when the word of its emptying came
+  /// may end there for so long.
+  static constexpr std::int64_t kGoesOnMs = 1'000;
 };
 
 /// @brief Whether two starts that were told are two lives of an id; one that
@@ -85,6 +102,9 @@
     this->listeners.push_back(listener);
   }
 
+  /// @brief Takes which region each availability zone is in, before any entry.
+  void SetRegions(const std::map<std::string, std::string>& by_zone);
+
   /// @brief Takes an entry that is listed.
   void Set(const BackendEntry& entry);
 
@@ -99,6 +119,20 @@
   /// @brief The server itself says that it leaves, and its entry does not yet.
   void NoteLeaving(std::string_view key);
 
+  /// @brief Takes that an availability zone is emptied, or taken back.
+  void SetZoneEmptied(std::string_view zone, bool is_emptied);
+
+  /// @brief Availability zones that are emptied.
+  std::size_t EmptiedZones() const { return this->emptied.size(); }
+
+  /// @brief Whether the service has servers, and only the emptying of their
+  /// zones keeps all of them from getting something new.
+  bool IsEmptied(std::string_view service) const;
+
+  /// @brief Whether the service has a server that a request with these homes
+  /// might run on at some time.
+  bool HasHome(std::string_view service, const HomeRegions& homes) const;
+
   /// @brief Whether an entry that vanished may still have lapsed.
   bool HasLapsed() const;
 
@@ -135,6 +169,7 @@
   void Leave(Backend* backend, std::string_view why);
   void ForgetLater(const std::string& key);
   void Tell(BackendChange change, const Backend& backend);
+  std::optional<std::int64_t> EmptiedSince(std::string_view zone) const;
 
   const Clock& clock;
   Scheduler& scheduler;
@@ -142,6 +177,9 @@
   std::map<std::string, Backend, std::less<>> backends;  ///< by key
   /// The key of each id's one start that is known.
   std::map<std::string, std::string, std::less<>> keys;
+  std::map<std::string, std::string, std::less<>> regions;  ///< by zone
+  /// Since when each is, as far as this host knows; monotonic, by zone.
+  std::map<std::string, std::int64_t, std::less<>> emptied;
   std::vector<Listener> listeners;
   Lifetime life;
 };
--- a/src/relay/call_session.cc
+++ b/src/relay/call_session.cc
@@ -97,7 +97,8 @@
        this->parts.backends.Usable(this->terms.service)) {
     const bool was_tried = std::find(this->tried.begin(), this->tried.end(),
                                      backend->key) != this->tried.end();
-    if (was_tried) {
+    if (was_tried || !MayRunIn(this->terms.homes, backend->region) ||
+        !this->parts.arrivals.May(backend->key, now_ms)) {
       continue;
     }
     const double cost = this->CostOf(*backend, now_ms);
@@ -114,6 +115,11 @@
   return best;
 }
 
+bool CallSession::HasHome() const {
+  return !this->terms.homes.has_value() ||
+         this->parts.backends.HasHome(this->terms.service, this->terms.homes);
+}
+
 // The wall clock counts here: this host may have been paused since it claimed.
 bool CallSession::IsClaimOver() const {
   return this->terms.send_until_unix_ms > 0 &&
@@ -138,6 +144,12 @@
       .Add("engine", backend == nullptr ? "" : backend->key)
       .Add("left_ms", this->LeftMs())
       .Write();
+  if (backend == nullptr && !this->HasHome()) {
+    this->EndOrWait(this->Problem(ErrorId::kOutsideHomes, Outcome::kNotRun,
+                                  "choose",
+                                  "no backend server is in its regions"));
+    return;
+  }
   if (backend == nullptr) {
     this->EndOrWait(this->Problem(ErrorId::kNoEngine, Outcome::kNotRun,
                                   "choose",
@@ -162,6 +174,7 @@
   http.reuse_idle_ms = repeatable ? kYoungMs : kYoungForOnceMs;
   this->tried.push_back(backend->key);
   this->parts.health.NoteBegun(backend->key);
+  this->parts.arrivals.NoteSent(backend->key, this->parts.clock.MonotonicMs());
   this->attempts.push_back(std::make_unique<Attempt>(*this, *backend));
   this->attempts.back()->Start(http);
   this->PlanHedge();
--- a/src/relay/call_session.h
+++ b/src/relay/call_session.h
@@ -57,6 +57,7 @@
   static constexpr std::int64_t kNoServerRetryMs = 400;
 
   void Send();
+  bool HasHome() const;
   bool IsClaimOver() const;
   const Backend* Choose() const;
   double CostOf(const Backend& backend, std::int64_t now_ms) const;
@@ -71,6 +72,7 @@
   void End(const absl::StatusOr<HttpResponse>& result);
   void GiveUpAtDeadline();
   Outcome OutcomeSoFar() const;
+  std::int64_t ReturnAfterMs(ErrorId id) const;
   void TellEnd(std::string_view outcome, int http_status,
                const std::optional<ErrorDetail>& failure);
   absl::Status Problem(ErrorId id, Outcome outcome, std::string_view step,
--- a/src/relay/call_session_end.cc
+++ b/src/relay/call_session_end.cc
@@ -57,6 +57,16 @@
   }
 }
 
+std::int64_t CallSession::ReturnAfterMs(ErrorId id) const {
+  if (id == ErrorId::kOutsideHomes) {
+    return -1;  // no time brings it there
+  }
+  if (this->parts.backends.IsEmptied(this->terms.service)) {
+    return kEmptiedRetryMs;
+  }
+  return id == ErrorId::kOverloaded ? kFullRetryMs : kNoServerRetryMs;
+}
+
 absl::Status CallSession::Problem(ErrorId id, Outcome outcome,
                                   std::string_view step,
                                   std::string_view what) const {
@@ -67,8 +77,7 @@
   detail.step = std::string(step);
   detail.peer = this->tried.empty() ? this->terms.service : this->tried.back();
   if (detail.outcome == Outcome::kNotRun) {
-    detail.retry_after_ms =
-        id == ErrorId::kOverloaded ? kFullRetryMs : kNoServerRetryMs;
+    detail.retry_after_ms = this->ReturnAfterMs(id);
   }
   return MakeError(absl::StatusCode::kUnavailable, detail, what);
 }
--- a/src/relay/departures.cc
+++ b/src/relay/departures.cc
@@ -254,6 +254,10 @@
   options.zone_cost = kOtherZoneCost;
   options.busy_link_cost = kBusyLinkCost;
   PressureChooser chooser(options);
+  chooser.SetWithin([this](const EngineView& view) {
+    return this->parts.arrivals.May(view.engine,
+                                    this->parts.clock.MonotonicMs());
+  });
   const Decision decision =
       chooser.Choose(WorkOf(session), this->stream_parts.fleet,
                      this->parts.clock.WallMs(), this->parts.random());
@@ -269,6 +273,7 @@
   work.prompt_tokens = session.MemoryTokens();
   work.is_copy = true;
   work.forced = true;
+  work.homes = session.Terms().homes;
   return work;
 }
 
--- a/src/relay/plan_in_force.cc
+++ b/src/relay/plan_in_force.cc
@@ -147,10 +147,16 @@
   terms.max_attempts = std::max(1, route->max_attempts);
   terms.resumable = route->resumable;
   terms.version = this->index->plan.version;
-  if (known) {
-    terms.workspace = holder->second->name;
-    terms.urgency = holder->second->urgency.value_or(route->urgency);
-  }
+  const WorkspaceRule* const workspace = known ? holder->second : nullptr;
+  if (workspace != nullptr) {
+    terms.workspace = workspace->name;
+    terms.urgency = workspace->urgency.value_or(route->urgency);
+  }
+  terms.homes =
+      HomesOf(route->home_regions,
+              workspace != nullptr
+                  ? std::span<const std::string>(workspace->home_regions)
+                  : std::span<const std::string>());
   return terms;
 }
 
--- a/src/relay/relay_parts.h
+++ b/src/relay/relay_parts.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "base/scheduler.h"
 #include "net/http_client.h"
+#include "policy/arrival_limits.h"
 #include "policy/dispatcher.h"
 #include "policy/engine_allocation.h"
 #include "policy/first_try.h"
@@ -33,6 +34,10 @@
 /// @brief Backend servers in a row that a request may find unreachable.
 inline constexpr int kMostUnreachable = 3;
 
+/// @brief When to come back where the availability zones of all servers are
+/// emptied: operators take them back after seconds at the earliest.
+inline constexpr std::int64_t kEmptiedRetryMs = 2'000;
+
 /// @brief What the sessions of a relay work with; all outlive it.
 struct RelayParts {
   const Clock& clock;
@@ -44,6 +49,7 @@
   RetryBudgets& budgets;
   RelayObserver& observer;
   Quarantine& quarantine;
+  ArrivalLimits& arrivals;
   std::mt19937_64& random;
 };
 
--- a/src/relay/relay_request.h
+++ b/src/relay/relay_request.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "net/http_client.h"
+#include "policy/home_regions.h"
 
 namespace meadowthread {
 
@@ -58,6 +59,7 @@
   int max_attempts = 1;                ///< backend servers it may be sent to
   bool resumable = false;              ///< callers may go on after a break
   std::string version;                 ///< of the configuration, for logs
+  HomeRegions homes;                   ///< it may run nowhere else
   /// Unix time after which no byte of it may be sent any more: whoever takes
   /// over its claim relies on that; 0: no such bound.
   std::int64_t send_until_unix_ms = 0;
--- a/src/relay/service_plan.h
+++ b/src/relay/service_plan.h
@@ -29,6 +29,7 @@
   bool is_public = false;  ///< no key is needed
   bool resumable = false;  ///< callers may go on after a break
   std::vector<WeightedService> services;
+  std::vector<std::string> home_regions;  ///< it runs nowhere else; none: any
 };
 
 /// @brief What is known of a service's model engines.
@@ -46,13 +47,16 @@
   std::string name;
   int max_connections = 0;  ///< of one backend server, over all callers; 0: any
   std::optional<EngineTraits> engine;
+  /// Requests a second that a cold server withstands; 0: any number.
+  double cold_per_s = 0.0;
 };
 
 /// @brief A workspace with the keys of its callers.
 struct WorkspaceRule {
   std::string name;
   std::vector<std::string> keys;
-  std::optional<int> urgency;  ///< in place of the routes'
+  std::optional<int> urgency;                  ///< in place of the routes'
+  std::vector<std::string> home_regions = {};  ///< as of a route; both bind
 };
 
 /// @brief What callers may send; 0: the host's own bound.
--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -420,7 +420,7 @@
   this->phase = StreamPhase::kEnded;
   this->CancelCall();
   if (this->move != nullptr) {
-    this->DropCopyNote();
+    this->EndMove();
     this->move.reset();
   }
   if (std::exchange(this->noted, false)) {
--- a/src/relay/stream_session.h
+++ b/src/relay/stream_session.h
@@ -113,6 +113,8 @@
   void AskAgain(std::int64_t after_ms);
   void Queue(const WorkItem& work, DecisionReason why, std::int64_t wait_ms);
   void RefuseQueued(DecisionReason why);
+  bool MaySendTo(std::string_view key) const;
+  bool RefuseUnservable();
   std::int64_t ElapsedMs() const;
   void Send(const Backend& backend, const std::optional<Continuation>& from);
   void PassOn(std::vector<CutEvent>* cut);
@@ -122,7 +124,13 @@
   void OnRejected();
   void OnBroken(const HttpEnd& end);
   void OnResumeFailed(const HttpEnd& end, AnswerMeaning meaning);
+  const Backend* HolderOf(const Continuation& from,
+                          std::string_view target) const;
   bool ResumeAtSource();
+  void ResumeWhenPermitted(const std::string& holder, const Continuation& from,
+                           std::int64_t until_ms);
+  void Resume(const Backend& holder, const Continuation& from);
+  void EndMove();
   std::string CopyName() const;
   void DropCopyNote();
   void Complete();
--- a/src/relay/stream_session_move.cc
+++ b/src/relay/stream_session_move.cc
@@ -14,6 +14,9 @@
 // Engines leave every few seconds, and a report lasts for ten: more than this
 // is a run that nobody can hold.
 constexpr int kMostResumes = 12;
+// A source that may be sent nothing for the moment may be within a second.
+constexpr std::int64_t kLongestPermitWaitMs = 1'200;
+constexpr std::int64_t kPermitStepMs = 20;
 
 }  // namespace
 
@@ -26,7 +29,7 @@
   const Backend* const to = this->parts.backends.Find(target);
   if (this->phase != StreamPhase::kStreaming || this->move != nullptr ||
       this->resumes >= kMostResumes || source == nullptr ||
-      !this->parts.backends.TakesNew(target)) {
+      !this->MaySendTo(target)) {
     return false;
   }
   MovePlan plan;
@@ -43,23 +46,44 @@
   copy.prompt_tokens = plan.memory_tokens;
   copy.is_copy = true;
   this->stream_parts.fleet.NoteSent(copy, target, this->parts.clock.WallMs());
+  this->parts.arrivals.Hold(target);
   this->move = std::make_unique<RunMove>(this->control, this->parts.clock,
                                          *this, std::move(plan));
   this->move->Begin();
   return true;
 }
 
+// The run's sending counts by itself from here on, or does not come.
+void StreamSession::EndMove() {
+  this->DropCopyNote();
+  this->parts.arrivals.Release(this->move->Plan().target);
+}
+
+// Who has the run's memory: the target, and the source for some seconds more.
+const Backend* StreamSession::HolderOf(const Continuation& from,
+                                       std::string_view target) const {
+  const std::int64_t now_ms = this->parts.clock.MonotonicMs();
+  for (const std::string_view key :
+       {target.empty() ? std::string_view(this->engine) : target,
+        std::string_view(from.source_key)}) {
+    const Backend* const holder = this->parts.backends.Find(key);
+    if (holder != nullptr && holder->MayGoOn(now_ms)) {
+      return holder;
+    }
+  }
+  return nullptr;
+}
+
 void StreamSession::OnMoveReady(const Continuation& continuation,
                                 const std::string& target) {
   Continuation from = continuation;
   from.last_event = this->last_id;
   ++this->resumes;
-  this->DropCopyNote();
+  const Backend* const holder = this->HolderOf(from, target);
+  this->EndMove();
   this->old_moves.push_back(std::move(this->move));
-  const std::string& at = target.empty() ? this->engine : target;
-  const Backend* const backend = this->parts.backends.Find(at);
-  if (backend == nullptr) {
-    this->BreakOff("the engine that holds the copy is gone");
+  if (holder == nullptr) {
+    this->BreakOff("no engine that holds the run's memory may go on with it");
     return;
   }
   if (this->guarded.QuarantinedForMs().has_value()) {
@@ -68,18 +92,55 @@
   }
   LogLine("move-resumes")
       .Add("request", this->request.id)
-      .Add("engine", at)
+      .Add("engine", holder->key)
       .Add("after_event", this->last_id)
       .Write();
-  if (this->noted && at != this->engine) {
-    this->stream_parts.fleet.NoteMoved(this->request.id, at,
+  // The target's place was held for it since the move began.
+  if (holder->key == target) {
+    this->Resume(*holder, from);
+  } else {
+    this->ResumeWhenPermitted(
+        holder->key, from,
+        this->parts.clock.MonotonicMs() + kLongestPermitWaitMs);
+  }
+}
+
+void StreamSession::Resume(const Backend& holder, const Continuation& from) {
+  if (this->noted && holder.key != this->engine) {
+    this->stream_parts.fleet.NoteMoved(this->request.id, holder.key,
                                        this->parts.clock.WallMs());
   }
-  this->Send(*backend, from);
+  this->Send(holder, from);
+}
+
+// The source counts what it is sent like any other engine, and keeps the memory
+// for longer than it takes until it may be sent something again.
+void StreamSession::ResumeWhenPermitted(const std::string& holder,
+                                        const Continuation& from,
+                                        std::int64_t until_ms) {
+  if (this->phase == StreamPhase::kEnded) {
+    return;
+  }
+  const std::int64_t now_ms = this->parts.clock.MonotonicMs();
+  const Backend* const backend = this->parts.backends.Find(holder);
+  if (backend == nullptr || !backend->MayGoOn(now_ms) || now_ms > until_ms) {
+    this->LeaveEngine(AttemptResult::kFailed);
+    this->BreakOff("the run could not go on");
+    return;
+  }
+  if (this->parts.arrivals.May(holder, now_ms)) {
+    this->Resume(*backend, from);
+    return;
+  }
+  this->phase = StreamPhase::kBetween;
+  this->parts.scheduler.After(
+      kPermitStepMs, this->life.Guarded([this, holder, from, until_ms] {
+        this->ResumeWhenPermitted(holder, from, until_ms);
+      }));
 }
 
 void StreamSession::OnMoveOver(MoveEnd end) {
-  this->DropCopyNote();
+  this->EndMove();
   if (end == MoveEnd::kNoRoom) {
     this->stream_parts.fleet.NoteNoRoom(this->move->Plan().target,
                                         this->parts.clock.WallMs());
@@ -177,18 +238,16 @@
       this->engine == this->resumed_from->source_key) {
     return false;
   }
+  const std::int64_t now_ms = this->parts.clock.MonotonicMs();
   const Backend* const back =
       this->parts.backends.FindAddress(this->resumed_from->source);
-  if (back == nullptr || back->key != this->resumed_from->source_key) {
+  if (back == nullptr || back->key != this->resumed_from->source_key ||
+      !back->MayGoOn(now_ms)) {
     return false;
   }
   ++this->resumes;
-  const Continuation from = *this->resumed_from;
-  if (this->noted) {
-    this->stream_parts.fleet.NoteMoved(this->request.id, back->key,
-                                       this->parts.clock.WallMs());
-  }
-  this->Send(*back, from);
+  this->ResumeWhenPermitted(back->key, *this->resumed_from,
+                            now_ms + kLongestPermitWaitMs);
   return true;
 }
 
--- a/src/relay/stream_session_placing.cc
+++ b/src/relay/stream_session_placing.cc
@@ -57,6 +57,7 @@
   work.deadline_ms =
       work.arrived_ms + std::max<std::int64_t>(1, this->LeftMs());
   work.urgency = UrgencyOf(this->terms.urgency);
+  work.homes = this->terms.homes;
   return work;
 }
 
@@ -113,15 +114,16 @@
   if (this->phase != StreamPhase::kQueued) {
     return;
   }
-  const bool is_usable = decision.engine.has_value() &&
-                         this->parts.backends.TakesNew(*decision.engine);
-  if (is_usable) {
+  if (decision.engine.has_value() && this->MaySendTo(*decision.engine)) {
     work.reading_ahead = decision.reading_ahead;
     this->stream_parts.fleet.NoteSent(work, *decision.engine,
                                       this->parts.clock.WallMs());
     this->SendTo(decision);
     return;
   }
+  if (this->RefuseUnservable()) {
+    return;
+  }
   const std::int64_t now_ms = this->parts.clock.MonotonicMs();
   if (this->waits_until_ms < 0) {
     std::int64_t wait_ms = arrival.may_wait_ms;
@@ -198,9 +200,40 @@
                    this->LeftMs(), this->parts.random()));
 }
 
+// Whoever chose the engine may have known less than this host does now.
+bool StreamSession::MaySendTo(std::string_view key) const {
+  const Backend* const backend = this->parts.backends.Find(key);
+  return backend != nullptr && backend->TakesNew() &&
+         MayRunIn(this->terms.homes, backend->region) &&
+         this->parts.arrivals.May(key, this->parts.clock.MonotonicMs());
+}
+
+// What no waiting here helps: nobody knows when a zone is taken back.
+bool StreamSession::RefuseUnservable() {
+  if (this->terms.homes.has_value() &&
+      !this->parts.backends.HasHome(this->terms.service, this->terms.homes)) {
+    this->Refuse(ErrorId::kOutsideHomes, Outcome::kNotRun, "choose",
+                 "no engine is in its regions", -1);
+    return true;
+  }
+  if (this->parts.backends.IsEmptied(this->terms.service)) {
+    this->Refuse(ErrorId::kNoEngine, Outcome::kNotRun, "choose",
+                 "the availability zones of all engines are emptied",
+                 kEmptiedRetryMs);
+    return true;
+  }
+  return false;
+}
+
+// Another choice of the same turn may have taken the last request that the
+// engine withstands now.
 void StreamSession::SendTo(const Decision& decision) {
   this->noted = true;
-  const Backend* const backend = this->parts.backends.Find(*decision.engine);
+  if (!this->MaySendTo(*decision.engine)) {
+    this->LeaveEngine(AttemptResult::kGood);
+    this->AskAgain(kTellMs);
+    return;
+  }
   LogLine line("route");
   line.Add("request", this->request.id)
       .Add("workspace", this->terms.workspace)
@@ -219,13 +252,7 @@
   line.Add("candidates", CandidatesText(decision))
       .Add("left_ms", this->LeftMs())
       .Write();
-  if (backend == nullptr || !backend->TakesNew()) {
-    this->LeaveEngine(AttemptResult::kGood);
-    this->Refuse(ErrorId::kNoEngine, Outcome::kNotRun, "choose",
-                 "the chosen engine has left", kNoEngineRetryMs);
-    return;
-  }
-  this->Send(*backend, std::nullopt);
+  this->Send(*this->parts.backends.Find(*decision.engine), std::nullopt);
 }
 
 void StreamSession::GiveUp(RefusalReason reason, std::int64_t retry_after_ms) {
@@ -258,6 +285,7 @@
   http.send_once = true;
   http.reuse_idle_ms = 0;
   ++this->sendings;
+  this->parts.arrivals.NoteSent(backend.key, this->parts.clock.MonotonicMs());
   this->call = this->parts.client.Start(http, this);
 }
 
--- a/src/relay/tests/backend_list_test.cc
+++ b/src/relay/tests/backend_list_test.cc
@@ -44,6 +44,74 @@
   }
 };
 
+BackendEntry InZone(const std::string& id, const std::string& zone) {
+  BackendEntry entry = Entry(id);
+  entry.zone = zone;
+  return entry;
+}
+
+Test(an_emptied_zone, gets_nothing_new_until_it_is_taken_back) {
+  Story story;
+  story.list.Set(InZone("a", "west"));
+  story.told.clear();
+  story.list.SetZoneEmptied("west", true);
+  cr_assert(story.Usable() == 1 && !story.list.TakesNew("a"));
+  cr_assert(!story.list.Find("a")->leaving, "what runs there stays");
+  story.list.SetZoneEmptied("west", true);
+  cr_assert(story.told == std::vector<BackendChange>{BackendChange::kChanged});
+  story.list.SetZoneEmptied("west", false);
+  cr_assert(story.Usable() == 2);
+}
+
+Test(an_emptied_zone, is_known_before_its_servers_are) {
+  Story story;
+  story.list.SetZoneEmptied("west", true);
+  story.list.Set(InZone("c", "west"));
+  cr_assert(!story.list.TakesNew("c"));
+  story.list.Set(InZone("c", "east"));
+  cr_assert(story.list.TakesNew("c"), "its entry tells another zone now");
+  story.list.Set(InZone("a", "west"));
+  cr_assert(!story.list.TakesNew("a"));
+}
+
+Test(an_emptied_zone, lets_a_move_that_was_under_way_end_for_a_second) {
+  Story story;
+  story.list.Set(InZone("a", "west"));
+  story.list.SetZoneEmptied("west", true);
+  const std::int64_t now_ms = story.clock.MonotonicMs();
+  cr_assert(story.list.Find("a")->MayGoOn(now_ms + 999));
+  cr_assert(!story.list.Find("a")->MayGoOn(now_ms + 1'000));
+  story.Pass(2'000);
+  story.list.Set(InZone("a", "west"));
+  cr_assert(!story.list.Find("a")->MayGoOn(now_ms + 2'000),
+            "an entry that is written again is no news of the zone");
+}
+
+Test(a_service, whose_zones_are_all_emptied_is_so_only_while_servers_live) {
+  Story story;
+  cr_assert(!story.list.IsEmptied("pool"));
+  story.list.Set(InZone("a", "west"));
+  story.list.Set(InZone("b", "east"));
+  story.list.SetZoneEmptied("west", true);
+  cr_assert(!story.list.IsEmptied("pool"));
+  story.list.SetZoneEmptied("east", true);
+  cr_assert(story.list.IsEmptied("pool") && !story.list.IsEmptied("other"));
+  story.list.NoteLeaving("a");
+  story.list.NoteLeaving("b");
+  cr_assert(!story.list.IsEmptied("pool"), "it has none at all");
+}
+
+Test(a_server, is_in_the_region_of_its_zone) {
+  Story story;
+  story.list.SetRegions({{"west", "cebu"}});
+  story.list.Set(InZone("a", "west"));
+  story.list.Set(InZone("b", "east"));
+  cr_assert(story.list.Find("a")->region == "cebu");
+  cr_assert(story.list.Find("b")->region.empty());
+  cr_assert(story.list.HasHome("pool", {{"cebu"}}));
+  cr_assert(!story.list.HasHome("pool", {{"luzon"}}));
+}
+
 Test(a_server_whose_entry_names_it_no_more, gets_nothing_new_and_stays_known) {
   Story story;
   story.list.SetAside("a");
--- a/src/relay/tests/call_session_test.cc
+++ b/src/relay/tests/call_session_test.cc
@@ -195,6 +195,40 @@
   cr_assert(story.Failure().retry_after_ms > 0);
 }
 
+Test(a_call_of_an_emptied_zone, is_not_sent_again_there_by_a_hedge) {
+  CallStory story(1);
+  BackendEntry entry = story.backends.Find("s-1")->entry;
+  entry.id = "s-2";
+  entry.zone = "west";
+  story.backends.Set(entry);
+  story.backends.SetZoneEmptied("west", true);
+  story.Begin(RunRule::kRepeatable);
+  story.Pass(5'000);
+  cr_assert(story.client.sent.size() == 1);
+}
+
+Test(a_call_with_homes, is_sent_to_none_elsewhere) {
+  CallStory story(1);
+  story.terms.homes = HomeRegions({"cebu"});
+  story.Begin(RunRule::kOnce);
+  cr_assert(story.client.sent.empty());
+  cr_assert(story.Failure().id == ErrorId::kOutsideHomes);
+  cr_assert(story.Failure().outcome == Outcome::kNotRun);
+}
+
+Test(a_call, is_not_sent_to_a_server_that_withstands_no_more) {
+  CallStory story(1);
+  story.arrivals.SetHosts(std::vector<std::string>{"self"});
+  story.arrivals.SetServer("s-1", {1.0, 0.0}, 1'000'000'000);
+  story.Begin(RunRule::kOnce);
+  story.client.Answer(0, 200, "done");
+  cr_assert(story.result.ok());
+  story.Begin(RunRule::kOnce);
+  cr_assert(story.client.sent.size() == 1);
+  cr_assert(story.Failure().outcome == Outcome::kNotRun);
+  cr_assert(story.Failure().retry_after_ms > 0);
+}
+
 Test(a_call_under_a_claim, is_not_sent_once_the_claim_is_over) {
   CallStory story(2);
   story.terms.send_until_unix_ms = story.clock.WallMs() + 100;
--- a/src/relay/tests/plan_in_force_test.cc
+++ b/src/relay/tests/plan_in_force_test.cc
@@ -69,6 +69,25 @@
             ErrorId::kNotFound);
 }
 
+Test(a_request, is_bound_to_the_regions_of_its_route_and_its_workspace) {
+  ServicePlan bound = Plan("7");
+  bound.routes[0].home_regions = {"manila", "cebu"};
+  bound.workspaces[0].home_regions = {"cebu", "luzon"};
+  PlanInForce plan;
+  plan.Take(bound, 10);
+  const auto homes = [&plan](const char* path, const char* key) {
+    return plan.TermsOf(Request("a.example", path, key), 0)->homes;
+  };
+  cr_assert(homes("/x/", "key-1") == HomeRegions({"cebu"}), "both bind");
+  cr_assert(homes("/x/", "key-3") == HomeRegions({"manila", "cebu"}));
+  cr_assert(homes("/x/y/", "key-1") == HomeRegions({"cebu", "luzon"}));
+  cr_assert(!homes("/x/y/", "key-3").has_value(), "nothing binds it");
+  bound.workspaces[0].home_regions = {"luzon"};
+  plan.Take(bound, 11);
+  cr_assert(homes("/x/", "key-1").has_value() &&
+            homes("/x/", "key-1")->empty());
+}
+
 Test(a_request, is_its_keys_workspaces) {
   PlanInForce plan;
   plan.Take(Plan("7"), 10);
--- a/src/relay/tests/relay_fixture.h
+++ b/src/relay/tests/relay_fixture.h
@@ -232,11 +232,12 @@
   FakeObserver observer;
   FakeListenCheck listen_check;
   Quarantine quarantine{this->listen_check, this->clock, this->scheduler};
+  ArrivalLimits arrivals{"self"};
   std::mt19937_64 random{7};
-  RelayParts parts{this->clock,   this->scheduler, this->client,
-                   this->wire,    this->backends,  this->health,
-                   this->budgets, this->observer,  this->quarantine,
-                   this->random};
+  RelayParts parts{this->clock,    this->scheduler, this->client,
+                   this->wire,     this->backends,  this->health,
+                   this->budgets,  this->observer,  this->quarantine,
+                   this->arrivals, this->random};
   LearnedLengthModel lengths;
   FleetState fleet{this->lengths, FleetOptions{0, 7'000}};
   PressureChooser chooser{PressureOptions{}};
--- a/src/relay/tests/stream_session_test.cc
+++ b/src/relay/tests/stream_session_test.cc
@@ -85,6 +85,13 @@
   /// @brief Whether the caller's answer ended as a whole one does.
   bool IsWhole() const { return this->caller.Got().ends_with("0\r\n\r\n"); }
   std::string Outcome() const { return this->observer.ends.at(0).outcome; }
+  /// @brief An engine's availability zone is its own, and emptied.
+  void Emptied(const std::string& engine) {
+    BackendEntry entry = this->backends.Find(engine)->entry;
+    entry.zone = "zone-of-" + engine;
+    this->backends.Set(entry);
+    this->backends.SetZoneEmptied(entry.zone, true);
+  }
   std::string Other() const {
     return this->session->Engine() == "s-1" ? "s-2" : "s-1";
   }
@@ -325,6 +332,92 @@
   cr_assert(story.IsWhole() && story.Count(1) == 1);
 }
 
+// The word of its zone came while the run was copied there.
+Test(a_moved_stream, ends_at_a_target_whose_zone_is_being_emptied) {
+  StreamStory story(2);
+  story.BeginWithEvent();
+  const std::string source = story.session->Engine();
+  const std::string target = story.Other();
+  cr_assert(story.session->MoveTo(target));
+  story.Emptied(target);
+  story.control.Answer(MoveResult::kCopied, "h1");
+  story.control.Answer(MoveResult::kCopied, "h2");
+  story.CloseStream(0);
+  cr_assert(story.ServerOf(1) == target, "the bound leaves time for that");
+}
+
+Test(a_moved_stream, goes_back_where_its_target_s_zone_was_emptied_long_ago) {
+  StreamStory story(2);
+  story.BeginWithEvent();
+  const std::string source = story.session->Engine();
+  const std::string target = story.Other();
+  cr_assert(story.session->MoveTo(target));
+  story.Emptied(target);
+  story.Pass(Backend::kGoesOnMs);
+  story.control.Answer(MoveResult::kCopied, "h1");
+  story.control.Answer(MoveResult::kCopied, "h2");
+  story.CloseStream(0);
+  cr_assert(story.client.sent.size() == 2 && story.ServerOf(1) == source);
+}
+
+Test(a_moved_stream, goes_on_nowhere_where_all_zones_are_emptied) {
+  StreamStory story(2);
+  story.BeginWithEvent();
+  cr_assert(story.session->MoveTo(story.Other()));
+  story.Emptied("s-1");
+  story.Emptied("s-2");
+  story.Pass(Backend::kGoesOnMs);
+  story.control.Answer(MoveResult::kCopied, "h1");
+  story.control.Answer(MoveResult::kCopied, "h2");
+  story.CloseStream(0);
+  cr_assert(story.client.sent.size() == 1 && story.Outcome() == "interrupted");
+}
+
+// A rejection at the target sends it back: only outside emptied zones.
+Test(a_moved_stream, does_not_go_back_to_an_emptied_zone) {
+  StreamStory story(2);
+  story.BeginWithEvent();
+  const std::string source = story.session->Engine();
+  story.Move(story.Other());
+  story.Emptied(source);
+  story.Pass(Backend::kGoesOnMs);
+  story.client.Reject(1);
+  cr_assert(story.client.sent.size() == 2 && story.Outcome() == "interrupted");
+}
+
+Test(a_moved_stream, waits_until_its_source_may_be_sent_something_again) {
+  StreamStory story(2);
+  story.BeginWithEvent();
+  const std::string source = story.session->Engine();
+  story.arrivals.SetHosts(std::vector<std::string>{"self"});
+  story.arrivals.SetServer(source, {1.0, 1.0}, 0);
+  story.Move(story.Other());
+  story.arrivals.NoteSent(source, story.clock.MonotonicMs());
+  story.client.Reject(1);
+  cr_assert(story.client.sent.size() == 2, "it has had its second's request");
+  story.Pass(500);
+  cr_assert(story.client.sent.size() == 2);
+  for (int step = 0; step < 40; ++step) {
+    story.Pass(20);
+  }
+  cr_assert(story.client.sent.size() == 3 && story.ServerOf(2) == source);
+}
+
+// A copy's run is sent there for certain, so that it counts from the start.
+Test(a_moving_stream, holds_its_place_at_the_target) {
+  StreamStory story(2);
+  story.BeginWithEvent();
+  const std::string target = story.Other();
+  story.arrivals.SetHosts(std::vector<std::string>{"self"});
+  story.arrivals.SetServer(target, {1.0, 1.0}, 0);
+  cr_assert(story.session->MoveTo(target));
+  cr_assert(!story.arrivals.May(target, story.clock.MonotonicMs()));
+  story.Pass(3'000);
+  cr_assert(!story.arrivals.May(target, story.clock.MonotonicMs()));
+  story.control.Answer(MoveResult::kNoRoom);
+  cr_assert(story.arrivals.May(target, story.clock.MonotonicMs()));
+}
+
 Test(a_moved_stream, that_nobody_takes_is_broken_off) {
   StreamStory story(2);
   story.BeginWithEvent();
--- a/src/serve/detail/relay_host_parts.h
+++ b/src/serve/detail/relay_host_parts.h
@@ -66,6 +66,11 @@
   void TakeBackend(const StoredObject& object);
   bool IsOfUnknownService(const BackendEntry& entry) const;
   void TakeSetAsideAgain();
+  bool IsKnown(std::string_view kind) const;
+  void TakeWaitingPlan();
+  void CheckHomes(const ServicePlan& in_force) const;
+  ArrivalRule ArrivalRuleOf(const Backend& backend) const;
+  void ShareArrivals();
   void TakeBackendChange(BackendChange change, const Backend& backend);
   void TakeHosts(const std::vector<EntryHost>& hosts);
   std::vector<WatchPeer> AnsweringPeers() const;
@@ -89,7 +94,7 @@
   PooledClient store_client;
   PooledClient client;
   std::unique_ptr<ObjectStore> store;
-  std::array<std::string_view, 4> kinds;
+  std::array<std::string_view, 5> kinds;
   ReplicatedView view;
   ViewFeeder feeder;
   HostDirectory hosts;
@@ -113,6 +118,7 @@
   ViewDatagrams view_datagrams;
   QtListenCheck listen_check;
   Quarantine quarantine;
+  ArrivalLimits arrivals;
   CrashDatagrams crash_datagrams;
   CrashWords crash_words;
   QuarantineEntries quarantine_entries;
--- a/src/serve/engine_listing.cc
+++ b/src/serve/engine_listing.cc
@@ -10,6 +10,7 @@
   EngineListing listing;
   listing.engine = backend.key;
   listing.zone = backend.entry.zone;
+  listing.region = backend.region;
   listing.leaving = !backend.TakesNew();
   const std::int64_t slow_ms = backend.warm_at_ms - clock.MonotonicMs();
   listing.warm_at_ms = slow_ms > 0 ? clock.WallMs() + slow_ms : std::int64_t{0};
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -173,6 +173,7 @@
   RelayMetrics service_metrics;
   QtListenCheck listen_check;
   Quarantine quarantine;
+  ArrivalLimits arrivals;
   QuarantineEntries quarantine_entries;
   EngineStarts engine_starts;
   ServiceForwarder forwarder;
@@ -240,15 +241,16 @@
       service_backends(this->hosts, this->backends),
       service_retries({with.policy.retry_budget_ratio, kExtraServiceRetries}),
       quarantine(this->listen_check, this->clock, this->scheduler),
+      arrivals(with.host.name),
       quarantine_entries(kQuarantineKind, StoredRecords::kSuspects,
                          this->quarantine, this->store, this->view, this->clock,
                          this->scheduler, this->random()),
-      forwarder(
-          {{this->clock, this->scheduler, this->client, this->service_wire,
-            this->backends, this->health, this->service_retries,
-            this->service_metrics, this->quarantine, this->random},
-           this->catalog,
-           this->claims}) {
+      forwarder({{this->clock, this->scheduler, this->client,
+                  this->service_wire, this->backends, this->health,
+                  this->service_retries, this->service_metrics,
+                  this->quarantine, this->arrivals, this->random},
+                 this->catalog,
+                 this->claims}) {
   SessionParts session = {this->clock,
                           this->scheduler,
                           this->engine_client,
--- a/src/serve/reading_options.cc
+++ b/src/serve/reading_options.cc
@@ -35,6 +35,15 @@
   return options;
 }
 
+// Zones are emptied rarely, and a watch that waits costs as much as one that
+// tells something.
+FeederOptions EmptiedZonesReading(std::string_view host, std::uint64_t seed) {
+  FeederOptions options = RelayReading(host, seed);
+  options.wait_ms = 2'500;
+  options.self_watch_ms = 5'500;
+  return options;
+}
+
 FeederOptions HostReading(std::string_view host, std::uint64_t seed) {
   FeederOptions options;
   options.host = std::string(host);
@@ -55,6 +64,12 @@
   return path;
 }
 
+WordPath EmptiedZonesPath(const HostExchangeSettings& exchange) {
+  WordPath path = RelayPath(exchange);
+  path.feeder = EmptiedZonesReading("", 0);
+  return path;
+}
+
 WordPath HostPath(const HostExchangeSettings& exchange) {
   WordPath path;
   path.feeder = HostReading("", 0);
--- a/src/serve/reading_options.h
+++ b/src/serve/reading_options.h
@@ -13,12 +13,18 @@
 /// @brief How relay hosts read the store.
 FeederOptions RelayReading(std::string_view host, std::uint64_t seed);
 
+/// @brief How relay hosts read which availability zones are emptied.
+FeederOptions EmptiedZonesReading(std::string_view host, std::uint64_t seed);
+
 /// @brief How hosts of the own interface read the store.
 FeederOptions HostReading(std::string_view host, std::uint64_t seed);
 
 /// @brief The waits on the way from the store to relay hosts.
 WordPath RelayPath(const HostExchangeSettings& exchange);
 
+/// @brief As RelayPath, for the word of emptied availability zones.
+WordPath EmptiedZonesPath(const HostExchangeSettings& exchange);
+
 /// @brief The waits on the way from the store to hosts of the own interface.
 WordPath HostPath(const HostExchangeSettings& exchange);
 
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -82,10 +82,12 @@
                               const std::function<std::int64_t()>& stagger_ms) {
   FeederOptions apart = options;
   apart.stagger_ms = stagger_ms;
-  return {{kinds.plan, options},
-          {kinds.backends, apart},
-          {kinds.hosts, EntriesOptions(options)},
-          {kinds.quarantine, QuarantineOptions(options)}};
+  return {
+      {kinds.plan, options},
+      {kinds.backends, apart},
+      {kinds.hosts, EntriesOptions(options)},
+      {kinds.quarantine, QuarantineOptions(options)},
+      {kinds.emptied_zones, EmptiedZonesReading(options.host, options.seed)}};
 }
 
 Settings ExchangeSettingsOf(const RelaySettings& with) {
@@ -106,7 +108,7 @@
       platform(on),
       store(on.MakeStore(this->store_client, with.store)),
       kinds({on.Kinds().plan, on.Kinds().backends, on.Kinds().hosts,
-             on.Kinds().quarantine}),
+             on.Kinds().quarantine, on.Kinds().emptied_zones}),
       view(this->clock, this->kinds),
       feeder(FedKinds(on.Kinds(), RelayReading(with.host.name, this->random()),
                       [this] { return this->StaggerMs(); }),
@@ -134,10 +136,12 @@
       contact(this->hub, this->clock, this->scheduler, this->absence,
               this->random, [this] { return this->OtherReaders(); }),
       view_datagrams(
-          std::vector<std::string>{on.Kinds().backends, on.Kinds().plan},
+          std::vector<std::string>{on.Kinds().backends, on.Kinds().plan,
+                                   on.Kinds().emptied_zones},
           this->view, this->hub, this->scheduler,
           [this](std::string_view kind) { this->feeder.Hurry(kind); }),
       quarantine(this->listen_check, this->clock, this->scheduler),
+      arrivals(with.host.name),
       crash_datagrams(this->hub),
       crash_words(this->quarantine.Book(), this->crash_datagrams, this->clock,
                   this->scheduler, this->random()),
@@ -150,7 +154,7 @@
       allocation(
           AllocationOf(with),
           {this->hub, this->fleet, this->local_allocation, this->load_notes,
-           this->scheduler, this->clock, this->random}),
+           this->scheduler, this->clock, this->arrivals, this->random}),
       load_datagrams(this->hub, this->load_notes, this->allocation,
                      this->allocation, this->clock, this->scheduler),
       dispatcher(this->fleet, this->chooser),
@@ -160,7 +164,7 @@
       relay(with.host.name,
             {this->clock, this->scheduler, this->client, on.Backends(),
              this->backends, this->health, this->budgets, this->metrics,
-             this->quarantine, this->random},
+             this->quarantine, this->arrivals, this->random},
             {this->allocation.Allocation(), this->dispatcher, this->fleet,
              this->first_tries, this->admission, this->links},
             *this->control, on.Callers(), this->plan),
@@ -176,6 +180,10 @@
   if (with.policy.avoids_bad_links) {
     this->chooser.SetLinks(&this->links);
   }
+  this->chooser.SetWithin([this](const EngineView& view) {
+    return this->arrivals.May(view.engine, this->clock.MonotonicMs());
+  });
+  this->backends.SetRegions(with.regions);
   this->ApplyBounds();
   this->view.AddListener(
       [this](const ViewChange& change) { this->TakeView(change); });
@@ -225,9 +233,11 @@
 void RelayHost::Parts::CheckWaits() const {
   const WordPath path = RelayPath(this->settings.exchange);
   const RelayBoundSettings& set = this->settings.bounds;
-  const WordBounds bounds = {set.change_ms, set.leaving_ms, set.settle_ms};
+  const WordBounds bounds = {set.change_ms, set.leaving_ms, set.emptying_ms,
+                             set.settle_ms};
   TellWaits(ChangeWaits(path, bounds));
   TellWaits(LeavingWaits(path, bounds));
+  TellWaits(EmptyingWaits(EmptiedZonesPath(this->settings.exchange), bounds));
 }
 
 absl::Status RelayHost::Parts::Start() {
@@ -271,6 +281,8 @@
            [this] { this->SpreadChoices(); });
   RunEvery(this->scheduler, kAskPeriodMs, [this] { this->AskWhileSilent(); });
   RunEvery(this->scheduler, kDrainPeriodMs, [this] {
+    this->TakeWaitingPlan();
+    this->ShareArrivals();
     this->relay.DrainQueue();
     this->GoOnStopping();
     FlushLog();
@@ -300,6 +312,7 @@
   set("answers_cut", this->server.AnswersCut());
   set("backends", this->backends.Count());
   set("entries_refused", this->refused.Standing());
+  set("zones_emptied", this->backends.EmptiedZones());
   for (const FeederState& state : this->feeder.States()) {
     set("passed_over_" + state.kind, state.passed_over);
   }
@@ -367,6 +380,7 @@
   if (in_force == nullptr) {
     return;
   }
+  this->CheckHomes(*in_force);
   // Engines may have been listed before the services that they belong to, and
   // outlive them.
   this->TakeSetAsideAgain();
--- a/src/serve/relay_host_view.cc
+++ b/src/serve/relay_host_view.cc
@@ -1,4 +1,5 @@
 // What the store and peers say, and what a relay host makes of it.
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,13 +27,36 @@
       this->TakePlan(object);
     } else if (change.kind == names.backends) {
       this->TakeBackend(object);
+    } else if (change.kind == names.emptied_zones) {
+      this->backends.SetZoneEmptied(object.name, !object.deleted);
     }
   }
 }
 
+// Whether the store, or a peer that heard of it, has told of the whole kind.
+bool RelayHost::Parts::IsKnown(std::string_view kind) const {
+  return !this->view.Digest(kind).confirmed.by.empty();
+}
+
+// A host that serves before it knows which zones are emptied would send there.
+void RelayHost::Parts::TakeWaitingPlan() {
+  const RelayKinds& names = this->platform.Kinds();
+  if (this->plan.Plan() != nullptr || !this->IsKnown(names.emptied_zones)) {
+    return;
+  }
+  const StoredObject* const object =
+      this->view.Find(names.plan, names.plan_name);
+  if (object != nullptr) {
+    this->TakePlan(*object);
+  }
+}
+
 // A configuration that can't be read is reported and not put in force; the one
 // before it stays.
 void RelayHost::Parts::TakePlan(const StoredObject& object) {
+  if (!this->IsKnown(this->platform.Kinds().emptied_zones)) {
+    return;
+  }
   absl::StatusOr<ServicePlan> read =
       object.deleted
           ? absl::StatusOr<ServicePlan>(absl::NotFoundError("it was removed"))
@@ -106,12 +130,15 @@
       this->client.DropResting(backend.entry.address);
     }
     this->fleet.RemoveEngine(backend.key);
+    this->arrivals.Remove(backend.key);
     this->health.Forget(backend.key);
     // What still ends there is noted under its key once more.
     this->scheduler.After(
         kLastNotesMs, [this, key = backend.key] { this->health.Forget(key); });
     return;
   }
+  this->arrivals.SetServer(backend.key, this->ArrivalRuleOf(backend),
+                           backend.warm_at_ms);
   const EngineListing listing = ListingOf(
       backend, this->plan.FindService(backend.entry.service), this->clock);
   if (!listing.models.empty()) {
@@ -127,6 +154,57 @@
   }
 }
 
+// Engines begin fewer requests a second than a cold one withstands; plain
+// servers begin more, and are bound only while they are known to be cold.
+ArrivalRule RelayHost::Parts::ArrivalRuleOf(const Backend& backend) const {
+  const ServiceRule* const service =
+      this->plan.FindService(backend.entry.service);
+  ArrivalRule rule;
+  if (service == nullptr) {
+    return rule;
+  }
+  rule.cold_per_s = service->cold_per_s;
+  if (service->engine.has_value() && this->settings.policy.guards_warm) {
+    rule.warm_per_s = service->cold_per_s * this->settings.bounds.cold_over;
+  }
+  return rule;
+}
+
+void RelayHost::Parts::ShareArrivals() {
+  if (!this->IsKnown(this->platform.Kinds().hosts)) {
+    return;
+  }
+  std::vector<std::string> names;
+  for (const HostEntry* const host : this->hosts.OfRole(HostRole::kEntry)) {
+    names.push_back(host->name);
+  }
+  this->arrivals.SetHosts(names);
+}
+
+// Such requests are refused; that nobody meant it shows here.
+void RelayHost::Parts::CheckHomes(const ServicePlan& in_force) const {
+  const auto check = [this](std::string_view what, const std::string& name,
+                            const std::vector<std::string>& homes) {
+    for (const std::string& region : homes) {
+      const bool is_known = std::any_of(
+          this->settings.regions.begin(), this->settings.regions.end(),
+          [&region](const auto& zone) { return zone.second == region; });
+      if (!is_known) {
+        LogLine("home-unknown")
+            .Add(what, name)
+            .Add("region", region)
+            .WriteImportant();
+      }
+    }
+  };
+  for (const RouteRule& route : in_force.routes) {
+    check("route", route.name, route.home_regions);
+  }
+  for (const WorkspaceRule& workspace : in_force.workspaces) {
+    check("workspace", workspace.name, workspace.home_regions);
+  }
+}
+
 // The entry hosts that answer this one.
 std::vector<WatchPeer> RelayHost::Parts::AnsweringPeers() const {
   std::vector<WatchPeer> answering;
--- a/src/serve/relay_platform.h
+++ b/src/serve/relay_platform.h
@@ -22,6 +22,8 @@
   std::string backends;    ///< kind of the backend servers' entries
   std::string hosts;       ///< kind of the entry hosts' own entries
   std::string quarantine;  ///< kind of the records of the quarantine
+  /// Kind of the objects named after availability zones that are emptied.
+  std::string emptied_zones;
 };
 
 /// @brief All that depends on the platform a relay host runs on.
--- a/src/serve/tests/word_waits_test.cc
+++ b/src/serve/tests/word_waits_test.cc
@@ -29,6 +29,7 @@
   const WordPath path = RelayPath({});
   AllHold(ChangeWaits(path, {}));
   AllHold(LeavingWaits(path, {}));
+  AllHold(EmptyingWaits(EmptiedZonesPath({}), {}));
 }
 
 Test(the_waits_of_a_host_of_the_own_interface, stay_within_five_seconds) {
@@ -40,6 +41,9 @@
   path.feeder.wait_ms = 3'000;
   cr_assert(Missed(ChangeWaits(path, {})) == 1, "behind silent connections");
   cr_assert(Missed(LeavingWaits(path, {})) == 1);
+  path = EmptiedZonesPath({});
+  path.feeder.wait_ms = 5'000;
+  cr_assert(Missed(EmptyingWaits(path, {})) == 1);
   path = RelayPath({});
   path.feeder.most_backoff_ms = 2'000;
   cr_assert(Missed(LeavingWaits(path, {})) == 1, "a lapse noticed late");
--- a/src/serve/word_waits.cc
+++ b/src/serve/word_waits.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/log_line.h"
+#include "relay/backend_list.h"
 #include "relay/store_absence.h"
 
 namespace meadowthread {
@@ -45,6 +46,16 @@
        bounds.leaving_ms}};
 }
 
+std::vector<WordWait> EmptyingWaits(const WordPath& path,
+                                    const WordBounds& bounds) {
+  const std::int64_t after_word_ms =
+      path.round_ms + Backend::kGoesOnMs + path.connect_ms;
+  return {{"emptying", path.feeder.pace_ms + path.stagger_ms + after_word_ms,
+           bounds.emptying_ms},
+          {"emptying-behind-silence", SilentMs(path.feeder) + after_word_ms,
+           std::max(bounds.emptying_ms, bounds.settle_ms)}};
+}
+
 void TellWaits(const std::vector<WordWait>& waits) {
   for (const WordWait& wait : waits) {
     if (!wait.Holds()) {
--- a/src/serve/word_waits.h
+++ b/src/serve/word_waits.h
@@ -21,8 +21,9 @@
 
 /// @brief Within what time hosts follow the store's word, milliseconds.
 struct WordBounds {
-  std::int64_t change_ms = 2'000;   ///< a configuration is in force
-  std::int64_t leaving_ms = 2'000;  ///< a server that leaves gets nothing new
+  std::int64_t change_ms = 2'000;    ///< a configuration is in force
+  std::int64_t leaving_ms = 2'000;   ///< a server that leaves gets nothing new
+  std::int64_t emptying_ms = 5'000;  ///< nor does an emptied zone
   /// So long after the store or connections were disturbed the bounds above
   /// hold again.
   std::int64_t settle_ms = 3'000;
@@ -45,6 +46,11 @@
 std::vector<WordWait> LeavingWaits(const WordPath& path,
                                    const WordBounds& bounds);
 
+/// @brief Adds up how an availability zone that is emptied comes out of use.
+/// @param[in] path as emptied zones are read
+std::vector<WordWait> EmptyingWaits(const WordPath& path,
+                                    const WordBounds& bounds);
+
 /// @brief Tells which bounds the waits don't keep.
 void TellWaits(const std::vector<WordWait>& waits);
 
--- a/src/settings/relay_settings.cc
+++ b/src/settings/relay_settings.cc
@@ -13,6 +13,7 @@
 constexpr std::int64_t kMostMemoryMb = 1'048'576;
 constexpr std::int64_t kMostBoundMs = 3'600'000;
 constexpr int kMostHosts = 100'000;
+constexpr double kMostTimes = 100.0;
 constexpr double kMostRetries = 1e6;
 // Parts of an engine's memory; beyond the whole is for measuring only.
 constexpr double kLeastMemoryPart = 0.1;
@@ -52,6 +53,8 @@
   section.Integer("memory_mb", 16, kMostMemoryMb, &bounds->memory_mb);
   section.Integer("change_ms", 1, kMostBoundMs, &bounds->change_ms);
   section.Integer("leaving_ms", 1, kMostBoundMs, &bounds->leaving_ms);
+  section.Integer("emptying_ms", 1, kMostBoundMs, &bounds->emptying_ms);
+  section.Number("cold_over", 1.0, kMostTimes, &bounds->cold_over);
   section.Integer("settle_ms", 0, kMostBoundMs, &bounds->settle_ms);
   section.Finish();
 }
@@ -69,6 +72,7 @@
                  &policy->late_work_part);
   section.Number("short_work_limit", kLeastMemoryPart, kMostMemoryPart,
                  &policy->short_work_limit);
+  section.Flag("guards_warm", &policy->guards_warm);
   section.Integer("direct_hosts", 1, kMostHosts, &policy->direct_hosts);
   section.Finish();
 }
@@ -81,10 +85,23 @@
   section.Finish();
 }
 
+void ReadZone(YamlSection& section,
+              std::map<std::string, std::string>* regions) {
+  std::string zone;
+  std::string region;
+  section.Name("name", &zone, Presence::kRequired);
+  section.Name("region", &region, Presence::kRequired);
+  section.Finish();
+  (*regions)[zone] = region;
+}
+
 void Read(YamlSection document, RelaySettings* settings) {
   ReadHost(document.Section("host"), &settings->host);
   ReadListen(document.Section("listen"), &settings->host, &settings->listen);
   document.Url("store", &settings->store, Presence::kRequired);
+  document.List("zones", [settings](YamlSection& zone) {
+    ReadZone(zone, &settings->regions);
+  });
   Read(document.Section("retries"), &settings->retries);
   Read(document.Section("bounds"), &settings->bounds);
   Read(document.Section("policy"), &settings->policy);
--- a/src/settings/relay_settings.h
+++ b/src/settings/relay_settings.h
@@ -2,6 +2,7 @@
 #define MEADOWTHREAD_SETTINGS_RELAY_SETTINGS_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,8 +39,12 @@
   /// is in force, a server that leaves gets nothing new.
   std::int64_t change_ms = 2'000;
   std::int64_t leaving_ms = 2'000;
+  /// As above: an availability zone that is emptied gets nothing new.
+  std::int64_t emptying_ms = 5'000;
   /// So long after the store or connections were disturbed they hold again.
   std::int64_t settle_ms = 3'000;
+  /// So many times what a cold server withstands may reach it.
+  double cold_over = 1.0;
 
   friend bool operator==(const RelayBoundSettings&,
                          const RelayBoundSettings&) = default;
@@ -60,6 +65,9 @@
   /// Up to so many hosts tell each other of all their work; among more, one in
   /// each group of engines hands out places.
   int direct_hosts = 32;
+  /// Bound what engines get also while they are warm, as they may turn cold
+  /// before hosts hear of it. Off: only while they are known to be cold.
+  bool guards_warm = true;
 
   friend bool operator==(const RelayPolicySettings&,
                          const RelayPolicySettings&) = default;
@@ -68,6 +76,8 @@
 /// @brief Everything that a relay host is told at its start.
 struct RelaySettings {
   HostSettings host;
+  /// Which region each availability zone is in.
+  std::map<std::string, std::string> regions;
   RelayListenSettings listen;
   std::string store;  ///< URL of the platform's object store
   RelayRetrySettings retries;
--- a/src/settings/tests/relay_settings_test.cc
+++ b/src/settings/tests/relay_settings_test.cc
@@ -12,7 +12,8 @@
     "store: \"http://127.0.0.1:8742\"\n"
     "retries: {per_request: 0.2, extra: 58}\n"
     "bounds: {grace_s: 8, descriptors: 4100, memory_mb: 110,\n"
-    "  leaving_ms: 1900, settle_ms: 2800}\n";
+    "  leaving_ms: 1900, emptying_ms: 4000, cold_over: 1.5, settle_ms: 2800}\n"
+    "zones: [{name: pasig-hall, region: metro-manila}]\n";
 
 Test(a_relay_hosts_settings, are_read_whole) {
   const ParsedRelaySettings parsed = ParseRelaySettings(kWhole);
@@ -27,6 +28,9 @@
   cr_assert(parsed.settings.bounds.leaving_ms == 1'900);
   cr_assert(parsed.settings.bounds.settle_ms == 2'800);
   cr_assert(parsed.settings.bounds.change_ms == 2'000, "not set");
+  cr_assert(parsed.settings.bounds.emptying_ms == 4'000);
+  cr_assert(parsed.settings.bounds.cold_over == 1.5);
+  cr_assert(parsed.settings.regions.at("pasig-hall") == "metro-manila");
 }
 
 Test(a_relay_hosts_settings, that_lack_something_name_every_field) {
