Own interface: zone empty, take-back and list; three hosts watch for emptied zones

Operators of the own interface could not empty an availability zone. Now 'zone empty|take-back|list' writes a mark of its own kind by conditional updates; hosts treat engines and backend servers there as marked to leave, entry hosts of the zone go on serving.

--- a/src/configuration/mark_subject.cc
+++ b/src/configuration/mark_subject.cc
@@ -6,10 +6,10 @@
 
 namespace meadowthread {
 
-MarkSubject::MarkSubject(MarkDocument document)
-    : document(std::move(document)) {}
+MarkSubject::MarkSubject(MarkDocument document, std::string_view kind)
+    : document(std::move(document)), kind(kind) {}
 
-std::string_view MarkSubject::Kind() const { return kMarksKind; }
+std::string_view MarkSubject::Kind() const { return this->kind; }
 
 StandingVerdict MarkSubject::Judge(const StoredObject& standing) const {
   const absl::StatusOr<MarkDocument> read = MarkFromJson(standing.value);
--- a/src/configuration/mark_subject.h
+++ b/src/configuration/mark_subject.h
@@ -12,7 +12,10 @@
 /// @brief An operator's change of a host's mark.
 class MarkSubject final : public ChangeSubject {
  public:
-  explicit MarkSubject(MarkDocument document);
+  /// @param[in] kind of the mark, as Marks takes it; lives as long as the
+  /// program
+  explicit MarkSubject(MarkDocument document,
+                       std::string_view kind = kMarksKind);
 
   std::string_view Kind() const override;
   std::string_view Name() const override { return this->document.host; }
@@ -23,6 +26,7 @@
 
  private:
   MarkDocument document;
+  std::string_view kind;
 };
 
 }  // namespace meadowthread
--- a/src/configuration/marks.cc
+++ b/src/configuration/marks.cc
@@ -77,7 +77,7 @@
 }
 
 MarkDocument Marks::MarkOf(std::string_view host) const {
-  const StoredObject* object = this->view.Find(kMarksKind, host);
+  const StoredObject* object = this->view.Find(this->kind, host);
   if (object != nullptr) {
     return ReadMark(*object);
   }
@@ -88,7 +88,7 @@
 
 std::vector<MarkDocument> Marks::NotLive() const {
   std::vector<MarkDocument> marked;
-  for (const StoredObject* object : this->view.Live(kMarksKind)) {
+  for (const StoredObject* object : this->view.Live(this->kind)) {
     MarkDocument document = ReadMark(*object);
     if (document.mark != HostMark::kLive) {
       marked.push_back(std::move(document));
--- a/src/configuration/marks.h
+++ b/src/configuration/marks.h
@@ -47,7 +47,9 @@
 class Marks {
  public:
   /// @param[in] view outlives this
-  explicit Marks(const ReplicatedView& view) : view(view) {}
+  /// @param[in] kind of the marks: of hosts, or of availability zones
+  explicit Marks(const ReplicatedView& view, std::string_view kind = kMarksKind)
+      : view(view), kind(kind) {}
 
   /// @brief The host's mark, live where nobody set one. A mark that cannot be
   /// read counts as leaving: no new work is the harmless side.
@@ -58,6 +60,7 @@
 
  private:
   const ReplicatedView& view;
+  std::string_view kind;
 };
 
 }  // namespace meadowthread
--- a/src/configuration/operator_change.cc
+++ b/src/configuration/operator_change.cc
@@ -59,4 +59,12 @@
   conditional->Start(std::nullopt);
 }
 
+void OperatorChanges::PutZone(const MarkDocument& mark,
+                              const ChangeDone& done) {
+  const auto conditional = std::make_shared<ConditionalChange>(
+      this->store, this->scheduler, this->options,
+      std::make_unique<MarkSubject>(mark, kEmptiedZonesKind), done);
+  conditional->Start(std::nullopt);
+}
+
 }  // namespace meadowthread
--- a/src/configuration/operator_change.h
+++ b/src/configuration/operator_change.h
@@ -82,6 +82,10 @@
   /// @brief Marks a host.
   void PutMark(const MarkDocument& mark, const ChangeDone& done);
 
+  /// @brief Empties an availability zone, or takes it back.
+  /// @param[in] mark its `host` is the zone's name
+  void PutZone(const MarkDocument& mark, const ChangeDone& done);
+
  private:
   ObjectStore& store;
   Scheduler& scheduler;
--- a/src/configuration/view_feeder.cc
+++ b/src/configuration/view_feeder.cc
@@ -249,7 +249,7 @@
                               const FeederOptions& options) {
   std::vector<FedKind> fed;
   for (const std::string_view kind : kinds) {
-    fed.push_back({kind, options});
+    fed.push_back({kind, options, {}});
   }
   return fed;
 }
@@ -263,7 +263,8 @@
     FeederOptions own = fed.options;
     own.seed += ++number;
     this->feeders.push_back(std::make_unique<KindFeeder>(
-        fed.kind, store, view, scheduler, clock, own, is_watcher));
+        fed.kind, store, view, scheduler, clock, own,
+        fed.is_watcher ? fed.is_watcher : is_watcher));
   }
 }
 
--- a/src/configuration/view_feeder.h
+++ b/src/configuration/view_feeder.h
@@ -132,6 +132,8 @@
 struct FedKind {
   std::string_view kind;
   FeederOptions options;
+  /// Whether this host shall watch this kind now; not set: as the others.
+  std::function<bool()> is_watcher = {};
 };
 
 /// @brief Several kinds that are read alike.
--- a/src/configuration/view_messages.h
+++ b/src/configuration/view_messages.h
@@ -14,6 +14,8 @@
 /// @brief The kinds that every host replicates.
 inline constexpr std::string_view kTemplatesKind = "templates";
 inline constexpr std::string_view kMarksKind = "marks";
+/// Marks of availability zones, by their names.
+inline constexpr std::string_view kEmptiedZonesKind = "emptied-zones";
 
 /// @brief That the platform was read, when and by whom.
 struct Confirmation {
--- a/src/main/main.cc
+++ b/src/main/main.cc
@@ -18,6 +18,7 @@
 #include "cli/status_command.h"
 #include "cli/template_commands.h"
 #include "cli/version_command.h"
+#include "cli/zone_commands.h"
 #ifdef MEADOWTHREAD_HAS_SERVE
 #include "main/relay_command.h"
 #include "main/serve_command.h"
@@ -51,6 +52,9 @@
   registry.Add(MakeTemplateListCommand(connector));
   registry.Add(MakeTemplateHistoryCommand(connector));
   registry.Add(MakeHostMarkCommand(connector, clock, operations));
+  registry.Add(MakeZoneListCommand(connector));
+  registry.Add(MakeZoneEmptyCommand(connector, clock, operations));
+  registry.Add(MakeZoneTakeBackCommand(connector, clock, operations));
   registry.Add(MakeHostListCommand(connector));
   registry.Add(MakeStatusCommand(connector, clock));
   registry.Add(MakeExplainCommand());
--- a/src/serve/detail/relay_host_parts.h
+++ b/src/serve/detail/relay_host_parts.h
@@ -77,6 +77,7 @@
   std::optional<int> WatchPlace() const;
   std::vector<std::string> OtherReaders() const;
   bool IsWatcher() const;
+  bool WatchesZones() const;
   std::int64_t StaggerMs() const;
   std::string MetricsText();
   void SpreadChoices();
--- a/src/serve/host_gate.cc
+++ b/src/serve/host_gate.cc
@@ -24,7 +24,7 @@
 }  // namespace
 
 HostGate::HostGate(const HostGateParts& parts)
-    : parts(parts), marks(parts.view) {}
+    : parts(parts), marks(parts.view), zones(parts.view, kEmptiedZonesKind) {}
 
 absl::Status HostGate::MayTakeWork() const {
   if (this->closed) {
@@ -55,7 +55,14 @@
 bool HostGate::IsMarked(std::string_view host) const {
   const HostEntry* entry = this->parts.hosts.Find(host);
   return this->marks.MarkOf(host).mark != HostMark::kLive ||
-         (entry != nullptr && entry->leaving);
+         (entry != nullptr &&
+          (entry->leaving || this->IsInEmptiedZone(*entry)));
+}
+
+// Entry hosts of an emptied zone go on serving: others run what they take.
+bool HostGate::IsInEmptiedZone(const HostEntry& entry) const {
+  return entry.role != HostRole::kEntry &&
+         this->zones.MarkOf(entry.zone).mark != HostMark::kLive;
 }
 
 std::vector<std::string> HostGate::LiveEntryHosts() const {
--- a/src/serve/host_gate.h
+++ b/src/serve/host_gate.h
@@ -57,11 +57,13 @@
   std::int64_t ViewAgeMs() const;
 
  private:
+  bool IsInEmptiedZone(const HostEntry& entry) const;
   bool IsIsolated() const;
   bool HasLearnt() const;
 
   HostGateParts parts;
   Marks marks;
+  Marks zones;
   bool closed = false;
 };
 
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -56,8 +56,9 @@
 // Over all hosts, within the budget's window, besides those that calls earn:
 // enough for each of a few servers to fail some calls at its end.
 constexpr double kExtraServiceRetries = 20.0;
-constexpr std::array<std::string_view, 4> kViewKinds = {
-    kMarksKind, kOwnershipKind, kQuarantineKind, kTemplatesKind};
+constexpr std::array<std::string_view, 5> kViewKinds = {
+    kEmptiedZonesKind, kMarksKind, kOwnershipKind, kQuarantineKind,
+    kTemplatesKind};
 
 SessionOptions MakeSessionOptions(const Settings& settings) {
   SessionOptions options;
@@ -125,6 +126,7 @@
  private:
   bool IsWatcher() const;
   void TakeHosts();
+  void TakeZones(const ViewChange& change);
   void FollowMark();
   std::size_t Running() const;
   LeftWork Left() const;
@@ -290,6 +292,9 @@
     if (change.kind != kTemplatesKind) {
       this->engines.Refresh();
     }
+    if (change.kind == kEmptiedZonesKind) {
+      this->TakeZones(change);
+    }
     if (change.kind == kMarksKind) {
       this->TakeHosts();
       this->FollowMark();
@@ -305,6 +310,14 @@
   };
 }
 
+void HostProcess::Parts::TakeZones(const ViewChange& change) {
+  const Marks zones(this->view, kEmptiedZonesKind);
+  for (const StoredObject& object : change.items) {
+    this->backends.SetZoneEmptied(
+        object.name, zones.MarkOf(object.name).mark != HostMark::kLive);
+  }
+}
+
 absl::Status HostProcess::Parts::Start() {
   const HostSettings& host = this->settings.host;
   const absl::StatusOr<std::uint16_t> port = this->server->Listen(
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -79,15 +79,16 @@
 
 std::vector<FedKind> FedKinds(const RelayKinds& kinds,
                               const FeederOptions& options,
-                              const std::function<std::int64_t()>& stagger_ms) {
+                              const std::function<std::int64_t()>& stagger_ms,
+                              const std::function<bool()>& watches_zones) {
   FeederOptions apart = options;
   apart.stagger_ms = stagger_ms;
-  return {
-      {kinds.plan, options},
-      {kinds.backends, apart},
-      {kinds.hosts, EntriesOptions(options)},
-      {kinds.quarantine, QuarantineOptions(options)},
-      {kinds.emptied_zones, EmptiedZonesReading(options.host, options.seed)}};
+  return {{kinds.plan, options},
+          {kinds.backends, apart, {}},
+          {kinds.hosts, EntriesOptions(options), {}},
+          {kinds.quarantine, QuarantineOptions(options), {}},
+          {kinds.emptied_zones, EmptiedZonesReading(options.host, options.seed),
+           watches_zones}};
 }
 
 Settings ExchangeSettingsOf(const RelaySettings& with) {
@@ -110,8 +111,10 @@
       kinds({on.Kinds().plan, on.Kinds().backends, on.Kinds().hosts,
              on.Kinds().quarantine, on.Kinds().emptied_zones}),
       view(this->clock, this->kinds),
-      feeder(FedKinds(on.Kinds(), RelayReading(with.host.name, this->random()),
-                      [this] { return this->StaggerMs(); }),
+      feeder(FedKinds(
+                 on.Kinds(), RelayReading(with.host.name, this->random()),
+                 [this] { return this->StaggerMs(); },
+                 [this] { return this->WatchesZones(); }),
              *this->store, this->view, this->scheduler, this->clock,
              [this] { return this->IsWatcher(); }),
       exchange(ExchangeSettingsOf(with), this->clock.WallMs(), this->clock,
--- a/src/serve/relay_host_view.cc
+++ b/src/serve/relay_host_view.cc
@@ -17,6 +17,8 @@
 
 // Requests at an engine that is gone end within this: none may last longer.
 constexpr std::int64_t kLastNotesMs = 60'000;
+// Of the hosts that watch the store; those that it fails are replaced.
+constexpr int kZoneWatchers = 3;
 
 }  // namespace
 
@@ -232,6 +234,12 @@
   return this->exchange.PeersAlive() == 0 || this->WatchPlace().has_value();
 }
 
+// Zones are emptied rarely: a few hosts see it and tell the others.
+bool RelayHost::Parts::WatchesZones() const {
+  return this->exchange.PeersAlive() == 0 ||
+         this->WatchPlace().value_or(kZoneWatchers) < kZoneWatchers;
+}
+
 std::int64_t RelayHost::Parts::StaggerMs() const {
   return this->settings.policy.staggers_watches
              ? WatchStaggerMs(this->WatchPlace().value_or(0))
--- a/tests/soak/leaving_finale.cc
+++ b/tests/soak/leaving_finale.cc
@@ -14,6 +14,10 @@
 constexpr int kLeavings = 3;
 // A server that left gets nothing after this.
 constexpr milliseconds kLeaving{2'000};
+// An emptied zone gets nothing after this.
+constexpr milliseconds kEmptying{5'000};
+// One that was taken back is used again; no bound is set on it.
+constexpr milliseconds kTakenBack{2'500};
 // Entries lapse once the store was away for three heartbeats of servers.
 constexpr milliseconds kLapse{4'000};
 // Living servers are listed anew within two seconds.
@@ -29,6 +33,10 @@
     for (int n = 0; n < kLeavings && this->course.complaints.empty(); ++n) {
       this->Leave(n % this->course.world.PlainServers());
     }
+    if (this->course.complaints.empty()) {
+      this->EmptyZone(
+          this->course.draw.Below(this->course.world.PlainServers()));
+    }
     if (this->course.complaints.empty()) {
       this->Lapse();
     }
@@ -88,6 +96,32 @@
     tests::Pass(milliseconds(draw.Between(100, 600)));
   }
 
+  // Its servers stay, and get nothing until the zone is taken back.
+  void EmptyZone(int server) {
+    World& world = this->course.world;
+    Draw& draw = this->course.draw;
+    if (draw.OneIn(2)) {
+      this->Disturb();
+    }
+    world.EmptyZone(server);
+    this->course.story.push_back(
+        absl::StrCat("the zone of plain server ", server, " is emptied"));
+    tests::Pass(kEmptying);
+    const int runs = world.RunsAtPlain(server);
+    const int unserved = this->Call(kCallsAfter);
+    const int late = world.RunsAtPlain(server) - runs;
+    if (late > 0 || unserved > 0) {
+      this->Complain(absl::StrCat(late, " calls reached an emptied zone, ",
+                                  unserved, " were not served"));
+    }
+    world.TakeBackZone(server);
+    tests::Pass(kTakenBack);
+    this->Call(kCallsAfter);
+    if (world.RunsAtPlain(server) == runs) {
+      this->Complain("a zone that was taken back gets nothing");
+    }
+  }
+
   // All entries go while the store is away and come back after it.
   void Lapse() {
     World& world = this->course.world;
--- a/tests/soak/relay_world.cc
+++ b/tests/soak/relay_world.cc
@@ -76,11 +76,20 @@
   int RunsAtPlain(int server) override {
     return this->fleet.RunsAt(this->PlainName(server));
   }
+  void EmptyZone(int server) override {
+    this->fleet.Control("empty-zone", {{"zone", ZoneName(server)}});
+  }
+  void TakeBackZone(int server) override {
+    this->fleet.Control("take-back-zone", {{"zone", ZoneName(server)}});
+  }
   void SetStoreDown(bool is_down) override {
     this->fleet.Control("faults", {{"down", is_down}});
   }
 
  private:
+  static std::string ZoneName(int server) {
+    return absl::StrCat("zone-", server);
+  }
   const std::string& PlainName(int server) const {
     return this->engines.at(kEngines + server);
   }
@@ -103,6 +112,10 @@
     this->engines.push_back(absl::StrCat("i-", n + 1));
     this->LinkEngine(n, record["addresses"]);
   }
+  for (int server = 0; server < kPlainServers; ++server) {
+    this->fleet.Control("beat", {{"id", this->PlainName(server)},
+                                 {"with", {{"zone", ZoneName(server)}}}});
+  }
   this->PutKeys(true);
   for (int n = 0; n < kHosts; ++n) {
     this->caller_links.push_back(
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -79,6 +79,9 @@
   virtual void ListAgain(int /*server*/) {}
   /// @brief Requests that a plain server began so far.
   virtual int RunsAtPlain(int /*server*/) { return 0; }
+  /// @brief The availability zone of a plain server, which no other is in.
+  virtual void EmptyZone(int /*server*/) {}
+  virtual void TakeBackZone(int /*server*/) {}
   /// @brief The store answers nobody, or everybody again.
   virtual void SetStoreDown(bool /*is_down*/) {}
 
