--- a/src/policy/tests/arrival_limits_test.cc
+++ b/src/policy/tests/arrival_limits_test.cc
@@ -15,6 +15,7 @@
 
 std::vector<std::string> Names(int hosts) {
   std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(hosts));
   for (int n = 0; n < hosts; ++n) {
     names.push_back("front-" + std::to_string(n));
   }
--- a/src/relay/stream_session_move.cc
+++ b/src/relay/stream_session_move.cc
@@ -1,5 +1,6 @@
 // How a stream goes on at another engine.
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -63,9 +64,10 @@
 const Backend* StreamSession::HolderOf(const Continuation& from,
                                        std::string_view target) const {
   const std::int64_t now_ms = this->parts.clock.MonotonicMs();
-  for (const std::string_view key :
-       {target.empty() ? std::string_view(this->engine) : target,
-        std::string_view(from.source_key)}) {
+  const std::string_view own = this->engine;
+  const std::array<std::string_view, 2> holders = {
+      target.empty() ? own : target, from.source_key};
+  for (const std::string_view key : holders) {
     const Backend* const holder = this->parts.backends.Find(key);
     if (holder != nullptr && holder->MayGoOn(now_ms)) {
       return holder;
