--- a/src/policy/arrival_limits.cc
+++ b/src/policy/arrival_limits.cc
@@ -7,14 +7,6 @@
 #include "xxhash.h"
 
 namespace meadowthread {
-namespace {
-
-// The rate in force for a rule at a time.
-bool IsCold(std::int64_t cold_until_ms, std::int64_t now_ms) {
-  return now_ms < cold_until_ms;
-}
-
-}  // namespace
 
 // Rendezvous hashing: a host that comes or goes changes the part of one other.
 std::uint64_t ArrivalLimits::ScoreOf(std::string_view host,
@@ -23,10 +15,6 @@
   return XXH64(host.data(), host.size(), seed);
 }
 
-std::int64_t ArrivalLimits::PartOf(const Parts& parts, std::uint64_t score) {
-  return parts.each + (score >= parts.least_score ? 1 : 0);
-}
-
 ArrivalLimits::Parts ArrivalLimits::ShareOut(std::string_view server,
                                              double per_s) const {
   Parts parts;
@@ -50,7 +38,7 @@
   return parts;
 }
 
-void ArrivalLimits::ShareOut(std::string_view name, Server* server) const {
+void ArrivalLimits::ShareOutRule(std::string_view name, Server* server) const {
   server->cold = this->ShareOut(name, server->rule.cold_per_s);
   server->warm = this->ShareOut(name, server->rule.warm_per_s);
 }
@@ -62,7 +50,7 @@
   }
   this->hosts.assign(names.begin(), names.end());
   for (auto& [name, server] : this->servers) {
-    this->ShareOut(name, &server);
+    this->ShareOutRule(name, &server);
   }
 }
 
@@ -76,7 +64,7 @@
   known.cold_until_ms = cold_until_ms;
   if (known.rule != rule) {
     known.rule = rule;
-    this->ShareOut(server, &known);
+    this->ShareOutRule(server, &known);
   }
 }
 
@@ -93,36 +81,43 @@
   return found == this->servers.end() ? nullptr : &found->second;
 }
 
+// None where any number may be sent.
+std::optional<std::int64_t> ArrivalLimits::PartOf(std::string_view host,
+                                                  std::string_view server,
+                                                  std::int64_t now_ms) const {
+  const Server* const known = this->Find(server);
+  if (known == nullptr) {
+    return std::nullopt;
+  }
+  const bool is_cold = now_ms < known->cold_until_ms;
+  const double per_s =
+      is_cold ? known->rule.cold_per_s : known->rule.warm_per_s;
+  if (per_s <= 0.0) {
+    return std::nullopt;
+  }
+  const Parts& parts = is_cold ? known->cold : known->warm;
+  const bool has_one_more = ScoreOf(host, server) >= parts.least_score;
+  return parts.each + (has_one_more ? 1 : 0);
+}
+
 // What was sent while it was warm counts in the same second as what is sent
 // now that it is cold.
 bool ArrivalLimits::May(std::string_view server, std::int64_t now_ms) const {
-  const Server* const known = this->Find(server);
-  if (known == nullptr || !this->HasPart(this->self, server, now_ms)) {
-    return known == nullptr;
-  }
-  const bool is_cold = IsCold(known->cold_until_ms, now_ms);
-  const double rate = is_cold ? known->rule.cold_per_s : known->rule.warm_per_s;
-  if (rate <= 0.0) {
+  const std::optional<std::int64_t> part =
+      this->PartOf(this->self, server, now_ms);
+  if (!part.has_value()) {
     return true;
   }
+  const Server& known = *this->Find(server);
   const auto recent = std::count_if(
-      known->sent_ms.begin(), known->sent_ms.end(),
+      known.sent_ms.begin(), known.sent_ms.end(),
       [now_ms](std::int64_t sent) { return now_ms - sent < kWindowMs; });
-  const std::int64_t part =
-      PartOf(is_cold ? known->cold : known->warm, ScoreOf(this->self, server));
-  return recent + known->held < part;
+  return recent + known.held < *part;
 }
 
 bool ArrivalLimits::HasPart(std::string_view host, std::string_view server,
                             std::int64_t now_ms) const {
-  const Server* const known = this->Find(server);
-  if (known == nullptr) {
-    return true;
-  }
-  const bool is_cold = IsCold(known->cold_until_ms, now_ms);
-  const double rate = is_cold ? known->rule.cold_per_s : known->rule.warm_per_s;
-  return rate <= 0.0 ||
-         PartOf(is_cold ? known->cold : known->warm, ScoreOf(host, server)) > 0;
+  return this->PartOf(host, server, now_ms).value_or(1) > 0;
 }
 
 void ArrivalLimits::NoteSent(std::string_view server, std::int64_t now_ms) {
--- a/src/policy/arrival_limits.h
+++ b/src/policy/arrival_limits.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <limits>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -92,9 +93,11 @@
   };
 
   static std::uint64_t ScoreOf(std::string_view host, std::string_view server);
-  static std::int64_t PartOf(const Parts& parts, std::uint64_t score);
+  std::optional<std::int64_t> PartOf(std::string_view host,
+                                     std::string_view server,
+                                     std::int64_t now_ms) const;
   Parts ShareOut(std::string_view server, double per_s) const;
-  void ShareOut(std::string_view name, Server* server) const;
+  void ShareOutRule(std::string_view name, Server* server) const;
   const Server* Find(std::string_view server) const;
 
   std::string self;
