A host's parts and its waiting plan are worked out once, not each 20 ms

Read once more: the list of hosts was copied and compared each 20 ms, though it changes only as TakeHosts takes it; and a configuration that can't be read at a host's start was parsed anew each 20 ms until one could. Now the parts follow the list (the tick only until the list is first known), and the plan that waited for the emptied zones is taken once when these are known.

--- a/src/serve/detail/relay_host_parts.h
+++ b/src/serve/detail/relay_host_parts.h
@@ -141,6 +141,8 @@
   HttpServer metrics_server;
   std::optional<StopPlan> stop_plan;  ///< none: not stopping
   bool left = false;
+  bool zones_known = false;      ///< which are emptied, since this host's start
+  bool arrivals_shared = false;  ///< among the hosts that are known
 };
 
 }  // namespace meadowthread
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -285,7 +285,9 @@
   RunEvery(this->scheduler, kAskPeriodMs, [this] { this->AskWhileSilent(); });
   RunEvery(this->scheduler, kDrainPeriodMs, [this] {
     this->TakeWaitingPlan();
-    this->ShareArrivals();
+    if (!this->arrivals_shared) {
+      this->ShareArrivals();
+    }
     this->relay.DrainQueue();
     this->GoOnStopping();
     FlushLog();
--- a/src/serve/relay_host_view.cc
+++ b/src/serve/relay_host_view.cc
@@ -43,12 +43,13 @@
 // A host that serves before it knows which zones are emptied would send there.
 void RelayHost::Parts::TakeWaitingPlan() {
   const RelayKinds& names = this->platform.Kinds();
-  if (this->plan.Plan() != nullptr || !this->IsKnown(names.emptied_zones)) {
+  if (this->zones_known || !this->IsKnown(names.emptied_zones)) {
     return;
   }
+  this->zones_known = true;
   const StoredObject* const object =
       this->view.Find(names.plan, names.plan_name);
-  if (object != nullptr) {
+  if (object != nullptr && this->plan.Plan() == nullptr) {
     this->TakePlan(*object);
   }
 }
@@ -181,6 +182,7 @@
     names.push_back(host->name);
   }
   this->arrivals.SetHosts(names);
+  this->arrivals_shared = true;
 }
 
 // Such requests are refused; that nobody meant it shows here.
@@ -263,6 +265,7 @@
         {host.name, host.address, static_cast<std::uint16_t>(host.loads_port)});
   }
   this->hosts.Apply(list);
+  this->ShareArrivals();
   this->gone_hosts.SetKnown(known);
   this->hub.SetPeers(loads);
   this->budgets.SetHosts(static_cast<int>(known.size()));
