--- a/src/allocation/allocation_messages.cc
+++ b/src/allocation/allocation_messages.cc
@@ -68,23 +68,51 @@
 
 json ToJson(const PlacementRequest& request) {
   const WorkItem& work = request.work;
-  return json::array(
-      {request.ticket, request.origin, request.group, request.source,
-       request.avoid, request.may_forward, work.request, work.workspace,
-       work.template_name, work.model, work.prompt_tokens,
-       work.max_output_tokens, static_cast<int>(work.urgency),
-       work.first_event_within_ms, work.is_late, request.is_forwarded,
-       work.allowed_regions.has_value(),
-       work.allowed_regions.value_or(std::vector<std::string>{})});
+  return json::array({request.ticket,
+                      request.origin,
+                      request.group,
+                      request.source,
+                      request.avoid,
+                      request.may_forward,
+                      work.request,
+                      work.workspace,
+                      work.template_name,
+                      work.model,
+                      work.prompt_tokens,
+                      work.max_output_tokens,
+                      static_cast<int>(work.urgency),
+                      work.first_event_within_ms,
+                      work.is_late,
+                      request.is_forwarded,
+                      work.allowed_regions.has_value(),
+                      work.allowed_regions.value_or(std::vector<std::string>{}),
+                      static_cast<int>(work.software.kind),
+                      work.software.version});
 }
 
 absl::StatusOr<PlacementRequest> PlacementRequestFrom(const json& payload) {
   constexpr Field kText = Field::kText;
   constexpr Field kCount = Field::kCount;
-  if (!Matches(payload,
-               {kCount, kText, kText, kText, Field::kTextArray, Field::kFlag,
-                kText, kText, kText, kText, kCount, kCount, kCount, kCount,
-                Field::kFlag, Field::kFlag, Field::kFlag, Field::kTextArray})) {
+  if (!Matches(payload, {kCount,
+                         kText,
+                         kText,
+                         kText,
+                         Field::kTextArray,
+                         Field::kFlag,
+                         kText,
+                         kText,
+                         kText,
+                         kText,
+                         kCount,
+                         kCount,
+                         kCount,
+                         kCount,
+                         Field::kFlag,
+                         Field::kFlag,
+                         Field::kFlag,
+                         Field::kTextArray,
+                         kCount,
+                         kText})) {
     return Malformed("malformed placement request");
   }
   PlacementRequest request;
@@ -110,6 +138,10 @@
   if (has_homes) {
     request.work.allowed_regions = at->get<std::vector<std::string>>();
   }
+  ++at;
+  request.work.software.kind = static_cast<VersionRule::Kind>(
+      std::min<std::int64_t>(ClampedCount(*at++), 2));
+  request.work.software.version = at->get<std::string>();
   request.work.is_copy = !request.source.empty();
   request.work.forced = request.work.is_copy;
   return request;
--- a/src/allocation/tests/allocation_messages_test.cc
+++ b/src/allocation/tests/allocation_messages_test.cc
@@ -26,6 +26,7 @@
   request.work.first_event_within_ms = 900;
   request.work.is_late = true;
   request.work.allowed_regions = AllowedRegions({"cebu"});
+  request.work.software = {VersionRule::Kind::kExcept, "v2"};
   return request;
 }
 
@@ -35,6 +36,7 @@
   cr_assert(read.ok());
   cr_assert(ToJson(*read) == ToJson(SampleRequest()));
   cr_assert(read->work.is_copy && read->work.forced, "a migration");
+  cr_assert(read->work.software == SampleRequest().work.software);
 }
 
 Test(a_placement_response, survives_a_round_trip) {
--- a/src/policy/engine_view.h
+++ b/src/policy/engine_view.h
@@ -24,6 +24,7 @@
   /// from load reports.
   std::vector<ServedModel> models = {};
   std::string region = {};
+  std::string software_version = {};
 };
 
 /// @brief A load report of an engine: its state at `as_of_unix_ms`.
@@ -47,6 +48,7 @@
   std::string engine;
   std::string zone;
   std::string region;
+  std::string software_version;
   bool live = true;
   bool leaving = false;
   bool stalled = false;  ///< gets no new work until it answers again
--- a/src/policy/fleet_state.cc
+++ b/src/policy/fleet_state.cc
@@ -50,6 +50,7 @@
   }
   view.zone = listing.zone;
   view.region = listing.region;
+  view.software_version = listing.software_version;
   view.live = listing.live;
   view.warm_at_ms = listing.warm_at_ms;
   if (listing.kv_capacity > 0) {
--- a/src/policy/pressure_chooser.cc
+++ b/src/policy/pressure_chooser.cc
@@ -23,6 +23,7 @@
   for (const EngineIndex engine : fleet.Serving(work)) {
     const EngineView& view = fleet.View(engine);
     if (view.Usable() && MayRunIn(work.allowed_regions, view.region) &&
+        work.software.Permits(view.software_version) &&
         (!this->filter || this->filter(view))) {
       scored.push_back(this->Score(work, fleet, engine, added, now_ms));
       const auto cost = link_costs.find(view.zone);
--- a/src/policy/tests/pressure_chooser_test.cc
+++ b/src/policy/tests/pressure_chooser_test.cc
@@ -54,6 +54,22 @@
   PressureChooser chooser;
 };
 
+Test(work_for_a_version, goes_to_its_engines_only) {
+  PressureChooserFixture fixture;
+  EngineListing listing{"e0", "z", true, false};
+  listing.models = fixture.fleet.state.Find("e0")->models;
+  listing.kv_capacity = kCapacity;
+  listing.software_version = "v2";
+  fixture.fleet.state.SetEngine(listing, 1);
+  WorkItem work = fixture.Item("r");
+  work.software = {VersionRule::Kind::kOnly, "v2"};
+  cr_assert(fixture.Choose(work) == "e0");
+  work.software = {VersionRule::Kind::kExcept, "v2"};
+  cr_assert(fixture.Choose(work) == "e1");
+  work.software = {VersionRule::Kind::kOnly, "v9"};
+  cr_assert(fixture.Choose(work).empty());
+}
+
 Test(the_engine_under_least_pressure, has_the_most_memory_left) {
   PressureChooserFixture fixture;
   fixture.ReportPeerLoad("e0", kCapacity / 4);
--- a/src/policy/work_item.h
+++ b/src/policy/work_item.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "policy/allowed_regions.h"
+#include "policy/version_rule.h"
 
 namespace meadowthread {
 
@@ -46,6 +47,8 @@
   /// prefill.
   bool is_copy = false;
   AllowedRegions allowed_regions;  ///< regions in which it may run
+  /// Engines that it may run on, by the version of their software.
+  VersionRule software;
 };
 
 }  // namespace meadowthread
--- a/src/quarantine/crash_gossip.cc
+++ b/src/quarantine/crash_gossip.cc
@@ -34,7 +34,7 @@
 
 }  // namespace
 
-CrashGossip::CrashGossip(CrashRecordTable& table, CrashGossipChannel& channel,
+CrashGossip::CrashGossip(CrashRecordTable& table, GossipChannel& channel,
                          const Clock& clock, Scheduler& scheduler,
                          std::uint64_t seed)
     : table(table),
--- a/src/quarantine/crash_gossip.h
+++ b/src/quarantine/crash_gossip.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/gossip_channel.h"
 #include "base/lifetime.h"
 #include "base/scheduler.h"
 #include "nlohmann/json.hpp"
@@ -15,21 +16,6 @@
 
 namespace meadowthread {
 
-/// @brief Sends the crash-record messages of one host to other hosts.
-class CrashGossipChannel {
- public:
-  virtual ~CrashGossipChannel() = default;
-
-  /// @brief Sends a message to `count` other hosts, chosen at random.
-  virtual void SendToRandom(std::string_view topic,
-                            const nlohmann::json& payload,
-                            std::size_t count) = 0;
-
-  /// @brief Sends a message to one host.
-  virtual void SendToHost(std::string_view topic, const nlohmann::json& payload,
-                          std::string_view host) = 0;
-};
-
 /// @brief Spreads crash records between hosts by gossip.
 ///
 /// A host that receives a new or changed record forwards it at once to a few
@@ -41,7 +27,7 @@
 class CrashGossip {
  public:
   /// @param[in] table,channel,clock,scheduler must outlive this
-  CrashGossip(CrashRecordTable& table, CrashGossipChannel& channel,
+  CrashGossip(CrashRecordTable& table, GossipChannel& channel,
               const Clock& clock, Scheduler& scheduler, std::uint64_t seed);
   CrashGossip(const CrashGossip&) = delete;
   CrashGossip& operator=(const CrashGossip&) = delete;
@@ -68,7 +54,7 @@
   std::vector<const CrashRecord*> SelectRecords();
 
   CrashRecordTable& table;
-  CrashGossipChannel& channel;
+  GossipChannel& channel;
   const Clock& clock;
   Scheduler& scheduler;
   std::mt19937_64 random;
--- a/src/quarantine/tests/crash_gossip_test.cc
+++ b/src/quarantine/tests/crash_gossip_test.cc
@@ -73,7 +73,7 @@
   std::int64_t Bytes() const { return this->bytes; }
 
  private:
-  struct Host final : public CrashGossipChannel {
+  struct Host final : public GossipChannel {
     Host(Fleet& fleet, int number)
         : fleet(fleet),
           number(number),
@@ -203,7 +203,7 @@
   ManualClock clock{1'790'000'000'000};
   ManualScheduler scheduler{&clock};
   CrashRecordTable table;
-  struct Silent final : public CrashGossipChannel {
+  struct Silent final : public GossipChannel {
     void SendToRandom(std::string_view, const json&, std::size_t) override {}
     void SendToHost(std::string_view, const json&, std::string_view) override {}
   } silent;
--- a/src/relay/backend_list.cc
+++ b/src/relay/backend_list.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "base/log_line.h"
 
 namespace meadowthread {
@@ -101,6 +102,7 @@
   const bool was_named = std::exchange(backend.entry_valid, true);
   backend.warm_at_ms = this->clock.MonotonicMs() + entry.slow_for_ms;
   backend.emptied_ms = this->EmptiedSince(entry.zone);
+  backend.version_excluded = this->IsExcluded(entry);
   const auto region = this->regions.find(entry.zone);
   backend.region = region == this->regions.end() ? "" : region->second;
   if (is_new) {
@@ -239,6 +241,34 @@
       .WriteImportant();
 }
 
+bool BackendList::IsExcluded(const BackendEntry& entry) const {
+  const auto found = this->excluded.find(entry.service);
+  return found != this->excluded.end() &&
+         std::find(found->second.begin(), found->second.end(), entry.version) !=
+             found->second.end();
+}
+
+void BackendList::SetExcludedVersions(std::string_view service,
+                                      std::span<const std::string> versions) {
+  this->excluded[std::string(service)].assign(versions.begin(), versions.end());
+  int servers = 0;
+  for (auto& [key, backend] : this->backends) {
+    const bool is_excluded = this->IsExcluded(backend.entry);
+    if (backend.entry.service != service ||
+        is_excluded == backend.version_excluded) {
+      continue;
+    }
+    ++servers;
+    backend.version_excluded = is_excluded;
+    this->NotifyListeners(BackendChange::kChanged, backend);
+  }
+  LogLine("versions-excluded")
+      .Add("service", service)
+      .Add("versions", absl::StrJoin(versions, ","))
+      .Add("servers", servers)
+      .WriteImportant();
+}
+
 void BackendList::SetRegions(
     const std::map<std::string, std::string>& by_zone) {
   this->regions.insert(by_zone.begin(), by_zone.end());
@@ -258,7 +288,7 @@
   bool has_emptied = false;
   for (const auto& [key, backend] : this->backends) {
     const bool is_live = backend.entry.service == service && !backend.leaving &&
-                         backend.entry_valid;
+                         backend.entry_valid && !backend.version_excluded;
     if (is_live && !backend.emptied_ms.has_value()) {
       return false;
     }
--- a/src/relay/backend_list.h
+++ b/src/relay/backend_list.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,7 @@
   std::string service;
   std::string address;  ///< IP:PORT
   std::string zone;
+  std::string version;  ///< of its software
   bool leaving = false;
   /// Time from reading the entry during which the server is still cold, i.e.
   /// slow because it was started recently.
@@ -60,17 +62,21 @@
   /// server's availability zone. The server gets no new requests, and its runs
   /// go on.
   std::optional<std::int64_t> emptied_ms;
+  /// A rollout has excluded its version. The server gets no requests at all.
+  bool version_excluded = false;
 
   /// @brief Whether the server may get new requests.
   bool AcceptsNewRequests() const {
-    return !this->leaving && this->entry_valid && !this->emptied_ms.has_value();
+    return !this->leaving && this->entry_valid &&
+           !this->emptied_ms.has_value() && !this->version_excluded;
   }
 
   /// @brief Whether a run whose KV cache the server holds may be continued
   /// there.
   bool MayContinueRuns(std::int64_t now_ms) const {
-    return !this->emptied_ms.has_value() ||
-           now_ms - *this->emptied_ms < kEmptiedZoneGraceMs;
+    return !this->version_excluded &&
+           (!this->emptied_ms.has_value() ||
+            now_ms - *this->emptied_ms < kEmptiedZoneGraceMs);
   }
 
   /// If a move into an availability zone was already in progress when this host
@@ -138,6 +144,11 @@
   /// back into use.
   void SetZoneEmptied(std::string_view zone, bool is_emptied);
 
+  /// @brief Sets the versions of a service whose servers get no requests, in
+  /// place of those before.
+  void SetExcludedVersions(std::string_view service,
+                           std::span<const std::string> versions);
+
   /// @brief Number of availability zones that are emptied.
   std::size_t EmptiedZones() const { return this->emptied.size(); }
 
@@ -189,6 +200,7 @@
   void ScheduleRemoval(const std::string& key);
   void NotifyListeners(BackendChange change, const Backend& backend);
   std::optional<std::int64_t> EmptiedSince(std::string_view zone) const;
+  bool IsExcluded(const BackendEntry& entry) const;
 
   const Clock& clock;
   Scheduler& scheduler;
@@ -200,6 +212,8 @@
   std::map<std::string, std::string, std::less<>> regions;
   /// When this host learned that a zone is emptied; monotonic, by zone.
   std::map<std::string, std::int64_t, std::less<>> emptied;
+  /// Versions whose servers get no requests, by service.
+  std::map<std::string, std::vector<std::string>, std::less<>> excluded;
   std::vector<Listener> listeners;
   Lifetime life;
 };
--- a/src/relay/call_session.cc
+++ b/src/relay/call_session.cc
@@ -64,6 +64,8 @@
 
 void CallSession::Begin() {
   this->deps.budgets.BudgetFor(this->terms.service).NoteFirstAttempt();
+  this->versions = this->deps.versions.RuleForRequest(this->terms.service,
+                                                      this->terms.route);
   this->After(std::max<std::int64_t>(0, this->RemainingMs()),
               &CallSession::OnDeadline);
   this->Send();
@@ -90,10 +92,24 @@
   return cost;
 }
 
+// If no server of the versions meant for the first attempt can take the call,
+// it goes to those for further attempts.
+const Backend* CallSession::ChooseBackend() {
+  if (!this->tried.empty()) {
+    this->versions = this->deps.versions.RuleForRetry(this->terms.service);
+  }
+  const Backend* const chosen = this->CheapestBackend();
+  if (chosen != nullptr || this->versions.kind == VersionRule::Kind::kAny) {
+    return chosen;
+  }
+  this->versions = this->deps.versions.RuleForRetry(this->terms.service);
+  return this->CheapestBackend();
+}
+
 // Returns the cheapest server that the call has not been sent to yet. Chooses
 // between equal costs at random, so that hosts that see the same costs don't
 // all choose the same server.
-const Backend* CallSession::ChooseBackend() const {
+const Backend* CallSession::CheapestBackend() const {
   const std::int64_t now_ms = this->deps.clock.MonotonicMs();
   const Backend* best = nullptr;
   double best_cost = 0.0;
@@ -103,6 +119,7 @@
     const bool was_tried = std::find(this->tried.begin(), this->tried.end(),
                                      backend->key) != this->tried.end();
     if (was_tried || !MayRunIn(this->terms.allowed_regions, backend->region) ||
+        !this->versions.Permits(backend->entry.version) ||
         !this->deps.arrivals.May(backend->key, now_ms)) {
       continue;
     }
@@ -235,6 +252,17 @@
   }
 }
 
+void CallSession::RecordAttemptEnd(const Attempt& attempt,
+                                   AttemptResult result) {
+  AttemptEnd end;
+  end.server = attempt.BackendId();
+  end.route = this->terms.route;
+  end.result = result;
+  end.sent_ms = attempt.SentMs();
+  end.first_ms = this->deps.clock.MonotonicMs() - attempt.SentMs();
+  RecordAttempt(this->deps, end);
+}
+
 void CallSession::OnAnswer(Attempt& attempt) {
   const std::int64_t now_ms = this->deps.clock.MonotonicMs();
   HttpResponse& answer = attempt.Answer();
@@ -263,9 +291,8 @@
   }
   const bool failed = meaning == AnswerMeaning::kUnsigned ||
                       answer.http_status >= http_code::kFirstServerError;
-  this->deps.health.RecordAttempt(
-      attempt.BackendId(),
-      failed ? AttemptResult::kFailed : AttemptResult::kGood, now_ms);
+  this->RecordAttemptEnd(
+      attempt, failed ? AttemptResult::kFailed : AttemptResult::kGood);
   const bool repeatable = this->terms.rule == ExecutionRule::kRepeatable;
   if (failed && repeatable && this->SendAgain(true)) {
     return;
@@ -287,10 +314,8 @@
   const std::int64_t now_ms = this->deps.clock.MonotonicMs();
   const bool may_have_left = end.request_may_have_left;
   const AttemptVerdict verdict = JudgeAttempt({may_have_left});
-  this->deps.health.RecordAttempt(
-      attempt.BackendId(),
-      may_have_left ? AttemptResult::kFailed : AttemptResult::kUnreachable,
-      now_ms);
+  this->RecordAttemptEnd(attempt, may_have_left ? AttemptResult::kFailed
+                                                : AttemptResult::kUnreachable);
   LogLine("attempt-failed")
       .Add("request", this->request.id)
       .Add("engine", attempt.BackendId())
--- a/src/relay/call_session.h
+++ b/src/relay/call_session.h
@@ -64,7 +64,9 @@
   void Send();
   bool HasServerInHomeRegions() const;
   bool HasClaimExpired() const;
-  const Backend* ChooseBackend() const;
+  const Backend* ChooseBackend();
+  const Backend* CheapestBackend() const;
+  void RecordAttemptEnd(const Attempt& attempt, AttemptResult result);
   double CostOf(const Backend& backend, std::int64_t now_ms) const;
   void ScheduleHedge();
   void OnAttemptEnd(Attempt& attempt);
@@ -97,7 +99,9 @@
   std::vector<std::unique_ptr<Attempt>> attempts;  ///< in progress
   std::vector<std::unique_ptr<Attempt>> retired;
   std::vector<std::string> tried;  ///< keys of the servers that it was sent to
-  int sent = 0;                    ///< attempts that may have sent bytes
+  /// The servers that may get the next attempt, by their version.
+  VersionRule versions;
+  int sent = 0;  ///< attempts that may have sent bytes
   int unreachable = 0;
   bool may_have_run = false;
   bool ended = false;
--- a/src/relay/call_session_end.cc
+++ b/src/relay/call_session_end.cc
@@ -127,12 +127,10 @@
     return;
   }
   this->ended = true;
-  const std::int64_t now_ms = this->deps.clock.MonotonicMs();
   for (const auto& attempt : this->attempts) {
     this->deps.health.NoteAttemptEnded(attempt->BackendId());
     // A server that did not answer in time counts as failed.
-    this->deps.health.RecordAttempt(attempt->BackendId(),
-                                    AttemptResult::kFailed, now_ms);
+    this->RecordAttemptEnd(*attempt, AttemptResult::kFailed);
     attempt->Cancel();
   }
   if (result.ok()) {
--- a/src/relay/engine_drainer.cc
+++ b/src/relay/engine_drainer.cc
@@ -271,7 +271,7 @@
   return decision.engine.value_or("");
 }
 
-WorkItem EngineDrainer::MakeWorkItem(const StreamSession& session) {
+WorkItem EngineDrainer::MakeWorkItem(const StreamSession& session) const {
   WorkItem work;
   work.request = session.Request().id;
   work.workspace = session.Terms().workspace;
@@ -281,6 +281,7 @@
   work.is_copy = true;
   work.forced = true;
   work.allowed_regions = session.Terms().allowed_regions;
+  work.software = this->deps.versions.RuleForMove(session.Terms().service);
   return work;
 }
 
--- a/src/relay/engine_drainer.h
+++ b/src/relay/engine_drainer.h
@@ -86,7 +86,7 @@
   void RequestTurns(Drain& drain, std::span<StreamSession* const> sessions);
   void OnTurnGranted(const MigrationRequest& move, const Decision& granted);
   void ReleaseTurns(Drain& drain);
-  static WorkItem MakeWorkItem(const StreamSession& session);
+  WorkItem MakeWorkItem(const StreamSession& session) const;
   StreamSession* FindStream(std::string_view engine, std::string_view request);
   std::string ChooseTarget(const Drain& drain,
                            const StreamSession& session) const;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -249,6 +249,33 @@
   this->drainer.Begin(engine);
 }
 
+void Relay::MoveToVersion(std::string_view service, std::string_view version) {
+  for (const Backend* const backend : this->deps.backends.All()) {
+    if (backend->entry.service == service &&
+        backend->entry.version != version) {
+      this->drainer.Begin(*backend);
+    }
+  }
+}
+
+bool Relay::IsIdleExceptAt(std::string_view service,
+                           std::string_view version) const {
+  const auto is_other = [service, version](const Backend* backend) {
+    return backend != nullptr && backend->entry.service == service &&
+           backend->entry.version != version;
+  };
+  const bool has_stream = std::any_of(
+      this->streams.begin(), this->streams.end(), [&](const auto& entry) {
+        return is_other(this->deps.backends.Find(entry.second->Engine()));
+      });
+  const std::vector<const Backend*> all = this->deps.backends.All();
+  return !has_stream &&
+         std::none_of(all.begin(), all.end(), [&](const Backend* backend) {
+           return is_other(backend) &&
+                  this->deps.health.InProgress(backend->key) > 0;
+         });
+}
+
 void Relay::OnEngineStartedAgain(const Backend& before) {
   for (const auto& [number, session] : this->streams) {
     session->NoteStartedAgain(before.key);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -64,6 +64,13 @@
   /// @param[in] before the previous start
   void OnEngineStartedAgain(const Backend& before);
 
+  /// @brief Moves the streams at a service's engines to engines of a version.
+  void MoveToVersion(std::string_view service, std::string_view version);
+
+  /// @brief Whether no request is in progress at a server of the service with
+  /// another version.
+  bool IsIdleExceptAt(std::string_view service, std::string_view version) const;
+
   /// @brief Ends requests whose content has been put into quarantine and that
   /// no engine has begun to answer.
   void EndQuarantined(const CrashRecordId& quarantined);
--- a/src/relay/relay_dependencies.cc
+++ b/src/relay/relay_dependencies.cc
@@ -11,4 +11,36 @@
   return ServerInstance{backend->key, backend->entry.address};
 }
 
+namespace {
+
+// An answer of a server that was still cold does not tell how fast its version
+// is.
+void RecordForVersion(const RelayDependencies& deps, const AttemptEnd& end) {
+  const Backend* const backend = deps.backends.Find(end.server);
+  if (backend == nullptr) {
+    return;
+  }
+  const bool was_cold = end.sent_ms < backend->warm_at_ms;
+  VersionedAnswer answer;
+  answer.service = backend->entry.service;
+  answer.version = backend->entry.version;
+  answer.route = end.route;
+  answer.failed = end.result != AttemptResult::kGood;
+  answer.was_counted = end.has_begun;
+  answer.first_ms = was_cold ? -1 : end.first_ms;
+  answer.gap_ms = was_cold ? -1 : end.gap_ms;
+  deps.versions.RecordAnswer(answer);
+}
+
+}  // namespace
+
+void RecordAttempt(const RelayDependencies& deps, const AttemptEnd& end) {
+  deps.health.RecordAttempt(end.server, end.result, deps.clock.MonotonicMs());
+  RecordForVersion(deps, end);
+}
+
+void RecordFirstEvent(const RelayDependencies& deps, const AttemptEnd& begun) {
+  RecordForVersion(deps, begun);
+}
+
 }  // namespace meadowthread
--- a/src/relay/relay_dependencies.h
+++ b/src/relay/relay_dependencies.h
@@ -23,6 +23,7 @@
 #include "relay/backend_protocol.h"
 #include "relay/relay_observer.h"
 #include "relay/retry_budgets.h"
+#include "rollout/version_gate.h"
 
 namespace meadowthread {
 
@@ -53,6 +54,7 @@
   Quarantine& quarantine;
   ServerRateLimiter& arrivals;
   std::mt19937_64& random;
+  VersionGate& versions;
 };
 
 /// @brief The server as the quarantine records it; nullopt if it is unknown or
@@ -60,6 +62,25 @@
 std::optional<ServerInstance> ServerUnlessLeaving(const BackendList& backends,
                                                   std::string_view key);
 
+/// @brief Records how an attempt ended, as evidence on the server's health and
+/// on its version.
+struct AttemptEnd {
+  std::string_view server;  ///< its key
+  std::string_view route;
+  AttemptResult result = AttemptResult::kGood;
+  std::int64_t sent_ms = 0;  ///< monotonic
+  /// RecordFirstEvent was called for it.
+  bool has_begun = false;
+  /// Time until the answer or the first event; -1: not known.
+  std::int64_t first_ms = -1;
+  std::int64_t gap_ms = -1;  ///< mean time between events; -1: not known
+};
+void RecordAttempt(const RelayDependencies& deps, const AttemptEnd& end);
+
+/// @brief Records the first event of a stream, as evidence on the server's
+/// version; `result` and `gap_ms` do not count.
+void RecordFirstEvent(const RelayDependencies& deps, const AttemptEnd& begun);
+
 /// @brief Further dependencies of streams.
 struct StreamDependencies {
   EngineAllocation& allocation;
--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -29,6 +29,8 @@
 // A pause that points to packet loss on the link: retransmitting a packet takes
 // 200 ms, while decode steps that share the engine with prefill take 20 ms.
 constexpr std::int64_t kLinkStallMs = 150;
+// Fewer events of an attempt don't tell the mean time between them.
+constexpr std::int64_t kMinEventsForGap = 4;
 constexpr std::string_view kEventStreamType = "text/event-stream";
 
 }  // namespace
@@ -138,6 +140,9 @@
           .Write();
     }
   }
+  if (this->attempt_first_event_ms < 0) {
+    this->NoteFirstEvent(now_ms);
+  }
   this->last_event_ms = now_ms;
   this->phase = StreamPhase::kStreaming;
   std::string bytes;
@@ -237,7 +242,10 @@
       .Add("engine", this->engine)
       .Add("status", this->head.http_status)
       .WriteImportant();
-  this->RecordAttemptEnd(AttemptResult::kGood);
+  this->deps.health.RecordAttempt(this->engine, AttemptResult::kGood,
+                                  this->deps.clock.MonotonicMs());
+  this->ReleaseFleetState(StreamEnd::kCut);
+  this->versions = this->deps.versions.RuleForRetry(this->terms.service);
   ++this->resumes;
   const RetryDecision answer =
       this->deps.budgets.BudgetFor(this->terms.service)
@@ -272,6 +280,7 @@
                                        : AttemptResult::kUnreachable);
   if (verdict.may_try_elsewhere && this->resumes < kMaxUnreachableAttempts) {
     ++this->resumes;
+    this->versions = this->deps.versions.RuleForRetry(this->terms.service);
     this->RequestPlacement();
     return;
   }
@@ -397,18 +406,47 @@
                "servers ended each time they ran this request", -1);
 }
 
+// A run that was resumed from a copy says nothing about the time until a first
+// event.
+void StreamSession::NoteFirstEvent(std::int64_t now_ms) {
+  this->attempt_first_event_ms = now_ms;
+  AttemptEnd begun;
+  begun.server = this->engine;
+  begun.route = this->terms.route;
+  begun.sent_ms = this->sent_ms;
+  begun.first_ms = this->events_before > 0 ? -1 : now_ms - this->sent_ms;
+  RecordFirstEvent(this->deps, begun);
+}
+
+std::int64_t StreamSession::MeanGapMs() const {
+  const std::int64_t events_here = this->events - this->events_before;
+  if (this->attempt_first_event_ms < 0 || events_here < kMinEventsForGap) {
+    return -1;
+  }
+  return (this->last_event_ms - this->attempt_first_event_ms) /
+         (events_here - 1);
+}
+
 void StreamSession::RecordAttemptEnd(AttemptResult result) {
   if (!this->engine.empty()) {
-    this->deps.health.RecordAttempt(this->engine, result,
-                                    this->deps.clock.MonotonicMs());
-  }
+    AttemptEnd end;
+    end.server = this->engine;
+    end.route = this->terms.route;
+    end.result = result;
+    end.sent_ms = this->sent_ms;
+    end.has_begun = this->attempt_first_event_ms >= 0;
+    end.gap_ms = this->MeanGapMs();
+    RecordAttempt(this->deps, end);
+  }
+  this->ReleaseFleetState(result == AttemptResult::kGood && this->events > 0
+                              ? StreamEnd::kComplete
+                              : StreamEnd::kCut);
+}
+
+void StreamSession::ReleaseFleetState(StreamEnd how) {
   if (std::exchange(this->in_fleet_state, false)) {
-    this->stream_deps.fleet.NoteEnded(
-        this->request.id,
-        result == AttemptResult::kGood && this->events > 0
-            ? StreamEnd::kComplete
-            : StreamEnd::kCut,
-        this->deps.clock.WallMs());
+    this->stream_deps.fleet.NoteEnded(this->request.id, how,
+                                      this->deps.clock.WallMs());
   }
 }
 
@@ -428,10 +466,7 @@
     this->ReleaseMoveReservations();
     this->move.reset();
   }
-  if (std::exchange(this->in_fleet_state, false)) {
-    this->stream_deps.fleet.NoteEnded(this->request.id, StreamEnd::kCut,
-                                      this->deps.clock.WallMs());
-  }
+  this->ReleaseFleetState(StreamEnd::kCut);
   LogLine line("end");
   line.Add("request", this->request.id)
       .Add("workspace", this->terms.workspace)
--- a/src/relay/stream_session.h
+++ b/src/relay/stream_session.h
@@ -117,6 +117,7 @@
   void Enqueue(const WorkItem& work, DecisionReason why, std::int64_t wait_ms);
   void RefuseQueued(DecisionReason why);
   bool MaySendTo(std::string_view key) const;
+  bool FallBackToOtherVersions();
   bool RefuseUnservable();
   std::int64_t ElapsedMs() const;
   void Send(const Backend& backend, const std::optional<Continuation>& from);
@@ -143,7 +144,10 @@
   void Interrupt(std::string_view why);
   void OnCallerGone();
   void OnDeadline();
+  void NoteFirstEvent(std::int64_t now_ms);
+  std::int64_t MeanGapMs() const;
   void RecordAttemptEnd(AttemptResult result);
+  void ReleaseFleetState(StreamEnd how);
   void CancelCall();
   void End(std::string_view outcome, std::string_view why);
   std::int64_t RemainingMs() const;
@@ -193,6 +197,13 @@
   std::int64_t since_first_try_ms = 0;
   std::int64_t first_event_ms = -1;
   std::int64_t last_event_ms = 0;
+  std::int64_t sent_ms = 0;  ///< of the latest attempt
+  /// First event of the latest attempt, unless it resumes a run; -1: none.
+  std::int64_t attempt_first_event_ms = -1;
+  /// The engines that the request may be sent to, by their version.
+  VersionRule versions;
+  /// Whether the rule of a request's first attempt has no usable engine.
+  bool fell_back = false;
   /// Reading from the engine is paused, as the caller is slow.
   bool paused = false;
   std::int64_t reading_since_ms = 0;
--- a/src/relay/stream_session_move.cc
+++ b/src/relay/stream_session_move.cc
@@ -29,6 +29,7 @@
 bool StreamSession::MoveTo(const std::string& target) {
   const Backend* const source = this->deps.backends.Find(this->engine);
   const Backend* const to = this->deps.backends.Find(target);
+  this->versions = this->deps.versions.RuleForMove(this->terms.service);
   if (this->phase != StreamPhase::kStreaming || this->move != nullptr ||
       this->resumes >= kMaxResumes || source == nullptr ||
       !this->MaySendTo(target)) {
--- a/src/relay/stream_session_placement.cc
+++ b/src/relay/stream_session_placement.cc
@@ -1,6 +1,7 @@
 // Finds an engine for a stream and sends the request to it.
 #include <algorithm>
 #include <string>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
@@ -63,6 +64,7 @@
       work.arrived_ms + std::max<std::int64_t>(1, this->RemainingMs());
   work.urgency = UrgencyOf(this->terms.urgency);
   work.allowed_regions = this->terms.allowed_regions;
+  work.software = this->versions;
   return work;
 }
 
@@ -70,6 +72,8 @@
   this->since_first_try_ms = this->stream_deps.first_tries.Elapsed(
       this->terms.route, this->request.allowed_ms);
   this->deps.budgets.BudgetFor(this->terms.service).NoteFirstAttempt();
+  this->versions = this->deps.versions.RuleForRequest(this->terms.service,
+                                                      this->terms.route);
   this->writer->OnClosed([this] { this->OnCallerGone(); });
   this->writer->OnDrained([this] {
     this->paused = false;
@@ -126,7 +130,7 @@
     this->SendTo(decision);
     return;
   }
-  if (this->RefuseUnservable()) {
+  if (this->FallBackToOtherVersions() || this->RefuseUnservable()) {
     return;
   }
   const std::int64_t now_ms = this->deps.clock.MonotonicMs();
@@ -158,6 +162,18 @@
   }
 }
 
+// Asks once more if no engine of the versions meant for the first attempt can
+// take the request.
+bool StreamSession::FallBackToOtherVersions() {
+  if (this->versions.kind != VersionRule::Kind::kOnly ||
+      std::exchange(this->fell_back, true)) {
+    return false;
+  }
+  this->versions = this->deps.versions.RuleForRetry(this->terms.service);
+  this->RequestPlacement();
+  return true;
+}
+
 // Repeats the request for a placement until the host that allocates the engines
 // finds room.
 void StreamSession::RetryPlacementAfter(std::int64_t after_ms) {
@@ -214,6 +230,7 @@
   const Backend* const backend = this->deps.backends.Find(key);
   return backend != nullptr && backend->AcceptsNewRequests() &&
          MayRunIn(this->terms.allowed_regions, backend->region) &&
+         this->versions.Permits(backend->entry.version) &&
          this->deps.arrivals.May(key, this->deps.clock.MonotonicMs());
 }
 
@@ -242,7 +259,7 @@
 void StreamSession::SendTo(const Decision& decision) {
   this->in_fleet_state = true;
   if (!this->MaySendTo(*decision.engine)) {
-    this->RecordAttemptEnd(AttemptResult::kGood);
+    this->ReleaseFleetState(StreamEnd::kCut);
     this->RetryPlacementAfter(kChangePropagationMs);
     return;
   }
@@ -298,6 +315,8 @@
   http.send_once = true;
   http.reuse_idle_ms = 0;
   ++this->attempts;
+  this->sent_ms = this->deps.clock.MonotonicMs();
+  this->attempt_first_event_ms = -1;
   this->deps.arrivals.NoteSent(backend.key, this->deps.clock.MonotonicMs());
   this->call = this->deps.client.Start(http, this);
 }
--- a/src/relay/tests/backend_list_test.cc
+++ b/src/relay/tests/backend_list_test.cc
@@ -53,6 +53,33 @@
   return entry;
 }
 
+BackendEntry OfVersion(const std::string& id, const std::string& version) {
+  BackendEntry entry = Entry(id);
+  entry.version = version;
+  return entry;
+}
+
+Test(an_excluded_version, gets_no_requests_and_no_resumed_runs) {
+  BackendListFixture fixture;
+  fixture.list.Set(OfVersion("a", "v2"));
+  fixture.list.SetExcludedVersions("pool", std::vector<std::string>{"v2"});
+  cr_assert(fixture.Usable() == 1 && !fixture.list.AcceptsNewRequests("a"));
+  cr_assert(!fixture.list.Find("a")->MayContinueRuns(0));
+  cr_assert(!fixture.list.Find("a")->leaving);
+  fixture.list.Set(OfVersion("c", "v2"));
+  cr_assert(!fixture.list.AcceptsNewRequests("c"),
+            "a server that is listed later as well");
+  fixture.list.SetExcludedVersions("pool", {});
+  cr_assert(fixture.Usable() == 3);
+}
+
+Test(an_excluded_version, of_another_service_does_not_count) {
+  BackendListFixture fixture;
+  fixture.list.Set(OfVersion("a", "v2"));
+  fixture.list.SetExcludedVersions("app", std::vector<std::string>{"v2"});
+  cr_assert(fixture.Usable() == 2);
+}
+
 Test(an_emptied_zone, gets_no_new_requests_until_put_back_into_use) {
   BackendListFixture fixture;
   fixture.list.Set(InZone("a", "west"));
--- a/src/relay/tests/call_session_test.cc
+++ b/src/relay/tests/call_session_test.cc
@@ -44,6 +44,51 @@
   absl::StatusOr<HttpResponse> result = absl::UnknownError("no result yet");
 };
 
+/// @brief Two servers of version v1, and one of v2 that is on trial.
+struct TrialFixture : CallSessionFixture {
+  TrialFixture() : CallSessionFixture(3) {
+    for (const char* const id : {"s-1", "s-2", "s-3"}) {
+      BackendEntry entry = this->backends.Find(id)->entry;
+      entry.version = entry.id == "s-3" ? "v2" : "v1";
+      this->backends.Set(entry);
+    }
+    this->versions.for_request = {VersionRule::Kind::kOnly, "v2"};
+    this->versions.for_retry = {VersionRule::Kind::kExcept, "v2"};
+  }
+};
+
+Test(a_call_for_a_version_on_trial, is_retried_at_other_versions) {
+  TrialFixture fixture;
+  fixture.Begin(ExecutionRule::kRepeatable);
+  cr_assert(fixture.ServerOf(0) == "s-3");
+  fixture.client.Answer(0, 500, "broken");
+  cr_assert(fixture.ServerOf(1) != "s-3");
+  fixture.client.Answer(1, 200, "done");
+  cr_assert(fixture.result->body == "done");
+  cr_assert(fixture.versions.answers.size() == 2);
+  cr_assert(fixture.versions.answers[0].version == "v2" &&
+            fixture.versions.answers[0].failed);
+  cr_assert(fixture.versions.answers[1].version == "v1" &&
+            !fixture.versions.answers[1].failed);
+}
+
+Test(a_call_for_a_version_on_trial, goes_elsewhere_if_it_has_no_server) {
+  TrialFixture fixture;
+  fixture.backends.Remove("s-3");
+  fixture.Begin(ExecutionRule::kOnce);
+  fixture.client.Answer(0, 200, "done");
+  cr_assert(fixture.result.ok() && fixture.ServerOf(0) != "s-3");
+}
+
+Test(a_hedged_call, never_goes_to_a_version_on_trial) {
+  TrialFixture fixture;
+  fixture.versions.for_request = {VersionRule::Kind::kExcept, "v2"};
+  fixture.Begin(ExecutionRule::kRepeatable);
+  fixture.Advance(250);
+  cr_assert(fixture.client.sent.size() == 2);
+  cr_assert(fixture.ServerOf(0) != "s-3" && fixture.ServerOf(1) != "s-3");
+}
+
 Test(a_call, gets_its_servers_own_answer_once) {
   CallSessionFixture fixture(2);
   fixture.Begin(ExecutionRule::kOnce);
--- a/src/relay/tests/relay_fixture.h
+++ b/src/relay/tests/relay_fixture.h
@@ -171,6 +171,33 @@
   std::vector<StateDone> asked;
 };
 
+/// @brief A version gate whose rules are set by the test.
+struct FakeVersionGate final : public VersionGate {
+  VersionRule RuleForRequest(std::string_view, std::string_view) override {
+    return this->for_request;
+  }
+  VersionRule RuleForRetry(std::string_view) const override {
+    return this->for_retry;
+  }
+  VersionRule RuleForMove(std::string_view) const override {
+    return this->for_move;
+  }
+  void RecordAnswer(const VersionedAnswer& answer) override {
+    this->answers.push_back(
+        {std::string(answer.version), answer.failed, answer.first_ms});
+  }
+
+  struct Answer {
+    std::string version;
+    bool failed = false;
+    std::int64_t first_ms = -1;
+  };
+  VersionRule for_request;
+  VersionRule for_retry;
+  VersionRule for_move;
+  std::vector<Answer> answers;
+};
+
 /// @brief Collects the summaries of ended requests.
 struct FakeObserver final : public RelayObserver {
   void OnRequestEnded(const RelayRequestSummary& end) override {
@@ -240,10 +267,11 @@
   Quarantine quarantine{this->listen_check, this->clock, this->scheduler};
   ServerRateLimiter arrivals{"self"};
   std::mt19937_64 random{7};
+  FakeVersionGate versions;
   RelayDependencies deps{this->clock,    this->scheduler, this->client,
                          this->wire,     this->backends,  this->health,
                          this->budgets,  this->observer,  this->quarantine,
-                         this->arrivals, this->random};
+                         this->arrivals, this->random,    this->versions};
   LearnedLengthModel lengths;
   FleetState fleet{this->lengths, FleetOptions{0, 7'000}};
   PressureChooser chooser{PressureOptions{}};
--- a/src/relay/tests/stream_session_test.cc
+++ b/src/relay/tests/stream_session_test.cc
@@ -124,6 +124,77 @@
   int ended = 0;
 };
 
+/// @brief Engine s-1 is of version v1, and s-2 of v2, which is on trial.
+struct StreamTrialFixture : StreamSessionFixture {
+  StreamTrialFixture() : StreamSessionFixture(2) {
+    for (const char* const id : {"s-1", "s-2"}) {
+      BackendEntry entry = this->backends.Find(id)->entry;
+      entry.version = entry.id == "s-2" ? "v2" : "v1";
+      this->backends.Set(entry);
+      EngineListing listing{entry.id, "z", true, false};
+      listing.models = {{"m", "", ""}};
+      listing.kv_capacity = 30'000;
+      listing.software_version = entry.version;
+      this->fleet.SetEngine(listing, this->clock.WallMs());
+    }
+    this->versions.for_request = {VersionRule::Kind::kOnly, "v2"};
+    this->versions.for_retry = {VersionRule::Kind::kExcept, "v2"};
+    this->versions.for_move = {VersionRule::Kind::kExcept, "v2"};
+  }
+};
+
+Test(a_stream_for_a_version_on_trial, is_recorded_at_its_first_event) {
+  StreamTrialFixture fixture;
+  fixture.Begin();
+  cr_assert(fixture.ServerOf(0) == "s-2");
+  fixture.Open(0);
+  fixture.Advance(300);
+  fixture.client.Data(0, Event(0));
+  cr_assert(fixture.versions.answers.size() == 1);
+  cr_assert(fixture.versions.answers[0].version == "v2" &&
+            fixture.versions.answers[0].first_ms == 300);
+}
+
+Test(a_stream_for_a_version_on_trial, goes_elsewhere_if_it_is_rejected) {
+  StreamTrialFixture fixture;
+  fixture.terms.max_attempts = 2;
+  fixture.Begin();
+  fixture.client.Reject(0);
+  cr_assert(fixture.ServerOf(1) == "s-1");
+}
+
+Test(a_stream_for_a_version_on_trial, goes_elsewhere_if_it_has_no_engine) {
+  StreamTrialFixture fixture;
+  fixture.fleet.RemoveEngine("s-2");
+  fixture.backends.Remove("s-2");
+  fixture.Begin();
+  cr_assert(fixture.ServerOf(0) == "s-1");
+}
+
+Test(a_run, does_not_move_to_a_version_on_trial) {
+  StreamTrialFixture fixture;
+  fixture.versions.for_request = {VersionRule::Kind::kExcept, "v2"};
+  fixture.BeginWithEvent();
+  cr_assert(!fixture.session->MoveTo("s-2"));
+}
+
+// The run's memory is at an engine of a version that has just been called bad,
+// and still at its source.
+Test(a_run_moved_to_a_version_that_is_excluded_meanwhile,
+     goes_on_at_its_source) {
+  StreamTrialFixture fixture;
+  fixture.versions.for_request = {VersionRule::Kind::kExcept, "v2"};
+  fixture.versions.for_move = {VersionRule::Kind::kOnly, "v2"};
+  fixture.BeginWithEvent();
+  cr_assert(fixture.session->MoveTo("s-2"));
+  fixture.control.Answer(MoveResult::kCopied, "h1");
+  fixture.backends.SetExcludedVersions("svc", std::vector<std::string>{"v2"});
+  fixture.control.Answer(MoveResult::kCopied, "h2");
+  fixture.CloseStream(0);
+  cr_assert(fixture.client.sent.size() == 2);
+  cr_assert(fixture.ServerOf(1) == "s-1");
+}
+
 Test(a_stream, is_forwarded_event_by_event_and_completes) {
   StreamSessionFixture fixture(2);
   fixture.Begin();
--- a/src/serve/detail/relay_host_impl.h
+++ b/src/serve/detail/relay_host_impl.h
@@ -1,7 +1,6 @@
 #ifndef MEADOWTHREAD_SERVE_DETAIL_RELAY_HOST_IMPL_H_
 #define MEADOWTHREAD_SERVE_DETAIL_RELAY_HOST_IMPL_H_
 
-#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -28,12 +27,13 @@
 #include "quarantine/crash_gossip.h"
 #include "quarantine/quarantine.h"
 #include "relay/relay.h"
-#include "serve/crash_gossip_datagrams.h"
+#include "rollout/rollout_participant.h"
 #include "serve/crash_record_store.h"
 #include "serve/dead_host_detector.h"
 #include "serve/entry_host_registry.h"
 #include "serve/exchange_participant.h"
 #include "serve/fleet_load_adapter.h"
+#include "serve/gossip_datagrams.h"
 #include "serve/invalid_entry_reporter.h"
 #include "serve/relay_host.h"
 #include "serve/relay_metrics.h"
@@ -48,7 +48,7 @@
 
 /// @brief The components of one host, declared in the order of their
 /// dependencies.
-class RelayHost::Impl : public StopView {
+class RelayHost::Impl : public StopView, public VersionedTraffic {
  public:
   Impl(const RelaySettings& with, RelayPlatform& on);
 
@@ -59,11 +59,23 @@
   // StopView
   std::int64_t ReturnAfterMs() const override;
 
+  // VersionedTraffic
+  bool AreOthersIdle(std::string_view service,
+                     std::string_view target_version) const override;
+  std::vector<std::string> OtherVersions(
+      std::string_view service, std::string_view target_version) const override;
+  void Restrict(std::string_view service,
+                const VersionRestrictions& restrictions) override;
+  std::vector<std::string> HostNames() const override;
+
  private:
   void ApplyViewChange(const ViewChange& change);
   void ApplyRoutingConfig(const StoredObject& object);
   void ReportReadResult(const StoredObject& object, const absl::Status& read);
   void ApplyBackendEntry(const StoredObject& object);
+  void ApplyRollout(const StoredObject& object);
+  bool HandlesRollouts() const;
+  bool MayServe() const;
   bool ChangesToUnknownService(const BackendEntry& entry) const;
   void RetryInvalidBackends();
   bool IsLoaded(std::string_view kind) const;
@@ -95,7 +107,7 @@
   PooledClient store_client;
   PooledClient client;
   std::unique_ptr<ObjectStore> store;
-  std::array<std::string_view, 5> kinds;
+  std::vector<std::string_view> kinds;
   ReplicatedView view;
   ViewWatcher feeder;
   HostDirectory hosts;
@@ -120,7 +132,7 @@
   QtListenProbe listen_check;
   Quarantine quarantine;
   ServerRateLimiter rate_limiter;
-  CrashGossipDatagrams crash_datagrams;
+  GossipDatagrams gossip;
   CrashGossip crash_gossip;
   CrashRecordStore crash_records;
   UnreportedStreamEstimator unreported_streams;
@@ -132,6 +144,8 @@
   FirstAttemptTimeEstimator first_attempts;
   StreamAdmission admission;
   LinkQuality links;
+  std::unique_ptr<RolloutStatusStore> rollout_store;
+  RolloutParticipant rollouts;
   std::unique_ptr<EngineControl> control;
   Relay relay;
   ReadyService ready_service;
@@ -141,7 +155,7 @@
   HttpServer metrics_server;
   std::optional<StopPlan> stop_plan;  ///< nullopt: not stopping
   bool exiting = false;
-  bool emptied_zones_known = false;  ///< read since the start
+  bool may_serve = false;            ///< see MayServe()
   bool rate_limits_divided = false;  ///< done among known hosts
 };
 
--- a/src/serve/engine_listing.cc
+++ b/src/serve/engine_listing.cc
@@ -12,6 +12,7 @@
   listing.engine = backend.key;
   listing.zone = backend.entry.zone;
   listing.region = backend.region;
+  listing.software_version = backend.entry.version;
   listing.leaving = !backend.AcceptsNewRequests();
   const std::int64_t slow_ms = backend.warm_at_ms - clock.MonotonicMs();
   listing.warm_at_ms = slow_ms > 0 ? clock.WallMs() + slow_ms : std::int64_t{0};
--- a/src/serve/gossip_datagrams.h
+++ b/src/serve/gossip_datagrams.h
@@ -1,18 +1,21 @@
-#ifndef MEADOWTHREAD_SERVE_CRASH_GOSSIP_DATAGRAMS_H_
-#define MEADOWTHREAD_SERVE_CRASH_GOSSIP_DATAGRAMS_H_
+#ifndef MEADOWTHREAD_SERVE_GOSSIP_DATAGRAMS_H_
+#define MEADOWTHREAD_SERVE_GOSSIP_DATAGRAMS_H_
 
+#include <cstddef>
 #include <string_view>
 
+#include "base/gossip_channel.h"
 #include "exchange/datagrams.h"
 #include "quarantine/crash_gossip.h"
+#include "rollout/rollout_participant.h"
 
 namespace meadowthread {
 
-/// @brief Sends and receives crash gossip as datagrams.
-class CrashGossipDatagrams final : public CrashGossipChannel {
+/// @brief Sends and receives gossip as datagrams.
+class GossipDatagrams final : public GossipChannel {
  public:
   /// @param[in] hub outlives this
-  explicit CrashGossipDatagrams(DatagramHub& hub) : hub(hub) {}
+  explicit GossipDatagrams(DatagramHub& hub) : hub(hub) {}
 
   void SendToRandom(std::string_view topic, const nlohmann::json& payload,
                     std::size_t count) override {
@@ -23,7 +26,7 @@
     this->hub.SendToHost(topic, payload, host);
   }
 
-  /// @brief Delivers messages from other hosts to the gossip.
+  /// @brief Delivers messages from other hosts to the crash gossip.
   /// @param[in] gossip outlives the hub
   void Connect(CrashGossip& gossip) {
     this->hub.Register(
@@ -38,10 +41,25 @@
         });
   }
 
+  /// @brief Delivers messages from other hosts to the rollouts.
+  /// @param[in] rollouts outlives the hub
+  void Connect(RolloutParticipant& rollouts) {
+    this->hub.Register(
+        RolloutParticipant::kReportTopic,
+        [&rollouts](std::string_view host, const nlohmann::json& payload) {
+          rollouts.OnReport(host, payload);
+        });
+    this->hub.Register(
+        RolloutParticipant::kProgressTopic,
+        [&rollouts](std::string_view host, const nlohmann::json& payload) {
+          rollouts.OnProgress(host, payload);
+        });
+  }
+
  private:
   DatagramHub& hub;
 };
 
 }  // namespace meadowthread
 
-#endif  // MEADOWTHREAD_SERVE_CRASH_GOSSIP_DATAGRAMS_H_
+#endif  // MEADOWTHREAD_SERVE_GOSSIP_DATAGRAMS_H_
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -180,6 +180,7 @@
   QtListenProbe listen_check;
   Quarantine quarantine;
   ServerRateLimiter rate_limiter;
+  NoVersionGate version_gate;
   CrashRecordStore crash_records;
   EngineRestartDetector engine_restarts;
   ServiceForwarder forwarder;
@@ -253,12 +254,13 @@
       crash_records(kQuarantineKind, StoredRecords::kSuspects, this->quarantine,
                     this->store, this->view, this->clock, this->scheduler,
                     this->random()),
-      forwarder({{this->clock, this->scheduler, this->client,
-                  this->service_backend_protocol, this->backends, this->health,
-                  this->service_retries, this->service_metrics,
-                  this->quarantine, this->rate_limiter, this->random},
-                 this->catalog,
-                 this->claims}) {
+      forwarder(
+          {{this->clock, this->scheduler, this->client,
+            this->service_backend_protocol, this->backends, this->health,
+            this->service_retries, this->service_metrics, this->quarantine,
+            this->rate_limiter, this->random, this->version_gate},
+           this->catalog,
+           this->claims}) {
   SessionDependencies session = {this->clock,
                                  this->scheduler,
                                  this->engine_client,
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -83,17 +83,41 @@
 
 std::vector<KindWithOptions> FedKinds(
     const RelayObjectKinds& kinds, const WatcherOptions& options,
-    const std::function<std::int64_t()>& stagger_ms,
+    bool with_rollouts, const std::function<std::int64_t()>& stagger_ms,
     const std::function<bool()>& is_zone_watcher) {
   WatcherOptions staggered = options;
   staggered.stagger_ms = stagger_ms;
-  return {
+  const WatcherOptions rare =
+      EmptiedZonesFeederOptions(options.host, options.seed);
+  std::vector<KindWithOptions> fed = {
       {kinds.routing_config, options},
       {kinds.backends, staggered, {}},
       {kinds.hosts, HostEntriesFeederOptions(options), {}},
       {kinds.quarantine, QuarantineFeederOptions(options), {}},
-      {kinds.emptied_zones,
-       EmptiedZonesFeederOptions(options.host, options.seed), is_zone_watcher}};
+      {kinds.emptied_zones, rare, is_zone_watcher}};
+  if (with_rollouts) {
+    fed.push_back({kinds.rollouts, rare, is_zone_watcher});
+  }
+  return fed;
+}
+
+std::vector<std::string_view> KindsOf(const RelayObjectKinds& kinds,
+                                      bool with_rollouts) {
+  std::vector<std::string_view> all = {kinds.routing_config, kinds.backends,
+                                       kinds.hosts, kinds.quarantine,
+                                       kinds.emptied_zones};
+  if (with_rollouts) {
+    all.push_back(kinds.rollouts);
+  }
+  return all;
+}
+
+bool WithRollouts(const RelaySettings& settings) {
+  return settings.rollouts.max_bad_share > 0.0;
+}
+
+RolloutLimits RolloutLimitsOf(const RelaySettings& settings) {
+  return {settings.rollouts.max_bad_share, settings.rollouts.max_bad_requests};
 }
 
 Settings ExchangeSettingsOf(const RelaySettings& with) {
@@ -113,12 +137,11 @@
     : settings(with),
       platform(on),
       store(on.MakeStore(this->store_client, with.store)),
-      kinds({on.Kinds().routing_config, on.Kinds().backends, on.Kinds().hosts,
-             on.Kinds().quarantine, on.Kinds().emptied_zones}),
+      kinds(KindsOf(on.Kinds(), WithRollouts(with))),
       view(this->clock, this->kinds),
       feeder(FedKinds(
                  on.Kinds(), RelayFeederOptions(with.host.name, this->random()),
-                 [this] { return this->StaggerMs(); },
+                 WithRollouts(with), [this] { return this->StaggerMs(); },
                  [this] { return this->IsZoneWatcher(); }),
              *this->store, this->view, this->scheduler, this->clock,
              [this] { return this->IsWatcher(); }),
@@ -146,16 +169,16 @@
                     this->store_outages, this->random,
                     [this] { return this->OtherStoreReaders(); }),
       view_datagrams(
-          std::vector<std::string>{on.Kinds().backends,
-                                   on.Kinds().routing_config,
-                                   on.Kinds().emptied_zones},
+          std::vector<std::string>{
+              on.Kinds().backends, on.Kinds().routing_config,
+              on.Kinds().emptied_zones, on.Kinds().rollouts},
           this->view, this->hub, this->scheduler,
           [this](std::string_view kind) { this->feeder.RequestRead(kind); }),
       quarantine(this->listen_check, this->clock, this->scheduler),
       rate_limiter(with.host.name),
-      crash_datagrams(this->hub),
-      crash_gossip(this->quarantine.RecordTable(), this->crash_datagrams,
-                   this->clock, this->scheduler, this->random()),
+      gossip(this->hub),
+      crash_gossip(this->quarantine.RecordTable(), this->gossip, this->clock,
+                   this->scheduler, this->random()),
       crash_records(on.Kinds().quarantine, StoredRecords::kQuarantined,
                     this->quarantine, *this->store, this->view, this->clock,
                     this->scheduler, this->random()),
@@ -171,14 +194,19 @@
       dispatcher(this->fleet, this->chooser),
       admission(AdmissionOf(with.policy)),
       links(with.host.zone),
+      rollout_store(on.MakeRolloutStatusStore(this->store_client, with.store)),
+      rollouts(with.host.name, RolloutLimitsOf(with),
+               {this->gossip, *this->rollout_store, *this, this->clock,
+                this->scheduler, this->random}),
       control(on.MakeControl(this->client)),
-      relay(with.host.name,
-            {this->clock, this->scheduler, this->client, on.Backends(),
-             this->backends, this->health, this->budgets, this->metrics,
-             this->quarantine, this->rate_limiter, this->random},
-            {this->allocation.Allocation(), this->dispatcher, this->fleet,
-             this->first_attempts, this->admission, this->links},
-            *this->control, on.Callers(), this->routing_config),
+      relay(
+          with.host.name,
+          {this->clock, this->scheduler, this->client, on.Backends(),
+           this->backends, this->health, this->budgets, this->metrics,
+           this->quarantine, this->rate_limiter, this->random, this->rollouts},
+          {this->allocation.Allocation(), this->dispatcher, this->fleet,
+           this->first_attempts, this->admission, this->links},
+          *this->control, on.Callers(), this->routing_config),
       ready_service(on.ReadyPath(),
                     [this] {
                       return !this->stop_plan.has_value() &&
@@ -235,7 +263,8 @@
     this->dead_hosts.NoteHeard(host);
     this->allocation.NoteHeard(host);
   });
-  this->crash_datagrams.Connect(this->crash_gossip);
+  this->gossip.Connect(this->crash_gossip);
+  this->gossip.Connect(this->rollouts);
   this->quarantine.AddListener([this](const CrashRecordId& quarantined) {
     this->relay.EndQuarantined(quarantined);
   });
@@ -285,6 +314,9 @@
   this->allocation.Start([this] { return this->AllocatorHosts(); });
   this->crash_gossip.Start();
   this->crash_records.Start();
+  if (this->HandlesRollouts()) {
+    this->rollouts.Start();
+  }
   this->feeder.Start();
   this->host_registry.Announce();
   RunEvery(this->scheduler, kRotatePeriodMs,
@@ -334,6 +366,8 @@
   set("answers_cut", this->server.InterruptedResponses());
   set("backends", this->backends.Count());
   set("entries_refused", this->invalid_entries.InvalidCount());
+  set("rollouts_running", this->rollouts.Running());
+  set("rollout_messages_refused", this->rollouts.Refused());
   set("zones_emptied", this->backends.EmptiedZones());
   for (const WatcherState& state : this->feeder.States()) {
     set("passed_over_" + state.kind, state.skipped_objects);
--- a/src/serve/relay_host_view.cc
+++ b/src/serve/relay_host_view.cc
@@ -35,6 +35,8 @@
       this->ApplyBackendEntry(object);
     } else if (change.kind == names.emptied_zones) {
       this->backends.SetZoneEmptied(object.name, !object.deleted);
+    } else if (change.kind == names.rollouts) {
+      this->ApplyRollout(object);
     }
   }
 }
@@ -44,14 +46,25 @@
   return !this->view.Digest(kind).confirmed.by.empty();
 }
 
-// The configuration is applied only once the emptied zones are known: a host
-// that served earlier would send requests to emptied zones.
+bool RelayHost::Impl::HandlesRollouts() const {
+  return this->settings.rollouts.max_bad_share > 0.0;
+}
+
+// The configuration is applied only once the emptied zones and the rollouts are
+// known: a host that served earlier would send requests to emptied zones, or
+// too many to a version on trial.
+bool RelayHost::Impl::MayServe() const {
+  const RelayObjectKinds& names = this->platform.Kinds();
+  return this->IsLoaded(names.emptied_zones) &&
+         (!this->HandlesRollouts() || this->IsLoaded(names.rollouts));
+}
+
 void RelayHost::Impl::ApplyPendingConfig() {
   const RelayObjectKinds& names = this->platform.Kinds();
-  if (this->emptied_zones_known || !this->IsLoaded(names.emptied_zones)) {
+  if (this->may_serve || !this->MayServe()) {
     return;
   }
-  this->emptied_zones_known = true;
+  this->may_serve = true;
   const StoredObject* const object =
       this->view.Find(names.routing_config, names.routing_config_name);
   if (object != nullptr && this->routing_config.Config() == nullptr) {
@@ -62,7 +75,7 @@
 // An invalid configuration is reported and ignored; the previous one stays in
 // force.
 void RelayHost::Impl::ApplyRoutingConfig(const StoredObject& object) {
-  if (!this->IsLoaded(this->platform.Kinds().emptied_zones)) {
+  if (!this->MayServe()) {
     return;
   }
   absl::StatusOr<RoutingConfig> read =
@@ -106,6 +119,60 @@
   }
 }
 
+// An invalid order is reported and ignored; the one before stays in force.
+void RelayHost::Impl::ApplyRollout(const StoredObject& object) {
+  if (object.deleted) {
+    this->invalid_entries.Clear(object.kind, object.name);
+    this->rollouts.Remove(object.name);
+    return;
+  }
+  const absl::StatusOr<Rollout> rollout =
+      this->platform.ReadRollout(object.name, object.value);
+  this->ReportReadResult(object, rollout.status());
+  if (rollout.ok()) {
+    this->rollouts.SetRollout(*rollout, object.version);
+  }
+}
+
+bool RelayHost::Impl::AreOthersIdle(std::string_view service,
+                                    std::string_view target_version) const {
+  return this->relay.IsIdleExceptAt(service, target_version);
+}
+
+std::vector<std::string> RelayHost::Impl::OtherVersions(
+    std::string_view service, std::string_view target_version) const {
+  std::vector<std::string> versions;
+  for (const Backend* const backend : this->backends.All()) {
+    const std::string& version = backend->entry.version;
+    if (backend->entry.service == service && version != target_version &&
+        std::find(versions.begin(), versions.end(), version) ==
+            versions.end()) {
+      versions.push_back(version);
+    }
+  }
+  return versions;
+}
+
+void RelayHost::Impl::Restrict(std::string_view service,
+                               const VersionRestrictions& restrictions) {
+  this->backends.SetExcludedVersions(service, restrictions.excluded);
+  if (restrictions.moves_to.has_value()) {
+    this->relay.MoveToVersion(service, *restrictions.moves_to);
+  }
+}
+
+std::vector<std::string> RelayHost::Impl::HostNames() const {
+  std::vector<std::string> names;
+  for (const HostEntry* const host : this->hosts.OfRole(HostRole::kEntry)) {
+    names.push_back(host->name);
+  }
+  if (std::find(names.begin(), names.end(), this->settings.host.name) ==
+      names.end()) {
+    names.push_back(this->settings.host.name);
+  }
+  return names;
+}
+
 // An entry that names an unknown service is valid and kept, as it may arrive
 // before the configuration that has the service. But an engine in use must not
 // change to a service that is not configured, as its runs are tracked under the
--- a/src/serve/relay_platform.h
+++ b/src/serve/relay_platform.h
@@ -11,6 +11,8 @@
 #include "relay/backend_protocol.h"
 #include "relay/engine_control.h"
 #include "relay/routing_config.h"
+#include "rollout/rollout.h"
+#include "rollout/rollout_participant.h"
 #include "store/object_store.h"
 
 namespace meadowthread {
@@ -26,6 +28,8 @@
   /// Kind of the objects that mark availability zones as emptied, each named
   /// after its zone.
   std::string emptied_zones;
+  /// Kind of the rollouts, each named after its service.
+  std::string rollouts;
 };
 
 /// @brief Everything that depends on the platform that a relay host runs on:
@@ -43,6 +47,12 @@
   virtual std::unique_ptr<ObjectStore> MakeStore(HttpClient& client,
                                                  std::string_view url) = 0;
 
+  /// @brief Creates the writer of the rollouts' statuses.
+  /// @param[in] client outlives the result
+  /// @param[in] url address of the store
+  virtual std::unique_ptr<RolloutStatusStore> MakeRolloutStatusStore(
+      HttpClient& client, std::string_view url) = 0;
+
   /// @brief Creates the client for control calls to engines.
   virtual std::unique_ptr<EngineControl> MakeControl(HttpClient& client) = 0;
 
@@ -63,6 +73,12 @@
   /// @param[in] text the entry as stored
   virtual absl::StatusOr<BackendEntry> ReadBackendEntry(
       std::string_view id, std::string_view text) const = 0;
+
+  /// @brief Parses a rollout with its status; an error names the invalid field.
+  /// @param[in] service name of its object in the store
+  /// @param[in] text the rollout as stored
+  virtual absl::StatusOr<Rollout> ReadRollout(std::string_view service,
+                                              std::string_view text) const = 0;
 };
 
 }  // namespace meadowthread
--- a/src/settings/relay_settings.cc
+++ b/src/settings/relay_settings.cc
@@ -15,6 +15,7 @@
 constexpr int kMaxHosts = 100'000;
 constexpr double kMaxColdOver = 100.0;
 constexpr double kMaxExtraRetries = 1e6;
+constexpr double kMaxBadRequests = 1e6;
 // Shares of an engine's memory; more than 1 is for measurements only.
 constexpr double kMinMemoryShare = 0.1;
 constexpr double kMaxMemoryShare = 1.5;
@@ -59,6 +60,13 @@
   section.Finish();
 }
 
+void Read(YamlSection section, RelayRolloutSettings* rollouts) {
+  section.Number("max_bad_share", 0.0, 1.0, &rollouts->max_bad_share);
+  section.Number("max_bad_requests", 0.0, kMaxBadRequests,
+                 &rollouts->max_bad_requests);
+  section.Finish();
+}
+
 void Read(YamlSection section, RelayPolicySettings* policy) {
   section.Flag("refuses_late", &policy->refuses_late);
   section.Flag("lets_returned_wait", &policy->lets_returned_wait);
@@ -104,6 +112,7 @@
   });
   Read(document.Section("retries"), &settings->retries);
   Read(document.Section("bounds"), &settings->bounds);
+  Read(document.Section("rollouts"), &settings->rollouts);
   Read(document.Section("policy"), &settings->policy);
   Read(document.Section("exchange"), &settings->exchange);
   document.Finish();
--- a/src/settings/relay_settings.h
+++ b/src/settings/relay_settings.h
@@ -53,6 +53,17 @@
                          const RelayBoundSettings&) = default;
 };
 
+/// @brief Limits on what a version of a service's software that turns out to be
+/// bad may get during a rollout, over all hosts together.
+struct RelayRolloutSettings {
+  /// Share of the service's requests; 0: rollouts are not handled.
+  double max_bad_share = 0.0;
+  double max_bad_requests = 0.0;  ///< requests beyond that share
+
+  friend bool operator==(const RelayRolloutSettings&,
+                         const RelayRolloutSettings&) = default;
+};
+
 /// @brief The policy for streams. The switches exist to measure the effect of
 /// each part; docs/OPERATIONS.md describes them.
 struct RelayPolicySettings {
@@ -86,6 +97,7 @@
   std::string store;  ///< URL of the platform's object store
   RelayRetrySettings retries;
   RelayBoundSettings bounds;
+  RelayRolloutSettings rollouts;
   RelayPolicySettings policy;
   HostExchangeSettings exchange;
 
