--- a/src/rollout/rollout_participant.cc
+++ b/src/rollout/rollout_participant.cc
@@ -234,8 +234,17 @@
 // Periodic tasks
 //////////////////
 
+// A rollout that is over needs nothing more, but its order stays in the store.
+bool RolloutParticipant::HasWork() const {
+  return std::any_of(this->entries.begin(), this->entries.end(),
+                     [this](const auto& entry) {
+                       return entry.second.tracker.IsRunning() ||
+                              this->DueStatus(entry.second).has_value();
+                     });
+}
+
 void RolloutParticipant::Tick() {
-  if (this->entries.empty()) {
+  if (!this->HasWork()) {
     return;
   }
   this->hosts = this->deps.traffic.HostNames();
--- a/src/rollout/rollout_participant.h
+++ b/src/rollout/rollout_participant.h
@@ -153,6 +153,7 @@
     VersionRestrictions restrictions;
   };
 
+  bool HasWork() const;
   void Tick();
   void UpdateRole(const std::string& service, Entry* entry);
   void Report(Entry* entry);
--- a/src/settings/tests/relay_settings_test.cc
+++ b/src/settings/tests/relay_settings_test.cc
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 namespace meadowthread {
 namespace {
 
@@ -13,6 +15,7 @@
     "retries: {per_request: 0.2, extra: 58}\n"
     "bounds: {grace_s: 8, descriptors: 4100, memory_mb: 110,\n"
     "  leaving_ms: 1900, emptying_ms: 4000, cold_over: 1.5, settle_ms: 2800}\n"
+    "rollouts: {max_bad_share: 0.1, max_bad_requests: 50}\n"
     "zones: [{name: pasig-hall, region: metro-manila}]\n";
 
 Test(relay_settings, are_read_completely) {
@@ -30,9 +33,21 @@
   cr_assert(parsed.settings.bounds.change_ms == 2'000, "not set");
   cr_assert(parsed.settings.bounds.emptying_ms == 4'000);
   cr_assert(parsed.settings.bounds.cold_over == 1.5);
+  cr_assert(parsed.settings.rollouts.max_bad_share == 0.1);
+  cr_assert(parsed.settings.rollouts.max_bad_requests == 50.0);
   cr_assert(parsed.settings.regions.at("pasig-hall") == "metro-manila");
 }
 
+Test(relay_settings, with_rollout_limits_out_of_range_are_refused) {
+  const ParsedRelaySettings parsed =
+      ParseRelaySettings("rollouts: {max_bad_share: 1.5}\n");
+  const bool is_named = std::any_of(
+      parsed.problems.begin(), parsed.problems.end(), [](const auto& problem) {
+        return problem.field == "rollouts.max_bad_share";
+      });
+  cr_assert(is_named);
+}
+
 Test(relay_settings, with_problems_report_every_field) {
   const ParsedRelaySettings parsed = ParseRelaySettings(
       "host: {name: entry-1}\nstores: x\n"
