--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -126,19 +126,7 @@
   if (this->first_event_ms < 0) {
     this->first_event_ms = now_ms - this->begun_ms;
   } else {
-    const std::int64_t gap_ms = now_ms - this->last_event_ms;
-    this->longest_gap_ms = std::max(this->longest_gap_ms, gap_ms);
-    if (gap_ms > kLinkStallMs && !was_moved) {
-      this->RecordLinkStall();
-    }
-    if (gap_ms > kStallMs) {
-      LogLine("stall")
-          .Add("request", this->request.id)
-          .Add("engine", this->engine)
-          .Add("events", this->events)
-          .Add("gap_ms", gap_ms)
-          .Write();
-    }
+    this->NoteGap(now_ms - this->last_event_ms, was_moved);
   }
   if (this->attempt_first_event_ms < 0) {
     this->NoteFirstEvent(now_ms);
@@ -174,6 +162,21 @@
   }
 }
 
+void StreamSession::NoteGap(std::int64_t gap_ms, bool was_moved) {
+  this->longest_gap_ms = std::max(this->longest_gap_ms, gap_ms);
+  if (gap_ms > kLinkStallMs && !was_moved) {
+    this->RecordLinkStall();
+  }
+  if (gap_ms > kStallMs) {
+    LogLine("stall")
+        .Add("request", this->request.id)
+        .Add("engine", this->engine)
+        .Add("events", this->events)
+        .Add("gap_ms", gap_ms)
+        .Write();
+  }
+}
+
 void StreamSession::RecordLinkStall() {
   if (const Backend* const from = this->deps.backends.Find(this->engine)) {
     this->stream_deps.links.NoteStall(from->entry.zone,
--- a/src/relay/stream_session.h
+++ b/src/relay/stream_session.h
@@ -122,6 +122,7 @@
   std::int64_t ElapsedMs() const;
   void Send(const Backend& backend, const std::optional<Continuation>& from);
   void ForwardEvents(std::vector<RawSseEvent>* new_events);
+  void NoteGap(std::int64_t gap_ms, bool was_moved);
   void RecordLinkStall();
   void SendHeadOnce();
   void OnStreamEnd(const HttpCallResult& end);
