--- a/src/relay/relay_dependencies.h
+++ b/src/relay/relay_dependencies.h
@@ -62,8 +62,7 @@
 std::optional<ServerInstance> ServerUnlessLeaving(const BackendList& backends,
                                                   std::string_view key);
 
-/// @brief Records how an attempt ended, as evidence on the server's health and
-/// on its version.
+/// @brief How an attempt at a backend server ended, or how its stream began.
 struct AttemptEnd {
   std::string_view server;  ///< its key
   std::string_view route;
@@ -75,6 +74,9 @@
   std::int64_t first_ms = -1;
   std::int64_t gap_ms = -1;  ///< mean time between events; -1: not known
 };
+
+/// @brief Records the end of an attempt, as evidence on the server's health and
+/// on its version.
 void RecordAttempt(const RelayDependencies& deps, const AttemptEnd& end);
 
 /// @brief Records the first event of a stream, as evidence on the server's
--- a/src/relay/stream_session.h
+++ b/src/relay/stream_session.h
@@ -203,7 +203,8 @@
   std::int64_t attempt_first_event_ms = -1;
   /// The engines that the request may be sent to, by their version.
   VersionRule versions;
-  /// Whether the rule of a request's first attempt has no usable engine.
+  /// The request may go to the versions for further attempts, as no engine that
+  /// the rule for its first one permits could take it.
   bool fell_back = false;
   /// Reading from the engine is paused, as the caller is slow.
   bool paused = false;
