--- a/src/rollout/tests/rollout_simulation_test.cc
+++ b/src/rollout/tests/rollout_simulation_test.cc
@@ -103,6 +103,13 @@
   }
 }
 
+Test(a_bad_version, is_rolled_back_within_its_limits_by_a_thousand_hosts) {
+  RolloutScenario scenario;
+  scenario.hosts = 1'000;
+  scenario.behaviour = VersionBehaviour::kFailsUnderLoad;
+  ExpectRolledBack(scenario);
+}
+
 Test(a_bad_version, is_rolled_back_while_the_store_takes_no_writes) {
   RolloutScenario scenario;
   scenario.behaviour = VersionBehaviour::kFailsAtOnce;
