Rounds leave out what gossip has brought already

Cause (fleet, calls to the store and skipped rounds): two hosts that differed in one object in flight sent each other all objects above their revisions; the fingerprint of these was not renewed when gossip brought servers; and a host that got one server in a round pushed all that had changed to three peers, though servers are excluded from pushes.

Change: the digest lists the versions that are known above the revision, and the answer leaves them out; every change renews the digest; the exclusion is the exchanger's own.

--- a/src/exchange/exchange_message.cc
+++ b/src/exchange/exchange_message.cc
@@ -1,5 +1,6 @@
 #include "exchange/exchange_message.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include "absl/strings/str_cat.h"
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr std::size_t kMaxOutlook = 64;
+constexpr std::int64_t kMaxVersionOffset = std::int64_t{1} << 53;
 
 using nlohmann::json;
 
@@ -66,6 +68,15 @@
   return list;
 }
 
+// Offsets from the revision, which are short.
+json OffsetsJson(const KindDigest& digest) {
+  json offsets = json::array();
+  for (const std::int64_t version : digest.beyond_versions) {
+    offsets.push_back(version - digest.revision);
+  }
+  return offsets;
+}
+
 json ViewJson(const KindUpdate& view) {
   const KindDigest& digest = view.digest;
   json value = {{"kind", digest.kind},
@@ -75,6 +86,9 @@
   if (digest.beyond != 0) {
     value["beyond"] = absl::StrCat(absl::Hex(digest.beyond));
   }
+  if (!digest.beyond_versions.empty()) {
+    value["beyond_at"] = OffsetsJson(digest);
+  }
   if (view.full_state_required) {
     value["ask_anew"] = true;
   }
@@ -171,6 +185,28 @@
   return items;
 }
 
+// The versions only save bytes: malformed or too many ones are dropped.
+std::vector<std::int64_t> BeyondVersionsFrom(const json& value,
+                                             std::int64_t revision) {
+  const auto found = value.find("beyond_at");
+  if (found == value.end() || !found->is_array() ||
+      found->size() > kMaxBeyondVersions || revision > kMaxVersionOffset) {
+    return {};
+  }
+  std::vector<std::int64_t> versions;
+  for (const json& offset : *found) {
+    const bool fits = offset.is_number_integer() &&
+                      offset.get<std::int64_t>() >= 0 &&
+                      offset.get<std::int64_t>() <= kMaxVersionOffset;
+    if (!fits) {
+      return {};
+    }
+    versions.push_back(revision + offset.get<std::int64_t>());
+  }
+  std::sort(versions.begin(), versions.end());
+  return versions;
+}
+
 absl::StatusOr<KindDigest> DigestFrom(const json& value) {
   KindDigest digest;
   const absl::StatusOr<std::string> kind = StringField(value, "kind");
@@ -192,6 +228,7 @@
   if (parsed.ec != std::errc() || parsed.ptr != end) {
     return Invalid("beyond", "is not a hexadecimal number");
   }
+  digest.beyond_versions = BeyondVersionsFrom(value, digest.revision);
   return digest;
 }
 
--- a/src/exchange/exchanger.cc
+++ b/src/exchange/exchanger.cc
@@ -4,12 +4,14 @@
 #include <utility>
 
 #include "base/error.h"
+#include "base/log_line.h"
 
 namespace meadowthread {
 namespace {
 
 constexpr std::int64_t kContinueDelayMs = 10;
 constexpr int kPushRetries = 1;
+constexpr std::int64_t kSkipLogMs = 10'000;
 // The control server accepts bodies of 1 MiB; 1024 bytes are left for the
 // JSON-RPC envelope.
 constexpr std::size_t kMaxRequestBytes = (std::size_t{1} << 20) - 1024;
@@ -84,7 +86,7 @@
 void Exchanger::RunRound() {
   ++this->stats.rounds;
   if (!this->budget.AllowsCall()) {
-    ++this->stats.rounds_skipped;
+    this->SkipRound();
     return;
   }
   const int free_calls = this->settings.max_calls - this->calls_in_progress;
@@ -99,6 +101,25 @@
   }
 }
 
+// Hosts that make no rounds hear late that others have read the store, and then
+// read it themselves.
+void Exchanger::SkipRound() {
+  ++this->stats.rounds_skipped;
+  const std::int64_t now_ms = this->parts.clock.MonotonicMs();
+  if (this->skip_logged_ms.has_value() &&
+      now_ms - *this->skip_logged_ms < kSkipLogMs) {
+    return;
+  }
+  this->skip_logged_ms = now_ms;
+  LogLine("exchange-rounds-skipped")
+      .Add("why", "byte budget")
+      .Add("since_start", this->stats.rounds_skipped)
+      .Add("of", this->stats.rounds)
+      .Add("bytes_in", this->stats.bytes_in)
+      .Add("bytes_out", this->stats.bytes_out)
+      .WriteImportant();
+}
+
 // Revision 0 requests the full state.
 std::vector<KindUpdate> Exchanger::RequestDigests() {
   const std::int64_t now_ms = this->parts.clock.MonotonicMs();
@@ -118,6 +139,12 @@
 
 void Exchanger::NoteChange(std::string_view kind) {
   this->synchronizer.NoteChange();
+  if (!this->unpushed_kinds.contains(kind)) {
+    this->Push(kind);
+  }
+}
+
+void Exchanger::Push(std::string_view kind) {
   this->changed_kinds.emplace(kind);
   this->SchedulePush(this->settings.push_delay_ms);
 }
--- a/src/exchange/exchanger.h
+++ b/src/exchange/exchanger.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <span>
@@ -89,10 +90,19 @@
   /// @brief Replaces the list of hosts.
   void SetHosts(std::span<const PeerEntry> hosts);
 
-  /// @brief To be called when the source got a change of a kind, from the
-  /// object store or an operator; schedules a push to peers.
+  /// @brief Excludes a kind from pushes, as its changes reach peers by other
+  /// means; rounds still exchange it.
+  void ExcludeFromPush(std::string_view kind) {
+    this->unpushed_kinds.emplace(kind);
+  }
+
+  /// @brief To be called when the source got a change of a kind by other means
+  /// than the exchange; schedules a push to peers unless the kind is excluded.
   void NoteChange(std::string_view kind);
 
+  /// @brief Schedules a push of a kind's changes, also if it is excluded.
+  void Push(std::string_view kind);
+
   /// @brief Handles the method `exchange`: decodes a peer's message and returns
   /// the response.
   absl::StatusOr<std::string> Exchange(std::string_view params);
@@ -119,6 +129,7 @@
   // 1. rounds
   void ScheduleRound();
   void RunRound();
+  void SkipRound();
   std::vector<KindUpdate> RequestDigests();
 
   // 2. pushed changes
@@ -149,12 +160,14 @@
   std::mt19937_64 random;
   LoadSource* load_source = nullptr;
   LoadSink* load_sink = nullptr;
+  std::set<std::string, std::less<>> unpushed_kinds;
   std::set<std::string, std::less<>> changed_kinds;  ///< not pushed yet
   /// The revision of each kind at the last push.
   std::map<std::string, std::int64_t, std::less<>> pushed_revisions;
   bool push_scheduled = false;
   bool caught_up = false;
   int calls_in_progress = 0;
+  std::optional<std::int64_t> skip_logged_ms;  ///< monotonic
   ExchangeStats stats;
   /// Keeps tasks and responses from using this object after its destruction.
   Lifetime life;
--- a/src/exchange/kind_digest.h
+++ b/src/exchange/kind_digest.h
@@ -1,6 +1,7 @@
 #ifndef MEADOWTHREAD_EXCHANGE_KIND_DIGEST_H_
 #define MEADOWTHREAD_EXCHANGE_KIND_DIGEST_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -9,6 +10,9 @@
 
 namespace meadowthread {
 
+/// @brief Maximum length of KindDigest::beyond_versions.
+inline constexpr std::size_t kMaxBeyondVersions = 256;
+
 /// @brief Digest of what a host knows of one kind of object.
 struct KindDigest {
   std::string kind;
@@ -18,6 +22,9 @@
   std::string confirmed_by;  ///< host that did this read; empty: none yet
   /// Hash of the objects known above `revision`; 0: there are none.
   std::uint64_t beyond = 0;
+  /// Versions of the first kMaxBeyondVersions of these objects, ascending. A
+  /// version is a revision of the store, so that no two objects share one.
+  std::vector<std::int64_t> beyond_versions = {};
 
   friend bool operator==(const KindDigest&, const KindDigest&) = default;
 };
--- a/src/exchange/peer_digest_cache.cc
+++ b/src/exchange/peer_digest_cache.cc
@@ -8,6 +8,8 @@
   known.clear();
   for (const KindUpdate& view : views) {
     known.push_back(view.digest);
+    // Needed only for the answer to this message, and long.
+    known.back().beyond_versions = {};
   }
 }
 
--- a/src/exchange/tests/exchanger_test.cc
+++ b/src/exchange/tests/exchanger_test.cc
@@ -4,12 +4,19 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
 #include "exchange/tests/fake_fleet.h"
 
 namespace meadowthread {
 namespace {
 
 using fake::FakeFleet;
+using fake::FakeHost;
 using fake::ObjectOf;
 
 constexpr std::int64_t kWarmUpMs = 3000;
@@ -273,21 +280,127 @@
   cr_assert(from.front() == (EngineLoadNote{"e-3", "host-2", 2, 900, 5}));
 }
 
+/// @brief Plays many changes that gossip brings to nearly all hosts, while a
+/// few hosts read the store.
+/// @return the mean bytes a host and second
+double PlayGossipedChanges(FakeFleet* fleet) {
+  constexpr int kReaders = 4;
+  constexpr std::int64_t kChangeMs = 30;
+  constexpr std::int64_t kReadMs = 120;
+  constexpr std::int64_t kPlayMs = 4'800;
+  constexpr unsigned kMissedOneIn = 50;
+  std::mt19937 random(1);
+  const StoredObject first = ObjectOf(kMarksKind, "first", 1);
+  for (int host = 0; host < fleet->Size(); ++host) {
+    fleet->At(host).exchanger.ExcludeFromPush(kMarksKind);
+    fleet->At(host).view.ApplyList(kMarksKind, 0, {1, {first}}, {});
+    fleet->At(host).exchanger.NoteChange(kMarksKind);
+  }
+  fleet->Run(kWarmUpMs);
+  std::int64_t before = 0;
+  for (int host = 0; host < fleet->Size(); ++host) {
+    const ExchangeStats stats = fleet->At(host).exchanger.Stats();
+    before += stats.bytes_in + stats.bytes_out;
+  }
+  std::vector<StoredObject> changes;
+  for (std::int64_t at_ms = 0; at_ms < kPlayMs; at_ms += kChangeMs) {
+    const std::int64_t version = 2 + std::ssize(changes);
+    changes.push_back(ObjectOf(kMarksKind, absl::StrCat("i-", version), version,
+                               std::string(400, 'x')));
+    for (int host = kReaders; host < fleet->Size(); ++host) {
+      if (random() % kMissedOneIn != 0) {
+        fleet->At(host).view.ApplyItems({&changes.back(), 1});
+        fleet->At(host).exchanger.NoteChange(kMarksKind);
+      }
+    }
+    if (at_ms % kReadMs == 0) {
+      FakeHost& reader =
+          fleet->At(static_cast<int>(at_ms / kReadMs) % kReaders);
+      const std::int64_t since = reader.view.Digest(kMarksKind).revision;
+      const std::vector<StoredObject> news(changes.begin() + (since - 1),
+                                           changes.end());
+      reader.view.ApplyList(kMarksKind, since, {version, news},
+                            {fleet->clock.WallMs(), "reader"});
+      reader.exchanger.NoteChange(kMarksKind);
+    }
+    fleet->Run(kChangeMs);
+  }
+  std::int64_t bytes = 0;
+  for (int host = 0; host < fleet->Size(); ++host) {
+    const ExchangeStats stats = fleet->At(host).exchanger.Stats();
+    bytes += stats.bytes_in + stats.bytes_out;
+  }
+  return static_cast<double>(bytes - before) * kSecondMs / kPlayMs /
+         fleet->Size();
+}
+
+// Hosts sent each other all that had changed for a second whenever a single
+// object was on its way. The bytes then used up the budget, rounds were
+// skipped, and hosts read the store because nobody confirmed their views.
+Test(changes_that_gossip_brings, are_not_sent_again_by_rounds) {
+  constexpr double kAllowedGrowth = 1.2;
+  FakeFleet small({64, 5, 1}, {}, 1);
+  const double small_bytes = PlayGossipedChanges(&small);
+  FakeFleet large({512, 5, 1}, {}, 1);
+  const double large_bytes = PlayGossipedChanges(&large);
+  cr_assert(large_bytes <= kAllowedGrowth * small_bytes, "%.0f, %.0f bytes/s",
+            small_bytes, large_bytes);
+  // Less than each change once.
+  cr_assert(large_bytes < 400.0 * kSecondMs / 30, "%.0f bytes/s", large_bytes);
+  std::int64_t oldest_ms = 0;
+  std::int64_t skipped = 0;
+  for (int host = 0; host < large.Size(); ++host) {
+    FakeHost& at = large.At(host);
+    oldest_ms =
+        std::max(oldest_ms, large.clock.WallMs() -
+                                at.view.Digest(kMarksKind).confirmed.unix_ms);
+    skipped += at.exchanger.Stats().rounds_skipped;
+  }
+  cr_assert(skipped < large.Size() / 10, "%d rounds",
+            static_cast<int>(skipped));
+  cr_assert(oldest_ms < 3'500, "%d ms", static_cast<int>(oldest_ms));
+}
+
 Test(a_message, reads_back_as_it_was_written) {
   ExchangeMessage message{"pasig-1", 17, {}, {}};
   message.loads.push_back({"e-1", "pasig-1", 3, 4096, 99});
   KindDelta delta{"marks", 4, 9, true, true, 0, "", {}};
   delta.items = {ObjectOf(kMarksKind, "a", 8), {"marks", "b", 9, "", true}};
-  message.views.push_back({{"marks", 11, 1234, "pasig-2", 0xabc}, delta, true});
+  const KindDigest digest{"marks", 11, 1234, "pasig-2", 0xabc, {12, 15}};
+  KindUpdate sent;
+  sent.digest = digest;
+  sent.delta = delta;
+  sent.full_state_required = true;
+  message.views.push_back(sent);
   const auto read = DecodeExchange(EncodeExchange(message), "pasig-1");
   cr_assert(read.ok() && read->from == "pasig-1" && read->incarnation == 17);
   cr_assert(read->loads == message.loads);
   const KindUpdate& view = read->views.at(0);
-  cr_assert(view.digest == message.views.at(0).digest);
+  cr_assert(view.digest == digest);
   cr_assert(view.delta->items == delta.items);
   cr_assert(view.delta->since == 4 && view.delta->revision == 9);
   cr_assert(view.delta->full && view.delta->cut && view.full_state_required);
 }
 
+// Versions beyond the revision only save bytes: a message with strange ones is
+// taken without them.
+Test(a_message, is_read_without_malformed_versions) {
+  std::string many = "1";
+  for (std::size_t n = 0; n < kMaxBeyondVersions; ++n) {
+    many += ",1";
+  }
+  for (const std::string& offsets :
+       {std::string("7"), std::string("[-1]"), std::string("[1e300]"),
+        std::string("[\"x\"]"), absl::StrCat("[", many, "]")}) {
+    const std::string text = absl::StrCat(
+        R"({"from": "a", "incarnation": 1, "views": [{"kind": "marks", )",
+        R"("revision": 5, "confirmed_unix_ms": 0, "confirmed_by": "", )",
+        R"("beyond": "1", "beyond_at": )", offsets, "}]}");
+    const auto read = DecodeExchange(text, "a");
+    cr_assert(read.ok(), "%s", offsets.c_str());
+    cr_assert(read->views.at(0).digest.beyond_versions.empty());
+  }
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/exchange/view_synchronizer.cc
+++ b/src/exchange/view_synchronizer.cc
@@ -11,12 +11,26 @@
 constexpr std::size_t kSmallStateBytes = std::size_t{8} << 10;
 constexpr std::size_t kBeyondLimitBytes = std::size_t{64} << 10;
 
+// Where gossip was faster, the peer has the objects, and only does not know yet
+// that there are no others up to the delta's revision.
+void RemoveKnown(const KindDigest& theirs, KindDelta* delta) {
+  if (delta->full) {
+    return;
+  }
+  const std::vector<std::int64_t>& known = theirs.beyond_versions;
+  std::erase_if(delta->items, [&known](const StoredObject& item) {
+    return std::binary_search(known.begin(), known.end(), item.version);
+  });
+}
+
 }  // namespace
 
 std::vector<KindUpdate> ViewSynchronizer::Digests() {
   std::vector<KindUpdate> parts;
   for (KindDigest& digest : this->source.Digests()) {
-    digest.beyond = this->FingerprintBeyond(digest);
+    const ObjectsBeyond& beyond = this->BeyondOf(digest);
+    digest.beyond = beyond.fingerprint;
+    digest.beyond_versions = beyond.versions;
     parts.push_back(KindUpdate{std::move(digest), std::nullopt, false});
   }
   return parts;
@@ -47,6 +61,7 @@
   }
   KindDelta delta =
       this->source.DeltaSince(own.kind, theirs.revision, limits.items);
+  RemoveKnown(theirs, &delta);
   if (delta.items.empty() && delta.revision <= theirs.revision) {
     return;
   }
@@ -91,20 +106,23 @@
 // Objects above the digest's revision were pushed by peers. Without their
 // fingerprint, two hosts at the same revision could not tell that both have
 // them, and would send them to each other in each round.
-std::uint64_t ViewSynchronizer::FingerprintBeyond(const KindDigest& digest) {
-  CachedFingerprint& beyond = this->fingerprints[digest.kind];
-  if (beyond.revision == digest.revision && beyond.changes == this->changes) {
-    return beyond.fingerprint;
+const ViewSynchronizer::ObjectsBeyond& ViewSynchronizer::BeyondOf(
+    const KindDigest& digest) {
+  ObjectsBeyond& known = this->beyond[digest.kind];
+  if (known.revision == digest.revision && known.changes == this->changes) {
+    return known;
   }
-  std::uint64_t fingerprint = 0;
+  known = ObjectsBeyond{digest.revision, this->changes, 0, {}};
   const KindDelta delta =
       this->source.DeltaSince(digest.kind, digest.revision, kBeyondLimitBytes);
   for (const StoredObject& item : delta.items) {
-    fingerprint ^= XXH64(item.name.data(), item.name.size(),
-                         static_cast<XXH64_hash_t>(item.version));
+    known.fingerprint ^= XXH64(item.name.data(), item.name.size(),
+                               static_cast<XXH64_hash_t>(item.version));
+    if (known.versions.size() < kMaxBeyondVersions) {
+      known.versions.push_back(item.version);
+    }
   }
-  beyond = CachedFingerprint{digest.revision, this->changes, fingerprint};
-  return fingerprint;
+  return known;
 }
 
 namespace detail {
--- a/src/exchange/view_synchronizer.h
+++ b/src/exchange/view_synchronizer.h
@@ -51,20 +51,22 @@
   void NoteChange() { ++this->changes; }
 
  private:
-  /// The fingerprint of a kind, and the state that it was computed from.
-  struct CachedFingerprint {
+  /// The objects of a kind above its revision, and the state in which they were
+  /// looked up.
+  struct ObjectsBeyond {
     std::int64_t revision = -1;
     std::uint64_t changes = 0;
     std::uint64_t fingerprint = 0;
+    std::vector<std::int64_t> versions;
   };
 
   void AddDelta(const KindDigest& theirs, const ItemLimits& limits,
                 KindUpdate* part) const;
-  std::uint64_t FingerprintBeyond(const KindDigest& digest);
+  const ObjectsBeyond& BeyondOf(const KindDigest& digest);
 
   ExchangeSource& source;
   std::uint64_t changes = 0;
-  std::map<std::string, CachedFingerprint, std::less<>> fingerprints;
+  std::map<std::string, ObjectsBeyond, std::less<>> beyond;  ///< by kind
 };
 
 namespace detail {
--- a/src/serve/exchange_participant.cc
+++ b/src/serve/exchange_participant.cc
@@ -1,7 +1,6 @@
 #include "serve/exchange_participant.h"
 
 #include <QHostAddress>
-#include <algorithm>
 #include <random>
 #include <string>
 #include <vector>
@@ -44,11 +43,7 @@
           MakeExchangeSettings(settings.exchange), NewSeed(),
           {this->source, this->directory, this->client, scheduler, clock}) {
   view.AddListener([this](const ViewChange& change) {
-    if (std::find(this->excluded_from_news.begin(),
-                  this->excluded_from_news.end(),
-                  change.kind) == this->excluded_from_news.end()) {
-      this->exchanger.NoteChange(change.kind);
-    }
+    this->exchanger.NoteChange(change.kind);
   });
 }
 
--- a/src/serve/exchange_participant.h
+++ b/src/serve/exchange_participant.h
@@ -42,9 +42,12 @@
   /// @brief Excludes a kind from immediate pushes, as its changes reach peers
   /// by other means; the regular rounds still exchange it.
   void ExcludeFromImmediatePush(std::string_view kind) {
-    this->excluded_from_news.emplace_back(kind);
+    this->exchanger.ExcludeFromPush(kind);
   }
 
+  /// @brief Pushes what has changed of a kind to a few peers.
+  void PushSoon(std::string_view kind) { this->exchanger.Push(kind); }
+
   /// @brief Whether a peer is considered reachable.
   bool IsReachable(std::string_view name) const {
     return !this->directory.IsSuspected(name);
@@ -64,7 +67,6 @@
 
   HostSettings host;
   HostDirectory& hosts;
-  std::vector<std::string> excluded_from_news;
   RpcClient client;
   RpcServer server;
   PeerDirectory directory;
