Changes of long objects travel as differences, several short ones together

Watches came late, calls timed out, and leaving servers got no acknowledgement in time.

Change: ViewDatagrams sends several objects compressed in one datagram, and a long object as the difference from the version before (zstd, the old value as prefix); hosts that missed one ask for the patches since their version, each 200 ms, and read the store after 1.5 s. Reminders after 200 and 800 ms. Differences that are too long are pushed by the exchange as before.

--- a/fuzz/peers_fuzzer.cc
+++ b/fuzz/peers_fuzzer.cc
@@ -2,14 +2,22 @@
 // the state exchange.
 #include "allocation/allocation_messages.h"
 #include "base/clock.h"
+#include "configuration/value_patch.h"
 #include "exchange/datagrams.h"
 #include "exchange/exchange_message.h"
 #include "exchange/load_datagrams.h"
+#include "exchange/patch_history.h"
 #include "exchange/view_datagrams.h"
 #include "fuzz/fuzz_input.h"
 #include "quarantine/crash_messages.h"
 #include "quarantine/crash_record_table.h"
 
+namespace {
+
+constexpr std::size_t kMaxPatchedBytes = 1'000'000;
+
+}  // namespace
+
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
   using namespace meadowthread;  // NOLINT(google-build-using-namespace)
@@ -30,8 +38,15 @@
         book.Apply(*record, record->cleared_ms);
       }
     }
+    (void)ItemsFrom(datagram->payload);
+    const absl::StatusOr<ObjectPatch> patch =
+        ObjectPatchFrom(datagram->payload);
+    if (patch.ok()) {
+      (void)ApplyPatch("a value that the patch may refer to", patch->bytes,
+                       kMaxPatchedBytes);
+    }
     const absl::StatusOr<std::vector<StoredObject>> items =
-        ItemsFrom(datagram->payload);
+        ItemsFromList(datagram->payload);
     if (items.ok()) {
       ManualClock clock{1'000};
       const std::vector<std::string_view> kinds = {"servers", "config"};
--- a/src/exchange/datagrams.cc
+++ b/src/exchange/datagrams.cc
@@ -46,18 +46,25 @@
   return {bytes.begin(), bytes.end()};
 }
 
-absl::StatusOr<Datagram> DecodeDatagram(std::string_view bytes) {
+absl::StatusOr<json> CborFrom(std::string_view bytes) {
   if (bytes.size() > static_cast<std::size_t>(kMaxDatagramBytes)) {
     return Malformed();
   }
-  json value;
   try {
-    value = json::from_cbor(bytes, true, false);
+    return json::from_cbor(bytes, true, false);
   } catch (const json::exception&) {
     // Despite allow_exceptions = false, from_cbor throws where an array
     // declares a length that exceeds memory.
     return Malformed();
   }
+}
+
+absl::StatusOr<Datagram> DecodeDatagram(std::string_view bytes) {
+  absl::StatusOr<json> decoded = CborFrom(bytes);
+  if (!decoded.ok()) {
+    return decoded.status();
+  }
+  json& value = *decoded;
   const bool fits = value.is_array() && value.size() == kFields &&
                     value[0].is_string() && value[1].is_string();
   if (!fits) {
@@ -138,12 +145,21 @@
   this->Refill();
   const std::string bytes =
       EncodeDatagram({std::string(topic), this->host, payload});
-  std::vector<Target> drawn;
-  std::sample(this->peers.begin(), this->peers.end(), std::back_inserter(drawn),
-              static_cast<std::ptrdiff_t>(count), this->random);
-  for (const Target& peer : drawn) {
-    this->SendTo(peer, bytes);
+  for (const std::size_t index : this->DrawPeers(count)) {
+    this->SendTo(this->peers[index], bytes);
+  }
+}
+
+// Cheap in a fleet of any size: few are drawn, so that one is rarely drawn
+// twice.
+std::set<std::size_t> DatagramHub::DrawPeers(std::size_t count) {
+  const std::size_t wanted = std::min(count, this->peers.size());
+  std::set<std::size_t> drawn;
+  while (drawn.size() < wanted) {
+    std::uniform_int_distribution<std::size_t> any(0, this->peers.size() - 1);
+    drawn.insert(any(this->random));
   }
+  return drawn;
 }
 
 void DatagramHub::SendToHost(std::string_view topic, const json& payload,
--- a/src/exchange/datagrams.h
+++ b/src/exchange/datagrams.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -14,6 +15,7 @@
 
 #include "absl/status/statusor.h"
 #include "base/clock.h"
+#include "base/gossip_channel.h"
 #include "nlohmann/json.hpp"
 
 namespace meadowthread {
@@ -28,6 +30,10 @@
 /// @brief Encodes a datagram as CBOR.
 std::string EncodeDatagram(const Datagram& datagram);
 
+/// @brief Decodes CBOR of at most some thousand bytes; returns an error for
+/// malformed bytes and never throws.
+absl::StatusOr<nlohmann::json> CborFrom(std::string_view bytes);
+
 /// @brief Decodes a datagram; returns an error for malformed bytes and never
 /// throws.
 absl::StatusOr<Datagram> DecodeDatagram(std::string_view bytes);
@@ -41,7 +47,7 @@
 
 /// @brief Sends datagrams within a byte rate limit and passes received ones to
 /// the handler of their topic.
-class DatagramHub {
+class DatagramHub final : public GossipChannel {
  public:
   using Handler =
       std::function<void(std::string_view host, const nlohmann::json& payload)>;
@@ -76,12 +82,12 @@
   /// @brief Sends to up to `count` random peers regardless of the rate limit,
   /// for changes that other hosts wait for.
   void SendToRandom(std::string_view topic, const nlohmann::json& payload,
-                    std::size_t count);
+                    std::size_t count) override;
 
   /// @brief Sends to one host regardless of the rate limit; does nothing if the
   /// host is not a known peer.
   void SendToHost(std::string_view topic, const nlohmann::json& payload,
-                  std::string_view host);
+                  std::string_view host) override;
 
   std::size_t Peers() const { return this->peers.size(); }
 
@@ -94,6 +100,7 @@
   };
 
   void SendTo(const Target& target, const std::string& bytes);
+  std::set<std::size_t> DrawPeers(std::size_t count);
   void Refill();
 
   std::string host;
--- a/src/exchange/tests/view_datagrams_test.cc
+++ b/src/exchange/tests/view_datagrams_test.cc
@@ -21,8 +21,12 @@
   Host(const std::string& name, const Clock& clock, Scheduler& scheduler)
       : hub(name, 100'000, 1, clock),
         view(clock, kKinds),
-        datagrams(std::vector<std::string>{"servers"}, this->view, this->hub,
-                  scheduler, [this](std::string_view) { ++this->behind; }) {}
+        datagrams(
+            std::vector<std::string>{"servers"}, this->view, this->hub,
+            scheduler, [this](std::string_view) { ++this->behind; },
+            [this](std::string_view) { ++this->too_long; }) {
+    this->datagrams.Connect(this->hub);
+  }
 
   void Start() {
     QUdpSocket probe;
@@ -37,6 +41,7 @@
   }
   std::uint16_t port = 0;
   int behind = 0;
+  int too_long = 0;
   DatagramHub hub;
   ReplicatedView view;
   ViewDatagrams datagrams;
--- a/src/rollout/tests/rollout_evaluation_test.cc
+++ b/src/rollout/tests/rollout_evaluation_test.cc
@@ -20,6 +20,7 @@
 
 std::vector<std::string> Names() {
   std::vector<std::string> names;
+  names.reserve(kHosts);
   for (int n = 0; n < kHosts; ++n) {
     names.push_back(absl::StrCat("front-", n));
   }
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -173,7 +173,8 @@
               on.Kinds().backends, on.Kinds().routing_config,
               on.Kinds().emptied_zones, on.Kinds().rollouts},
           this->view, this->hub, this->scheduler,
-          [this](std::string_view kind) { this->feeder.RequestRead(kind); }),
+          [this](std::string_view kind) { this->feeder.RequestRead(kind); },
+          [this](std::string_view kind) { this->exchange.PushSoon(kind); }),
       quarantine(this->listen_check, this->clock, this->scheduler),
       rate_limiter(with.host.name),
       gossip(this->hub),
@@ -268,7 +269,9 @@
   this->quarantine.AddListener([this](const CrashRecordId& quarantined) {
     this->relay.EndQuarantined(quarantined);
   });
+  this->view_datagrams.Connect(this->hub);
   this->exchange.ExcludeFromImmediatePush(on.Kinds().backends);
+  this->exchange.ExcludeFromImmediatePush(on.Kinds().routing_config);
   this->feeder.OnAnswered(
       [this] { this->store_outages.RecordAnswer(this->clock.MonotonicMs()); });
   this->store_uptimes.OnPeerUptime(
@@ -372,7 +375,13 @@
   for (const WatcherState& state : this->feeder.States()) {
     set("passed_over_" + state.kind, state.skipped_objects);
   }
-  set("peers_alive", this->exchange.PeersAlive());
+  const ExchangeStats exchanged = this->exchange.Stats();
+  set("peers_alive", exchanged.peers_alive);
+  set("exchange_rounds", exchanged.rounds);
+  set("exchange_rounds_skipped", exchanged.rounds_skipped);
+  set("exchange_bytes_in", exchanged.bytes_in);
+  set("exchange_bytes_out", exchanged.bytes_out);
+  set("exchange_items_taken", exchanged.items_taken);
   set("quarantined", this->quarantine.Count());
   set("crash_records", this->quarantine.RecordTable().Size());
   set("allocation_groups", this->allocation.OwnGroupCount());
