A patch of an unknown object is not applied

Cause, found by reading: a patch from version 0 of an object that is unknown here was applied to nothing, and the process ended.

Change: only to a known version. The test crashed before.

--- a/src/exchange/tests/view_datagrams_test.cc
+++ b/src/exchange/tests/view_datagrams_test.cc
@@ -9,6 +9,7 @@
 #include <QUdpSocket>
 #include <array>
 
+#include "configuration/value_patch.h"
 #include "exchange/load_datagrams.h"
 #include "net/qt_scheduler.h"
 
@@ -127,6 +128,32 @@
   cr_assert(f.Until([&] { return f.b.VersionOf("i-1") == 7; }));
 }
 
+// A patch without a version before it has nothing to be applied to.
+Test(a_patch_of_an_unknown_object, is_not_applied) {
+  Fixture f;
+  const std::string value(3'000, 'x');
+  const ObjectPatch patch = {"servers", "i-1", 0, 7, MakePatch("", value)};
+  cr_assert(f.b.datagrams.OnMessage("patch", "a", ToJson(patch)).ok());
+  cr_assert(f.b.VersionOf("i-1") == 0);
+  const ObjectPatch backwards = {"servers", "i-1", -5, -7, ""};
+  cr_assert(f.b.datagrams.OnMessage("patch", "a", ToJson(backwards)).ok());
+  cr_assert(f.b.VersionOf("i-1") == 0);
+}
+
+Test(malformed_messages, are_refused) {
+  Fixture f;
+  for (const std::string_view topic :
+       {"items", "patch", "version", "patches"}) {
+    for (const nlohmann::json& payload :
+         {nlohmann::json(7), nlohmann::json::array({"servers", "i-1"}),
+          nlohmann::json::array({"servers", "i-1", "x", 2, "y"}),
+          nlohmann::json::binary({1, 2, 3})}) {
+      cr_assert(!f.b.datagrams.OnMessage(topic, "a", payload).ok(), "%s",
+                std::string(topic).c_str());
+    }
+  }
+}
+
 Test(load_notes, read_back_as_they_were_sent) {
   EngineLoadNote note;
   note.engine = "i-7";
--- a/src/exchange/view_datagrams.cc
+++ b/src/exchange/view_datagrams.cc
@@ -283,7 +283,7 @@
   if (!this->IsSent(patch->kind) || own >= patch->to) {
     return absl::OkStatus();
   }
-  if (own == patch->from) {
+  if (own > 0 && own == patch->from) {
     this->ApplyReceived(*patch);
   }
   if (this->VersionOf(patch->kind, patch->name) < patch->to) {
