--- a/src/exchange/lag_detector.cc
+++ b/src/exchange/lag_detector.cc
@@ -9,9 +9,9 @@
                           std::int64_t now_ms) {
   for (const KindDigest& digest : own) {
     const KindUpdate* const theirs = detail::FindKind(peer, digest.kind);
-    Lag& lag = this->lags[digest.kind];
+    LagState& lag = this->lags[digest.kind];
     if (lag.revision != digest.revision) {
-      lag = Lag{digest.revision, now_ms, false};
+      lag = LagState{digest.revision, now_ms, false};
     }
     const bool is_behind = theirs != nullptr && theirs->full_state_required;
     if (is_behind && !lag.behind) {
--- a/src/exchange/lag_detector.h
+++ b/src/exchange/lag_detector.h
@@ -32,13 +32,13 @@
   bool TakeFullStateRequest(std::string_view kind, std::int64_t now_ms);
 
  private:
-  struct Lag {
+  struct LagState {
     std::int64_t revision = -1;
     std::int64_t since_ms = 0;  ///< when it fell behind at `revision`
     bool behind = false;
   };
 
-  std::map<std::string, Lag, std::less<>> lags;
+  std::map<std::string, LagState, std::less<>> lags;
 };
 
 }  // namespace meadowthread
--- a/src/net/pooled_client.cc
+++ b/src/net/pooled_client.cc
@@ -144,7 +144,7 @@
                      "the URL is not valid");
   }
   if (url.tls || !IsIpv4Address(url.host)) {
-    return std::make_unique<QtSocket>(NamedPeer{url.host, url.port, url.tls});
+    return std::make_unique<QtSocket>(PeerAddress{url.host, url.port, url.tls});
   }
   return PlainSocket::Connect(this->poller, url.host, url.port);
 }
--- a/src/net/qt_socket.cc
+++ b/src/net/qt_socket.cc
@@ -18,7 +18,7 @@
 
 }  // namespace
 
-QtSocket::QtSocket(const NamedPeer& peer)
+QtSocket::QtSocket(const PeerAddress& peer)
     : socket(std::make_unique<QSslSocket>()) {
   this->ConnectSignals();
   const QString host = QString::fromStdString(peer.host);
--- a/src/net/qt_socket.h
+++ b/src/net/qt_socket.h
@@ -14,7 +14,7 @@
 namespace meadowthread {
 
 /// @brief The address of a peer, by host name or IP address.
-struct NamedPeer {
+struct PeerAddress {
   std::string host;
   std::uint16_t port = 0;
   bool tls = false;
@@ -25,7 +25,7 @@
 class QtSocket final : public QObject, public StreamSocket {
  public:
   /// @brief Starts to connect.
-  explicit QtSocket(const NamedPeer& peer);
+  explicit QtSocket(const PeerAddress& peer);
 
   /// @brief Takes over an accepted connection whose TLS handshake is complete.
   explicit QtSocket(std::unique_ptr<QSslSocket> accepted);
--- a/src/net/tests/closing_test.cc
+++ b/src/net/tests/closing_test.cc
@@ -125,7 +125,7 @@
   Fixture f;
   f.server->CloseConnections();
   HttpRequest silent = f.request;
-  SlowClient caller(silent, SlowClient::Sends::kNothing);
+  SlowClient caller(silent, SlowClient::FirstSent::kNothing);
   cr_assert(f.loop.Until([&] { return f.server->Connections() == 1; }));
   cr_assert(f.server->UndeliveredCount() == 0);
 }
--- a/src/net/tests/slow_client.cc
+++ b/src/net/tests/slow_client.cc
@@ -41,7 +41,7 @@
   return bytes;
 }
 
-SlowClient::SlowClient(const HttpRequest& request, Sends sends,
+SlowClient::SlowClient(const HttpRequest& request, FirstSent sends,
                        int receive_bytes)
     : descriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
   // Must be set before connecting, when the TCP window is announced.
@@ -56,7 +56,7 @@
     this->end = End::kReset;
     return;
   }
-  if (sends == Sends::kRequest) {
+  if (sends == FirstSent::kRequest) {
     this->Send(BytesOf(request));
   }
 }
--- a/src/net/tests/slow_client.h
+++ b/src/net/tests/slow_client.h
@@ -14,12 +14,13 @@
  public:
   enum class End { kOpen, kFinished, kReset };
 
-  enum class Sends { kRequest, kNothing };
+  enum class FirstSent { kRequest, kNothing };
   static constexpr int kReceiveBytes = 2'048;
 
   /// @brief Connects to the request's host and sends it.
   /// @param[in] receive_bytes size of its kernel receive buffer
-  explicit SlowClient(const HttpRequest& request, Sends sends = Sends::kRequest,
+  explicit SlowClient(const HttpRequest& request,
+                      FirstSent sends = FirstSent::kRequest,
                       int receive_bytes = kReceiveBytes);
   ~SlowClient();
   SlowClient(const SlowClient&) = delete;
--- a/src/placement/bench/planner_bench.cc
+++ b/src/placement/bench/planner_bench.cc
@@ -11,8 +11,8 @@
 constexpr int kZones = 16;
 constexpr int kSlotsPerEngine = 2;
 
-std::vector<NeededModel> NeedModels(int count) {
-  std::vector<NeededModel> needed;
+std::vector<ModelDemand> NeedModels(int count) {
+  std::vector<ModelDemand> needed;
   needed.reserve(count);
   for (int model = 0; model < count; ++model) {
     needed.push_back({{"model-" + std::to_string(model), "", "1"}});
@@ -22,7 +22,7 @@
 
 /// Engines that hold the needed models, except for one in 100, which is empty.
 std::vector<PlacedEngine> PlaceEngines(int count,
-                                       const std::vector<NeededModel>& needed) {
+                                       const std::vector<ModelDemand>& needed) {
   std::vector<PlacedEngine> engines(count);
   for (int index = 0; index < count; ++index) {
     PlacedEngine& engine = engines[index];
@@ -41,7 +41,7 @@
 }
 
 void BenchmarkPlan(benchmark::State& state, int loads) {
-  const std::vector<NeededModel> needed = NeedModels(16);
+  const std::vector<ModelDemand> needed = NeedModels(16);
   const std::vector<PlacedEngine> engines =
       PlaceEngines(static_cast<int>(state.range(0)), needed);
   PlannerInput input;
--- a/src/placement/group_controller.cc
+++ b/src/placement/group_controller.cc
@@ -92,7 +92,7 @@
 }
 
 void GroupController::PlanOrders() {
-  const std::vector<NeededModel> needed = this->context.source.NeededModels();
+  const std::vector<ModelDemand> needed = this->context.source.NeededModels();
   const std::vector<PlacedEngine> engines =
       this->table.PlannerView(this->context.ownership);
   PlannerInput input;
--- a/src/placement/lease.cc
+++ b/src/placement/lease.cc
@@ -120,7 +120,7 @@
 }
 
 void Lease::BeginTenure() {
-  this->tenure = Tenure{};
+  this->tenure = LeaseTerm{};
   this->tenure->nonce = this->nonces.Next();
   this->tenure->base_version = this->observed->version;
   this->Write();
@@ -141,7 +141,7 @@
 }
 
 void Lease::Write() {
-  Tenure& now = *this->tenure;
+  LeaseTerm& now = *this->tenure;
   const std::int64_t sequence = now.next_sequence;
   const std::string text =
       EncodeLease(this->MakeDocument(this->settings.ttl_ms));
@@ -213,7 +213,7 @@
 }
 
 void Lease::ConfirmWrite(std::int64_t version, std::int64_t sequence) {
-  Tenure& now = *this->tenure;
+  LeaseTerm& now = *this->tenure;
   if (version <= now.version) {
     return;
   }
--- a/src/placement/lease.h
+++ b/src/placement/lease.h
@@ -100,7 +100,7 @@
   };
   /// The state from the first attempt to acquire the lease until it is given
   /// up or another host's write is seen.
-  struct Tenure {
+  struct LeaseTerm {
     std::string nonce;
     std::int64_t base_version = 0;   ///< version before the first attempt
     std::int64_t first_version = 0;  ///< first confirmed version; 0: none
@@ -141,7 +141,7 @@
   ObjectStore& store;
   const Clock& clock;
   NonceSource& nonces;
-  std::optional<Tenure> tenure;
+  std::optional<LeaseTerm> tenure;
   std::optional<ObservedLease> observed;
   std::int64_t takeover_delay_ms = 0;
   bool call_in_flight = false;
--- a/src/placement/placement_source.h
+++ b/src/placement/placement_source.h
@@ -28,7 +28,7 @@
 
   /// @brief The models that the accepted templates need, as this host knows
   /// them.
-  virtual std::vector<NeededModel> NeededModels() = 0;
+  virtual std::vector<ModelDemand> NeededModels() = 0;
 
   /// @brief Whether the list of needed models is recent enough to unload models
   /// that are not in it.
--- a/src/placement/placement_state.cc
+++ b/src/placement/placement_state.cc
@@ -9,10 +9,10 @@
   return std::find(keys.begin(), keys.end(), key) != keys.end();
 }
 
-int IndexOf(std::span<const NeededModel> needed, const ServedModel& key) {
+int IndexOf(std::span<const ModelDemand> needed, const ServedModel& key) {
   const auto found =
       std::find_if(needed.begin(), needed.end(),
-                   [&key](const NeededModel& one) { return one.key == key; });
+                   [&key](const ModelDemand& one) { return one.key == key; });
   return found == needed.end() ? -1 : static_cast<int>(found - needed.begin());
 }
 
@@ -65,7 +65,7 @@
 }
 
 void PlacementState::AddEngine(const PlacedEngine& placed,
-                               std::span<const NeededModel> needed) {
+                               std::span<const ModelDemand> needed) {
   EnginePlacement engine;
   engine.input = &placed;
   engine.zone = this->ZoneIndex(placed.zone);
@@ -100,7 +100,7 @@
     slots += engine.input->capacity;
   }
   double total_weight = 0;
-  for (const NeededModel& one : input.needed) {
+  for (const ModelDemand& one : input.needed) {
     total_weight += std::max(0.0, one.weight);
   }
   for (std::size_t index = 0; index < this->models.size(); ++index) {
--- a/src/placement/placement_state.h
+++ b/src/placement/placement_state.h
@@ -64,7 +64,7 @@
 
  private:
   void AddEngine(const PlacedEngine& placed,
-                 std::span<const NeededModel> needed);
+                 std::span<const ModelDemand> needed);
   int ZoneIndex(std::string_view zone);
   void SetQuotas(const PlannerSettings& settings, const PlannerInput& input);
 
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -12,7 +12,7 @@
 namespace meadowthread {
 
 /// @brief A model that the accepted templates need.
-struct NeededModel {
+struct ModelDemand {
   ServedModel key;
   double weight = 1;    ///< share of the demand, relative to the other models
   bool urgent = false;  ///< an urgent service needs it
@@ -72,7 +72,7 @@
 
 /// @brief Everything that a plan depends on besides the settings.
 struct PlannerInput {
-  std::span<const NeededModel> needed;
+  std::span<const ModelDemand> needed;
   std::span<const PlacedEngine> engines;
   int load_budget = 0;         ///< loads that may be ordered now
   int urgent_load_budget = 0;  ///< the same for models below min_copies
--- a/src/placement/tests/controller_fixture.h
+++ b/src/placement/tests/controller_fixture.h
@@ -17,12 +17,12 @@
 /// @brief A placement source whose answers a test sets.
 class FakePlacementSource final : public PlacementSource {
  public:
-  std::vector<NeededModel> NeededModels() override { return this->needed; }
+  std::vector<ModelDemand> NeededModels() override { return this->needed; }
   bool NeededModelsAreFresh() override { return true; }
   std::span<const ListedEngine> Engines() override { return this->listed; }
   std::span<const std::string> LiveHosts() override { return this->hosts; }
 
-  std::vector<NeededModel> needed;
+  std::vector<ModelDemand> needed;
   std::vector<ListedEngine> listed;
   std::vector<std::string> hosts = {"one", "two"};
 };
--- a/src/placement/tests/planner_property_test.cc
+++ b/src/placement/tests/planner_property_test.cc
@@ -101,7 +101,7 @@
   std::mt19937 random;
   std::vector<PlacedEngine> engines;
   std::vector<int> due_rounds;
-  std::vector<NeededModel> needed;
+  std::vector<ModelDemand> needed;
   int round = 0;
 };
 
@@ -110,7 +110,7 @@
 bool KeepsLastCopies(SimulatedFleet& fleet, const Plan& plan) {
   std::vector<int> before;
   before.reserve(fleet.needed.size());
-  for (const NeededModel& one : fleet.needed) {
+  for (const ModelDemand& one : fleet.needed) {
     before.push_back(fleet.ConfirmedCopies(one.key));
   }
   fleet.Order(plan);
@@ -167,7 +167,7 @@
     }
     cr_assert(rounds_without_change > kLoadRounds, "seed %u does not settle",
               seed);
-    for (const NeededModel& one : fleet.needed) {
+    for (const ModelDemand& one : fleet.needed) {
       cr_assert(fleet.ConfirmedCopies(one.key) >= 1);
     }
     cr_assert(fleet.MakeNextPlan().shortages.empty());
--- a/src/placement/tests/planner_test.cc
+++ b/src/placement/tests/planner_test.cc
@@ -32,7 +32,7 @@
   return engines;
 }
 
-PlannerInput Input(const std::vector<NeededModel>& needed,
+PlannerInput Input(const std::vector<ModelDemand>& needed,
                    const std::vector<PlacedEngine>& engines) {
   PlannerInput input;
   input.needed = needed;
@@ -56,14 +56,14 @@
 }
 
 Test(a_plan, fills_empty_engines_by_share_of_the_demand) {
-  const std::vector<NeededModel> needed = {{Key("a"), 2}, {Key("b"), 1}};
+  const std::vector<ModelDemand> needed = {{Key("a"), 2}, {Key("b"), 1}};
   const auto engines = SixEngines({""});
   const Plan plan = MakePlan(UnlimitedChanges(), Input(needed, engines));
   cr_assert(CountLoads(plan, "a") == 4 && CountLoads(plan, "b") == 2);
 }
 
 Test(a_plan, puts_the_copies_of_a_model_into_different_zones) {
-  const std::vector<NeededModel> needed = {{Key("a")}, {Key("b")}, {Key("c")}};
+  const std::vector<ModelDemand> needed = {{Key("a")}, {Key("b")}, {Key("c")}};
   const auto engines = SixEngines({""});
   const Plan plan = MakePlan(UnlimitedChanges(), Input(needed, engines));
   std::vector<std::string> of_a;
@@ -78,7 +78,7 @@
 Test(a_plan, is_empty_where_nothing_is_short) {
   const auto engines = SixEngines({"a", "b"});
   for (const double weight : {0.8, 1.0, 1.25}) {  // small changes of demand
-    const std::vector<NeededModel> needed = {{Key("a"), weight}, {Key("b")}};
+    const std::vector<ModelDemand> needed = {{Key("a"), weight}, {Key("b")}};
     cr_assert(
         MakePlan(UnlimitedChanges(), Input(needed, engines)).changes.empty());
   }
@@ -86,7 +86,7 @@
 
 Test(a_plan, follows_a_clear_change_of_demand) {
   const auto engines = SixEngines({"a", "b"});
-  const std::vector<NeededModel> needed = {{Key("a"), 5}, {Key("b"), 1}};
+  const std::vector<ModelDemand> needed = {{Key("a"), 5}, {Key("b"), 1}};
   const Plan plan = MakePlan(UnlimitedChanges(), Input(needed, engines));
   cr_assert(plan.changes.size() == 1);
   cr_assert(plan.changes[0].load == Key("a"));
@@ -94,7 +94,7 @@
 }
 
 Test(a_plan, counts_pending_loads_as_copies) {
-  const std::vector<NeededModel> needed = {{Key("a")}};
+  const std::vector<ModelDemand> needed = {{Key("a")}};
   auto engines = SixEngines({""});
   for (PlacedEngine& engine : engines) {
     engine.ordered = DesiredState{"mixed", {Key("a")}};
@@ -105,7 +105,7 @@
 
 Test(a_plan, gives_models_without_a_copy_the_budget_first) {
   auto engines = SixEngines({"a", "", "a", ""});
-  const std::vector<NeededModel> needed = {
+  const std::vector<ModelDemand> needed = {
       {Key("a"), 9}, {Key("b"), 1}, {Key("c"), 1, true}};
   PlannerInput input = Input(needed, engines);
   input.urgent_load_budget = 1;
@@ -117,7 +117,7 @@
 }
 
 Test(a_plan, changes_only_owned_live_engines_without_pending_orders) {
-  const std::vector<NeededModel> needed = {{Key("a")}};
+  const std::vector<ModelDemand> needed = {{Key("a")}};
   auto engines = SixEngines({""});
   engines[0].owned = false;
   engines[1].state = EngineLiveness::kLeaving;
@@ -129,7 +129,7 @@
 }
 
 Test(a_plan, reports_models_with_too_few_copies) {
-  const std::vector<NeededModel> needed = {{Key("a")}, {Key("b")}};
+  const std::vector<ModelDemand> needed = {{Key("a")}, {Key("b")}};
   const std::vector<PlacedEngine> engines = {Engine("e0", "z0", {Key("a")})};
   const Plan plan = MakePlan(UnlimitedChanges(), Input(needed, engines));
   cr_assert(plan.changes.empty() && plan.shortages.size() == 1);
@@ -140,7 +140,7 @@
   const auto engines = SixEngines({"a"});
   PlannerSettings settings = UnlimitedChanges();
   settings.roles = {{"mixed", 0.5}, {"prefill", 0.5}};
-  const std::vector<NeededModel> needed = {{Key("a")}};
+  const std::vector<ModelDemand> needed = {{Key("a")}};
   const Plan plan = MakePlan(settings, Input(needed, engines));
   cr_assert(plan.changes.size() == 1);
   cr_assert(plan.changes[0].desired.role == "prefill");
@@ -155,7 +155,7 @@
   std::vector<PlacedEngine> engines = {Engine("e0", "z0", {Key("a")}),
                                        Engine("e1", "z1", {Key("a")})};
   change(engines);
-  const std::vector<NeededModel> needed = {{Key("a")}, {Key("b")}};
+  const std::vector<ModelDemand> needed = {{Key("a")}, {Key("b")}};
   return MakePlan(UnlimitedChanges(), Input(needed, engines));
 }
 
@@ -186,7 +186,7 @@
 
 Test(a_stale_list_of_needed_models, unloads_nothing) {
   const auto engines = SixEngines({"old"});
-  const std::vector<NeededModel> needed = {{Key("a")}};
+  const std::vector<ModelDemand> needed = {{Key("a")}};
   PlannerInput input = Input(needed, engines);
   input.may_unload = false;
   cr_assert(MakePlan(UnlimitedChanges(), input).changes.empty());
@@ -196,7 +196,7 @@
 
 Test(a_new_version, replaces_the_old_one_on_a_share_of_the_engines_at_a_time) {
   const auto engines = SixEngines({"old"});
-  const std::vector<NeededModel> needed = {{Key("a")}};
+  const std::vector<ModelDemand> needed = {{Key("a")}};
   PlannerSettings settings;
   settings.max_changing_share = 0.34;
   const Plan plan = MakePlan(settings, Input(needed, engines));
--- a/src/policy/fleet_state.cc
+++ b/src/policy/fleet_state.cc
@@ -278,7 +278,7 @@
 }
 
 void FleetState::RemoveOldEnded(Engine& engine, std::int64_t now_ms) {
-  std::erase_if(engine.ended, [now_ms](const EndedStream& ended) {
+  std::erase_if(engine.ended, [now_ms](const RecentlyEndedStream& ended) {
     return ended.ended_ms + kEndedRetentionMs < now_ms;
   });
 }
@@ -360,7 +360,7 @@
     own_kv += stream->progress.prompt_tokens + stream->progress.generated -
               generated_since_report;
   }
-  for (const EndedStream& ended : engine.ended) {
+  for (const RecentlyEndedStream& ended : engine.ended) {
     if (ended.ended_ms > as_of) {
       ++own;
       own_kv += ended.kv_held;
--- a/src/policy/fleet_state.h
+++ b/src/policy/fleet_state.h
@@ -220,7 +220,7 @@
     std::int64_t tokens_before_first_event = 0;
   };
 
-  struct EndedStream {
+  struct RecentlyEndedStream {
     std::int64_t ended_ms = 0;
     std::int64_t kv_held = 0;
   };
@@ -229,7 +229,7 @@
     EngineView view;
     std::vector<std::unique_ptr<Stream>> streams;
     /// Recently ended streams, which a delayed load report may still include.
-    std::vector<EndedStream> ended;
+    std::vector<RecentlyEndedStream> ended;
     std::vector<PeerLoad> peers;
     /// Streams in the last load report, without this host's own.
     int others_running = 0;
--- a/src/policy/link_quality.cc
+++ b/src/policy/link_quality.cc
@@ -11,8 +11,8 @@
 // over a link that loses 3% of its packets stall about ten times in one second.
 constexpr double kWindowMs = 1'500.0;
 constexpr double kMsPerSecond = 1'000.0;
-// Stalls per second and stream, in excess of the rate in the host's own zone,
-// that a good link stays below.
+// Stalls per second and stream, in excess of the rate in the host's own
+// zone, that a good link stays below.
 constexpr double kNormalStallRate = 0.1;
 // Stalls per second and stream, in excess of both the own zone's rate and
 // kNormalStallRate, at which a link counts as fully degraded: nearly every long
@@ -27,7 +27,7 @@
   if (this->zones.size() >= kMaxZones && !this->zones.contains(zone)) {
     this->zones.clear();
   }
-  Stalls& stalls = this->zones[zone];
+  ZoneStalls& stalls = this->zones[zone];
   const auto since = static_cast<double>(now_ms - stalls.updated_ms);
   stalls.decayed_count =
       stalls.decayed_count * std::exp(-since / kWindowMs) + 1.0;
--- a/src/policy/link_quality.h
+++ b/src/policy/link_quality.h
@@ -38,13 +38,13 @@
                      std::int64_t now_ms) const;
 
  private:
-  struct Stalls {
+  struct ZoneStalls {
     double decayed_count = 0.0;
     std::int64_t updated_ms = 0;
   };
 
   std::string own_zone;
-  StringMap<Stalls> zones;
+  StringMap<ZoneStalls> zones;
 };
 
 }  // namespace meadowthread
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -35,9 +35,9 @@
 #include "serve/engine_restart_detector.h"
 #include "serve/exchange_participant.h"
 #include "serve/feeder_options.h"
-#include "serve/host_gate.h"
 #include "serve/host_metrics.h"
 #include "serve/host_status.h"
+#include "serve/host_work_gate.h"
 #include "serve/ownership_participant.h"
 #include "serve/placement_participant.h"
 #include "serve/policy_setup.h"
@@ -168,7 +168,7 @@
   CountingClaimService claims;
   ResumeTokenCodec tokens;
   HostMetrics metrics;
-  HostGate gate;
+  HostWorkGate gate;
   PlacementParticipant placement;
   ServiceBackendProtocol service_backend_protocol;
   NoEntryGracePeriod grace_periods;
--- a/src/serve/host_gate.cc
+++ b/src/serve/host_work_gate.cc
@@ -1,4 +1,4 @@
-#include "serve/host_gate.h"
+#include "serve/host_work_gate.h"
 
 #include <algorithm>
 
@@ -24,12 +24,12 @@
 
 }  // namespace
 
-HostGate::HostGate(const HostGateDependencies& dependencies)
+HostWorkGate::HostWorkGate(const HostWorkGateDependencies& dependencies)
     : dependencies(dependencies),
       marks(dependencies.view),
       zones(dependencies.view, kEmptiedZonesKind) {}
 
-absl::Status HostGate::MayTakeWork() const {
+absl::Status HostWorkGate::MayTakeWork() const {
   if (this->closed) {
     return WorkRejected(ErrorId::kHostLeaving, "this host is stopping");
   }
@@ -49,15 +49,15 @@
   return absl::OkStatus();
 }
 
-absl::Status HostGate::BeginWork(std::string_view workspace) {
+absl::Status HostWorkGate::BeginWork(std::string_view workspace) {
   return this->dependencies.begin_work(workspace);
 }
 
-void HostGate::EndWork(std::string_view workspace) {
+void HostWorkGate::EndWork(std::string_view workspace) {
   this->dependencies.end_work(workspace);
 }
 
-bool HostGate::IsMarked(std::string_view host) const {
+bool HostWorkGate::IsMarked(std::string_view host) const {
   const HostEntry* entry = this->dependencies.hosts.Find(host);
   return this->marks.MarkOf(host).mark != HostMark::kLive ||
          (entry != nullptr &&
@@ -66,12 +66,12 @@
 
 // Entry hosts of an emptied zone continue to serve: the requests that they
 // accept run on engines in other zones.
-bool HostGate::IsInEmptiedZone(const HostEntry& entry) const {
+bool HostWorkGate::IsInEmptiedZone(const HostEntry& entry) const {
   return entry.role != HostRole::kEntry &&
          this->zones.MarkOf(entry.zone).mark != HostMark::kLive;
 }
 
-std::vector<std::string> HostGate::LiveEntryHosts() const {
+std::vector<std::string> HostWorkGate::LiveEntryHosts() const {
   std::vector<std::string> names;
   for (const HostEntry* entry :
        this->dependencies.hosts.OfRole(HostRole::kEntry)) {
@@ -82,7 +82,7 @@
   return names;
 }
 
-MarkDocument HostGate::Mark() const {
+MarkDocument HostWorkGate::Mark() const {
   MarkDocument mark = this->marks.MarkOf(this->dependencies.host);
   const HostEntry* entry =
       this->dependencies.hosts.Find(this->dependencies.host);
@@ -93,7 +93,7 @@
   return mark;
 }
 
-std::int64_t HostGate::ViewAgeMs() const {
+std::int64_t HostWorkGate::ViewAgeMs() const {
   std::int64_t oldest = 0;
   for (const ViewDigest& digest : this->dependencies.view.Digests()) {
     if (digest.confirmed.by.empty()) {
@@ -110,7 +110,7 @@
 // copies of its peers, which may differ: the first peer to answer may have an
 // older configuration than the previous process of this host had in force. So
 // this host first waits for `kPeerCatchUpMs`, to hear from all reachable peers.
-bool HostGate::HasCurrentConfiguration() const {
+bool HostWorkGate::HasCurrentConfiguration() const {
   const std::int64_t age = this->ViewAgeMs();
   if (age < 0) {
     return false;
@@ -125,7 +125,7 @@
 // outage is passed on by the host or command-line tool that saw it. A host that
 // reaches neither the platform nor a peer cannot know which changes it missed.
 // Other hosts can serve in its place.
-bool HostGate::IsIsolated() const {
+bool HostWorkGate::IsIsolated() const {
   if (this->ViewAgeMs() <= this->dependencies.stale_limit_ms) {
     return false;
   }
--- a/src/serve/host_gate.h
+++ b/src/serve/host_work_gate.h
@@ -1,5 +1,5 @@
-#ifndef MEADOWTHREAD_SERVE_HOST_GATE_H_
-#define MEADOWTHREAD_SERVE_HOST_GATE_H_
+#ifndef MEADOWTHREAD_SERVE_HOST_WORK_GATE_H_
+#define MEADOWTHREAD_SERVE_HOST_WORK_GATE_H_
 
 #include <cstdint>
 #include <functional>
@@ -15,7 +15,7 @@
 namespace meadowthread {
 
 /// @brief Dependencies and settings of the gate; all references outlive it.
-struct HostGateDependencies {
+struct HostWorkGateDependencies {
   std::string host;
   const Clock& clock;
   const ReplicatedView& view;
@@ -33,9 +33,9 @@
 
 /// @brief Decides whether this host accepts new work, by its mark, the age of
 /// its configuration and the ownership of workspaces.
-class HostGate final : public WorkGate {
+class HostWorkGate final : public WorkGate {
  public:
-  explicit HostGate(const HostGateDependencies& dependencies);
+  explicit HostWorkGate(const HostWorkGateDependencies& dependencies);
 
   absl::Status MayTakeWork() const override;
   absl::Status BeginWork(std::string_view workspace) override;
@@ -65,7 +65,7 @@
   bool IsIsolated() const;
   bool HasCurrentConfiguration() const;
 
-  HostGateDependencies dependencies;
+  HostWorkGateDependencies dependencies;
   Marks marks;
   Marks zones;
   bool closed = false;
@@ -73,4 +73,4 @@
 
 }  // namespace meadowthread
 
-#endif  // MEADOWTHREAD_SERVE_HOST_GATE_H_
+#endif  // MEADOWTHREAD_SERVE_HOST_WORK_GATE_H_
--- a/src/serve/placement_participant.cc
+++ b/src/serve/placement_participant.cc
@@ -49,8 +49,8 @@
   }
 }
 
-std::vector<NeededModel> PlacementParticipant::NeededModels() {
-  std::map<ServedModel, NeededModel> needed;
+std::vector<ModelDemand> PlacementParticipant::NeededModels() {
+  std::map<ServedModel, ModelDemand> needed;
   for (const ServedModel& model : this->dependencies.catalog.Models()) {
     needed[model] = {model, 0.0, false};
   }
@@ -58,14 +58,14 @@
     for (const ServiceCatalog::ServicePtr& service :
          this->dependencies.catalog.ServicesOf(workspace)) {
       for (const ServedModel& model : service->models) {
-        NeededModel& entry = needed[model];
+        ModelDemand& entry = needed[model];
         entry.key = model;
         entry.weight += service->weight;
         entry.urgent = entry.urgent || service->urgency == Urgency::kUrgent;
       }
     }
   }
-  std::vector<NeededModel> list;
+  std::vector<ModelDemand> list;
   list.reserve(needed.size());
   for (const auto& [key, model] : needed) {
     list.push_back(model);
--- a/src/serve/placement_participant.h
+++ b/src/serve/placement_participant.h
@@ -13,7 +13,7 @@
 #include "placement/nonce_source.h"
 #include "placement/placement_source.h"
 #include "serve/engine_monitor.h"
-#include "serve/host_gate.h"
+#include "serve/host_work_gate.h"
 #include "settings/settings.h"
 
 namespace meadowthread {
@@ -27,7 +27,7 @@
   const ServiceCatalog& catalog;
   const HostDirectory& hosts;
   const EngineMonitor& engines;
-  const HostGate& gate;
+  const HostWorkGate& gate;
   const OwnershipView& ownership;
 };
 
@@ -45,7 +45,7 @@
   /// @brief Releases all leases, so that other hosts take over at once.
   void Stop();
 
-  std::vector<NeededModel> NeededModels() override;
+  std::vector<ModelDemand> NeededModels() override;
   bool NeededModelsAreFresh() override;
   std::span<const ListedEngine> Engines() override;
   std::span<const std::string> LiveHosts() override;
--- a/tests/process/stop_work_test.cc
+++ b/tests/process/stop_work_test.cc
@@ -70,8 +70,8 @@
     const std::int64_t now_ms = clock.MonotonicMs();
     if (now_ms - last_ms > kSilentEveryMs) {
       last_ms = now_ms;
-      silent.push_back(
-          std::make_unique<SlowClient>(request, SlowClient::Sends::kNothing));
+      silent.push_back(std::make_unique<SlowClient>(
+          request, SlowClient::FirstSent::kNothing));
     }
     return !fleet.Host(0).IsRunning() || now_ms - begun_ms > kSoonMs;
   }));
--- a/tests/soak/round.h
+++ b/tests/soak/fault_round.h
@@ -1,5 +1,5 @@
-#ifndef MEADOWTHREAD_TESTS_SOAK_ROUND_H_
-#define MEADOWTHREAD_TESTS_SOAK_ROUND_H_
+#ifndef MEADOWTHREAD_TESTS_SOAK_FAULT_ROUND_H_
+#define MEADOWTHREAD_TESTS_SOAK_FAULT_ROUND_H_
 
 #include <functional>
 #include <memory>
@@ -14,27 +14,28 @@
 
 namespace meadowthread::soak {
 
-/// @brief What lasts over the rounds of a seed.
-struct Course {
+/// @brief State that is kept over the rounds of a seed.
+struct SoakState {
   World& world;
   Draw draw;
-  int asked = 0;  ///< requests so far
+  int sent = 0;  ///< requests so far
   std::set<int> lengths;
   bool second_key = true;
-  /// All that was promised never to run.
+  /// Requests of which an answer stated that they have not run.
   std::vector<SoakCaller::Exchange> refused;
-  std::vector<std::string> story;       ///< what was done, for people
-  std::vector<std::string> complaints;  ///< broken promises
+  std::vector<std::string> events;      ///< what was done, for the output
+  std::vector<std::string> violations;  ///< of promises to callers
   int whole = 0;
   int not_run = 0;
   int excused = 0;
 };
 
-/// @brief Callers ask, faults strike, all of it ends; then it is judged.
-class Round {
+/// @brief Sends requests, injects faults, and checks the answers when all of
+/// them have ended.
+class FaultRound {
  public:
   /// @param[in] course outlives the round
-  explicit Round(Course& course) : course(course) {}
+  explicit FaultRound(SoakState& state) : state(state) {}
 
   void Play();
   /// @brief A round without faults, in which every host must serve.
@@ -63,32 +64,32 @@
       Fault::kKillEngine,  Fault::kLoseAnswers, Fault::kLoseAnswers,
       Fault::kLoseAnswers, Fault::kKeys,        Fault::kKeys};
 
-  Asked Next(Draw& draw, int host, bool by_link, int small_in);
+  SentRequest Next(Draw& draw, int host, bool by_link, int small_in);
   void AddCaller(int host);
   void AddSmallCallers();
-  void StrikeAll();
-  void Strike(Fault fault);
-  void StrikeLinkOf(Fault fault, int host);
-  void StrikeLink(FaultProxy& link, const std::string& name, bool* broken);
+  void InjectFaults();
+  void Inject(Fault fault);
+  void BreakLinkOf(Fault fault, int host);
+  void BreakLink(FaultProxy& link, const std::string& name, bool* broken);
   void LoseAnswers(FaultProxy& link, const std::string& name);
   void Stop(int host);
   void ChangeKeys();
   void EndEngine(int engine, bool killed);
-  bool IsUndisturbed(int host);
+  bool IsUnaffected(int host);
   void RestartEnded();
-  void WaitForReturn();
-  void Judge();
+  void WaitUntilReady();
+  void CheckAnswers();
   bool Until(const std::function<bool()>& done, int limit_ms);
   void LetPass(int bytes);
   std::size_t Bytes() const;
   bool AreOver() const;
-  void TellUnended();
-  void Tell(const std::string& what);
-  void Complain(const std::string& what);
+  void AddUnfinished();
+  void AddEvent(const std::string& what);
+  void AddViolation(const std::string& what);
 
-  Course& course;
+  SoakState& state;
   std::vector<std::unique_ptr<SoakCaller>> callers;
-  Disturbed disturbed;
+  FaultEffects effects;
   std::vector<FaultProxy*> to_reset;
   std::set<int> store_links_hit;
   std::set<int> paused_hosts;
@@ -96,9 +97,9 @@
   std::map<std::string, std::string> logs_before;
 };
 
-/// @brief The seed's promises that last until its end.
-void JudgeCourse(Course& course);
+/// @brief Checks the promises that last until the end of a seed.
+void CheckLastingPromises(SoakState& state);
 
 }  // namespace meadowthread::soak
 
-#endif  // MEADOWTHREAD_TESTS_SOAK_ROUND_H_
+#endif  // MEADOWTHREAD_TESTS_SOAK_FAULT_ROUND_H_
--- a/tests/soak/guilty_finale.cc
+++ b/tests/soak/guilty_finale.cc
@@ -22,11 +22,11 @@
 
 class Finale {
  public:
-  explicit Finale(Course& course)
-      : course(course), starts_before(course.world.Starts()) {}
+  explicit Finale(SoakState& state)
+      : state(state), starts_before(state.world.Starts()) {}
 
   void Play() {
-    Draw& draw = this->course.draw;
+    Draw& draw = this->state.draw;
     for (int n = 0; n < kMostTries && this->Ends() < kEnoughEnds; ++n) {
       this->Try(draw.Below(kHosts));
       if (draw.OneIn(4)) {
@@ -35,7 +35,7 @@
       tests::Pass(std::chrono::milliseconds(draw.Between(300, 1'500)));
     }
     if (this->Ends() < kEnoughEnds) {
-      this->Complain("a request that ends engines ended too few to tell");
+      this->AddViolation("a request that ends engines ended too few to tell");
       return;
     }
     tests::Pass(kContact);
@@ -47,38 +47,38 @@
       tests::Pass(kBack);
     }
     if (this->Ends() > ends + kMostMore) {
-      this->Complain(absl::StrCat("a request under which ", ends,
-                                  " engines had ended was sent to ",
-                                  this->Ends() - ends, " more"));
+      this->AddViolation(absl::StrCat("a request under which ", ends,
+                                      " engines had ended was sent to ",
+                                      this->Ends() - ends, " more"));
     }
   }
 
  private:
-  int Ends() { return this->course.world.Starts() - this->starts_before; }
+  int Ends() { return this->state.world.Starts() - this->starts_before; }
 
   void Try(int host) {
     const std::string id = absl::StrCat("guilty-", ++this->tries);
     const int status =
-        tests::Call(this->client, this->course.world.GuiltyRequest(host, id))
+        tests::Call(this->client, this->state.world.GuiltyRequest(host, id))
             .response.http_status;
-    this->course.story.push_back(absl::StrCat(
+    this->state.events.push_back(absl::StrCat(
         id, " host=", host, " status=", status, " ends=", this->Ends()));
   }
 
   void KillAndStart(int host) {
-    this->course.story.push_back(absl::StrCat("kill and start host-", host));
-    this->course.world.Host(host).Kill();
-    this->course.world.StartHost(host);
-    if (!tests::WaitFor([&] { return this->course.world.IsReady(host); })) {
-      this->Complain(absl::StrCat("host-", host, " does not come back"));
+    this->state.events.push_back(absl::StrCat("kill and start host-", host));
+    this->state.world.Host(host).Kill();
+    this->state.world.StartHost(host);
+    if (!tests::WaitFor([&] { return this->state.world.IsReady(host); })) {
+      this->AddViolation(absl::StrCat("host-", host, " does not come back"));
     }
   }
 
-  void Complain(const std::string& what) {
-    this->course.complaints.push_back(what);
+  void AddViolation(const std::string& what) {
+    this->state.violations.push_back(what);
   }
 
-  Course& course;
+  SoakState& state;
   PooledClient client;
   int starts_before;
   int tries = 0;
@@ -86,6 +86,6 @@
 
 }  // namespace
 
-void PlayGuiltyFinale(Course& course) { Finale(course).Play(); }
+void PlayGuiltyFinale(SoakState& state) { Finale(state).Play(); }
 
 }  // namespace meadowthread::soak
--- a/tests/soak/leaving_finale.cc
+++ b/tests/soak/leaving_finale.cc
@@ -27,17 +27,16 @@
 
 class Finale {
  public:
-  explicit Finale(Course& course) : course(course) {}
+  explicit Finale(SoakState& state) : state(state) {}
 
   void Play() {
-    for (int n = 0; n < kLeavings && this->course.complaints.empty(); ++n) {
-      this->Leave(n % this->course.world.PlainServers());
+    for (int n = 0; n < kLeavings && this->state.violations.empty(); ++n) {
+      this->Leave(n % this->state.world.PlainServers());
     }
-    if (this->course.complaints.empty()) {
-      this->EmptyZone(
-          this->course.draw.Below(this->course.world.PlainServers()));
+    if (this->state.violations.empty()) {
+      this->EmptyZone(this->state.draw.Below(this->state.world.PlainServers()));
     }
-    if (this->course.complaints.empty()) {
+    if (this->state.violations.empty()) {
       this->Lapse();
     }
   }
@@ -45,12 +44,12 @@
  private:
   // One of the ways to the store of each host, or of one, is bad for a moment.
   void Disturb() {
-    Draw& draw = this->course.draw;
+    Draw& draw = this->state.draw;
     const bool all = draw.OneIn(2);
     const bool silent = draw.OneIn(2);
     const int only = draw.Below(kHosts);
     const int times = draw.Between(1, 5);
-    this->course.story.push_back(
+    this->state.events.push_back(
         absl::StrCat("ways to the store of ", all ? "all" : "one",
                      silent ? " fall silent" : " are reset, times=", times));
     for (int time = 0; time < times; ++time) {
@@ -59,9 +58,9 @@
           continue;
         }
         if (silent) {
-          this->course.world.StoreLink(host).SilenceStanding();
+          this->state.world.StoreLink(host).SilenceStanding();
         } else {
-          this->course.world.StoreLink(host).ResetAll();
+          this->state.world.StoreLink(host).ResetAll();
         }
       }
       tests::Pass(milliseconds(draw.Between(10, 60)));
@@ -69,8 +68,8 @@
   }
 
   void Leave(int server) {
-    World& world = this->course.world;
-    Draw& draw = this->course.draw;
+    World& world = this->state.world;
+    Draw& draw = this->state.draw;
     this->Call(kHosts * 2);
     const bool before = draw.OneIn(4);
     if (before) {
@@ -81,16 +80,16 @@
       tests::Pass(milliseconds(draw.Between(0, 1'200)));
       world.RemoveEntry(server);
     }
-    this->course.story.push_back(
+    this->state.events.push_back(
         absl::StrCat("plain server ", server, " left, before=", before));
     tests::Pass(kLeaving);
     const int runs = world.RunsAtPlain(server);
     const int unserved = this->Call(kCallsAfter);
     const int late = world.RunsAtPlain(server) - runs;
     if (late > 0 || unserved > 0) {
-      this->Complain(absl::StrCat(late,
-                                  " calls reached a server that had left, ",
-                                  unserved, " were not served"));
+      this->AddViolation(absl::StrCat(late,
+                                      " calls reached a server that had left, ",
+                                      unserved, " were not served"));
     }
     world.ListAgain(server);
     tests::Pass(milliseconds(draw.Between(100, 600)));
@@ -98,34 +97,34 @@
 
   // Its servers stay, and get nothing until the zone is taken back.
   void EmptyZone(int server) {
-    World& world = this->course.world;
-    Draw& draw = this->course.draw;
+    World& world = this->state.world;
+    Draw& draw = this->state.draw;
     if (draw.OneIn(2)) {
       this->Disturb();
     }
     world.EmptyZone(server);
-    this->course.story.push_back(
+    this->state.events.push_back(
         absl::StrCat("the zone of plain server ", server, " is emptied"));
     tests::Pass(kEmptying);
     const int runs = world.RunsAtPlain(server);
     const int unserved = this->Call(kCallsAfter);
     const int late = world.RunsAtPlain(server) - runs;
     if (late > 0 || unserved > 0) {
-      this->Complain(absl::StrCat(late, " calls reached an emptied zone, ",
-                                  unserved, " were not served"));
+      this->AddViolation(absl::StrCat(late, " calls reached an emptied zone, ",
+                                      unserved, " were not served"));
     }
     world.TakeBackZone(server);
     tests::Pass(kTakenBack);
     this->Call(kCallsAfter);
     if (world.RunsAtPlain(server) == runs) {
-      this->Complain("a zone that was taken back gets nothing");
+      this->AddViolation("a zone that was taken back gets nothing");
     }
   }
 
   // All entries go while the store is away and come back after it.
   void Lapse() {
-    World& world = this->course.world;
-    this->course.story.emplace_back("all plain servers lapse");
+    World& world = this->state.world;
+    this->state.events.emplace_back("all plain servers lapse");
     world.SetStoreDown(true);
     tests::Pass(kLapse);
     for (int server = 0; server < world.PlainServers(); ++server) {
@@ -142,7 +141,7 @@
       world.ListAgain(server);
     }
     if (unserved > 0) {
-      this->Complain(
+      this->AddViolation(
           absl::StrCat(unserved, " calls were not served as entries lapsed"));
     }
     tests::Pass(milliseconds(1'000));
@@ -152,32 +151,32 @@
   int Call(int count) {
     int unserved = 0;
     for (int n = 0; n < count; ++n) {
-      Asked asked;
-      asked.id = absl::StrCat("leaving-", ++this->asked);
-      asked.host = n % kHosts;
-      asked.kind = Kind::kAgain;
+      SentRequest sent;
+      sent.id = absl::StrCat("leaving-", ++this->sent);
+      sent.host = n % kHosts;
+      sent.kind = RequestKind::kRepeatable;
       const int status =
-          tests::Call(this->client, this->course.world.RequestOf(asked))
+          tests::Call(this->client, this->state.world.RequestOf(sent))
               .response.http_status;
       unserved += status == kOk ? 0 : 1;
     }
     return unserved;
   }
 
-  void Complain(const std::string& what) {
-    this->course.complaints.push_back(what);
+  void AddViolation(const std::string& what) {
+    this->state.violations.push_back(what);
   }
 
-  Course& course;
+  SoakState& state;
   PooledClient client;
-  int asked = 0;
+  int sent = 0;
 };
 
 }  // namespace
 
-void PlayLeavingFinale(Course& course) {
-  if (course.world.PlainServers() > 0) {
-    Finale(course).Play();
+void PlayLeavingFinale(SoakState& state) {
+  if (state.world.PlainServers() > 0) {
+    Finale(state).Play();
   }
 }
 
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -11,9 +11,9 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "soak/fault_round.h"
 #include "soak/guilty_finale.h"
 #include "soak/leaving_finale.h"
-#include "soak/round.h"
 #include "soak/world.h"
 
 namespace meadowthread::soak {
@@ -44,46 +44,46 @@
 int Play(const Order& order) {
   const std::unique_ptr<World> world =
       order.program == "serve" ? MakeServeWorld() : MakeRelayWorld();
-  Course course{*world, Draw(static_cast<std::uint64_t>(order.seed)),
-                0,      {},
-                true,   {},
-                {},     {},
-                0,      0,
-                0};
+  SoakState state{*world, Draw(static_cast<std::uint64_t>(order.seed)),
+                  0,      {},
+                  true,   {},
+                  {},     {},
+                  0,      0,
+                  0};
   if (!world->Start()) {
-    course.complaints.emplace_back("the hosts do not come up");
+    state.violations.emplace_back("the hosts do not come up");
   }
   const int rounds = std::max(1, order.seconds / kSecondsARound);
-  for (int i = 0; i < rounds && course.complaints.empty(); ++i) {
-    course.story.push_back(absl::StrCat("round ", i + 1));
-    Round(course).Play();
+  for (int i = 0; i < rounds && state.violations.empty(); ++i) {
+    state.events.push_back(absl::StrCat("round ", i + 1));
+    FaultRound(state).Play();
   }
-  if (course.complaints.empty()) {
-    Round(course).PlayQuiet();
-    JudgeCourse(course);
+  if (state.violations.empty()) {
+    FaultRound(state).PlayQuiet();
+    CheckLastingPromises(state);
   }
-  if (course.complaints.empty()) {
-    PlayLeavingFinale(course);
+  if (state.violations.empty()) {
+    PlayLeavingFinale(state);
   }
-  if (course.complaints.empty()) {
-    PlayGuiltyFinale(course);
+  if (state.violations.empty()) {
+    PlayGuiltyFinale(state);
   }
-  if (course.complaints.empty()) {
-    Round(course).PlayQuiet();
+  if (state.violations.empty()) {
+    FaultRound(state).PlayQuiet();
   }
   const std::string name =
       absl::StrCat("soak::", order.program, "_seed_", order.seed);
-  if (course.complaints.empty()) {
-    std::cout << "ok - " << name << " (" << course.whole << " whole, "
-              << course.not_run << " refused as not run, " << course.excused
+  if (state.violations.empty()) {
+    std::cout << "ok - " << name << " (" << state.whole << " whole, "
+              << state.not_run << " refused as not run, " << state.excused
               << " ended by faults)" << std::endl;
     return EXIT_SUCCESS;
   }
-  Keep(order, "story", absl::StrJoin(course.story, "\n") + "\n");
+  Keep(order, "story", absl::StrJoin(state.events, "\n") + "\n");
   for (const auto& [host, log] : world->Logs()) {
     Keep(order, host + ".log", log);
   }
-  std::cout << "not ok - " << name << " (" << course.complaints.front()
+  std::cout << "not ok - " << name << " (" << state.violations.front()
             << "; logs in " << order.logs << ")" << std::endl;
   return EXIT_FAILURE;
 }
--- a/tests/soak/relay_world.cc
+++ b/tests/soak/relay_world.cc
@@ -36,18 +36,20 @@
   tests::Process& Host(int n) override { return this->fleet.Host(n); }
   bool IsReady(int n) override { return this->fleet.IsReady(n); }
 
-  HttpRequest RequestOf(const Asked& asked) const override;
+  HttpRequest RequestOf(const SentRequest& sent) const override;
   HttpRequest GuiltyRequest(int host, const std::string& id) const override;
   int Starts() override {
     return static_cast<int>(
         this->fleet.Control("record", json::object())["runs"].size());
   }
-  Word WordOf(const Asked& asked, const Answer& answer) override;
+  Outcome OutcomeOf(const SentRequest& sent, const Answer& answer) override;
   int EventBytes() const override { return kEventBytes; }
   int ReceiveBytes() const override { return kReceiveBytes; }
   void ReadRecord() override;
-  Runs RunsOf(const Asked& asked) const override;
-  bool RunsOnce(Kind kind) const override { return kind != Kind::kAgain; }
+  Runs RunsOf(const SentRequest& sent) const override;
+  bool RunsOnce(RequestKind kind) const override {
+    return kind != RequestKind::kRepeatable;
+  }
   void PutKeys(bool second) override;
   int StatusWithSecondKey(int host) override {
     return this->fleet.StatusOf(
@@ -95,7 +97,7 @@
   }
   // Has hosts reach an engine over a link of ours.
   void LinkEngine(int n, const json& addresses);
-  Word WordOfWhole(const Asked& asked, const Answer& answer) const;
+  Outcome WordOfWhole(const SentRequest& sent, const Answer& answer) const;
   int EventsOf(const Answer& answer);
 
   RelayFleet fleet;
@@ -146,18 +148,20 @@
   this->LinkEngine(n, record["addresses"]);
 }
 
-HttpRequest RelayWorld::RequestOf(const Asked& asked) const {
-  const bool stream = asked.kind == Kind::kStream;
+HttpRequest RelayWorld::RequestOf(const SentRequest& sent) const {
+  const bool stream = sent.kind == RequestKind::kStream;
   const std::string path = absl::StrCat(
-      asked.kind == Kind::kOnce ? "/confirm/" : "/status/", asked.id);
+      sent.kind == RequestKind::kNotRepeatable ? "/confirm/" : "/status/",
+      sent.id);
   HttpRequest request =
-      stream ? this->fleet.Stream(asked.host, asked.id, asked.length)
-             : this->fleet.Call(asked.host,
-                                asked.kind == Kind::kOnce ? "POST" : "GET",
-                                path, asked.id);
-  if (asked.by_link) {
+      stream ? this->fleet.Stream(sent.host, sent.id, sent.length)
+             : this->fleet.Call(
+                   sent.host,
+                   sent.kind == RequestKind::kNotRepeatable ? "POST" : "GET",
+                   path, sent.id);
+  if (sent.by_link) {
     QUrl url(QString::fromStdString(request.url));
-    url.setPort(this->caller_links.at(asked.host)->Port());
+    url.setPort(this->caller_links.at(sent.host)->Port());
     request.url = url.toString(QUrl::FullyEncoded).toStdString();
   }
   return request;
@@ -187,8 +191,8 @@
   }
 }
 
-Runs RelayWorld::RunsOf(const Asked& asked) const {
-  const auto found = this->runs.find(asked.id);
+Runs RelayWorld::RunsOf(const SentRequest& sent) const {
+  const auto found = this->runs.find(sent.id);
   return found == this->runs.end() ? Runs{} : found->second;
 }
 
@@ -200,40 +204,41 @@
   return events.Events();
 }
 
-Word RelayWorld::WordOf(const Asked& asked, const Answer& answer) {
+Outcome RelayWorld::OutcomeOf(const SentRequest& sent, const Answer& answer) {
   if (answer.malformed) {
-    return Word::kForeign;
+    return Outcome::kForeign;
   }
-  if (answer.status == 200 && asked.kind == Kind::kStream) {
+  if (answer.status == 200 && sent.kind == RequestKind::kStream) {
     const int events = this->EventsOf(answer);
-    if (events < 0 || events > asked.length) {
-      return Word::kForeign;
+    if (events < 0 || events > sent.length) {
+      return Outcome::kForeign;
     }
     if (!answer.whole) {
-      return Word::kCut;
+      return Outcome::kTruncated;
     }
   }
-  return answer.whole ? this->WordOfWhole(asked, answer) : Word::kCut;
+  return answer.whole ? this->WordOfWhole(sent, answer) : Outcome::kTruncated;
 }
 
-Word RelayWorld::WordOfWhole(const Asked& asked, const Answer& answer) const {
+Outcome RelayWorld::WordOfWhole(const SentRequest& sent,
+                                const Answer& answer) const {
   if (answer.status == 401) {
-    return Word::kKeyRefused;
+    return Outcome::kKeyRefused;
   }
   if (answer.status != 200) {
-    return PromisesNotRun(answer.status) ? Word::kNotRun : Word::kUnknown;
+    return PromisesNotRun(answer.status) ? Outcome::kNotRun : Outcome::kUnknown;
   }
-  if (FindHeader(answer.headers, platform::names::kRequestId) != asked.id) {
-    return Word::kForeign;
+  if (FindHeader(answer.headers, platform::names::kRequestId) != sent.id) {
+    return Outcome::kForeign;
   }
-  if (asked.kind == Kind::kStream) {
-    const std::string last = absl::StrCat("id: ", asked.length - 1, "\ndata: w",
-                                          asked.length - 1, "\n\n");
-    return answer.body.ends_with(last) ? Word::kWhole : Word::kForeign;
+  if (sent.kind == RequestKind::kStream) {
+    const std::string last = absl::StrCat("id: ", sent.length - 1, "\ndata: w",
+                                          sent.length - 1, "\n\n");
+    return answer.body.ends_with(last) ? Outcome::kComplete : Outcome::kForeign;
   }
-  return answer.body.find("/" + asked.id + " ") != std::string::npos
-             ? Word::kWhole
-             : Word::kForeign;
+  return answer.body.find("/" + sent.id + " ") != std::string::npos
+             ? Outcome::kComplete
+             : Outcome::kForeign;
 }
 
 }  // namespace
--- a/tests/soak/asked.h
+++ b/tests/soak/sent_request.h
@@ -1,5 +1,5 @@
-#ifndef MEADOWTHREAD_TESTS_SOAK_ASKED_H_
-#define MEADOWTHREAD_TESTS_SOAK_ASKED_H_
+#ifndef MEADOWTHREAD_TESTS_SOAK_SENT_REQUEST_H_
+#define MEADOWTHREAD_TESTS_SOAK_SENT_REQUEST_H_
 
 #include <set>
 #include <string>
@@ -9,17 +9,17 @@
 
 namespace meadowthread::soak {
 
-/// @brief What a request may be.
-enum class Kind {
+/// @brief Kinds of requests.
+enum class RequestKind {
   kStream,  ///< a generation that is streamed
-  kOnce,    ///< may not be repeated
-  kAgain,   ///< may be repeated
+  kNotRepeatable,
+  kRepeatable,
 };
 
 /// @brief One request of a caller. No two have the same id or length.
-struct Asked {
+struct SentRequest {
   std::string id;
-  Kind kind = Kind::kAgain;
+  RequestKind kind = RequestKind::kRepeatable;
   int length = 0;  ///< events or tokens of its answer
   int host = 0;
   bool by_link = false;  ///< over its host's link, which faults may break
@@ -37,13 +37,13 @@
   bool left = false;       ///< the caller went away
 };
 
-/// @brief What an answer says about its request.
-enum class Word {
-  kWhole,    ///< its own, whole and exact
-  kNotRun,   ///< a promise that it never ran
-  kUnknown,  ///< a refusal without that promise
-  kCut,      ///< exact as far as it came, and not whole
-  kForeign,  ///< something that is not its own
+/// @brief What an answer shows of its request.
+enum class Outcome {
+  kComplete,   ///< the right answer, complete
+  kNotRun,     ///< a statement that it has not run
+  kUnknown,    ///< a refusal without that statement
+  kTruncated,  ///< the beginning of the right answer
+  kForeign,    ///< something else
   kKeyRefused,
 };
 
@@ -55,4 +55,4 @@
 
 }  // namespace meadowthread::soak
 
-#endif  // MEADOWTHREAD_TESTS_SOAK_ASKED_H_
+#endif  // MEADOWTHREAD_TESTS_SOAK_SENT_REQUEST_H_
--- a/tests/soak/serve_world.cc
+++ b/tests/soak/serve_world.cc
@@ -42,16 +42,18 @@
            this->fleet.Status(n).value("engines_usable", 0) == kEngines;
   }
 
-  HttpRequest RequestOf(const Asked& asked) const override;
+  HttpRequest RequestOf(const SentRequest& sent) const override;
   HttpRequest GuiltyRequest(int host, const std::string& id) const override;
   int Starts() override;
-  Word WordOf(const Asked& asked, const Answer& answer) override;
+  Outcome OutcomeOf(const SentRequest& sent, const Answer& answer) override;
   int EventBytes() const override { return kEventBytes; }
   int ReceiveBytes() const override { return kReceiveBytes; }
   void ReadRecord() override;
-  Runs RunsOf(const Asked& asked) const override;
+  Runs RunsOf(const SentRequest& sent) const override;
   // Others may be run again elsewhere, and a stream goes on with the new run.
-  bool RunsOnce(Kind kind) const override { return kind == Kind::kOnce; }
+  bool RunsOnce(RequestKind kind) const override {
+    return kind == RequestKind::kNotRepeatable;
+  }
   void PutKeys(bool second) override;
   int StatusWithSecondKey(int host) override;
 
@@ -66,7 +68,7 @@
   }
 
  private:
-  Word WordOfStream(const Asked& asked, const Answer& answer);
+  Outcome StreamOutcomeOf(const SentRequest& sent, const Answer& answer);
 
   Fleet fleet;
   std::map<int, Runs> runs;  // by length
@@ -99,17 +101,17 @@
   });
 }
 
-HttpRequest ServeWorld::RequestOf(const Asked& asked) const {
+HttpRequest ServeWorld::RequestOf(const SentRequest& sent) const {
   const json body = {
       {"model", "reconcile"},
-      {"stream", asked.kind == Kind::kStream},
-      {"prompt", absl::StrCat("[tokens=", asked.length, "] ", asked.id)}};
+      {"stream", sent.kind == RequestKind::kStream},
+      {"prompt", absl::StrCat("[tokens=", sent.length, "] ", sent.id)}};
   const std::string base =
-      asked.by_link ? absl::StrCat("http://127.0.0.1:",
-                                   this->caller_links.at(asked.host)->Port())
-                    : this->fleet.HostUrl(asked.host);
+      sent.by_link ? absl::StrCat("http://127.0.0.1:",
+                                  this->caller_links.at(sent.host)->Port())
+                   : this->fleet.HostUrl(sent.host);
   return tests::Post(base + "/v1/completions", tests::kKey, body.dump(),
-                     asked.kind == Kind::kOnce ? asked.id : "");
+                     sent.kind == RequestKind::kNotRepeatable ? sent.id : "");
 }
 
 HttpRequest ServeWorld::GuiltyRequest(int host,
@@ -164,50 +166,53 @@
   }
 }
 
-Runs ServeWorld::RunsOf(const Asked& asked) const {
-  const auto found = this->runs.find(asked.length);
+Runs ServeWorld::RunsOf(const SentRequest& sent) const {
+  const auto found = this->runs.find(sent.length);
   return found == this->runs.end() ? Runs{} : found->second;
 }
 
-Word ServeWorld::WordOfStream(const Asked& asked, const Answer& answer) {
+Outcome ServeWorld::StreamOutcomeOf(const SentRequest& sent,
+                                    const Answer& answer) {
   StreamingCaller seen(this->fleet.Client());
   seen.OnHead(answer.status, answer.headers);
   seen.OnData(answer.body);
-  const auto length = static_cast<std::size_t>(asked.length);
+  const auto length = static_cast<std::size_t>(sent.length);
   if (!seen.IsExact() || seen.Tokens().size() > length ||
       (seen.IsDone() && seen.Tokens().size() != length)) {
-    return Word::kForeign;
+    return Outcome::kForeign;
   }
   if (answer.whole && seen.Outcome() == "not_run") {
-    return Word::kNotRun;
+    return Outcome::kNotRun;
   }
-  return answer.whole && seen.IsDone() ? Word::kWhole : Word::kCut;
+  return answer.whole && seen.IsDone() ? Outcome::kComplete
+                                       : Outcome::kTruncated;
 }
 
-Word ServeWorld::WordOf(const Asked& asked, const Answer& answer) {
+Outcome ServeWorld::OutcomeOf(const SentRequest& sent, const Answer& answer) {
   if (answer.malformed) {
-    return Word::kForeign;
+    return Outcome::kForeign;
   }
-  if (answer.status == 200 && asked.kind == Kind::kStream) {
-    return this->WordOfStream(asked, answer);
+  if (answer.status == 200 && sent.kind == RequestKind::kStream) {
+    return this->StreamOutcomeOf(sent, answer);
   }
   if (!answer.whole) {
-    return Word::kCut;
+    return Outcome::kTruncated;
   }
   const json body = json::parse(answer.body, nullptr, false);
   if (answer.status == 401) {
-    return Word::kKeyRefused;
+    return Outcome::kKeyRefused;
   }
   if (answer.status != 200) {
     return body.is_object() && body.value("outcome", "") == "not_run"
-               ? Word::kNotRun
-               : Word::kUnknown;
+               ? Outcome::kNotRun
+               : Outcome::kUnknown;
   }
   std::string text;
-  for (int i = 0; i < asked.length; ++i) {
+  for (int i = 0; i < sent.length; ++i) {
     absl::StrAppend(&text, "w", i, " ");
   }
-  return body["choices"][0]["text"] == text ? Word::kWhole : Word::kForeign;
+  return body["choices"][0]["text"] == text ? Outcome::kComplete
+                                            : Outcome::kForeign;
 }
 
 }  // namespace
--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -13,25 +13,26 @@
 
 }  // namespace
 
-SoakCaller::SoakCaller(const Manner& manner, Next next, RequestOf request_of)
-    : manner(manner),
+SoakCaller::SoakCaller(const CallerBehaviour& behaviour, Next next,
+                       RequestOf request_of)
+    : behaviour(behaviour),
       next(std::move(next)),
       request_of(std::move(request_of)),
       exchanges({{this->next(), {}}}),
-      slow(this->request_of(this->exchanges.front().asked),
-           tests::SlowClient::Sends::kRequest, manner.receive_bytes),
+      slow(this->request_of(this->exchanges.front().sent),
+           tests::SlowClient::FirstSent::kRequest, behaviour.receive_bytes),
       reader(MessageKind::kResponse, kHeadLimit) {
-  if (this->manner.pipelines) {
+  if (this->behaviour.pipelines) {
     this->Send();
   }
-  this->slow.Read(this->manner.bytes_per_10_ms);
+  this->slow.Read(this->behaviour.bytes_per_10_ms);
 }
 
 void SoakCaller::Send() {
-  Asked asked = this->next();
-  asked.on_used_connection = true;
-  this->slow.Send(tests::BytesOf(this->request_of(asked)));
-  this->exchanges.push_back({asked, {}});
+  SentRequest sent = this->next();
+  sent.on_used_connection = true;
+  this->slow.Send(tests::BytesOf(this->request_of(sent)));
+  this->exchanges.push_back({sent, {}});
 }
 
 void SoakCaller::Step(bool goes_on) {
@@ -46,7 +47,7 @@
   if (this->over) {
     return;
   }
-  if (this->manner.leaves && got.size() > kLeavesAfterBytes) {
+  if (this->behaviour.leaves && got.size() > kLeavesAfterBytes) {
     for (std::size_t i = this->answered; i < this->exchanges.size(); ++i) {
       this->exchanges[i].answer.left = true;
     }
@@ -54,9 +55,10 @@
   } else if (this->slow.Ended() != tests::SlowClient::End::kOpen) {
     this->EndConnection();
   } else if (this->answered == this->exchanges.size()) {
-    const bool more = this->manner.follow_ups-- > 0 ||
+    const bool more = this->behaviour.follow_ups-- > 0 ||
                       (goes_on && this->exchanges.size() < kMostExchanges);
-    this->over = !more || (this->manner.heeds_the_close && !this->keep_alive);
+    this->over =
+        !more || (this->behaviour.heeds_the_close && !this->keep_alive);
     if (!this->over) {
       this->Send();
     }
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -6,12 +6,12 @@
 
 #include "net/message_reader.h"
 #include "net/tests/slow_client.h"
-#include "soak/asked.h"
+#include "soak/sent_request.h"
 
 namespace meadowthread::soak {
 
 /// @brief How a caller behaves.
-struct Manner {
+struct CallerBehaviour {
   std::size_t bytes_per_10_ms = 1;
   int receive_bytes = 0;         ///< that its kernel holds for it
   int follow_ups = 0;            ///< requests after its first ones
@@ -24,15 +24,15 @@
 class SoakCaller {
  public:
   struct Exchange {
-    Asked asked;
+    SentRequest sent;
     Answer answer;
   };
-  using Next = std::function<Asked()>;
-  using RequestOf = std::function<HttpRequest(const Asked&)>;
+  using Next = std::function<SentRequest()>;
+  using RequestOf = std::function<HttpRequest(const SentRequest&)>;
 
   /// @param[in] next draws a further request of this caller
   /// @param[in] request_of what is sent for it, to the connection's port
-  SoakCaller(const Manner& manner, Next next, RequestOf request_of);
+  SoakCaller(const CallerBehaviour& behaviour, Next next, RequestOf request_of);
 
   /// @brief Takes what came, and sends what is next.
   /// @param[in] goes_on sends on until its connection ends
@@ -44,7 +44,7 @@
   std::size_t Bytes() const { return this->slow.Got().size(); }
   /// @brief All of its connection's bytes.
   const std::string& Raw() const { return this->slow.Got(); }
-  int Host() const { return this->exchanges.front().asked.host; }
+  int Host() const { return this->exchanges.front().sent.host; }
   const std::vector<Exchange>& Exchanges() const { return this->exchanges; }
   /// @brief Bytes came that belong to no request.
   bool GotTooMuch() const { return this->too_much; }
@@ -54,7 +54,7 @@
   void EndConnection();
   void Send();
 
-  Manner manner;
+  CallerBehaviour behaviour;
   Next next;
   RequestOf request_of;
   std::vector<Exchange> exchanges;
--- a/tests/soak/verdict.h
+++ b/tests/soak/verdict.h
@@ -4,13 +4,13 @@
 #include <set>
 #include <string>
 
-#include "soak/asked.h"
+#include "soak/sent_request.h"
 #include "soak/world.h"
 
 namespace meadowthread::soak {
 
-/// @brief What faults of the plan explain in one round.
-struct Disturbed {
+/// @brief What the faults of a round may have affected.
+struct FaultEffects {
   std::set<int> ended_hosts;  ///< told to stop: new requests may go unread
   std::set<int> killed_hosts;
   std::set<int> late_hosts;       ///< their grace ended before their answers
@@ -18,12 +18,12 @@
   std::set<std::string> engines;  ///< killed, or over broken links
 };
 
-/// @brief What is wrong with what came for a request, empty where nothing is.
-std::string Complaint(World& world, const Disturbed& disturbed,
-                      const Asked& asked, const Answer& answer);
+/// @brief What is wrong with the answer to a request; empty if nothing is.
+std::string FindViolation(World& world, const FaultEffects& effects,
+                          const SentRequest& sent, const Answer& answer);
 
 /// @brief A request and its end in a line.
-std::string Describe(const Asked& asked, const Answer& answer,
+std::string Describe(const SentRequest& sent, const Answer& answer,
                      const Runs& runs);
 
 }  // namespace meadowthread::soak
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -8,8 +8,8 @@
 
 #include "net/http_client.h"
 #include "process/process.h"
-#include "soak/asked.h"
 #include "soak/fault_proxy.h"
+#include "soak/sent_request.h"
 
 namespace meadowthread::soak {
 
@@ -31,8 +31,8 @@
 
   /// @brief What a request is on the wire, to its host's own port or, by its
   /// link, to the link's.
-  virtual HttpRequest RequestOf(const Asked& asked) const = 0;
-  virtual Word WordOf(const Asked& asked, const Answer& answer) = 0;
+  virtual HttpRequest RequestOf(const SentRequest& sent) const = 0;
+  virtual Outcome OutcomeOf(const SentRequest& sent, const Answer& answer) = 0;
 
   /// @brief A request that ends each engine which begins to run it: the same
   /// content each time.
@@ -49,9 +49,9 @@
 
   /// @brief Reads what the back ends saw so far.
   virtual void ReadRecord() = 0;
-  virtual Runs RunsOf(const Asked& asked) const = 0;
+  virtual Runs RunsOf(const SentRequest& sent) const = 0;
   /// @brief Whether back ends may see one request begin once at most.
-  virtual bool RunsOnce(Kind kind) const = 0;
+  virtual bool RunsOnce(RequestKind kind) const = 0;
 
   /// @brief The configuration with or without the second key.
   virtual void PutKeys(bool second) = 0;
