A stream is not refused for a run of another host that is over already

Cause: hosts gathered changes of their loads for 25 ms, and a host refused at once by a load that it could not know to stand still. Excluded: the machine's load (as many failures on a quiet one), the engine (its own host sees it idle), the rate of prefill alone (without the other host's prompt the stream is always sent).

Change: freed capacity is told before the caller's bytes leave, at most two notes each 25 ms; a stream that a single run of another host keeps out waits for that host's news, 50 ms or a tenth of its target at most. What several runs keep out is refused at once as before. The lines tell the age of the load and whether the decision rests on one run.

--- a/src/allocation/allocator_client.cc
+++ b/src/allocation/allocator_client.cc
@@ -41,6 +41,8 @@
     decision.priority = detail::UrgencyPriority(work.urgency);
   } else {
     decision.reason = DecisionReason::kNoneHasRoom;
+    // The allocator goes by what all hosts reported to it.
+    decision.rests_on_peer_run = true;
   }
   return decision;
 }
--- a/src/exchange/load_datagrams.cc
+++ b/src/exchange/load_datagrams.cc
@@ -16,6 +16,10 @@
 // Interval at which changes are sent: those within one interval share a
 // datagram.
 constexpr std::int64_t kStepMs = 25;
+// Notes of freed capacity sent at once within an interval: of the first event
+// and the end of one short run. More would cost a busy host datagrams, and its
+// peers hear from it at each interval anyway.
+constexpr int kMaxFreedPerInterval = 2;
 // Interval at which all notes are sent again: twice within the time after which
 // peers ignore old notes.
 constexpr std::int64_t kFullResendMs = 3'000;
@@ -147,7 +151,25 @@
   }
 }
 
+// A caller whose stream has just ended may be at another host some ms later.
+// That host must not take the engine for busy then.
+void LoadDatagrams::SendFreed(const EngineLoadNote& note) {
+  if (this->freed_in_interval >= kMaxFreedPerInterval || !this->Send({note})) {
+    return;
+  }
+  ++this->freed_in_interval;
+  const auto sent = std::find_if(
+      this->sent_notes.begin(), this->sent_notes.end(),
+      [&note](const EngineLoadNote& old) { return old.engine == note.engine; });
+  if (sent != this->sent_notes.end()) {
+    *sent = note;
+  } else {
+    this->sent_notes.push_back(note);
+  }
+}
+
 void LoadDatagrams::SendAndReschedule() {
+  this->freed_in_interval = 0;
   const std::int64_t now_ms = this->clock.MonotonicMs();
   std::vector<EngineLoadNote> notes = this->source.NotesFor(
       "", this->audience.IsEverybody() ? kMaxNotesPerBroadcast : kMaxEngines);
--- a/src/exchange/load_datagrams.h
+++ b/src/exchange/load_datagrams.h
@@ -23,7 +23,8 @@
     std::string_view host, const nlohmann::json& payload);
 
 /// @brief Sends the load that this host puts on each engine to other hosts:
-/// changes at once, and all of it periodically, as datagrams may be lost.
+/// freed capacity at once, other changes gathered for some ms, and all of it
+/// periodically, as datagrams may be lost.
 class LoadDatagrams {
  public:
   /// @param[in] hub,source,sink,audience,clock,scheduler outlive this
@@ -36,6 +37,10 @@
   /// @brief Starts the periodic sending.
   void Start();
 
+  /// @brief Sends the load of an engine on which capacity became free. Beyond
+  /// some notes per interval it goes with the interval's other changes.
+  void SendFreed(const EngineLoadNote& note);
+
   /// @brief Sends all notes at the next interval, for a host that has none.
   void SendAllSoon() { this->all_sent_ms = 0; }
 
@@ -54,6 +59,7 @@
   const Clock& clock;
   Scheduler& scheduler;
   std::vector<EngineLoadNote> sent_notes;
+  int freed_in_interval = 0;  ///< notes of freed capacity sent at once
   std::int64_t all_sent_ms = 0;
   Lifetime life;
 };
--- a/src/policy/chooser.h
+++ b/src/policy/chooser.h
@@ -44,6 +44,9 @@
   bool prefix_hint = false;
   /// Expected time from now to the first event; 0: not known.
   std::int64_t first_event_ms = 0;
+  /// Age of the oldest load that a peer reported for the engine and that counts
+  /// in the decision; -1: there is none.
+  std::int64_t peer_load_age_ms = -1;
 };
 
 /// @brief The chosen engine, if any, and the reasons for the choice.
@@ -55,6 +58,9 @@
   int priority = 0;  ///< sent to the engine; 0 is the most urgent
   /// Prompt tokens that the engine prefills before this work's; -1: not known.
   std::int64_t prefill_ahead_tokens = -1;
+  /// Without room: an engine would have room if one run of a peer there were
+  /// over. The peer may know that it is, and its news be on its way.
+  bool rests_on_peer_run = false;
 };
 
 /// @brief Chooses an engine for one piece of work. Does not change the fleet
--- a/src/policy/fleet_state.cc
+++ b/src/policy/fleet_state.cc
@@ -200,7 +200,9 @@
   }
   Engine& engine = *this->engines[found->second.engine];
   Stream& stream = *engine.streams[found->second.position];
-  if (generated > 0 && stream.tokens_before_first_event > 0) {
+  const bool is_first_event =
+      generated > 0 && stream.tokens_before_first_event > 0;
+  if (is_first_event) {
     const PrefillObservation seen{
         engine.view.engine, std::exchange(stream.tokens_before_first_event, 0),
         now_ms - stream.sent_ms};
@@ -212,6 +214,9 @@
   engine.view.own_kv += generated - stream.progress.generated;
   stream.progress.generated = generated;
   stream.progress_ms = now_ms;
+  if (is_first_event) {
+    this->ReportFreed(engine);
+  }
 }
 
 void FleetState::NoteMoved(std::string_view request, std::string_view engine,
@@ -232,11 +237,13 @@
   if (found == this->streams.end()) {
     return;
   }
+  const EngineIndex engine = found->second.engine;
   const std::unique_ptr<Stream> stream = this->Detach(found->second, now_ms);
   this->streams.erase(found);
   if (end == StreamEnd::kComplete) {
     this->lengths.Observe(stream->key, stream->progress.generated);
   }
+  this->ReportFreed(*this->engines[engine]);
 }
 
 void FleetState::Attach(std::unique_ptr<Stream> stream, EngineIndex to,
--- a/src/policy/fleet_state.h
+++ b/src/policy/fleet_state.h
@@ -108,6 +108,13 @@
     this->prefill_observed = callback;
   }
 
+  /// @brief Sets the callback for capacity of an engine that this host's work
+  /// no longer takes: a prompt has been prefilled, or a stream has ended there.
+  void OnCapacityFreed(
+      const std::function<void(std::string_view engine)>& callback) {
+    this->capacity_freed = callback;
+  }
+
   /// @brief Applies a prefill measurement from another host.
   void ObservePrefill(const PrefillObservation& seen) {
     this->prefill_rate.Observe(seen.tokens, seen.took_ms);
@@ -146,6 +153,11 @@
   /// streams ended since the last call.
   std::vector<PeerLoad> OwnLoad(std::string_view self, std::int64_t now_ms);
 
+  /// @brief This host's load on one engine, to report to the other hosts.
+  /// @param[in] engine must be known
+  PeerLoad OwnLoadAt(std::string_view self, std::string_view engine,
+                     std::int64_t now_ms) const;
+
   // ---------------------------------------------------------------- queries
 
   /// @brief Engines that have the work's model, adapter and version loaded.
@@ -184,6 +196,19 @@
   /// @brief Known prompt tokens that the engine has yet to prefill.
   std::int64_t PrefillBacklog(EngineIndex index, std::int64_t now_ms) const;
 
+  /// @brief The loads that other hosts reported for the engine, outdated ones
+  /// included.
+  std::span<const PeerLoad> PeerLoads(EngineIndex index) const {
+    return this->engines[index]->peers;
+  }
+
+  /// @brief Whether a load reported by a peer still counts.
+  bool IsFresh(const PeerLoad& load, std::int64_t now_ms) const;
+
+  /// @brief Age of the oldest load that a peer reported for the engine and that
+  /// counts; -1 if there is none.
+  std::int64_t PeerLoadAgeMs(EngineIndex index, std::int64_t now_ms) const;
+
   /// @brief The loads that other hosts reported for the engine, without
   /// outdated and empty ones.
   std::vector<PeerLoad> PeersAt(std::string_view engine,
@@ -256,6 +281,9 @@
   Engine& AddEngine(std::string_view name, std::int64_t now_ms);
   EngineIndex AcquireSlot();
   static std::int64_t OwnPrefillTokens(const Engine& engine);
+  static PeerLoad LoadOf(const Engine& engine, std::string_view self,
+                         std::int64_t now_ms);
+  void ReportFreed(const Engine& engine) const;
   void SubtractOwnWork(Engine& engine, std::int64_t now_ms) const;
   void IndexModels(EngineIndex index, const std::vector<ServedModel>& models);
   void Attach(std::unique_ptr<Stream> stream, EngineIndex to,
@@ -264,7 +292,6 @@
   void RemoveStream(Engine& engine, std::uint32_t position);
   static void RemoveOldEnded(Engine& engine, std::int64_t now_ms);
   static std::int64_t KvHeldBy(const Stream& stream);
-  bool IsFresh(const PeerLoad& load, std::int64_t now_ms) const;
   void AddOtherHostsWork(const Engine& engine, std::int64_t now_ms,
                          MemoryForecast& forecast) const;
 
@@ -272,6 +299,7 @@
   FleetOptions options;
   PrefillRate prefill_rate;
   std::function<void(const PrefillObservation& seen)> prefill_observed;
+  std::function<void(std::string_view engine)> capacity_freed;
   std::vector<std::unique_ptr<Engine>> engines;
   StringMap<EngineIndex> by_name;
   StringMap<std::vector<EngineIndex>> by_model;
--- a/src/policy/fleet_state_peers.cc
+++ b/src/policy/fleet_state_peers.cc
@@ -100,20 +100,37 @@
       continue;
     }
     engine->reported_to_peers = busy;
-    PeerLoad load;
-    load.peer = std::string(self);
-    load.engine = engine->view.engine;
-    load.as_of_unix_ms = now_ms;
-    load.in_flight = engine->view.own_in_flight;
-    load.kv_held = engine->view.own_kv;
-    load.reading = OwnPrefillTokens(*engine);
-    load.copies = engine->copies;
-    for (const auto& stream : engine->streams) {
-      load.forecast.AddStream(stream->progress, *stream->curve);
-    }
-    loads.push_back(std::move(load));
+    loads.push_back(LoadOf(*engine, self, now_ms));
   }
   return loads;
 }
 
+PeerLoad FleetState::OwnLoadAt(std::string_view self, std::string_view engine,
+                               std::int64_t now_ms) const {
+  return LoadOf(*this->engines[this->by_name.find(engine)->second], self,
+                now_ms);
+}
+
+PeerLoad FleetState::LoadOf(const Engine& engine, std::string_view self,
+                            std::int64_t now_ms) {
+  PeerLoad load;
+  load.peer = std::string(self);
+  load.engine = engine.view.engine;
+  load.as_of_unix_ms = now_ms;
+  load.in_flight = engine.view.own_in_flight;
+  load.kv_held = engine.view.own_kv;
+  load.reading = OwnPrefillTokens(engine);
+  load.copies = engine.copies;
+  for (const auto& stream : engine.streams) {
+    load.forecast.AddStream(stream->progress, *stream->curve);
+  }
+  return load;
+}
+
+void FleetState::ReportFreed(const Engine& engine) const {
+  if (this->capacity_freed) {
+    this->capacity_freed(engine.view.engine);
+  }
+}
+
 }  // namespace meadowthread
--- a/src/policy/fleet_state_queries.cc
+++ b/src/policy/fleet_state_queries.cc
@@ -116,6 +116,17 @@
   return tokens;
 }
 
+std::int64_t FleetState::PeerLoadAgeMs(EngineIndex index,
+                                       std::int64_t now_ms) const {
+  std::int64_t age_ms = -1;
+  for (const PeerLoad& peer : this->engines[index]->peers) {
+    if (this->IsFresh(peer, now_ms) && peer.in_flight > 0) {
+      age_ms = std::max(age_ms, now_ms - peer.as_of_unix_ms);
+    }
+  }
+  return age_ms;
+}
+
 std::vector<PeerLoad> FleetState::PeersAt(std::string_view engine,
                                           std::int64_t now_ms) const {
   std::vector<PeerLoad> peers;
--- a/src/policy/pressure_chooser.cc
+++ b/src/policy/pressure_chooser.cc
@@ -11,6 +11,13 @@
 // a few short requests.
 constexpr std::int64_t kNoRoomRetryMs = 400;
 
+// A peer's run that is still in prefill may be the only one that is, so that it
+// counts with a prompt like that of the new work at least.
+std::int64_t PrefillOfOneRun(const PeerLoad& peer, const WorkItem& work) {
+  return std::max(peer.reading / peer.in_flight,
+                  std::min(peer.reading, work.prompt_tokens));
+}
+
 }  // namespace
 
 Decision PressureChooser::Choose(const WorkItem& work, const FleetState& fleet,
@@ -33,7 +40,7 @@
   if (scored.empty()) {
     return detail::NoUsableEngine(work, fleet);
   }
-  return this->Pick(work, fleet, scored, random);
+  return this->Pick(work, fleet, scored, now_ms, random);
 }
 
 StringMap<double> PressureChooser::LinkCosts(const WorkItem& work,
@@ -97,22 +104,56 @@
   scored.prefill_tokens = prefill_tokens;
   scored.first_event_ms =
       fleet.Prefill().ExpectedMs(prefill_tokens + work.prompt_tokens);
+  const EngineRoom room{capacity, forecast, prefill_tokens};
+  scored.fits = this->HasRoom(work, fleet, added, room);
+  scored.fits_without_peer_run =
+      scored.fits ||
+      this->HasRoomWithoutPeerRun(work, fleet, engine, added, room, now_ms);
+  return scored;
+}
+
+bool PressureChooser::HasRoom(const WorkItem& work, const FleetState& fleet,
+                              const MemoryForecast& added,
+                              const EngineRoom& room) const {
+  const double first_event_ms =
+      fleet.Prefill().ExpectedMs(room.prefill_tokens + work.prompt_tokens);
   // If the engine has nothing to prefill, no other could start the work sooner.
   // Besides, the assumed prefill rate may be too low, and it is corrected only
   // if work is sent.
   const bool starts_in_time =
-      work.first_event_within_ms <= 0 || prefill_tokens == 0 ||
-      scored.first_event_ms <= static_cast<double>(work.first_event_within_ms);
+      work.first_event_within_ms <= 0 || room.prefill_tokens == 0 ||
+      first_event_ms <= static_cast<double>(work.first_event_within_ms);
   const double limit_share = work.is_late ? this->options.late_work_part : 1.0;
-  const bool has_memory = forecast.FitsWithin(
-      added, capacity * this->options.memory_limit * limit_share,
-      capacity * this->options.short_work_limit * limit_share);
-  scored.fits = work.forced || (has_memory && starts_in_time);
-  return scored;
+  const bool has_memory = room.forecast.FitsWithin(
+      added, room.capacity * this->options.memory_limit * limit_share,
+      room.capacity * this->options.short_work_limit * limit_share);
+  return work.forced || (has_memory && starts_in_time);
+}
+
+// Peers report only the sums of their runs. In memory, one run is taken to be
+// an equal part of them.
+bool PressureChooser::HasRoomWithoutPeerRun(const WorkItem& work,
+                                            const FleetState& fleet,
+                                            EngineIndex engine,
+                                            const MemoryForecast& added,
+                                            const EngineRoom& room,
+                                            std::int64_t now_ms) const {
+  const std::span<const PeerLoad> peers = fleet.PeerLoads(engine);
+  return std::any_of(peers.begin(), peers.end(), [&](const PeerLoad& peer) {
+    if (peer.in_flight <= 0 || !fleet.IsFresh(peer, now_ms)) {
+      return false;
+    }
+    EngineRoom without = room;
+    without.forecast.AddScaled(peer.forecast,
+                               -1.0F / static_cast<float>(peer.in_flight));
+    without.prefill_tokens -= PrefillOfOneRun(peer, work);
+    return this->HasRoom(work, fleet, added, without);
+  });
 }
 
 Decision PressureChooser::Pick(const WorkItem& work, const FleetState& fleet,
                                std::vector<ScoredEngine>& scored,
+                               std::int64_t now_ms,
                                std::uint64_t random) const {
   std::size_t near_best = detail::RankByCost(scored, this->options.near_equal);
   // Hosts whose views of the engines are slightly out of date would otherwise
@@ -131,11 +172,15 @@
     decision.considered.push_back(
         Candidate{fleet.View(scored[i].engine).engine, scored[i].cost,
                   scored[i].memory_share, scored[i].in_flight, false,
-                  std::lround(scored[i].first_event_ms)});
+                  std::lround(scored[i].first_event_ms),
+                  fleet.PeerLoadAgeMs(scored[i].engine, now_ms)});
   }
   if (!scored[0].fits) {
     decision.reason = DecisionReason::kNoneHasRoom;
     decision.retry_after_ms = kNoRoomRetryMs;
+    decision.rests_on_peer_run = std::any_of(
+        scored.begin(), scored.end(),
+        [](const ScoredEngine& one) { return one.fits_without_peer_run; });
     return decision;
   }
   decision.engine = fleet.View(scored[0].engine).engine;
--- a/src/policy/pressure_chooser.h
+++ b/src/policy/pressure_chooser.h
@@ -105,6 +105,8 @@
     std::int64_t prefill_tokens = 0;
     double first_event_ms = 0.0;
     bool fits = false;
+    /// It would fit if one run of a peer there were over.
+    bool fits_without_peer_run = false;
   };
 
   /// Cost of the network path from each zone, by zone.
@@ -113,8 +115,21 @@
   ScoredEngine Score(const WorkItem& work, const FleetState& fleet,
                      EngineIndex engine, const MemoryForecast& added,
                      std::int64_t now_ms) const;
+  /// What counts for whether an engine has room.
+  struct EngineRoom {
+    double capacity = 0.0;
+    MemoryForecast forecast;  ///< with the work added
+    std::int64_t prefill_tokens = 0;
+  };
+
+  bool HasRoom(const WorkItem& work, const FleetState& fleet,
+               const MemoryForecast& added, const EngineRoom& room) const;
+  bool HasRoomWithoutPeerRun(const WorkItem& work, const FleetState& fleet,
+                             EngineIndex engine, const MemoryForecast& added,
+                             const EngineRoom& room, std::int64_t now_ms) const;
   Decision Pick(const WorkItem& work, const FleetState& fleet,
-                std::vector<ScoredEngine>& scored, std::uint64_t random) const;
+                std::vector<ScoredEngine>& scored, std::int64_t now_ms,
+                std::uint64_t random) const;
 
   PressureOptions options;
   double unseen_requests = 0.0;
--- a/src/policy/stream_admission.cc
+++ b/src/policy/stream_admission.cc
@@ -29,6 +29,11 @@
 // later half, when most bursts are over, and is spread over it so that the
 // retries do not form the next burst.
 constexpr double kMinRetryFraction = 0.5;
+// Hosts report changes of their loads every 25 ms, and freed capacity at once;
+// the rest is for the datagram's way and for a busy host.
+constexpr std::int64_t kPeerNewsMs = 50;
+// A stream is held for at most this fraction of its target before a refusal.
+constexpr double kMaxNewsFraction = 0.1;
 constexpr std::int64_t kShortRetryMs = 300;
 constexpr std::int64_t kMinRetryMs = 20;
 
@@ -40,9 +45,12 @@
 
 StreamAdmissionPlan StreamAdmission::Plan(const StreamArrival& arrival) const {
   StreamAdmissionPlan plan;
+  plan.peer_news_ms = kPeerNewsMs;
   if (arrival.target_ms <= 0 || !this->options.refuses_late) {
     return plan;
   }
+  plan.peer_news_ms =
+      std::min(kPeerNewsMs, FractionOf(arrival.target_ms, kMaxNewsFraction));
   const std::int64_t in_time_ms =
       FractionOf(arrival.target_ms, kInTimeFraction) - arrival.elapsed_ms;
   if (in_time_ms >= FractionOf(arrival.target_ms, kMinRemainingFraction)) {
--- a/src/policy/stream_admission.h
+++ b/src/policy/stream_admission.h
@@ -21,6 +21,9 @@
   /// is refused at once.
   std::int64_t may_wait_ms = 0;
   bool is_late = false;  ///< it can no longer meet its target
+  /// How long the stream waits before it is refused because of a single run of
+  /// another host, whose news that the run is over may be on its way.
+  std::int64_t peer_news_ms = 0;
 };
 
 /// @brief Options of StreamAdmission.
--- a/src/policy/tests/pressure_chooser_test.cc
+++ b/src/policy/tests/pressure_chooser_test.cc
@@ -291,5 +291,43 @@
   cr_assert(chosen.size() == 2);
 }
 
+// A host may not have heard yet that a peer's run is over; several runs have
+// hardly ended at once.
+Test(work_without_room, tells_whether_one_run_of_a_peer_keeps_it_out) {
+  PressureChooserFixture fixture;
+  WorkItem work = fixture.Item("r", 3'000);
+  work.first_event_within_ms = 500;
+  const auto decide = [&fixture, &work] {
+    return fixture.chooser.Choose(work, fixture.fleet.state, 1, 0);
+  };
+  fixture.ReportPeerLoad("e0", 0, 3'000);
+  fixture.ReportPeerLoad("e1", 0, 3'000);
+  cr_assert(!decide().engine.has_value() && decide().rests_on_peer_run);
+  cr_assert(decide().considered[0].peer_load_age_ms == 0);
+  for (const char* const engine : {"e0", "e1"}) {
+    PeerLoad more;
+    more.peer = "third";
+    more.engine = engine;
+    more.as_of_unix_ms = 1;
+    more.in_flight = 2;
+    more.reading = 6'000;
+    fixture.fleet.state.NotePeerLoad(more, 1);
+  }
+  cr_assert(!decide().engine.has_value() && !decide().rests_on_peer_run);
+}
+
+Test(work_without_room, tells_that_own_runs_keep_it_out) {
+  PressureChooserFixture fixture;
+  WorkItem work = fixture.Item("r", 3'000);
+  work.first_event_within_ms = 500;
+  for (const char* const engine : {"e0", "e1"}) {
+    fixture.fleet.state.NoteSent(fixture.Item(engine, 3'000), engine, 1);
+  }
+  const Decision decision =
+      fixture.chooser.Choose(work, fixture.fleet.state, 1, 0);
+  cr_assert(!decision.engine.has_value() && !decision.rests_on_peer_run);
+  cr_assert(decision.considered[0].peer_load_age_ms == -1);
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/policy/tests/stream_admission_test.cc
+++ b/src/policy/tests/stream_admission_test.cc
@@ -23,6 +23,14 @@
   cr_assert(!plan.is_late);
 }
 
+Test(a_first_attempt, waits_shortly_for_the_news_of_peers) {
+  cr_assert(StreamAdmission().Plan({kTargetMs, 0, kAllowedMs}).peer_news_ms ==
+            50);
+  cr_assert(StreamAdmission().Plan({200, 0, kAllowedMs}).peer_news_ms == 20,
+            "a tenth of its target at most");
+  cr_assert(StreamAdmission().Plan({0, 0, kAllowedMs}).peer_news_ms == 50);
+}
+
 Test(an_early_retry, has_the_rest_of_its_target) {
   const StreamAdmissionPlan plan =
       StreamAdmission().Plan({kTargetMs, 700, kAllowedMs - 700});
--- a/src/relay/stream_session_placement.cc
+++ b/src/relay/stream_session_placement.cc
@@ -18,6 +18,8 @@
 // Interval for requesting a placement again: an engine finishes about three
 // runs per second.
 constexpr std::int64_t kPlacementRetryMs = 250;
+// Interval for choosing again while other hosts' news may be on its way.
+constexpr std::int64_t kPeerNewsRetryMs = 10;
 // Delay before another request for a placement if the chosen engine could not
 // be used. By then the host that allocates the engines has learned of the
 // change.
@@ -29,19 +31,34 @@
 }
 
 // Lists the best candidates for the log, each as engine, cost, requests in
-// flight, probability that this request overfills the engine's memory, and
-// expected time to the first event.
+// flight, probability that this request overfills the engine's memory, expected
+// time to the first event, and age of the oldest load that a peer reported.
 std::string CandidatesText(const Decision& decision) {
   std::string text;
   for (const Candidate& one : decision.considered) {
     absl::StrAppend(&text, text.empty() ? "" : ",", one.engine, ":",
                     absl::StrFormat("%.3f", one.cost), ":", one.in_flight, ":",
                     absl::StrFormat("%.2f", one.overfill_chance), ":",
-                    one.first_event_ms);
+                    one.first_event_ms, ":", one.peer_load_age_ms);
   }
   return text;
 }
 
+// Whether the stream waits only for other hosts' news before it is refused.
+bool AwaitsPeerNews(const StreamAdmissionPlan& arrival,
+                    const Decision& decision) {
+  return decision.rests_on_peer_run && arrival.may_wait_ms <= 0;
+}
+
+std::int64_t MaxWaitMs(const StreamAdmissionPlan& arrival,
+                       const Decision& decision) {
+  if (decision.reason != DecisionReason::kNoneHasRoom) {
+    return std::max(arrival.may_wait_ms, kNoEngineWaitMs);
+  }
+  return AwaitsPeerNews(arrival, decision) ? arrival.peer_news_ms
+                                           : arrival.may_wait_ms;
+}
+
 }  // namespace
 
 ////////////
@@ -135,11 +152,7 @@
   }
   const std::int64_t now_ms = this->deps.clock.MonotonicMs();
   if (this->queue_until_ms < 0) {
-    std::int64_t wait_ms = arrival.may_wait_ms;
-    if (decision.reason != DecisionReason::kNoneHasRoom) {
-      wait_ms = std::max(wait_ms, kNoEngineWaitMs);
-    }
-    this->queue_until_ms = now_ms + wait_ms;
+    this->queue_until_ms = now_ms + MaxWaitMs(arrival, decision);
   }
   const std::int64_t wait_ms = this->queue_until_ms - now_ms;
   LogLine("queue")
@@ -150,9 +163,12 @@
       .Add("within_ms", arrival.first_event_within_ms)
       .Add("since_first_try_ms", this->ElapsedMs())
       .Add("wait_ms", wait_ms)
+      .Add("rests_on_peer_run", decision.rests_on_peer_run ? "yes" : "no")
       .Write();
   if (wait_ms <= 0) {
     this->RefuseQueued(decision.reason);
+  } else if (AwaitsPeerNews(arrival, decision)) {
+    this->RetryPlacementAfter(std::min(kPeerNewsRetryMs, wait_ms));
   } else if (this->stream_deps.allocation.IsShared()) {
     const bool was_placed = decision.engine.has_value();
     this->RetryPlacementAfter(std::min(
--- a/src/relay/tests/stream_session_test.cc
+++ b/src/relay/tests/stream_session_test.cc
@@ -109,6 +109,17 @@
     load.reading = tokens;
     this->fleet.NotePeerLoad(load, this->clock.WallMs());
   }
+  /// @brief Another host reports one run at an engine that is still in prefill
+  /// or is over.
+  void SetPeerRun(const std::string& engine, bool is_over) {
+    PeerLoad load;
+    load.peer = "other";
+    load.engine = engine;
+    load.as_of_unix_ms = this->clock.WallMs();
+    load.in_flight = is_over ? 0 : 1;
+    load.reading = is_over ? 0 : 6'000;
+    this->fleet.NotePeerLoad(load, this->clock.WallMs());
+  }
   /// @brief Records requests from which the host learns that the route's
   /// callers usually set a timeout of ten seconds on their first attempt.
   void LearnInitialTimeouts() {
@@ -286,6 +297,30 @@
   cr_assert(fixture.Got("Retry-After") && fixture.client.sent.empty());
 }
 
+// Guards against refusals by an idle fleet: a caller whose stream at one host
+// had just ended was refused by another, which had not heard of the end yet.
+Test(a_stream_that_one_run_of_a_peer_keeps_out, waits_for_the_news_of_its_end) {
+  StreamSessionFixture fixture(1);
+  fixture.SetPeerRun("s-1", false);
+  fixture.Begin();
+  cr_assert(fixture.ended == 0 && fixture.client.sent.empty());
+  fixture.Advance(20);
+  fixture.SetPeerRun("s-1", true);
+  fixture.Advance(20);
+  cr_assert(fixture.client.sent.size() == 1 && fixture.ended == 0);
+}
+
+Test(a_stream_that_one_run_of_a_peer_keeps_out, is_refused_without_such_news) {
+  StreamSessionFixture fixture(1);
+  fixture.SetPeerRun("s-1", false);
+  fixture.Begin();
+  for (int n = 0; n < 6; ++n) {
+    fixture.Advance(10);
+  }
+  cr_assert(fixture.ended == 1 && fixture.Got("not_run"));
+  cr_assert(fixture.Got("Retry-After") && fixture.client.sent.empty());
+}
+
 Test(a_stream_that_was_retried, waits_for_room) {
   StreamSessionFixture fixture(1);
   fixture.LearnInitialTimeouts();
--- a/src/serve/fleet_load_adapter.cc
+++ b/src/serve/fleet_load_adapter.cc
@@ -44,6 +44,27 @@
 
 }  // namespace detail
 
+EngineLoadNote FleetLoadAdapter::NoteOf(const PeerLoad& load) const {
+  EngineLoadNote note;
+  note.engine = load.engine;
+  note.host = this->host;
+  note.in_flight = load.in_flight;
+  note.reserved_tokens = std::lround(load.forecast.MaxExpectedTokens());
+  note.as_of_unix_ms = load.as_of_unix_ms;
+  note.held_tokens = load.kv_held;
+  note.prefill_backlog = load.reading;
+  note.copies = load.copies;
+  note.outlook = detail::EncodeForecast(load.forecast);
+  return note;
+}
+
+// The cached notes are older than this one and must not be sent after it.
+EngineLoadNote FleetLoadAdapter::NoteAt(std::string_view engine) {
+  this->refreshed_ms = 0;
+  return this->NoteOf(
+      this->fleet.OwnLoadAt(this->host, engine, this->clock.WallMs()));
+}
+
 void FleetLoadAdapter::Refresh() {
   const std::int64_t now = this->clock.WallMs();
   if (now - this->refreshed_ms < kRefreshMs) {
@@ -52,17 +73,7 @@
   this->refreshed_ms = now;
   std::vector<EngineLoadNote> fresh;
   for (const PeerLoad& load : this->fleet.OwnLoad(this->host, now)) {
-    EngineLoadNote note;
-    note.engine = load.engine;
-    note.host = this->host;
-    note.in_flight = load.in_flight;
-    note.reserved_tokens = std::lround(load.forecast.MaxExpectedTokens());
-    note.as_of_unix_ms = load.as_of_unix_ms;
-    note.held_tokens = load.kv_held;
-    note.prefill_backlog = load.reading;
-    note.copies = load.copies;
-    note.outlook = detail::EncodeForecast(load.forecast);
-    fresh.push_back(std::move(note));
+    fresh.push_back(this->NoteOf(load));
   }
   for (const EngineLoadNote& old : this->notes) {
     const bool is_included = std::any_of(fresh.begin(), fresh.end(),
--- a/src/serve/fleet_load_adapter.h
+++ b/src/serve/fleet_load_adapter.h
@@ -21,11 +21,15 @@
 
   std::vector<EngineLoadNote> NotesFor(std::string_view peer,
                                        std::size_t limit) override;
+  /// @brief This host's load on one engine as it is now.
+  /// @param[in] engine must be known to the fleet state
+  EngineLoadNote NoteAt(std::string_view engine);
   void OnNotes(std::string_view from,
                std::span<const EngineLoadNote> notes) override;
 
  private:
   void Refresh();
+  EngineLoadNote NoteOf(const PeerLoad& load) const;
 
   std::string host;
   const Clock& clock;
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -252,6 +252,9 @@
   this->fleet.OnPrefillObserved([this](const PrefillObservation& seen) {
     this->allocation.ReportPrefill(seen);
   });
+  this->fleet.OnCapacityFreed([this](std::string_view engine) {
+    this->load_datagrams.SendFreed(this->load_adapter.NoteAt(engine));
+  });
   this->allocation.SetLoadReporter(
       [this] { this->load_datagrams.SendAllSoon(); });
   this->host_registry.SetListener(
