A host's configuration revision is not raised by writes of other kinds

What operators saw: a host showed configuration revision 2 that had not the template accepted at revision 4; 2 was a host's status object. Two hosts with the same templates showed different revisions.

Cause: the status told how far the host had read the store, which every write raises. Evidence: status of both hosts and the store's record of writes at 9 failures of 300 runs, all alike (docs/incidents/2026-12-revision-of-other-writes); the second host had the template 2 ms later by the exchange. Excluded: a host that goes backwards (none did), the stale reads (they began after).

--- a/src/configuration/kind_view.cc
+++ b/src/configuration/kind_view.cc
@@ -1,6 +1,7 @@
 #include "configuration/kind_view.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -81,6 +82,7 @@
   if (is_stale || has_gap) {
     return false;
   }
+  this->RaiseLatestChange(revision);
   if (full) {
     this->RemoveAbsent(revision, items, changed);
     this->RaiseFloor(revision);
@@ -171,6 +173,15 @@
     // the object certainly doesn't exist at that revision.
     changed->push_back(StoredObject{this->kind, name, revision, "", true});
     this->Erase(name);
+    this->latest_change = revision;
+  }
+}
+
+// Called before tombstones are discarded, so that a deletion counts.
+void KindView::RaiseLatestChange(std::int64_t revision) {
+  const auto next = this->by_version.upper_bound(revision);
+  if (next != this->by_version.begin()) {
+    this->latest_change = std::max(this->latest_change, std::prev(next)->first);
   }
 }
 
--- a/src/configuration/kind_view.h
+++ b/src/configuration/kind_view.h
@@ -53,6 +53,11 @@
 
   ViewDigest Digest() const;
 
+  /// @brief The revision of the kind's newest change at or below the watermark;
+  /// 0 if there is none. Other kinds' changes raise the watermark, but not
+  /// this.
+  std::int64_t LatestChange() const { return this->latest_change; }
+
   /// @brief The changes after `since`, truncated at the byte limit unless the
   /// delta is full. Holds at least one item if there is any.
   ViewDelta DeltaSince(std::int64_t since, std::size_t limit_bytes) const;
@@ -67,6 +72,7 @@
   bool Apply(const StoredObject& object, bool is_from_store);
   void RemoveAbsent(std::int64_t revision, std::span<const StoredObject> items,
                     std::vector<StoredObject>* changed);
+  void RaiseLatestChange(std::int64_t revision);
   void RaiseFloor(std::int64_t revision);
   void LimitTombstones();
   void Erase(const std::string& name);
@@ -76,6 +82,7 @@
   std::map<std::int64_t, const StoredObject*> by_version;
   std::size_t tombstones = 0;
   std::int64_t watermark = 0;
+  std::int64_t latest_change = 0;
   std::int64_t floor = 0;
   Confirmation confirmed;
 };
--- a/src/configuration/replicated_view.cc
+++ b/src/configuration/replicated_view.cc
@@ -89,6 +89,11 @@
                          : view->Digest();
 }
 
+std::int64_t ReplicatedView::LatestChange(std::string_view kind) const {
+  const KindView* view = this->KindOf(kind);
+  return view == nullptr ? 0 : view->LatestChange();
+}
+
 std::vector<ViewDigest> ReplicatedView::Digests() const {
   std::vector<ViewDigest> digests;
   for (const auto& [kind, view] : this->kinds) {
--- a/src/configuration/replicated_view.h
+++ b/src/configuration/replicated_view.h
@@ -75,6 +75,10 @@
   /// @brief The kind's watermark and latest confirmation.
   ViewDigest Digest(std::string_view kind) const;
 
+  /// @brief The revision of the kind's newest change at or below its watermark;
+  /// 0 if there is none.
+  std::int64_t LatestChange(std::string_view kind) const;
+
   /// @brief The digests of all kinds, by ascending kind.
   std::vector<ViewDigest> Digests() const;
 
--- a/src/configuration/tests/replicated_view_test.cc
+++ b/src/configuration/tests/replicated_view_test.cc
@@ -69,6 +69,41 @@
   cr_assert(host.notified == 4);
 }
 
+// Guards against a configuration revision that writes of other kinds raise: a
+// host seemed to have a template that was accepted only later.
+Test(the_latest_change_of_a_kind, is_not_raised_by_other_kinds) {
+  Host host("a");
+  host.List(0, 5, {At("x", 3)});
+  cr_assert(host.view.LatestChange("templates") == 3);
+  cr_assert(host.List(5, 9, {}) && host.Revision() == 9);
+  cr_assert(host.view.LatestChange("templates") == 3);
+  host.List(9, 12, {At("x", 11)});
+  cr_assert(host.view.LatestChange("templates") == 11);
+}
+
+Test(the_latest_change_of_a_kind, is_counted_once_all_before_it_are_known) {
+  Host host("a");
+  host.List(0, 5, {At("x", 3)});
+  cr_assert(host.Offer(At("y", 8)) == 1);
+  cr_assert(host.view.LatestChange("templates") == 3, "6 or 7 may be missing");
+  host.List(5, 8, {At("z", 7), At("y", 8)});
+  cr_assert(host.view.LatestChange("templates") == 8);
+}
+
+Test(the_latest_change_of_a_kind, stays_when_its_object_is_removed) {
+  Host host("a");
+  host.List(0, 5, {At("x", 3), At("y", 5)});
+  host.List(5, 7, {DeletedAt("y", 7)});
+  cr_assert(host.view.LatestChange("templates") == 7);
+  host.List(0, 9, {At("x", 3)});
+  cr_assert(host.view.LatestChange("templates") == 7,
+            "a list without it doesn't take it back");
+  host.List(0, 12, {});
+  cr_assert(host.view.LatestChange("templates") == 12,
+            "it was removed at 12 at the latest");
+  cr_assert(host.view.LatestChange("unknown") == 0);
+}
+
 Test(a_view, ignores_a_stale_read) {
   Host host("a");
   host.List(0, 9, {At("x", 7), At("y", 8)});
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -486,6 +486,7 @@
   status.host = this->settings.host.name;
   status.incarnation = this->incarnation;
   status.ready = this->gate.MayTakeWork();
+  status.configuration_revision = this->view.LatestChange(kTemplatesKind);
   status.templates = this->view.Digest(kTemplatesKind);
   status.streams = this->gateway->Running();
   for (const Urgency urgency :
--- a/src/serve/host_status.h
+++ b/src/serve/host_status.h
@@ -17,6 +17,7 @@
   std::string host;
   std::int64_t incarnation = 0;
   absl::Status ready;
+  std::int64_t configuration_revision = 0;  ///< of the newest template change
   ViewDigest templates;
   std::size_t streams = 0;
   std::size_t queued = 0;
--- a/tests/process/configuration_test.cc
+++ b/tests/process/configuration_test.cc
@@ -95,6 +95,26 @@
   }));
 }
 
+// Guards against a status that shows a revision of writes other than templates:
+// whoever waited for it took an accepted template for known too early.
+Test(a_hosts_configuration_revision, is_not_raised_by_other_writes) {
+  const TestApplication application;
+  Fleet fleet(Plan(2));
+  fleet.Start();
+  fleet.Mark("entry-9", "leaving");
+  // A watch that begins later ends with the mark's revision at the latest.
+  const auto watches = [&fleet] {
+    return fleet.Record(fleet.StoreUrl())["calls"].value("watch",
+                                                         std::int64_t{0});
+  };
+  const std::int64_t before = watches();
+  cr_assert(WaitFor([&] { return watches() >= before + 6; }));
+  cr_assert(RevisionOf(fleet, 0) == 1 && RevisionOf(fleet, 1) == 1,
+            "%d, %d: the only template was written first",
+            static_cast<int>(RevisionOf(fleet, 0)),
+            static_cast<int>(RevisionOf(fleet, 1)));
+}
+
 Test(a_host_that_starts_while_the_platform_is_down, learns_from_its_peers) {
   const TestApplication application;
   Fleet fleet(Plan(2));
