The end of a host's work is told again if its one message was lost

Cause (found while the refusals by an idle fleet were traced, by reading): all load notes are sent again each 3 s, but notes of ended work were kept for 2 s only. In one of three cases a lost message of an end was not repeated, and other hosts took the engine for busy until the load expired after 7 s.

Change: notes of ended work are kept for longer than the interval of all notes, which both now take from one constant. Its test failed with 2 s.

--- a/src/exchange/load_datagrams.cc
+++ b/src/exchange/load_datagrams.cc
@@ -20,9 +20,6 @@
 // and the end of one short run. More would cost a busy host datagrams, and its
 // peers hear from it at each interval anyway.
 constexpr int kMaxFreedPerInterval = 2;
-// Interval at which all notes are sent again: twice within the time after which
-// peers ignore old notes.
-constexpr std::int64_t kFullResendMs = 3'000;
 // Notes in a datagram to every host: those with the most load.
 constexpr std::size_t kMaxNotesPerBroadcast = 48;
 // As many as fit one packet on most networks.
@@ -173,7 +170,7 @@
   const std::int64_t now_ms = this->clock.MonotonicMs();
   std::vector<EngineLoadNote> notes = this->source.NotesFor(
       "", this->audience.IsEverybody() ? kMaxNotesPerBroadcast : kMaxEngines);
-  const bool all = now_ms - this->all_sent_ms >= kFullResendMs;
+  const bool all = now_ms - this->all_sent_ms >= kLoadResendMs;
   const std::vector<EngineLoadNote> to_send =
       all ? notes : this->Changed(notes);
   if (!to_send.empty() && this->Send(to_send)) {
--- a/src/exchange/load_datagrams.h
+++ b/src/exchange/load_datagrams.h
@@ -15,6 +15,10 @@
 
 namespace meadowthread {
 
+/// @brief Interval at which all load notes are sent again: twice within the
+/// time after which peers ignore old notes.
+inline constexpr std::int64_t kLoadResendMs = 3'000;
+
 /// @brief JSON payload of load notes in a datagram.
 nlohmann::json LoadsJson(const std::vector<EngineLoadNote>& notes);
 
--- a/src/serve/fleet_load_adapter.cc
+++ b/src/serve/fleet_load_adapter.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "exchange/load_datagrams.h"
+
 namespace meadowthread {
 namespace {
 
@@ -11,8 +13,9 @@
 // ended, so if it were called for each peer, only one peer would learn of it.
 constexpr std::int64_t kRefreshMs = 20;
 // For this long, notes still include an engine that has no more streams of this
-// host, in case a message with that change was lost.
-constexpr std::int64_t kIdleNoteMs = 2'000;
+// host, in case a message with that change was lost: longer than the interval
+// at which all notes are sent again, so that one more message tells it.
+constexpr std::int64_t kIdleNoteMs = kLoadResendMs + 500;
 
 }  // namespace
 
--- a/src/serve/tests/fleet_load_adapter_test.cc
+++ b/src/serve/tests/fleet_load_adapter_test.cc
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include "exchange/load_datagrams.h"
 #include "policy/length_model.h"
 
 namespace meadowthread {
@@ -63,6 +64,20 @@
   cr_assert(two.fleet.InFlight(0, kNow + 300) == 0);
 }
 
+// Guards against an engine that stays busy in other hosts' eyes for seconds
+// after its work has ended, as the one message of the end was lost.
+Test(a_load_note, of_ended_work_is_among_the_next_notes_that_are_all_sent) {
+  LoadHost one("entry-1");
+  one.fleet.NoteSent(Work(), "e1", kNow);
+  cr_assert(one.notes.NotesFor("entry-2", 16).size() == 1);
+  one.fleet.NoteEnded("r-1", StreamEnd::kComplete, kNow);
+  one.clock.Advance(50);
+  cr_assert(one.notes.NotesFor("entry-2", 16).size() == 1, "sent, and lost");
+  one.clock.Advance(kLoadResendMs);
+  const auto again = one.notes.NotesFor("entry-2", 16);
+  cr_assert(again.size() == 1 && again[0].in_flight == 0);
+}
+
 Test(a_load_note, with_an_outlook_of_the_wrong_length_is_ignored) {
   LoadHost two("entry-2");
   EngineLoadNote note;
