--- a/src/serve/detail/start_and_run.h
+++ b/src/serve/detail/start_and_run.h
@@ -7,6 +7,9 @@
 #include <memory>
 
 #include "base/error.h"
+#include "base/log_line.h"
+#include "base/log_writer.h"
+#include "settings/settings.h"
 
 namespace meadowthread::detail {
 
@@ -14,6 +17,13 @@
 /// start.
 inline constexpr int kExitUsage = 2;
 
+/// @brief Logs that a host starts, before anything that can block: a process
+/// that hangs in its start is told from one that never ran.
+inline void LogStart(const HostSettings& host) {
+  LogLine("starting").Add("host", host.name).WriteImportant();
+  FlushLog();
+}
+
 /// @brief Starts a host and runs the event loop until it quits. Destroys the
 /// host before it returns, while the application object still exists.
 /// @return the process's exit code
--- a/src/serve/run_relay.cc
+++ b/src/serve/run_relay.cc
@@ -10,6 +10,7 @@
 
 int RunRelay(const RelaySettings& settings, std::string_view settings_file,
              RelayPlatform& platform) {
+  detail::LogStart(settings.host);
   int argument_count = 1;
   char program[] = "meadowthread";
   char* arguments[] = {program, nullptr};
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -16,6 +16,7 @@
 }  // namespace
 
 int RunServe(const Settings& settings) {
+  detail::LogStart(settings.host);
   int argument_count = 1;
   char program[] = "meadowthread";
   char* arguments[] = {program, nullptr};
