--- a/src/serve/detail/relay_host_impl.h
+++ b/src/serve/detail/relay_host_impl.h
@@ -95,6 +95,7 @@
   void UpdateUnreportedStreams();
   void PollEnginesDuringStall();
   std::vector<AllocatorHost> AllocatorHosts() const;
+  void ConnectEngineKnowledge();
   void CheckPropagationDelays() const;
   void ApplyConfiguration();
   void AdvanceStop();
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -233,6 +233,34 @@
       [this](BackendChange change, const Backend& backend) {
         this->OnBackendChange(change, backend);
       });
+  this->ConnectEngineKnowledge();
+  this->host_registry.SetListener(
+      [this](const std::vector<EntryHost>& known) { this->ApplyHosts(known); });
+  this->host_registry.OnRead(
+      [this](const StoredObject& object, const absl::Status& read) {
+        this->ReportReadResult(object, read);
+      });
+  this->hub.SetSenderListener([this](std::string_view host) {
+    this->dead_hosts.NoteHeard(host);
+    this->allocation.NoteHeard(host);
+  });
+  this->gossip.Connect(this->crash_gossip);
+  this->gossip.Connect(this->rollouts);
+  this->quarantine.AddListener([this](const CrashRecordId& quarantined) {
+    this->relay.EndQuarantined(quarantined);
+  });
+  this->view_datagrams.Connect(this->hub);
+  this->exchange.ExcludeFromImmediatePush(on.Kinds().backends);
+  this->exchange.ExcludeFromImmediatePush(on.Kinds().routing_config);
+  this->feeder.OnAnswered(
+      [this] { this->store_outages.RecordAnswer(this->clock.MonotonicMs()); });
+  this->store_uptimes.OnPeerUptime(
+      [this] { this->backends.ReviewGracePeriods(); });
+}
+
+// What this host learns of engines by its own requests goes to its choices of
+// engines and to the other hosts.
+void RelayHost::Impl::ConnectEngineKnowledge() {
   this->health.SetListener([this](const HealthUpdate& news) {
     this->fleet.SetFailureShare(news.id, news.failure_share);
     this->fleet.MarkUnreachable(news.id,
@@ -257,28 +285,6 @@
   });
   this->allocation.SetLoadReporter(
       [this] { this->load_datagrams.SendAllSoon(); });
-  this->host_registry.SetListener(
-      [this](const std::vector<EntryHost>& known) { this->ApplyHosts(known); });
-  this->host_registry.OnRead(
-      [this](const StoredObject& object, const absl::Status& read) {
-        this->ReportReadResult(object, read);
-      });
-  this->hub.SetSenderListener([this](std::string_view host) {
-    this->dead_hosts.NoteHeard(host);
-    this->allocation.NoteHeard(host);
-  });
-  this->gossip.Connect(this->crash_gossip);
-  this->gossip.Connect(this->rollouts);
-  this->quarantine.AddListener([this](const CrashRecordId& quarantined) {
-    this->relay.EndQuarantined(quarantined);
-  });
-  this->view_datagrams.Connect(this->hub);
-  this->exchange.ExcludeFromImmediatePush(on.Kinds().backends);
-  this->exchange.ExcludeFromImmediatePush(on.Kinds().routing_config);
-  this->feeder.OnAnswered(
-      [this] { this->store_outages.RecordAnswer(this->clock.MonotonicMs()); });
-  this->store_uptimes.OnPeerUptime(
-      [this] { this->backends.ReviewGracePeriods(); });
 }
 
 void RelayHost::Impl::CheckPropagationDelays() const {
