--- a/src/gateway/service_backend_protocol.cc
+++ b/src/gateway/service_backend_protocol.cc
@@ -22,4 +22,9 @@
   return AnswerMeaning::kRan;
 }
 
+NamedRate ServiceBackendProtocol::RateIn(
+    std::span<const HttpHeader> /*headers*/) const {
+  return {};
+}
+
 }  // namespace meadowthread
--- a/src/gateway/service_backend_protocol.h
+++ b/src/gateway/service_backend_protocol.h
@@ -17,6 +17,9 @@
   /// @brief Always AnswerMeaning::kRan, for any response.
   AnswerMeaning Read(int http_status,
                      std::span<const HttpHeader> headers) const override;
+
+  /// @brief Always none: this protocol has no header for it.
+  NamedRate RateIn(std::span<const HttpHeader> headers) const override;
 };
 
 }  // namespace meadowthread
--- a/src/relay/backend_protocol.h
+++ b/src/relay/backend_protocol.h
@@ -13,6 +13,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/problem.h"
+#include "policy/named_rate.h"
 #include "relay/relay_request.h"
 
 namespace meadowthread {
@@ -67,6 +68,10 @@
   /// @brief Interprets the status and headers of an answer.
   virtual AnswerMeaning Read(int http_status,
                              std::span<const HttpHeader> headers) const = 0;
+
+  /// @brief What the headers of an answer say about the rate of requests that
+  /// the server takes.
+  virtual NamedRate RateIn(std::span<const HttpHeader> headers) const = 0;
 };
 
 /// @brief Protocol between callers and this host.
--- a/src/relay/detail/call_attempt.h
+++ b/src/relay/detail/call_attempt.h
@@ -43,6 +43,10 @@
   void OnHead(int http_status, std::span<const HttpHeader> headers) override {
     this->answer.http_status = http_status;
     this->answer.headers.assign(headers.begin(), headers.end());
+    const AnswerMeaning meaning =
+        this->session.deps.wire.Read(http_status, headers);
+    NoteRateIn(this->session.deps,
+               {this->backend, this->sent_ms, meaning, headers});
   }
 
   void OnData(std::string_view data) override {
--- a/src/relay/relay_dependencies.cc
+++ b/src/relay/relay_dependencies.cc
@@ -11,6 +11,19 @@
   return ServerInstance{backend->key, backend->entry.address};
 }
 
+// Another server at the same address says nothing about the one that was meant.
+void NoteRateIn(const RelayDependencies& deps, const AnswerHead& head) {
+  if (head.meaning == AnswerMeaning::kOtherInstance) {
+    return;
+  }
+  RateAnswer answer;
+  answer.server = head.server;
+  answer.rate = deps.wire.RateIn(head.headers);
+  answer.sent_ms = head.sent_ms;
+  answer.ran = head.meaning == AnswerMeaning::kRan;
+  deps.named_rates.ApplyAnswer(answer, deps.clock.MonotonicMs());
+}
+
 namespace {
 
 // An answer of a server that was still cold does not tell how fast its version
--- a/src/relay/relay_dependencies.h
+++ b/src/relay/relay_dependencies.h
@@ -4,11 +4,13 @@
 #include <cstdint>
 #include <optional>
 #include <random>
+#include <span>
 #include <string_view>
 
 #include "base/clock.h"
 #include "base/scheduler.h"
 #include "net/http_client.h"
+#include "permits/named_rates.h"
 #include "policy/dispatcher.h"
 #include "policy/engine_allocation.h"
 #include "policy/first_attempt_time_estimator.h"
@@ -55,6 +57,7 @@
   ServerRateLimiter& arrivals;
   std::mt19937_64& random;
   VersionGate& versions;
+  NamedRates& named_rates;
 };
 
 /// @brief The server as the quarantine records it; nullopt if it is unknown or
@@ -62,6 +65,17 @@
 std::optional<ServerInstance> ServerUnlessLeaving(const BackendList& backends,
                                                   std::string_view key);
 
+/// @brief A request's attempt whose answer has begun to arrive.
+struct AnswerHead {
+  std::string_view server;   ///< key of the server that it was sent to
+  std::int64_t sent_ms = 0;  ///< monotonic
+  AnswerMeaning meaning = AnswerMeaning::kRan;
+  std::span<const HttpHeader> headers;
+};
+
+/// @brief Learns what an answer says of the server's rate.
+void NoteRateIn(const RelayDependencies& deps, const AnswerHead& head);
+
 /// @brief How an attempt at a backend server ended, or how its stream began.
 struct AttemptEnd {
   std::string_view server;  ///< its key
--- a/src/relay/tests/call_session_test.cc
+++ b/src/relay/tests/call_session_test.cc
@@ -99,6 +99,15 @@
   cr_assert(fixture.observer.ends.size() == 1);
 }
 
+Test(a_call, learns_the_rate_that_its_server_names) {
+  CallSessionFixture fixture(1);
+  fixture.Begin(ExecutionRule::kOnce);
+  fixture.client.Head(0, 200,
+                      {{std::string(testing::kSignedHeader), "yes"},
+                       {std::string(testing::kRateHeader), "4.4"}});
+  cr_assert(fixture.named_rates.RateOf("s-1") == 4.4);
+}
+
 Test(a_call, that_could_not_connect_is_retried_without_using_the_budget) {
   CallSessionFixture fixture(3);
   const double saved = fixture.budgets.BudgetFor("svc").Saved();
--- a/src/relay/tests/relay_fixture.h
+++ b/src/relay/tests/relay_fixture.h
@@ -30,6 +30,7 @@
 
 inline constexpr std::string_view kNotRunHeader = "Test-Not-Run";
 inline constexpr std::string_view kSignedHeader = "Test-Signed";
+inline constexpr std::string_view kRateHeader = "Test-Rate";
 
 /// @brief An HTTP client whose servers are simulated by the test.
 class FakeClient final : public HttpClient {
@@ -121,6 +122,11 @@
     }
     return http;
   }
+  NamedRate RateIn(std::span<const HttpHeader> headers) const override {
+    const std::string rate(FindHeader(headers, kRateHeader));
+    return rate.empty() ? NamedRate{}
+                        : NamedRate{NamedRate::Kind::kNamed, std::stod(rate)};
+  }
   AnswerMeaning Read(int status,
                      std::span<const HttpHeader> headers) const override {
     if (!FindHeader(headers, kNotRunHeader).empty()) {
@@ -268,10 +274,12 @@
   ServerRateLimiter arrivals{"self"};
   std::mt19937_64 random{7};
   FakeVersionGate versions;
-  RelayDependencies deps{this->clock,    this->scheduler, this->client,
-                         this->wire,     this->backends,  this->health,
-                         this->budgets,  this->observer,  this->quarantine,
-                         this->arrivals, this->random,    this->versions};
+  NamedRates named_rates;
+  RelayDependencies deps{this->clock,      this->scheduler, this->client,
+                         this->wire,       this->backends,  this->health,
+                         this->budgets,    this->observer,  this->quarantine,
+                         this->arrivals,   this->random,    this->versions,
+                         this->named_rates};
   LearnedLengthModel lengths;
   FleetState fleet{this->lengths, FleetOptions{0, 7'000}};
   PressureChooser chooser{PressureOptions{}};
--- a/src/serve/detail/relay_host_impl.h
+++ b/src/serve/detail/relay_host_impl.h
@@ -20,6 +20,7 @@
 #include "net/listen_probe.h"
 #include "net/pooled_client.h"
 #include "net/qt_scheduler.h"
+#include "permits/named_rates.h"
 #include "policy/length_model.h"
 #include "policy/local_allocation.h"
 #include "policy/pressure_chooser.h"
@@ -133,6 +134,7 @@
   QtListenProbe listen_check;
   Quarantine quarantine;
   ServerRateLimiter rate_limiter;
+  NamedRates named_rates;
   GossipDatagrams gossip;
   CrashGossip crash_gossip;
   CrashRecordStore crash_records;
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -181,6 +181,7 @@
   Quarantine quarantine;
   ServerRateLimiter rate_limiter;
   NoVersionGate version_gate;
+  NamedRates named_rates;
   CrashRecordStore crash_records;
   EngineRestartDetector engine_restarts;
   ServiceForwarder forwarder;
@@ -254,13 +255,13 @@
       crash_records(kQuarantineKind, StoredRecords::kSuspects, this->quarantine,
                     this->store, this->view, this->clock, this->scheduler,
                     this->random()),
-      forwarder(
-          {{this->clock, this->scheduler, this->client,
-            this->service_backend_protocol, this->backends, this->health,
-            this->service_retries, this->service_metrics, this->quarantine,
-            this->rate_limiter, this->random, this->version_gate},
-           this->catalog,
-           this->claims}) {
+      forwarder({{this->clock, this->scheduler, this->client,
+                  this->service_backend_protocol, this->backends, this->health,
+                  this->service_retries, this->service_metrics,
+                  this->quarantine, this->rate_limiter, this->random,
+                  this->version_gate, this->named_rates},
+                 this->catalog,
+                 this->claims}) {
   SessionDependencies session = {this->clock,
                                  this->scheduler,
                                  this->engine_client,
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -200,14 +200,14 @@
                {this->gossip, *this->rollout_store, *this, this->clock,
                 this->scheduler, this->random}),
       control(on.MakeControl(this->client)),
-      relay(
-          with.host.name,
-          {this->clock, this->scheduler, this->client, on.Backends(),
-           this->backends, this->health, this->budgets, this->metrics,
-           this->quarantine, this->rate_limiter, this->random, this->rollouts},
-          {this->allocation.Allocation(), this->dispatcher, this->fleet,
-           this->first_attempts, this->admission, this->links},
-          *this->control, on.Callers(), this->routing_config),
+      relay(with.host.name,
+            {this->clock, this->scheduler, this->client, on.Backends(),
+             this->backends, this->health, this->budgets, this->metrics,
+             this->quarantine, this->rate_limiter, this->random, this->rollouts,
+             this->named_rates},
+            {this->allocation.Allocation(), this->dispatcher, this->fleet,
+             this->first_attempts, this->admission, this->links},
+            *this->control, on.Callers(), this->routing_config),
       ready_service(on.ReadyPath(),
                     [this] {
                       return !this->stop_plan.has_value() &&
@@ -394,6 +394,7 @@
   set("quarantined", this->quarantine.Count());
   set("crash_records", this->quarantine.RecordTable().Size());
   set("allocation_groups", this->allocation.OwnGroupCount());
+  set("servers_naming_a_rate", this->named_rates.Count());
   for (const Urgency urgency :
        {Urgency::kUrgent, Urgency::kNormal, Urgency::kBatch}) {
     set("queued_" + std::string(UrgencyName(urgency)),
