Hosts tell whether their path to the servers is lost

No line told a host that is cut off from all servers from one whose servers are down: both log backend-aside for one server after the other. Nothing is decided by it yet.

--- a/src/serve/detail/relay_host_impl.h
+++ b/src/serve/detail/relay_host_impl.h
@@ -16,6 +16,7 @@
 #include "exchange/load_datagrams.h"
 #include "exchange/stop_datagrams.h"
 #include "exchange/view_datagrams.h"
+#include "forwarding/path_monitor.h"
 #include "net/http_server.h"
 #include "net/listen_probe.h"
 #include "net/pooled_client.h"
@@ -109,6 +110,7 @@
   QtScheduler scheduler;
   PooledClient store_client;
   PooledClient client;
+  PathMonitor path{this->clock};
   std::unique_ptr<ObjectStore> store;
   std::vector<std::string_view> kinds;
   ReplicatedView view;
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -271,6 +271,11 @@
     this->fleet.MarkUnreachable(news.id,
                                 this->clock.WallMs() + news.backoff_ms);
     if (!news.from_peer) {
+      if (news.result == AttemptResult::kUnreachable) {
+        this->path.NoteConnectFailed(news.id);
+      } else {
+        this->path.NoteConnected(news.id);
+      }
       this->allocation.ReportAttempt(
           {std::string(news.id), static_cast<int>(news.result)});
     }
@@ -399,6 +404,7 @@
   set("quarantined", this->quarantine.Count());
   set("crash_records", this->quarantine.RecordTable().Size());
   set("allocation_groups", this->allocation.OwnGroupCount());
+  set("path_lost", this->path.IsLost() ? 1 : 0);
   set("servers_naming_a_rate", this->permits.LimitedServers());
   set("permits_granted", this->permits.Stats().granted);
   set("permits_refused", this->permits.Stats().refused);
--- a/src/serve/relay_host_view.cc
+++ b/src/serve/relay_host_view.cc
@@ -202,6 +202,7 @@
 
 void RelayHost::Impl::OnBackendChange(BackendChange change,
                                       const Backend& backend) {
+  this->path.SetServers(this->backends.Count());
   if (change == BackendChange::kGone) {
     this->quarantine.NoteGone(backend.key);
     if (backend.started_again) {
