--- a/tests/process/process.cc
+++ b/tests/process/process.cc
@@ -89,8 +89,12 @@
   WaitFor([&over] { return over.hasExpired(); });
 }
 
-Process::Process(const std::string& program, const QStringList& arguments)
+Process::Process(const std::string& program, const QStringList& arguments,
+                 const QStringList& environment)
     : process(std::make_unique<QProcess>()) {
+  if (!environment.isEmpty()) {
+    this->process->setEnvironment(QProcess::systemEnvironment() + environment);
+  }
   QObject::connect(this->process.get(), &QProcess::readyReadStandardOutput,
                    this->process.get(), [this] {
                      this->out +=
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -26,7 +26,9 @@
 class Process {
  public:
   /// @param[in] program a name in the build's bin folder
-  Process(const std::string& program, const QStringList& arguments);
+  /// @param[in] environment further variables, each NAME=VALUE
+  Process(const std::string& program, const QStringList& arguments,
+          const QStringList& environment = {});
   ~Process();
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
