A host that has lost its path to the servers sends through another host

What callers saw: at six of nine hosts every first try ended in 503 or 504 within 15 ms to 0.8 s for the twelve seconds of a cut (0 of 88 served, 180 of 182 at the others), though three hosts reached every server.

Cause: a host had no way to a server but its own. What could not connect was tried at up to four servers, all behind the same cut, then refused; from then on the servers were set aside, and refusals came at once.

Change: the path counts as lost once new connections to three servers failed and none came up; attempts of which nothing was sent then go through another host of the region, one hop, at most once, with the result carried back as it is. Orders carry a key that only hosts know, from the store. A new connection that comes up ends it. Runs that break off meanwhile are no crashes of their servers.

--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -52,6 +52,8 @@
       false;                    ///< false: no byte of the request was sent
   bool ended_by_close = false;  ///< the body had no length and ended when the
                                 ///< peer closed the connection
+  /// The connection was opened for this call, not taken from a pool.
+  bool new_connection = false;
 };
 
 /// @brief Receives the response to one call, on the event loop's thread.
--- a/src/net/pooled_client.cc
+++ b/src/net/pooled_client.cc
@@ -224,10 +224,12 @@
     this->Send(id, &call);
     return;
   }
+  HttpCallResult result = end.end;
+  result.new_connection = !from.WasUsed();
   if (end.reusable && call.request.reuse_idle_ms > 0) {
     this->KeepIdle(std::move(call.connection));
   }
-  this->EndCall(id, end.end);
+  this->EndCall(id, result);
 }
 
 void ClientCore::KeepIdle(std::unique_ptr<ClientConnection> connection) {
--- a/src/serve/detail/relay_host_impl.h
+++ b/src/serve/detail/relay_host_impl.h
@@ -16,7 +16,9 @@
 #include "exchange/load_datagrams.h"
 #include "exchange/stop_datagrams.h"
 #include "exchange/view_datagrams.h"
-#include "forwarding/path_monitor.h"
+#include "forwarding/forward_service.h"
+#include "forwarding/forwarding_client.h"
+#include "forwarding/path_prober.h"
 #include "net/http_server.h"
 #include "net/listen_probe.h"
 #include "net/pooled_client.h"
@@ -98,6 +100,9 @@
   void PollEnginesDuringStall();
   std::vector<AllocatorHost> AllocatorHosts() const;
   std::vector<std::string> PermitHosts() const;
+  std::vector<ForwardPeer> FitForwardPeers() const;
+  std::vector<std::string> ServerAddresses() const;
+  ForwardServiceOptions ForwardOptions() const;
   void ConnectEngineKnowledge();
   void CheckPropagationDelays() const;
   void ApplyConfiguration();
@@ -111,6 +116,9 @@
   PooledClient store_client;
   PooledClient client;
   PathMonitor path{this->clock};
+  ForwardingClient routed_client;
+  std::string forward_key;
+  std::vector<ForwardPeer> forward_peers;
   std::unique_ptr<ObjectStore> store;
   std::vector<std::string_view> kinds;
   ReplicatedView view;
@@ -135,6 +143,8 @@
   StoreUptimeExchange store_uptimes;
   ViewDatagrams view_datagrams;
   QtListenProbe listen_check;
+  PathAwareProbe crash_check;
+  PathProber path_prober;
   Quarantine quarantine;
   ServerRateLimiter rate_limiter;
   GossipDatagrams gossip;
@@ -154,11 +164,13 @@
   RolloutParticipant rollouts;
   std::unique_ptr<EngineControl> control;
   Relay relay;
+  ForwardService forward_service;
   ReadyService ready_service;
   TextService metrics_service;
   HttpServer server;
   HttpServer ready_server;
   HttpServer metrics_server;
+  HttpServer forward_server;
   std::optional<StopPlan> stop_plan;  ///< nullopt: not stopping
   bool exiting = false;
   bool may_serve = false;            ///< see MayServe()
--- a/src/serve/entry_host_registry.cc
+++ b/src/serve/entry_host_registry.cc
@@ -31,11 +31,11 @@
 }  // namespace
 
 std::string EncodeEntryHost(const EntryHost& host) {
-  const json value = {{"address", host.address},
-                      {"control_port", host.control_port},
-                      {"loads_port", host.loads_port},
-                      {"availability_zone", host.zone},
-                      {"region", host.region}};
+  const json value = {
+      {"address", host.address},        {"control_port", host.control_port},
+      {"loads_port", host.loads_port},  {"availability_zone", host.zone},
+      {"region", host.region},          {"forward_port", host.forward_port},
+      {"forward_key", host.forward_key}};
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -65,6 +65,14 @@
   host.loads_port = *loads;
   host.zone = StringOr(*value, "availability_zone", "");
   host.region = StringOr(*value, "region", "");
+  if (value->contains("forward_port")) {
+    const absl::StatusOr<int> forward = PortField(*value, "forward_port");
+    if (!forward.ok()) {
+      return forward.status();
+    }
+    host.forward_port = *forward;
+    host.forward_key = StringOr(*value, "forward_key", "");
+  }
   return host;
 }
 
--- a/src/serve/entry_host_registry.h
+++ b/src/serve/entry_host_registry.h
@@ -23,6 +23,8 @@
   int loads_port = 0;  ///< UDP
   std::string zone;
   std::string region;
+  int forward_port = 0;          ///< TCP: takes orders of other hosts; 0: none
+  std::string forward_key = {};  ///< secret that such orders carry
 
   friend bool operator==(const EntryHost&, const EntryHost&) = default;
 };
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "base/error.h"
 #include "base/log_line.h"
 #include "base/log_writer.h"
@@ -127,6 +128,17 @@
   return settings;
 }
 
+// A key that no caller can guess.
+std::string MakeKey() {
+  constexpr int kWords = 4;
+  std::random_device device;
+  std::string key;
+  for (int word = 0; word < kWords; ++word) {
+    absl::StrAppend(&key, absl::Hex(device(), absl::kZeroPad8));
+  }
+  return key;
+}
+
 FleetRetryLimits RetryLimitsOf(const RelaySettings& settings) {
   return {settings.retries.per_request, settings.retries.extra};
 }
@@ -136,6 +148,11 @@
 RelayHost::Impl::Impl(const RelaySettings& with, RelayPlatform& on)
     : settings(with),
       platform(on),
+      routed_client({with.host.name, with.host.zone,
+                     [this] { return this->FitForwardPeers(); }},
+                    this->client, this->path, this->clock, this->scheduler,
+                    this->random),
+      forward_key(MakeKey()),
       store(on.MakeStore(this->store_client, with.store)),
       kinds(KindsOf(on.Kinds(), WithRollouts(with))),
       view(this->clock, this->kinds),
@@ -149,7 +166,8 @@
                this->scheduler, this->view, this->hosts),
       host_registry(on.Kinds().hosts,
                     {with.host.name, with.host.address, with.host.control_port,
-                     with.listen.loads_port, with.host.zone, with.host.region},
+                     with.listen.loads_port, with.host.zone, with.host.region,
+                     with.listen.loads_port, this->forward_key},
                     *this->store, this->view, this->scheduler),
       backends(this->clock, this->scheduler, this->store_outages),
       budgets(RetryLimitsOf(with)),
@@ -175,7 +193,10 @@
           this->view, this->hub, this->scheduler,
           [this](std::string_view kind) { this->feeder.RequestRead(kind); },
           [this](std::string_view kind) { this->exchange.PushSoon(kind); }),
-      quarantine(this->listen_check, this->clock, this->scheduler),
+      crash_check(this->path, this->listen_check, this->scheduler),
+      path_prober(this->path, this->listen_check, this->scheduler, this->random,
+                  [this] { return this->ServerAddresses(); }),
+      quarantine(this->crash_check, this->clock, this->scheduler),
       rate_limiter(with.host.name),
       gossip(this->hub),
       permits(with.host.name, this->gossip, this->clock, this->scheduler,
@@ -201,15 +222,17 @@
       rollouts(with.host.name, RolloutLimitsOf(with),
                {this->gossip, *this->rollout_store, *this, this->clock,
                 this->scheduler, this->random}),
-      control(on.MakeControl(this->client)),
+      control(on.MakeControl(this->routed_client)),
       relay(with.host.name,
-            {this->clock, this->scheduler, this->client, on.Backends(),
+            {this->clock, this->scheduler, this->routed_client, on.Backends(),
              this->backends, this->health, this->budgets, this->metrics,
              this->quarantine, this->rate_limiter, this->random, this->rollouts,
              this->permits},
             {this->allocation.Allocation(), this->dispatcher, this->fleet,
              this->first_attempts, this->admission, this->links},
             *this->control, on.Callers(), this->routing_config),
+      forward_service(this->ForwardOptions(), this->client, this->path,
+                      this->scheduler),
       ready_service(on.ReadyPath(),
                     [this] {
                       return !this->stop_plan.has_value() &&
@@ -218,7 +241,8 @@
       metrics_service(kMetricsPath, [this] { return this->MetricsText(); }),
       server(&this->relay, ServerLimits{}),
       ready_server(&this->ready_service, ServerLimits{}),
-      metrics_server(&this->metrics_service, ServerLimits{}) {
+      metrics_server(&this->metrics_service, ServerLimits{}),
+      forward_server(&this->forward_service, ServerLimits{}) {
   if (with.policy.avoids_bad_links) {
     this->chooser.SetLinks(&this->links);
   }
@@ -271,11 +295,6 @@
     this->fleet.MarkUnreachable(news.id,
                                 this->clock.WallMs() + news.backoff_ms);
     if (!news.from_peer) {
-      if (news.result == AttemptResult::kUnreachable) {
-        this->path.NoteConnectFailed(news.id);
-      } else {
-        this->path.NoteConnected(news.id);
-      }
       this->allocation.ReportAttempt(
           {std::string(news.id), static_cast<int>(news.result)});
     }
@@ -314,9 +333,10 @@
     return at.Listen(host.address, static_cast<std::uint16_t>(port), TlsFiles{})
         .status();
   };
-  const std::array<absl::Status, 4> started = {
+  const std::array<absl::Status, 5> started = {
       listen(this->server, host.port),
       listen(this->ready_server, this->settings.listen.ready_port),
+      listen(this->forward_server, this->settings.listen.loads_port),
       this->hub.Start(host.address, static_cast<std::uint16_t>(
                                         this->settings.listen.loads_port)),
       this->exchange.Start()};
@@ -339,6 +359,7 @@
   if (this->HandlesRollouts()) {
     this->rollouts.Start();
   }
+  this->path_prober.Start();
   this->feeder.Start();
   this->host_registry.Announce();
   RunEvery(this->scheduler, kRotatePeriodMs,
@@ -405,6 +426,11 @@
   set("crash_records", this->quarantine.RecordTable().Size());
   set("allocation_groups", this->allocation.OwnGroupCount());
   set("path_lost", this->path.IsLost() ? 1 : 0);
+  set("attempts_forwarded", this->routed_client.Stats().forwarded);
+  set("attempts_forwarded_answered", this->routed_client.Stats().answered);
+  set("attempts_forwarded_not_sent", this->routed_client.Stats().not_sent);
+  set("forwards_taken", this->forward_service.Taken());
+  set("forwards_running", this->forward_service.Running());
   set("servers_naming_a_rate", this->permits.LimitedServers());
   set("permits_granted", this->permits.Stats().granted);
   set("permits_refused", this->permits.Stats().refused);
@@ -462,6 +488,44 @@
   return names;
 }
 
+// The hosts that may send to servers for this one. A request may be held to
+// regions, so that its body must not go to a host of another region.
+std::vector<ForwardPeer> RelayHost::Impl::FitForwardPeers() const {
+  std::vector<ForwardPeer> fit;
+  for (const ForwardPeer& peer : this->forward_peers) {
+    if (this->stop_datagrams.AvailableInMs(peer.name) <= 0) {
+      fit.push_back(peer);
+    }
+  }
+  return fit;
+}
+
+std::vector<std::string> RelayHost::Impl::ServerAddresses() const {
+  std::vector<std::string> addresses;
+  for (const Backend* const backend : this->backends.All()) {
+    if (!backend->leaving) {
+      addresses.push_back(backend->entry.address);
+    }
+  }
+  return addresses;
+}
+
+ForwardServiceOptions RelayHost::Impl::ForwardOptions() const {
+  // An attempt may hold a quarter of a megabyte for a host that reads slowly.
+  // With this many, they take an eighth of the memory.
+  constexpr std::int64_t kMemoryMbPerAttempt = 2;
+  ForwardServiceOptions options;
+  options.key = this->forward_key;
+  options.authority = absl::StrCat(this->settings.host.address, ":",
+                                   this->settings.listen.loads_port);
+  options.max_running = static_cast<std::size_t>(
+      this->settings.bounds.memory_mb / kMemoryMbPerAttempt);
+  options.is_server = [this](std::string_view address) {
+    return this->backends.FindByAddress(address) != nullptr;
+  };
+  return options;
+}
+
 void RelayHost::Impl::UpdateUnreportedStreams() {
   this->chooser.SetUnseenRequests(this->unreported_streams.EstimateUnreported(
       this->relay.Stats().streams, this->hub.Peers()));
@@ -473,7 +537,9 @@
 
 void RelayHost::Impl::ApplyConfiguration() {
   const RoutingConfig* const in_force = this->routing_config.Config();
-  this->server.SetLimits(RelayLimitsOf(this->settings.bounds, in_force));
+  const ServerLimits limits = RelayLimitsOf(this->settings.bounds, in_force);
+  this->server.SetLimits(limits);
+  this->forward_server.SetLimits(limits);
   if (in_force == nullptr) {
     return;
   }
@@ -509,6 +575,7 @@
   this->relay.BeginStop(this->stop_plan->LatestAllowedEndMs(), *this);
   this->stop_datagrams.Begin(this->stop_plan->KillTimeMs() + kRestartMs);
   this->server.CloseConnections();
+  this->forward_service.BeginStop();
   LogLine("stop-asked")
       .Add("host", this->settings.host.name)
       .Add("running", this->relay.Running())
@@ -519,8 +586,10 @@
   if (!this->stop_plan.has_value() || this->exiting) {
     return;
   }
-  const StopWork work = {this->relay.Running(),
-                         this->server.UndeliveredCount()};
+  const StopWork work = {
+      this->relay.Running() + this->forward_service.Running(),
+      this->server.UndeliveredCount() +
+          this->forward_server.UndeliveredCount()};
   const StopStep step = this->stop_plan->Next(this->clock.MonotonicMs(), work);
   if (step == StopStep::kWait) {
     return;
--- a/src/serve/relay_host_view.cc
+++ b/src/serve/relay_host_view.cc
@@ -340,6 +340,7 @@
   HostList list;
   list.as_of_unix_ms = this->clock.WallMs();
   std::vector<DatagramPeer> loads;
+  this->forward_peers.clear();
   for (const EntryHost& host : known) {
     HostEntry entry;
     entry.name = host.name;
@@ -349,6 +350,12 @@
     entry.zone = host.zone;
     entry.region = host.region;
     list.hosts.push_back(std::move(entry));
+    if (host.name != this->settings.host.name && host.forward_port > 0 &&
+        !host.forward_key.empty() &&
+        host.region == this->settings.host.region) {
+      this->forward_peers.push_back({host.name, host.address, host.forward_port,
+                                     host.zone, host.forward_key});
+    }
     loads.push_back(
         {host.name, host.address, static_cast<std::uint16_t>(host.loads_port)});
   }
