--- a/src/relay/tests/named_rate_test.cc
+++ b/src/relay/tests/named_rate_test.cc
@@ -1,5 +1,9 @@
 // Requests to servers that name a rate, which need a permit each.
+
+// Criterion's macros break Abseil's headers if those are included after it.
+// clang-format off
 #include "relay/call_session.h"
+// clang-format on
 
 #include <criterion/criterion.h>
 
