Brittle servers: the hosts' rejections become a rate for all of them

What callers saw: servers that say how many rejections a second they bear fall over in a crowd and are away for seconds. Cause: each host believed only its own rejections and tried the next server, also a full one: 35 falls of three servers in five seconds.

--- a/fuzz/peers_fuzzer.cc
+++ b/fuzz/peers_fuzzer.cc
@@ -33,6 +33,7 @@
     (void)EngineAttemptFrom(datagram->payload);
     (void)ReadingSeenFrom(datagram->payload);
     (void)RateNewsFrom(datagram->payload);
+    (void)FullNewsFrom(datagram->payload);
     (void)PermitRequestFrom(datagram->payload);
     (void)PermitResponseFrom(datagram->payload);
     CrashRecordTable book;
--- a/src/gateway/service_backend_protocol.cc
+++ b/src/gateway/service_backend_protocol.cc
@@ -27,4 +27,9 @@
   return {};
 }
 
+NamedRate ServiceBackendProtocol::BrittleRateIn(
+    std::span<const HttpHeader> /*headers*/) const {
+  return {};
+}
+
 }  // namespace meadowthread
--- a/src/gateway/service_backend_protocol.h
+++ b/src/gateway/service_backend_protocol.h
@@ -20,6 +20,7 @@
 
   /// @brief Always none: this protocol has no header for it.
   NamedRate RateIn(std::span<const HttpHeader> headers) const override;
+  NamedRate BrittleRateIn(std::span<const HttpHeader> headers) const override;
 };
 
 }  // namespace meadowthread
--- a/src/permits/permit_messages.cc
+++ b/src/permits/permit_messages.cc
@@ -12,9 +12,8 @@
 
 using nlohmann::json;
 
-// Older statements have been replaced or are told again with a request.
-constexpr std::int64_t kMaxAgeMs = 600'000;
 constexpr std::size_t kNewsFields = 4;
+constexpr std::size_t kFullFields = 4;
 constexpr std::size_t kRequestFields = 3;
 constexpr std::size_t kResponseFields = 4;
 
@@ -79,6 +78,23 @@
                       response.retry_after_ms, ToJson(response.rate)});
 }
 
+json ToJson(const FullNews& news) {
+  return json::array(
+      {news.server, news.bears_per_s, news.rate_per_s, news.age_ms});
+}
+
+absl::StatusOr<FullNews> FullNewsFrom(const json& payload) {
+  const bool fits = payload.is_array() && payload.size() == kFullFields &&
+                    payload[0].is_string() && IsRate(payload[1]) &&
+                    IsRate(payload[2]) && IsCount(payload[3]);
+  if (!fits) {
+    return Malformed("not news of a full server");
+  }
+  return FullNews{payload[0].get<std::string>(), payload[1].get<double>(),
+                  payload[2].get<double>(),
+                  CountUpTo(payload[3], kMaxNewsAgeMs)};
+}
+
 absl::StatusOr<RateNews> RateNewsFrom(const json& payload) {
   const bool fits = payload.is_array() && payload.size() == kNewsFields &&
                     payload[0].is_string() && IsRate(payload[1]) &&
@@ -91,9 +107,9 @@
   const auto per_s = payload[1].get<double>();
   news.per_s =
       per_s <= 0.0 ? 0.0 : std::clamp(per_s, kMinNamedPerS, kMaxNamedPerS);
-  news.from_age_ms = CountUpTo(payload[2], kMaxAgeMs);
+  news.from_age_ms = CountUpTo(payload[2], kMaxNewsAgeMs);
   news.until_age_ms =
-      std::min(news.from_age_ms, CountUpTo(payload[3], kMaxAgeMs));
+      std::min(news.from_age_ms, CountUpTo(payload[3], kMaxNewsAgeMs));
   return news;
 }
 
--- a/src/permits/permit_messages.h
+++ b/src/permits/permit_messages.h
@@ -22,6 +22,19 @@
   friend bool operator==(const RateNews&, const RateNews&) = default;
 };
 
+/// @brief Age of statements in messages at most; older ones have been replaced.
+inline constexpr std::int64_t kMaxNewsAgeMs = 600'000;
+
+/// @brief A rejection of a brittle server, on its way between hosts.
+struct FullNews {
+  std::string server;
+  double bears_per_s = 0.0;
+  double rate_per_s = 0.0;
+  std::int64_t age_ms = 0;
+
+  friend bool operator==(const FullNews&, const FullNews&) = default;
+};
+
 /// @brief A request for a permit, to the host that grants those of the server.
 struct PermitRequest {
   std::uint64_t ticket = 0;
@@ -55,10 +68,12 @@
 RateStatement StatementOf(const RateNews& news, std::int64_t now_ms);
 
 nlohmann::json ToJson(const RateNews& news);
+nlohmann::json ToJson(const FullNews& news);
 nlohmann::json ToJson(const PermitRequest& request);
 nlohmann::json ToJson(const PermitResponse& response);
 
 /// @brief Decode messages; an error with kPeerMalformed if they are malformed.
+absl::StatusOr<FullNews> FullNewsFrom(const nlohmann::json& payload);
 absl::StatusOr<RateNews> RateNewsFrom(const nlohmann::json& payload);
 absl::StatusOr<PermitRequest> PermitRequestFrom(const nlohmann::json& payload);
 absl::StatusOr<PermitResponse> PermitResponseFrom(
--- a/src/permits/permit_participant.cc
+++ b/src/permits/permit_participant.cc
@@ -21,6 +21,7 @@
 // A host that did not answer is not asked again for this long, unless it is
 // heard of.
 constexpr std::int64_t kSuspectMs = 2'000;
+constexpr std::int64_t kMaxRecheckMs = 500;
 // A host that does not know the other hosts yet sends nothing to a server that
 // names a rate.
 constexpr std::int64_t kUnknownHostsRetryMs = 400;
@@ -67,9 +68,76 @@
 ////////////////
 
 void PermitParticipant::NoteAnswer(const RateAnswer& answer) {
-  if (this->rates.ApplyAnswer(answer, this->clock.MonotonicMs())) {
+  const std::int64_t now_ms = this->clock.MonotonicMs();
+  if (this->rates.ApplyAnswer(answer, now_ms)) {
     this->OnRateChanged(answer.server);
   }
+  if (answer.brittle.kind == NamedRate::Kind::kNamed) {
+    this->rejections.NoteBrittle(answer.server, answer.brittle.per_s);
+  }
+  if (answer.ran) {
+    this->rejections.NoteRan(answer.server, now_ms);
+  } else {
+    this->ReportRejection(answer.server);
+  }
+}
+
+// The host that grants the server's permits counts the rejections of all hosts.
+// A host that it does not answer goes by its own.
+void PermitParticipant::ReportRejection(std::string_view server) {
+  const std::optional<Rejection> rejection = this->rejections.Describe(
+      server, this->hosts().size(), this->clock.MonotonicMs());
+  if (!rejection.has_value()) {
+    return;
+  }
+  const std::string host = this->HostToAsk(server);
+  if (host.empty() || host == this->self) {
+    this->CountRejection(server, *rejection);
+    return;
+  }
+  this->channel.SendToHost(
+      kRejectedTopic,
+      ToJson(FullNews{std::string(server), rejection->bears_per_s,
+                      rejection->rate_per_s, 0}),
+      host);
+}
+
+void PermitParticipant::CountRejection(std::string_view server,
+                                       const Rejection& rejection) {
+  if (this->rejections.Count(server, rejection)) {
+    this->TellFull(server);
+  }
+}
+
+void PermitParticipant::OnRejected(std::string_view host, const json& payload) {
+  const absl::StatusOr<FullNews> news = FullNewsFrom(payload);
+  if (!news.ok()) {
+    LogMalformed(host, news.status());
+    return;
+  }
+  this->CountRejection(news->server, {news->bears_per_s, news->rate_per_s,
+                                      this->clock.MonotonicMs()});
+}
+
+// The lower of the rate that the server names and the one that follows from its
+// rejections.
+std::optional<double> PermitParticipant::RateOf(std::string_view server) const {
+  const std::optional<double> named = this->rates.RateOf(server);
+  const std::optional<double> rejecting =
+      this->rejections.RateOf(server, this->clock.MonotonicMs());
+  if (!named.has_value() || !rejecting.has_value()) {
+    return named.has_value() ? named : rejecting;
+  }
+  return std::min(*named, *rejecting);
+}
+
+// A server that never named a rate has the oldest statement, that it names
+// none.
+RateNews PermitParticipant::NewsToSend(std::string_view server) const {
+  const RateStatement* const known = this->rates.Find(server);
+  return known == nullptr
+             ? RateNews{std::string(server), 0.0, kMaxNewsAgeMs, kMaxNewsAgeMs}
+             : NewsOf(server, *known, this->clock.MonotonicMs());
 }
 
 void PermitParticipant::Apply(std::string_view server,
@@ -80,11 +148,25 @@
   }
 }
 
-void PermitParticipant::OnRateChanged(std::string_view server) {
+void PermitParticipant::DropExhausted(std::string_view server) {
   const auto exhausted = this->exhausted_until_ms.find(server);
   if (exhausted != this->exhausted_until_ms.end()) {
     this->exhausted_until_ms.erase(exhausted);
   }
+}
+
+void PermitParticipant::TellFull(std::string_view server) {
+  const Rejection& last = *this->rejections.Find(server);
+  const std::int64_t age_ms = this->clock.MonotonicMs() - last.at_ms;
+  this->channel.SendToRandom(
+      kFullTopic,
+      ToJson(FullNews{std::string(server), last.bears_per_s, last.rate_per_s,
+                      age_ms}),
+      kFanout);
+}
+
+void PermitParticipant::OnRateChanged(std::string_view server) {
+  this->DropExhausted(server);
   this->channel.SendToRandom(kRateTopic,
                              ToJson(NewsOf(server, *this->rates.Find(server),
                                            this->clock.MonotonicMs())),
@@ -101,8 +183,21 @@
               RateSource::kPeer);
 }
 
+void PermitParticipant::OnFull(std::string_view host, const json& payload) {
+  const absl::StatusOr<FullNews> news = FullNewsFrom(payload);
+  if (!news.ok()) {
+    LogMalformed(host, news.status());
+    return;
+  }
+  const Rejection told = {news->bears_per_s, news->rate_per_s,
+                          this->clock.MonotonicMs() - news->age_ms};
+  if (this->rejections.Apply(news->server, told)) {
+    this->TellFull(news->server);
+  }
+}
+
 bool PermitParticipant::IsLimited(std::string_view server) const {
-  return this->rates.RateOf(server).has_value();
+  return this->RateOf(server).has_value();
 }
 
 std::int64_t PermitParticipant::ExhaustedForMs(std::string_view server,
@@ -117,6 +212,7 @@
 
 void PermitParticipant::Remove(std::string_view server) {
   this->rates.Remove(server);
+  this->rejections.Remove(server);
   this->buckets.erase(std::string(server));
   this->fallbacks.erase(std::string(server));
   this->exhausted_until_ms.erase(std::string(server));
@@ -196,11 +292,8 @@
   this->Apply(server, StatementOf(request.rate, now_ms), RateSource::kPeer);
   PermitResponse response;
   response.ticket = request.ticket;
-  response.rate = request.rate;
-  if (const RateStatement* const known = this->rates.Find(server)) {
-    response.rate = NewsOf(server, *known, now_ms);
-  }
-  const std::optional<double> per_s = this->rates.RateOf(server);
+  response.rate = this->NewsToSend(server);
+  const std::optional<double> per_s = this->RateOf(server);
   const double granted_per_s =
       per_s.has_value() ? this->GrantedRate(server, *per_s) : 0.0;
   if (!per_s.has_value()) {
@@ -236,9 +329,13 @@
                                          const PermitDecision& decision) {
   ++(decision.granted ? this->stats.granted : this->stats.refused);
   if (!decision.granted) {
+    // A rate that follows from rejections rises within a second.
+    const std::int64_t most_ms = this->rates.RateOf(server).has_value()
+                                     ? kMaxPermitRetryMs
+                                     : kMaxRecheckMs;
     Times& until_ms = this->exhausted_until_ms[std::string(server)];
     until_ms.at(IndexOf(urgency)) =
-        this->clock.MonotonicMs() + decision.retry_after_ms;
+        this->clock.MonotonicMs() + std::min(most_ms, decision.retry_after_ms);
   }
   LogLine("permit")
       .Add("server", server)
@@ -251,7 +348,7 @@
 
 void PermitParticipant::Ask(std::string_view server, Urgency urgency,
                             const Decided& decided) {
-  const std::optional<double> per_s = this->rates.RateOf(server);
+  const std::optional<double> per_s = this->RateOf(server);
   if (!per_s.has_value()) {
     decided({true, 0});
     return;
@@ -278,9 +375,7 @@
                                     const Decided& decided) {
   const std::uint64_t ticket = ++this->last_ticket;
   this->pending.emplace(ticket, Pending{std::string(server), urgency, decided});
-  const PermitRequest request = {
-      ticket, urgency,
-      NewsOf(server, *this->rates.Find(server), this->clock.MonotonicMs())};
+  const PermitRequest request = {ticket, urgency, this->NewsToSend(server)};
   this->scheduler.After(
       kResponseTimeoutMs,
       this->life.Guarded([this, ticket, silent = std::string(host)] {
@@ -339,7 +434,7 @@
 
 PermitDecision PermitParticipant::FallBack(std::string_view server,
                                            Urgency urgency) {
-  const std::optional<double> per_s = this->rates.RateOf(server);
+  const std::optional<double> per_s = this->RateOf(server);
   if (!per_s.has_value()) {
     return {true, 0};
   }
--- a/src/permits/permit_participant.h
+++ b/src/permits/permit_participant.h
@@ -19,6 +19,7 @@
 #include "permits/named_rates.h"
 #include "permits/permit_bucket.h"
 #include "permits/permit_messages.h"
+#include "permits/rejection_limits.h"
 #include "policy/server_permits.h"
 #include "policy/string_map.h"
 
@@ -62,6 +63,8 @@
 
   /// @brief Handle messages of other hosts; malformed ones are logged.
   void OnRate(std::string_view host, const nlohmann::json& payload);
+  void OnFull(std::string_view host, const nlohmann::json& payload);
+  void OnRejected(std::string_view host, const nlohmann::json& payload);
   void OnRequest(std::string_view host, const nlohmann::json& payload);
   void OnResponse(std::string_view host, const nlohmann::json& payload);
 
@@ -76,6 +79,8 @@
   const PermitStats& Stats() const { return this->stats; }
 
   static constexpr char kRateTopic[] = "server-rate";
+  static constexpr char kFullTopic[] = "server-full";
+  static constexpr char kRejectedTopic[] = "server-rejected";
   static constexpr char kRequestTopic[] = "permit-ask";
   static constexpr char kResponseTopic[] = "permit";
 
@@ -95,6 +100,12 @@
   void Apply(std::string_view server, const RateStatement& statement,
              RateSource source);
   void OnRateChanged(std::string_view server);
+  void ReportRejection(std::string_view server);
+  void CountRejection(std::string_view server, const Rejection& rejection);
+  void TellFull(std::string_view server);
+  void DropExhausted(std::string_view server);
+  std::optional<double> RateOf(std::string_view server) const;
+  RateNews NewsToSend(std::string_view server) const;
   Granting GrantingHosts(std::string_view server) const;
   double GrantedRate(std::string_view server, double per_s) const;
   std::string HostToAsk(std::string_view server) const;
@@ -116,6 +127,7 @@
   Scheduler& scheduler;
   Hosts hosts;
   NamedRates rates;
+  RejectionLimits rejections;
   PermitStats stats;
   StringMap<PermitBucket> buckets;     ///< of servers whose permits it grants
   StringMap<FallbackShare> fallbacks;  ///< of servers whose host was silent
--- a/src/permits/tests/named_rates_test.cc
+++ b/src/permits/tests/named_rates_test.cc
@@ -9,10 +9,12 @@
 namespace {
 
 RateAnswer Named(double per_s, std::int64_t sent_ms) {
-  return {"s", {NamedRate::Kind::kNamed, per_s}, sent_ms, true};
+  return {"s", {NamedRate::Kind::kNamed, per_s}, sent_ms, {}, true};
 }
 
-RateAnswer Unnamed(std::int64_t sent_ms) { return {"s", {}, sent_ms, true}; }
+RateAnswer Unnamed(std::int64_t sent_ms) {
+  return {"s", {}, sent_ms, {}, true};
+}
 
 Test(a_rate, holds_from_the_first_answer_that_names_it) {
   NamedRates rates;
@@ -71,10 +73,10 @@
 Test(a_malformed_rate, changes_nothing) {
   NamedRates rates;
   const NamedRate malformed{NamedRate::Kind::kMalformed, 0.0};
-  cr_assert(!rates.ApplyAnswer({"s", malformed, 0, true}, 10));
+  cr_assert(!rates.ApplyAnswer({"s", malformed, 0, {}, true}, 10));
   cr_assert(!rates.RateOf("s").has_value());
   rates.ApplyAnswer(Named(4.4, 20), 30);
-  cr_assert(!rates.ApplyAnswer({"s", malformed, 40, true}, 50));
+  cr_assert(!rates.ApplyAnswer({"s", malformed, 40, {}, true}, 50));
   cr_assert(rates.RateOf("s") == 4.4);
 }
 
--- a/src/permits/tests/permit_messages_test.cc
+++ b/src/permits/tests/permit_messages_test.cc
@@ -13,6 +13,8 @@
   const PermitRequest request = {7, Urgency::kUrgent, news};
   const PermitResponse response = {7, PermitResponse::Status::kExhausted, 230,
                                    news};
+  const FullNews full = {"s", 4.0, 9.5, 12};
+  cr_assert(*FullNewsFrom(ToJson(full)) == full);
   cr_assert(*RateNewsFrom(ToJson(news)) == news);
   cr_assert(*PermitRequestFrom(ToJson(request)) == request);
   cr_assert(*PermitResponseFrom(ToJson(response)) == response);
@@ -24,7 +26,7 @@
        {json(), json("text"), json::array(), json::array({"s", -1.0, 2, 1}),
         json::array({"s", "4", 2, 1}), json::array({"s", 1.0, -2, 1}),
         json::array({3, 1.0, 2, 1})}) {
-    cr_assert(!RateNewsFrom(payload).ok());
+    cr_assert(!RateNewsFrom(payload).ok() && !FullNewsFrom(payload).ok());
   }
   cr_assert(!PermitRequestFrom(json::array({1, 3, news})).ok());
   cr_assert(!PermitRequestFrom(json::array({1, 0, json()})).ok());
--- a/src/permits/tests/permit_participant_test.cc
+++ b/src/permits/tests/permit_participant_test.cc
@@ -115,7 +115,7 @@
               ? NamedRate{NamedRate::Kind::kNamed, *this->per_s}
               : NamedRate{};
       this->scheduler.After(30, [this, name, sent_ms, rate] {
-        this->hosts[name].permits->NoteAnswer({"s", rate, sent_ms, true});
+        this->hosts[name].permits->NoteAnswer({"s", rate, sent_ms, {}, true});
       });
     });
   }
--- a/src/policy/named_rate.h
+++ b/src/policy/named_rate.h
@@ -25,6 +25,9 @@
   std::string_view server;
   NamedRate rate;
   std::int64_t sent_ms = 0;  ///< monotonic: when the request was sent
+  /// Rejections per second that the server says it bears; beyond that it
+  /// crashes.
+  NamedRate brittle = {};
   /// The server ran the request. Rejections need not name the rate.
   bool ran = true;
 };
--- a/src/relay/backend_protocol.h
+++ b/src/relay/backend_protocol.h
@@ -72,6 +72,11 @@
   /// @brief What the headers of an answer say about the rate of requests that
   /// the server takes.
   virtual NamedRate RateIn(std::span<const HttpHeader> headers) const = 0;
+
+  /// @brief What the headers of an answer say about the rate of rejections that
+  /// the server bears.
+  virtual NamedRate BrittleRateIn(
+      std::span<const HttpHeader> headers) const = 0;
 };
 
 /// @brief Protocol between callers and this host.
--- a/src/relay/relay_dependencies.cc
+++ b/src/relay/relay_dependencies.cc
@@ -21,6 +21,7 @@
   RateAnswer answer;
   answer.server = head.server;
   answer.rate = deps.wire.RateIn(head.headers);
+  answer.brittle = deps.wire.BrittleRateIn(head.headers);
   answer.sent_ms = head.sent_ms;
   answer.ran = head.meaning == AnswerMeaning::kRan;
   deps.permits.NoteAnswer(answer);
--- a/src/relay/tests/relay_fixture.h
+++ b/src/relay/tests/relay_fixture.h
@@ -129,6 +129,9 @@
     return rate.empty() ? NamedRate{}
                         : NamedRate{NamedRate::Kind::kNamed, std::stod(rate)};
   }
+  NamedRate BrittleRateIn(std::span<const HttpHeader>) const override {
+    return {};
+  }
   AnswerMeaning Read(int status,
                      std::span<const HttpHeader> headers) const override {
     if (!FindHeader(headers, kNotRunHeader).empty()) {
--- a/src/serve/gossip_datagrams.h
+++ b/src/serve/gossip_datagrams.h
@@ -65,6 +65,16 @@
         [&permits](std::string_view host, const nlohmann::json& payload) {
           permits.OnRate(host, payload);
         });
+    this->hub.Register(
+        PermitParticipant::kFullTopic,
+        [&permits](std::string_view host, const nlohmann::json& payload) {
+          permits.OnFull(host, payload);
+        });
+    this->hub.Register(
+        PermitParticipant::kRejectedTopic,
+        [&permits](std::string_view host, const nlohmann::json& payload) {
+          permits.OnRejected(host, payload);
+        });
     this->hub.Register(
         PermitParticipant::kRequestTopic,
         [&permits](std::string_view host, const nlohmann::json& payload) {
