--- a/src/forwarding/tests/forwarding_client_test.cc
+++ b/src/forwarding/tests/forwarding_client_test.cc
@@ -26,7 +26,8 @@
 
 /// @brief A host that takes orders.
 struct PeerHost {
-  PeerHost(QtScheduler& scheduler, const std::string& name, std::string server)
+  PeerHost(QtScheduler& scheduler, const std::string& name,
+           const std::string& server)
       : service(
             {"key-of-" + name, "", kMaxRunning,
              [server](std::string_view address) { return address == server; }},
--- a/src/serve/detail/relay_host_impl.h
+++ b/src/serve/detail/relay_host_impl.h
@@ -95,7 +95,10 @@
   bool IsWatcher() const;
   bool IsZoneWatcher() const;
   std::int64_t StaggerMs() const;
+  absl::Status Listen();
   std::string MetricsText();
+  void SetPathStates();
+  static std::string MakeForwardKey();
   void UpdateUnreportedStreams();
   void PollEnginesDuringStall();
   std::vector<AllocatorHost> AllocatorHosts() const;
@@ -104,6 +107,7 @@
   std::vector<std::string> ServerAddresses() const;
   ForwardServiceOptions ForwardOptions() const;
   void ConnectEngineKnowledge();
+  void ReportAttempt(const HealthUpdate& update);
   void CheckPropagationDelays() const;
   void ApplyConfiguration();
   void AdvanceStop();
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -128,17 +128,6 @@
   return settings;
 }
 
-// A key that no caller can guess.
-std::string MakeKey() {
-  constexpr int kWords = 4;
-  std::random_device device;
-  std::string key;
-  for (int word = 0; word < kWords; ++word) {
-    absl::StrAppend(&key, absl::Hex(device(), absl::kZeroPad8));
-  }
-  return key;
-}
-
 FleetRetryLimits RetryLimitsOf(const RelaySettings& settings) {
   return {settings.retries.per_request, settings.retries.extra};
 }
@@ -152,7 +141,7 @@
                      [this] { return this->FitForwardPeers(); }},
                     this->client, this->path, this->clock, this->scheduler,
                     this->random),
-      forward_key(MakeKey()),
+      forward_key(MakeForwardKey()),
       store(on.MakeStore(this->store_client, with.store)),
       kinds(KindsOf(on.Kinds(), WithRollouts(with))),
       view(this->clock, this->kinds),
@@ -295,8 +284,7 @@
     this->fleet.MarkUnreachable(news.id,
                                 this->clock.WallMs() + news.backoff_ms);
     if (!news.from_peer) {
-      this->allocation.ReportAttempt(
-          {std::string(news.id), static_cast<int>(news.result)});
+      this->ReportAttempt(news);
     }
   });
   this->allocation.OnAttempt([this](const EngineAttempt& attempt) {
@@ -327,7 +315,7 @@
       EmptiedZonesPropagationPath(this->settings.exchange), bounds));
 }
 
-absl::Status RelayHost::Impl::Start() {
+absl::Status RelayHost::Impl::Listen() {
   const HostSettings& host = this->settings.host;
   const auto listen = [&host](HttpServer& at, int port) {
     return at.Listen(host.address, static_cast<std::uint16_t>(port), TlsFiles{})
@@ -352,6 +340,14 @@
       return metrics_started;
     }
   }
+  return absl::OkStatus();
+}
+
+absl::Status RelayHost::Impl::Start() {
+  absl::Status listens = this->Listen();
+  if (!listens.ok()) {
+    return listens;
+  }
   this->load_datagrams.Start();
   this->allocation.Start([this] { return this->AllocatorHosts(); });
   this->crash_gossip.Start();
@@ -382,6 +378,7 @@
     this->AdvanceStop();
     FlushLog();
   });
+  const HostSettings& host = this->settings.host;
   LogLine("started")
       .Add("host", host.name)
       .Add("address", host.address)
@@ -425,16 +422,7 @@
   set("quarantined", this->quarantine.Count());
   set("crash_records", this->quarantine.RecordTable().Size());
   set("allocation_groups", this->allocation.OwnGroupCount());
-  set("path_lost", this->path.IsLost() ? 1 : 0);
-  set("attempts_forwarded", this->routed_client.Stats().forwarded);
-  set("attempts_forwarded_answered", this->routed_client.Stats().answered);
-  set("attempts_forwarded_not_sent", this->routed_client.Stats().not_sent);
-  set("forwards_taken", this->forward_service.Taken());
-  set("forwards_running", this->forward_service.Running());
-  set("servers_naming_a_rate", this->permits.LimitedServers());
-  set("permits_granted", this->permits.Stats().granted);
-  set("permits_refused", this->permits.Stats().refused);
-  set("permits_without_granting_host", this->permits.Stats().fallback);
+  this->SetPathStates();
   for (const Urgency urgency :
        {Urgency::kUrgent, Urgency::kNormal, Urgency::kBatch}) {
     set("queued_" + std::string(UrgencyName(urgency)),
@@ -480,52 +468,6 @@
   return hosts;
 }
 
-std::vector<std::string> RelayHost::Impl::PermitHosts() const {
-  std::vector<std::string> names;
-  for (const AllocatorHost& host : this->AllocatorHosts()) {
-    names.push_back(host.name);
-  }
-  return names;
-}
-
-// The hosts that may send to servers for this one. A request may be held to
-// regions, so that its body must not go to a host of another region.
-std::vector<ForwardPeer> RelayHost::Impl::FitForwardPeers() const {
-  std::vector<ForwardPeer> fit;
-  for (const ForwardPeer& peer : this->forward_peers) {
-    if (this->stop_datagrams.AvailableInMs(peer.name) <= 0) {
-      fit.push_back(peer);
-    }
-  }
-  return fit;
-}
-
-std::vector<std::string> RelayHost::Impl::ServerAddresses() const {
-  std::vector<std::string> addresses;
-  for (const Backend* const backend : this->backends.All()) {
-    if (!backend->leaving) {
-      addresses.push_back(backend->entry.address);
-    }
-  }
-  return addresses;
-}
-
-ForwardServiceOptions RelayHost::Impl::ForwardOptions() const {
-  // An attempt may hold a quarter of a megabyte for a host that reads slowly.
-  // With this many, they take an eighth of the memory.
-  constexpr std::int64_t kMemoryMbPerAttempt = 2;
-  ForwardServiceOptions options;
-  options.key = this->forward_key;
-  options.authority = absl::StrCat(this->settings.host.address, ":",
-                                   this->settings.listen.loads_port);
-  options.max_running = static_cast<std::size_t>(
-      this->settings.bounds.memory_mb / kMemoryMbPerAttempt);
-  options.is_server = [this](std::string_view address) {
-    return this->backends.FindByAddress(address) != nullptr;
-  };
-  return options;
-}
-
 void RelayHost::Impl::UpdateUnreportedStreams() {
   this->chooser.SetUnseenRequests(this->unreported_streams.EstimateUnreported(
       this->relay.Stats().streams, this->hub.Peers()));
