--- a/src/permits/named_rates.cc
+++ b/src/permits/named_rates.cc
@@ -63,7 +63,7 @@
 bool NamedRates::ApplyAnswer(const RateAnswer& answer, std::int64_t now_ms) {
   const bool names = answer.rate.kind == NamedRate::Kind::kNamed;
   if (answer.rate.kind == NamedRate::Kind::kMalformed) {
-    this->LogMalformed(answer.server, now_ms);
+    this->NoteMalformed(answer.server, now_ms);
     return false;
   }
   // Most servers never name a rate, and a rejection that names none does not
@@ -77,7 +77,7 @@
                      RateSource::kAnswer);
 }
 
-void NamedRates::LogMalformed(std::string_view server, std::int64_t now_ms) {
+void NamedRates::NoteMalformed(std::string_view server, std::int64_t now_ms) {
   ++this->malformed;
   if (this->malformed_logged_ms.has_value() &&
       now_ms - *this->malformed_logged_ms < kMalformedLogPeriodMs) {
--- a/src/permits/named_rates.h
+++ b/src/permits/named_rates.h
@@ -47,6 +47,10 @@
   /// @return whether the rate in force changed
   bool ApplyAnswer(const RateAnswer& answer, std::int64_t now_ms);
 
+  /// @brief Logs, at a bounded rate, that an answer names something else than a
+  /// rate.
+  void NoteMalformed(std::string_view server, std::int64_t now_ms);
+
   /// @brief The rate that a server names, in requests per second; nullopt if it
   /// names none.
   std::optional<double> RateOf(std::string_view server) const;
@@ -61,8 +65,6 @@
   std::size_t Count() const;
 
  private:
-  void LogMalformed(std::string_view server, std::int64_t now_ms);
-
   StringMap<RateStatement> statements;
   std::optional<std::int64_t> malformed_logged_ms;
   std::int64_t malformed = 0;  ///< answers since the last log line
--- a/src/permits/permit_participant.cc
+++ b/src/permits/permit_participant.cc
@@ -74,10 +74,12 @@
   }
   if (answer.brittle.kind == NamedRate::Kind::kNamed) {
     this->rejections.NoteBrittle(answer.server, answer.brittle.per_s);
+  } else if (answer.brittle.kind == NamedRate::Kind::kMalformed) {
+    this->rates.NoteMalformed(answer.server, now_ms);
   }
   if (answer.ran) {
     this->rejections.NoteRan(answer.server, now_ms);
-  } else {
+  } else if (this->rejections.IsBrittle(answer.server)) {
     this->ReportRejection(answer.server);
   }
 }
--- a/src/permits/rejection_limits.h
+++ b/src/permits/rejection_limits.h
@@ -33,6 +33,11 @@
   /// @brief Records how many rejections a server says that it bears.
   void NoteBrittle(std::string_view server, double bears_per_s);
 
+  /// @brief Whether the server said that it bears few rejections.
+  bool IsBrittle(std::string_view server) const {
+    return this->brittle.contains(server);
+  }
+
   /// @brief Records that a server ran a request of this host.
   void NoteRan(std::string_view server, std::int64_t now_ms);
 
