Hosts log the shared parts of prompts of runs whose server crashed

Requests crashed 36 and 37 engines in a row; the log lines of the crashes tell workspace and content of each run, which differ each time, and nothing that the runs have in common.

No decision has changed.

--- a/src/quarantine/content_key.cc
+++ b/src/quarantine/content_key.cc
@@ -16,6 +16,8 @@
 // key is one in 10^26.
 constexpr std::size_t kKeyBytes = 16;
 constexpr std::size_t kKeyDigits = 2 * kKeyBytes;
+// As long as the hash of a part may be; longer texts are no IDs.
+constexpr std::size_t kMaxPartIdBytes = 64;
 
 bool IsLowerHex(char character) {
   return absl::ascii_isdigit(static_cast<unsigned char>(character)) ||
@@ -42,4 +44,9 @@
          std::all_of(text.begin(), text.end(), IsLowerHex);
 }
 
+bool IsPartId(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxPartIdBytes &&
+         std::all_of(text.begin(), text.end(), IsLowerHex);
+}
+
 }  // namespace meadowthread
--- a/src/quarantine/content_key.h
+++ b/src/quarantine/content_key.h
@@ -26,6 +26,10 @@
 /// @brief Whether a text has the form of a content key.
 bool IsContentKey(std::string_view text);
 
+/// @brief Whether a text can be the ID of a part of prompts: 1 to 64 lower-case
+/// hexadecimal digits.
+bool IsPartId(std::string_view text);
+
 }  // namespace meadowthread
 
 #endif  // MEADOWTHREAD_QUARANTINE_CONTENT_KEY_H_
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -33,6 +33,7 @@
   run.request = this->identity.request;
   run.server = server.key;
   run.address = server.address;
+  run.parts = this->identity.shared_parts;
   return run;
 }
 
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "quarantine/quarantine.h"
 
@@ -16,6 +17,8 @@
   std::string workspace;
   std::string route;  ///< route or template
   std::string request;
+  /// IDs of the parts of its prompt that other requests may share.
+  std::vector<std::string> shared_parts;
 };
 
 /// @brief Identifies a server process. Passed only for a process that had not
--- a/src/quarantine/server_crash_detector.cc
+++ b/src/quarantine/server_crash_detector.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_join.h"
 #include "base/log_line.h"
 
 namespace meadowthread {
@@ -104,6 +105,7 @@
         .Add("workspace", entry.run.id.workspace)
         .Add("content", entry.run.id.content)
         .Add("before_any_answer", entry.run.before_any_answer ? "yes" : "no")
+        .Add("parts", absl::StrJoin(entry.run.parts, ","))
         .WriteImportant();
     CrashRecord record;
     record.id = entry.run.id;
--- a/src/quarantine/server_crash_detector.h
+++ b/src/quarantine/server_crash_detector.h
@@ -28,6 +28,9 @@
   bool before_any_answer = false;  ///< the run had produced no output
   /// The run timed out without output, while its connection stayed open.
   bool timed_out = false;
+  /// Shared parts of its prompt that may have caused the crash; none if the run
+  /// had gone well for long enough.
+  std::vector<std::string> parts;
 };
 
 /// @brief Determines for interrupted runs whether the server crashed. A broken
--- a/src/relay/relay_request.h
+++ b/src/relay/relay_request.h
@@ -44,6 +44,9 @@
   std::int64_t begun_ms = 0;  ///< monotonic time of the first byte
   std::int64_t allowed_ms = 0;  ///< how long the caller waits; 0: not stated
   std::optional<GenerationSize> generation;
+  /// IDs of the parts of the prompt that other requests may share, in order,
+  /// each once; without the last part, which is the request's own.
+  std::vector<std::string> shared_parts;
   /// Event ID after which the caller wants to resume a broken stream; empty:
   /// from the start.
   std::string resume_after;
