Parts of prompts that crash engines are quarantined, sound ones beside them are not

Cause: crashes were related by the whole content of a request only.

Change: a crash counts for each shared part of the runs that had not been writing for a second, in a record a part and workspace, told like those of contents. Three crashes at least 0.3 s apart put a part in quarantine, six if runs with it had gone well before. A run that has written for a second, or ended well, clears its parts; nothing is sent where no part is suspected. Every way to an engine asks: also after a placement's answer or a permit, and before a resume. Records of a single crash are dropped first.

--- a/src/cli/quarantine_change_command.cc
+++ b/src/cli/quarantine_change_command.cc
@@ -102,7 +102,9 @@
  public:
   ChangeInvocation(TCLAP::CmdLine& line, QuarantineAction action,
                    const Clock& clock)
-      : content("content", "the content key, as shown by `quarantine list`",
+      : content("content",
+                "the key of the content or part, as shown by "
+                "`quarantine list`",
                 true, "", "CONTENT", line),
         action(action),
         clock(clock) {}
--- a/src/cli/quarantine_list_command.cc
+++ b/src/cli/quarantine_list_command.cc
@@ -22,13 +22,13 @@
                               std::int64_t now_unix_ms) {
   CommandResult result;
   result.json["contents"] = nlohmann::ordered_json::array();
-  TextTable table({"CONTENT", "WORKSPACE", "ROUTE", "STATE", "UNTIL", "ENDS",
-                   "A REQUEST", "SERVERS"});
+  TextTable table({"CONTENT", "WORKSPACE", "PART", "ROUTE", "STATE", "UNTIL",
+                   "ENDS", "A REQUEST", "SERVERS"});
   for (const StoredObject& object : list.items) {
     const absl::StatusOr<CrashRecord> record =
         DecodeCrashRecord(object.name, object.value);
     if (!record.ok()) {
-      table.Add({object.name, "?", "?", "unreadable", "-", "-", "-", "-"});
+      table.Add({object.name, "?", "?", "?", "unreadable", "-", "-", "-", "-"});
       result.json["contents"].push_back(
           {{"content", object.name}, {"unreadable", true}});
       continue;
@@ -36,7 +36,8 @@
     const CrashVerdict verdict = Judge(*record, now_unix_ms);
     const std::string state = StateOf(*record, verdict);
     const bool has_end = state == "quarantined";
-    table.Add({object.name, record->id.workspace, record->route, state,
+    table.Add({object.name, record->id.workspace,
+               record->part.empty() ? "-" : record->part, record->route, state,
                UtcTime(has_end ? verdict.until_ms : 0),
                std::to_string(record->crashes.size()), record->request,
                ServersText(*record)});
@@ -75,7 +76,9 @@
             {"quarantine list",
              "lists the request contents that crash servers",
              "Lists the contents (workspace, path, body) whose requests were "
-             "running when servers\ncrashed, those servers, and until when no "
+             "running when servers\ncrashed, and the parts of prompts that "
+             "such "
+             "requests shared (PART), with those servers\nand until when no "
              "host sends such a request to any server.",
              {"meadowthread quarantine list --settings entry-1.yaml"}}),
         clock(clock) {}
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -489,7 +489,7 @@
   return running;
 }
 
-void Gateway::EndQuarantined(const CrashRecordId& quarantined) {
+void Gateway::EndQuarantined(const CrashRecord& quarantined) {
   for (const auto& [id, session] : this->sessions) {
     session->EndIfQuarantined(quarantined);
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -78,7 +78,7 @@
 
   /// @brief Ends requests with newly quarantined content that are queued or
   /// were sent but have no answer yet.
-  void EndQuarantined(const CrashRecordId& quarantined);
+  void EndQuarantined(const CrashRecord& quarantined);
 
  private:
   struct IncomingRequest;
--- a/src/gateway/generation_session.cc
+++ b/src/gateway/generation_session.cc
@@ -272,11 +272,11 @@
   return true;
 }
 
-void GenerationSession::EndIfQuarantined(const CrashRecordId& quarantined) {
+void GenerationSession::EndIfQuarantined(const CrashRecord& quarantined) {
   const bool awaits_engine = this->phase == SessionPhase::kQueued ||
                              this->phase == SessionPhase::kSending;
   if (!awaits_engine || this->resumed ||
-      !this->guarded.HasContent(quarantined)) {
+      !this->guarded.IsQuarantinedBy(quarantined)) {
     return;
   }
   if (this->phase == SessionPhase::kQueued) {
--- a/src/gateway/generation_session.h
+++ b/src/gateway/generation_session.h
@@ -79,7 +79,7 @@
 
   /// @brief Ends the request if it has the newly quarantined content and no
   /// engine has begun to answer it.
-  void EndIfQuarantined(const CrashRecordId& quarantined);
+  void EndIfQuarantined(const CrashRecord& quarantined);
 
   /// @brief Periodic work: sends keep-alives, disconnects a caller that is too
   /// slow.
--- a/src/quarantine/content_key.cc
+++ b/src/quarantine/content_key.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <span>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/escaping.h"
@@ -24,21 +25,31 @@
          (character >= 'a' && character <= 'f');
 }
 
-}  // namespace
-
-std::string ContentKeyOf(const RequestContent& content) {
+// Each text is preceded by its length, so that different ones can't be joined
+// to the same bytes.
+std::string KeyOf(std::span<const std::string_view> texts) {
   std::string joined;
-  // Each part is preceded by its length, so that different contents can't be
-  // joined to the same text.
-  for (const std::string_view part :
-       {content.workspace, content.http_host, content.target, content.body}) {
-    absl::StrAppend(&joined, part.size(), ":", AbslView(part));
+  for (const std::string_view text : texts) {
+    absl::StrAppend(&joined, text.size(), ":", AbslView(text));
   }
   const Hash256 hash = Sha256Of(joined);
   const std::string bytes(hash.begin(), hash.begin() + kKeyBytes);
   return absl::BytesToHexString(bytes);
 }
 
+}  // namespace
+
+std::string ContentKeyOf(const RequestContent& content) {
+  const std::array<std::string_view, 4> texts = {
+      content.workspace, content.http_host, content.target, content.body};
+  return KeyOf(texts);
+}
+
+std::string PartKeyOf(std::string_view workspace, std::string_view part) {
+  const std::array<std::string_view, 3> texts = {workspace, "part", part};
+  return KeyOf(texts);
+}
+
 bool IsContentKey(std::string_view text) {
   return text.size() == kKeyDigits &&
          std::all_of(text.begin(), text.end(), IsLowerHex);
--- a/src/quarantine/content_key.h
+++ b/src/quarantine/content_key.h
@@ -23,6 +23,10 @@
 /// @complexity linear in the body
 std::string ContentKeyOf(const RequestContent& content);
 
+/// @brief Key of a part of prompts in one workspace, in the form of a content
+/// key; no content has the same one.
+std::string PartKeyOf(std::string_view workspace, std::string_view part);
+
 /// @brief Whether a text has the form of a content key.
 bool IsContentKey(std::string_view text);
 
--- a/src/quarantine/crash_messages.cc
+++ b/src/quarantine/crash_messages.cc
@@ -22,6 +22,10 @@
 constexpr char kServer[] = "server";
 constexpr char kBeforeAnyAnswer[] = "before_any_answer";
 constexpr char kCrashTimeField[] = "at_unix_ms";
+// The next two are left out of records and crashes that they don't concern;
+// hosts of earlier versions don't know them.
+constexpr char kPart[] = "part";
+constexpr char kRanBefore[] = "ran_before";
 // Limit on each text of a received record: longer than any id or route that a
 // host writes.
 constexpr std::size_t kMaxTextBytes = 1'024;
@@ -68,6 +72,13 @@
     return false;
   }
   crash->before_any_answer = before->get<bool>();
+  const auto ran_before = value.find(kRanBefore);
+  if (ran_before != value.end()) {
+    if (!ran_before->is_boolean()) {
+      return false;
+    }
+    crash->ran_before = ran_before->get<bool>();
+  }
   return ReadText(value, kServer, &crash->server) &&
          ReadTime(value, kCrashTimeField, &crash->unix_ms);
 }
@@ -92,14 +103,21 @@
     crashes.push_back({{kServer, crash.server},
                        {kBeforeAnyAnswer, crash.before_any_answer},
                        {kCrashTimeField, crash.unix_ms}});
-  }
-  return {{kWorkspace, record.id.workspace},
-          {kContent, record.id.content},
-          {kRoute, record.route},
-          {kRequest, record.request},
-          {kCrashesField, crashes},
-          {kCleared, record.cleared_ms},
-          {kKept, record.kept_ms}};
+    if (crash.ran_before) {
+      crashes.back()[kRanBefore] = true;
+    }
+  }
+  json value = {{kWorkspace, record.id.workspace},
+                {kContent, record.id.content},
+                {kRoute, record.route},
+                {kRequest, record.request},
+                {kCrashesField, crashes},
+                {kCleared, record.cleared_ms},
+                {kKept, record.kept_ms}};
+  if (!record.part.empty()) {
+    value[kPart] = record.part;
+  }
+  return value;
 }
 
 absl::StatusOr<CrashRecord> CrashRecordFrom(const json& value) {
@@ -114,6 +132,10 @@
       !IsContentKey(record.id.content)) {
     return MalformedField(kContent);
   }
+  if (value.contains(kPart) &&
+      (!ReadText(value, kPart, &record.part) || !IsPartId(record.part))) {
+    return MalformedField(kPart);
+  }
   if (!ReadText(value, kRoute, &record.route)) {
     return MalformedField(kRoute);
   }
--- a/src/quarantine/crash_record.cc
+++ b/src/quarantine/crash_record.cc
@@ -12,6 +12,14 @@
 constexpr int kQuarantinePoints = 12;
 constexpr int kPointsBeforeAnswer = 4;
 constexpr int kPointsAfterAnswer = 3;
+// A part of prompts is suspected under every crash of a server that was
+// beginning to run a request with it. Six crashes lead to quarantine if it had
+// gone well before, as servers may also crash for other reasons.
+constexpr int kPointsOfPart = 4;
+constexpr int kPointsOfPartThatRanBefore = 2;
+// Crashes of a part that follow each other sooner count as one: several servers
+// that stop at the same moment may all be running requests with it.
+constexpr std::int64_t kMinPartCrashGapMs = 300;
 // Crashes of a content that are further apart than this are not counted
 // together. Callers wait for the result, so their retries arrive within
 // minutes.
@@ -35,6 +43,7 @@
 /// @brief Adds up the crashes of a content, which must be passed in the order
 /// of their times.
 struct Tally {
+  bool is_of_part = false;
   int points = 0;
   int strikes = 0;
   std::int64_t last_ms = 0;   ///< time of the last crash that counted
@@ -44,14 +53,17 @@
     if (crash.unix_ms < this->until_ms) {
       return;  // that run had begun before the quarantine
     }
+    if (this->is_of_part &&
+        crash.unix_ms - this->last_ms < kMinPartCrashGapMs) {
+      return;
+    }
     const bool is_old = this->strikes == 0
                             ? crash.unix_ms - this->last_ms > kSuspectMs
                             : crash.unix_ms - this->until_ms > kProbationMs;
     if (is_old) {
-      *this = Tally();
+      *this = Tally{this->is_of_part};
     }
-    this->points +=
-        crash.before_any_answer ? kPointsBeforeAnswer : kPointsAfterAnswer;
+    this->points += this->PointsOf(crash);
     this->last_ms = crash.unix_ms;
     if (this->points < kQuarantinePoints && this->strikes == 0) {
       return;
@@ -59,6 +71,13 @@
     ++this->strikes;
     this->until_ms = crash.unix_ms + QuarantineMs(this->strikes);
   }
+
+  int PointsOf(const ServerCrash& crash) const {
+    if (this->is_of_part) {
+      return crash.ran_before ? kPointsOfPartThatRanBefore : kPointsOfPart;
+    }
+    return crash.before_any_answer ? kPointsBeforeAnswer : kPointsAfterAnswer;
+  }
 };
 
 void Prune(CrashRecord* record) {
@@ -86,13 +105,14 @@
     return;
   }
   known->before_any_answer |= crash.before_any_answer;
+  known->ran_before |= crash.ran_before;
   known->unix_ms = std::min(known->unix_ms, crash.unix_ms);
 }
 
 }  // namespace
 
 CrashVerdict Judge(const CrashRecord& record, std::int64_t now_unix_ms) {
-  Tally tally;
+  Tally tally{!record.part.empty()};
   for (const ServerCrash& crash : record.crashes) {
     if (crash.unix_ms > record.cleared_ms) {
       tally.Add(crash);
@@ -132,6 +152,9 @@
     record->route = other.route;
     record->request = other.request;
   }
+  if (record->part.empty()) {
+    record->part = other.part;
+  }
   record->cleared_ms = std::max(record->cleared_ms, other.cleared_ms);
   record->kept_ms = std::max(record->kept_ms, other.kept_ms);
   for (const ServerCrash& crash : other.crashes) {
@@ -143,7 +166,7 @@
                                             : a.server < b.server;
             });
   Prune(record);
-  return before.crashes != record->crashes ||
+  return before.part != record->part || before.crashes != record->crashes ||
          before.cleared_ms != record->cleared_ms ||
          before.kept_ms != record->kept_ms;
 }
--- a/src/quarantine/crash_record.h
+++ b/src/quarantine/crash_record.h
@@ -16,6 +16,9 @@
   /// produced output is less likely to have caused the crash.
   bool before_any_answer = false;
   std::int64_t unix_ms = 0;
+  /// For a part of prompts: runs with it had gone well before, so that it is
+  /// less likely to have caused the crash.
+  bool ran_before = false;
 
   friend bool operator==(const ServerCrash&, const ServerCrash&) = default;
 };
@@ -23,21 +26,26 @@
 /// @brief Key of a record.
 struct CrashRecordId {
   std::string workspace;
-  std::string content;  ///< key of the request content, see ContentKeyOf
+  /// Key of the request content, or of the part of prompts.
+  std::string content;
 
   // False positive of the linter on defaulted comparisons.
   // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const CrashRecordId&, const CrashRecordId&) = default;
 };
 
-/// @brief The crashes of servers that ran requests with one content, and
-/// whether the content was cleared or is kept in quarantine.
+/// @brief The crashes of servers that ran requests with one content, or with
+/// one part in their prompts, and whether it was cleared or is kept in
+/// quarantine.
 ///
 /// A conflict-free replicated data type: merging only adds crashes and advances
 /// times. Hosts end up with equal records in whatever order updates arrive,
 /// even if some arrive late or twice.
 struct CrashRecord {
   CrashRecordId id;
+  /// ID of the part of prompts that the record is about; empty: it is about a
+  /// whole content.
+  std::string part;
   /// Route or template of one of the requests, for operators.
   std::string route;
   std::string request;  ///< id of one of the requests, for operators
--- a/src/quarantine/crash_record_table.cc
+++ b/src/quarantine/crash_record_table.cc
@@ -12,11 +12,14 @@
 namespace meadowthread {
 namespace {
 
-// Records with the lowest rank are evicted first: suspects before contents in
-// quarantine, and within each of these groups the record that expires first.
+// Records with the lowest rank are evicted first: suspects before those in
+// quarantine, those of a single crash before others, and within each of these
+// groups the record that expires first. Requests that are never alike leave
+// many records of a single crash.
 auto RetentionRank(const CrashRecord& record, std::int64_t now_unix_ms) {
   const CrashVerdict verdict = Judge(record, now_unix_ms);
-  return std::make_tuple(verdict.in_quarantine, verdict.forget_ms);
+  return std::make_tuple(verdict.in_quarantine, record.crashes.size() > 1,
+                         verdict.forget_ms);
 }
 
 }  // namespace
@@ -33,6 +36,7 @@
   if (!Merge(record, &found->second)) {
     return false;
   }
+  ++this->version;
   const CrashRecord changed = found->second;
   this->EvictIfFull(record.id, now_unix_ms);
   for (const Listener& listener : this->listeners) {
@@ -44,8 +48,10 @@
 bool CrashRecordTable::HasSuspects(std::string_view workspace) const {
   const auto found = this->workspaces.find(workspace);
   return found != this->workspaces.end() &&
-         std::any_of(found->second.begin(), found->second.end(),
-                     [](const auto& entry) { return IsSuspect(entry.second); });
+         std::any_of(
+             found->second.begin(), found->second.end(), [](const auto& entry) {
+               return entry.second.part.empty() && IsSuspect(entry.second);
+             });
 }
 
 const CrashRecord* CrashRecordTable::Find(const CrashRecordId& id) const {
@@ -58,6 +64,7 @@
 }
 
 void CrashRecordTable::DropExpired(std::int64_t now_unix_ms) {
+  ++this->version;
   for (auto& [workspace, records] : this->workspaces) {
     this->size -= std::erase_if(records, [now_unix_ms](const auto& entry) {
       return Judge(entry.second, now_unix_ms).forget_ms <= now_unix_ms;
@@ -77,6 +84,13 @@
   return all;
 }
 
+std::vector<const CrashRecord*> CrashRecordTable::PartRecords() const {
+  std::vector<const CrashRecord*> records = this->All();
+  std::erase_if(records,
+                [](const CrashRecord* record) { return record->part.empty(); });
+  return records;
+}
+
 std::uint64_t CrashRecordTable::Digest() const {
   std::string text;
   for (const CrashRecord* const record : this->All()) {
@@ -84,7 +98,7 @@
                     record->cleared_ms, " ", record->kept_ms, "\n");
     for (const ServerCrash& crash : record->crashes) {
       absl::StrAppend(&text, crash.server, " ", crash.before_any_answer ? 1 : 0,
-                      " ", crash.unix_ms, "\n");
+                      " ", crash.unix_ms, crash.ran_before ? " r\n" : "\n");
     }
   }
   return XXH3_64bits(text.data(), text.size());
@@ -134,6 +148,7 @@
       .Add("records", this->size)
       .WriteImportant();
   records.erase(lowest);
+  ++this->version;
   --this->size;
   if (records.empty()) {
     this->workspaces.erase(found);
--- a/src/quarantine/crash_record_table.h
+++ b/src/quarantine/crash_record_table.h
@@ -37,8 +37,8 @@
   /// @return whether anything was new; false for an expired record
   bool Apply(const CrashRecord& record, std::int64_t now_unix_ms);
 
-  /// @brief Whether any request content of a workspace is suspected. If not,
-  /// callers need not compute content keys.
+  /// @brief Whether any request content of a workspace is suspected; parts of
+  /// prompts don't count. If not, callers need not compute content keys.
   bool HasSuspects(std::string_view workspace) const;
 
   /// @return null if there is no record
@@ -50,6 +50,12 @@
   /// @brief All records, ordered by workspace and content key.
   std::vector<const CrashRecord*> All() const;
 
+  /// @brief The records of parts of prompts.
+  std::vector<const CrashRecord*> PartRecords() const;
+
+  /// @brief Changes with the records.
+  std::uint64_t Version() const { return this->version; }
+
   std::size_t Size() const { return this->size; }
 
   /// @brief Hash over all records; equal on hosts whose records are equal.
@@ -68,6 +74,7 @@
   CrashRecordLimits limits;
   std::map<std::string, Records, std::less<>> workspaces;
   std::size_t size = 0;
+  std::uint64_t version = 0;
   std::vector<Listener> listeners;
 };
 
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -6,11 +6,18 @@
 #include "base/log_line.h"
 
 namespace meadowthread {
+namespace {
+
+// How long a run that went well speaks for a part at later crashes.
+constexpr std::int64_t kRanBeforeMs = 600'000;
+
+}  // namespace
+
 Quarantine::Quarantine(ListenProbe& check, const Clock& clock,
                        Scheduler& scheduler)
     : clock(clock),
       detector(check, clock, scheduler, [this](const CrashRecord& record) {
-        this->AddOwnRecord(record);
+        this->AddOwnCrash(record);
       }) {
   this->table.AddListener(
       [this](const CrashRecord& record) { this->OnRecordChanged(record); });
@@ -35,16 +42,80 @@
   if (known == nullptr || known->crashes.empty()) {
     return;
   }
-  CrashRecord cleared = *known;
-  cleared.cleared_ms = this->clock.WallMs();
+  this->Clear(*known, this->clock.WallMs());
+}
+
+void Quarantine::Clear(const CrashRecord& record, std::int64_t until_unix_ms) {
+  CrashRecord cleared = record;
+  cleared.cleared_ms = until_unix_ms;
   LogLine("suspect-cleared")
-      .Add("workspace", id.workspace)
-      .Add("content", id.content)
-      .Add("ends", known->crashes.size())
+      .Add("workspace", record.id.workspace)
+      .Add("content", record.id.content)
+      .Add("part", record.part)
+      .Add("ends", record.crashes.size())
       .WriteImportant();
   this->AddOwnRecord(cleared);
 }
 
+// Hosts are told only where the part is suspected, so that nothing is sent when
+// nothing is wrong. One host's news clears the part at all hosts.
+void Quarantine::NoteRanSoundly(std::span<const std::string> parts,
+                                std::int64_t begun_unix_ms) {
+  for (const std::string& part : parts) {
+    this->sound.Note(part, begun_unix_ms);
+  }
+  std::vector<CrashRecord> cleared;
+  for (const CrashRecord* const record : this->table.PartRecords()) {
+    const bool is_part =
+        std::find(parts.begin(), parts.end(), record->part) != parts.end();
+    if (is_part && !record->crashes.empty() &&
+        record->crashes.front().unix_ms <= begun_unix_ms) {
+      cleared.push_back(*record);
+    }
+  }
+  for (const CrashRecord& record : cleared) {
+    this->Clear(record, begun_unix_ms);
+  }
+}
+
+std::optional<std::int64_t> Quarantine::RemainingPartQuarantineMs(
+    const PromptParts& prompt) {
+  const std::int64_t now_ms = this->clock.WallMs();
+  const std::optional<std::int64_t> until_ms =
+      this->Suspects().QuarantinedUntilMs(prompt, now_ms);
+  if (!until_ms.has_value()) {
+    return std::nullopt;
+  }
+  return *until_ms - now_ms;
+}
+
+const SuspectParts& Quarantine::Suspects() {
+  if (this->suspects_version != this->table.Version()) {
+    this->suspects_version = this->table.Version();
+    this->suspects.Set(this->table.PartRecords(), this->sound);
+  }
+  return this->suspects;
+}
+
+CrashVerdict Quarantine::VerdictOn(const CrashRecord& record) {
+  const SuspectPart* const part =
+      record.part.empty() ? nullptr : this->Suspects().Find(record.part);
+  return Judge(part == nullptr ? record : part->record, this->clock.WallMs());
+}
+
+// A crash is not blamed on a part with which another run has gone well since.
+void Quarantine::AddOwnCrash(CrashRecord record) {
+  if (!record.part.empty()) {
+    ServerCrash& crash = record.crashes.front();
+    const std::int64_t sound_ms = this->sound.LastBegunMs(record.part);
+    if (sound_ms >= crash.unix_ms) {
+      return;
+    }
+    crash.ran_before = sound_ms > crash.unix_ms - kRanBeforeMs;
+  }
+  this->AddOwnRecord(record);
+}
+
 void Quarantine::AddOwnRecord(const CrashRecord& record) {
   this->adding_own = true;
   this->table.Apply(record, this->clock.WallMs());
@@ -60,18 +131,25 @@
       }));
 }
 
+bool Quarantine::IsKnown(const CrashRecordId& id) {
+  return this->table.Find(id) != nullptr ||
+         (id.workspace.empty() && this->Suspects().Find(id.content) != nullptr);
+}
+
 void Quarantine::OnRecordChanged(const CrashRecord& record) {
   const std::int64_t now_ms = this->clock.WallMs();
-  const CrashVerdict verdict = Judge(record, now_ms);
+  const CrashVerdict verdict = this->VerdictOn(record);
+  const CrashRecordId id =
+      record.part.empty() ? record.id : CrashRecordId{"", record.part};
   if (!verdict.in_quarantine) {
-    this->announced.erase(record.id);
+    this->announced.erase(id);
     return;
   }
   std::erase_if(this->announced, [this](const auto& entry) {
-    return this->table.Find(entry.first) == nullptr;
+    return !this->IsKnown(entry.first);
   });
   const auto [announced, is_new] =
-      this->announced.try_emplace(record.id, verdict.strikes);
+      this->announced.try_emplace(id, verdict.strikes);
   if (!is_new && announced->second == verdict.strikes) {
     return;
   }
@@ -79,6 +157,7 @@
   LogLine("quarantined")
       .Add("workspace", record.id.workspace)
       .Add("content", record.id.content)
+      .Add("part", record.part)
       .Add("route", record.route)
       .Add("request", record.request)
       .Add("servers", ServersText(record))
@@ -86,7 +165,7 @@
       .Add("lasts_ms", verdict.until_ms - now_ms)
       .WriteImportant();
   for (const Listener& listener : this->listeners) {
-    listener(record.id);
+    listener(record);
   }
 }
 
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -6,6 +6,8 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -15,15 +17,18 @@
 #include "net/listen_probe.h"
 #include "quarantine/crash_record_table.h"
 #include "quarantine/server_crash_detector.h"
+#include "quarantine/sound_parts.h"
+#include "quarantine/suspect_parts.h"
 
 namespace meadowthread {
 
-/// @brief Quarantine for request contents that crash the servers which run
-/// them. Sessions ask whether a content may be sent, and report how runs end.
+/// @brief Quarantine for request contents, and parts of prompts, that crash the
+/// servers which run them. Sessions ask whether a request may be sent, and
+/// report how runs end.
 class Quarantine {
  public:
-  /// Called with each content when it is put in quarantine.
-  using Listener = std::function<void(const CrashRecordId&)>;
+  /// Called with a record when its content or part is put in quarantine.
+  using Listener = std::function<void(const CrashRecord&)>;
 
   /// @param[in] check,clock,scheduler must outlive this
   Quarantine(ListenProbe& check, const Clock& clock, Scheduler& scheduler);
@@ -54,6 +59,21 @@
   std::optional<std::int64_t> RemainingQuarantineMs(
       const CrashRecordId& id) const;
 
+  /// @brief For how many milliseconds more a request is in quarantine because
+  /// of the parts of its prompt; nullopt if it may be sent.
+  std::optional<std::int64_t> RemainingPartQuarantineMs(
+      const PromptParts& prompt);
+
+  /// @brief Called when a run has gone well: its parts are not to blame for
+  /// earlier crashes.
+  /// @param[in] begun_unix_ms when it began to write its answer
+  void NoteRanSoundly(std::span<const std::string> parts,
+                      std::int64_t begun_unix_ms);
+
+  /// @brief The verdict on a record; on a part, from the records of all
+  /// workspaces.
+  CrashVerdict VerdictOn(const CrashRecord& record);
+
   /// @brief Called when a run was interrupted at a server that had not
   /// announced a stop.
   void NoteInterrupted(const InterruptedRun& run) { this->detector.Add(run); }
@@ -71,14 +91,25 @@
   std::size_t Count() const;
 
  private:
+  // Some 100 bytes each; more parts are in use only where few share one.
+  static constexpr std::size_t kMaxSoundParts = 1'024;
+
+  void AddOwnCrash(CrashRecord record);
   void AddOwnRecord(const CrashRecord& record);
+  void Clear(const CrashRecord& record, std::int64_t until_unix_ms);
   void OnRecordChanged(const CrashRecord& record);
+  const SuspectParts& Suspects();
+  bool IsKnown(const CrashRecordId& id);
 
   const Clock& clock;
   CrashRecordTable table;
+  SoundParts sound{kMaxSoundParts};
+  SuspectParts suspects;
+  std::uint64_t suspects_version = 0;  ///< of the table they were taken from
   ServerCrashDetector detector;
-  /// For each content in quarantine, its number of strikes when the listeners
-  /// were last called with it.
+  /// For each content or part in quarantine, its number of strikes when the
+  /// listeners were last called with it. A part is named by its ID, without a
+  /// workspace.
   std::map<CrashRecordId, int> announced;
   std::vector<Listener> listeners;
   bool adding_own = false;  ///< during AddOwnRecord
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -1,5 +1,7 @@
 #include "quarantine/request_quarantine.h"
 
+#include <algorithm>
+
 namespace meadowthread {
 
 const std::string& RequestQuarantine::Content() {
@@ -14,15 +16,25 @@
 }
 
 std::optional<std::int64_t> RequestQuarantine::QuarantinedForMs() {
+  const auto part_ms = this->quarantine.RemainingPartQuarantineMs(
+      {this->identity.workspace, this->identity.shared_parts});
+  if (part_ms.has_value()) {
+    return part_ms;
+  }
   if (!this->quarantine.HasSuspects(this->identity.workspace)) {
     return std::nullopt;
   }
   return this->quarantine.RemainingQuarantineMs(this->Id());
 }
 
-bool RequestQuarantine::HasContent(const CrashRecordId& other) {
-  return this->identity.workspace == other.workspace &&
-         this->Content() == other.content;
+bool RequestQuarantine::IsQuarantinedBy(const CrashRecord& record) {
+  const std::vector<std::string>& parts = this->identity.shared_parts;
+  if (!record.part.empty()) {
+    return std::find(parts.begin(), parts.end(), record.part) != parts.end() &&
+           this->QuarantinedForMs().has_value();
+  }
+  return this->identity.workspace == record.id.workspace &&
+         this->Content() == record.id.content;
 }
 
 InterruptedRun RequestQuarantine::InterruptedRunAt(
@@ -33,7 +45,9 @@
   run.request = this->identity.request;
   run.server = server.key;
   run.address = server.address;
-  run.parts = this->identity.shared_parts;
+  if (!this->ran_soundly) {
+    run.parts = this->identity.shared_parts;
+  }
   return run;
 }
 
@@ -56,6 +70,13 @@
   }
 }
 
+void RequestQuarantine::NoteRanSoundly(std::int64_t begun_unix_ms) {
+  if (!this->identity.shared_parts.empty()) {
+    this->ran_soundly = true;
+    this->quarantine.NoteRanSoundly(this->identity.shared_parts, begun_unix_ms);
+  }
+}
+
 void RequestQuarantine::NoteCompleted() {
   if (this->quarantine.HasSuspects(this->identity.workspace)) {
     this->quarantine.NoteCompleted(this->Id());
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -51,8 +51,9 @@
   /// nullopt if it may be sent.
   std::optional<std::int64_t> QuarantinedForMs();
 
-  /// @brief Whether the request has this workspace and content.
-  bool HasContent(const CrashRecordId& other);
+  /// @brief Whether a record that has been put in quarantine keeps the request
+  /// from servers.
+  bool IsQuarantinedBy(const CrashRecord& record);
 
   /// @brief Called when the connection to the server broke after the request
   /// was sent.
@@ -66,6 +67,11 @@
   /// forwarded to the caller. The run counts as one without output.
   void NoteTimedOut(const std::optional<ServerInstance>& server);
 
+  /// @brief Called when a run has gone on well for some time, or has ended
+  /// well. A later end of its server is not blamed on the parts of its prompt.
+  /// @param[in] begun_unix_ms when it began to write its answer
+  void NoteRanSoundly(std::int64_t begun_unix_ms);
+
   /// @brief Called when a server has completed the request.
   void NoteCompleted();
 
@@ -80,6 +86,7 @@
   RunIdentity identity;
   KeyFunction make_key;
   std::string content;  ///< empty: not computed yet
+  bool ran_soundly = false;
 };
 
 }  // namespace meadowthread
--- a/src/quarantine/server_crash_detector.cc
+++ b/src/quarantine/server_crash_detector.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_join.h"
 #include "base/log_line.h"
+#include "quarantine/content_key.h"
 
 namespace meadowthread {
 namespace {
@@ -114,6 +115,11 @@
     record.crashes = {
         {entry.run.server, entry.run.before_any_answer, entry.unix_ms}};
     this->listener(record);
+    for (const std::string& part : entry.run.parts) {
+      record.id.content = PartKeyOf(entry.run.id.workspace, part);
+      record.part = part;
+      this->listener(record);
+    }
   }
 }
 
--- a/src/relay/call_session.cc
+++ b/src/relay/call_session.cc
@@ -234,7 +234,8 @@
 // The server may have gone while a permit was awaited.
 void CallSession::SendTo(const std::string& server) {
   const Backend* const backend = this->deps.backends.Find(server);
-  if (backend == nullptr || !backend->AcceptsNewRequests()) {
+  if (backend == nullptr || !backend->AcceptsNewRequests() ||
+      this->guarded.QuarantinedForMs().has_value()) {
     this->Send();
     return;
   }
@@ -348,6 +349,10 @@
   }
   const bool failed = meaning == AnswerMeaning::kUnsigned ||
                       answer.http_status >= http_code::kFirstServerError;
+  if (!failed) {
+    this->guarded.NoteRanSoundly(this->deps.clock.WallMs() -
+                                 (now_ms - attempt.SentMs()));
+  }
   this->RecordAttemptEnd(
       attempt, failed ? AttemptResult::kFailed : AttemptResult::kGood);
   const bool repeatable = this->terms.rule == ExecutionRule::kRepeatable;
--- a/src/relay/call_session.h
+++ b/src/relay/call_session.h
@@ -50,7 +50,7 @@
 
   /// @brief Ends the call if its content is the one that has been put into
   /// quarantine.
-  void EndIfQuarantined(const CrashRecordId& quarantined);
+  void EndIfQuarantined(const CrashRecord& quarantined);
 
   const RelayRequest& Request() const { return this->request; }
   const RelayTerms& Terms() const { return this->terms; }
--- a/src/relay/call_session_end.cc
+++ b/src/relay/call_session_end.cc
@@ -50,8 +50,8 @@
   this->End(MakeError(ends.code(), detail, std::string{ends.message()}));
 }
 
-void CallSession::EndIfQuarantined(const CrashRecordId& quarantined) {
-  if (!this->ended && this->guarded.HasContent(quarantined)) {
+void CallSession::EndIfQuarantined(const CrashRecord& quarantined) {
+  if (!this->ended && this->guarded.IsQuarantinedBy(quarantined)) {
     const auto lasts_ms = this->guarded.QuarantinedForMs();
     this->End(QuarantinedError(lasts_ms.value_or(0),
                                this->OutcomeSoFar() != Outcome::kNotRun));
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -376,7 +376,7 @@
   }
 }
 
-void Relay::EndQuarantined(const CrashRecordId& quarantined) {
+void Relay::EndQuarantined(const CrashRecord& quarantined) {
   for (CallSession* const call : this->AllCalls()) {
     call->EndIfQuarantined(quarantined);
   }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -73,7 +73,7 @@
 
   /// @brief Ends requests whose content has been put into quarantine and that
   /// no engine has begun to answer.
-  void EndQuarantined(const CrashRecordId& quarantined);
+  void EndQuarantined(const CrashRecord& quarantined);
 
   /// @brief Asks the engines with streams of this host whether they are
   /// leaving. To be called repeatedly while the store can't provide this
--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -31,6 +31,9 @@
 constexpr std::int64_t kLinkStallMs = 150;
 // Fewer events of an attempt don't tell the mean time between them.
 constexpr std::int64_t kMinEventsForGap = 4;
+// A run that has written its answer for this long has not crashed its engine:
+// prompts that do so crash it within some 100 ms of its first token.
+constexpr std::int64_t kSoundRunMs = 1'000;
 constexpr std::string_view kEventStreamType = "text/event-stream";
 
 }  // namespace
@@ -135,6 +138,9 @@
   }
   this->last_event_ms = now_ms;
   this->phase = StreamPhase::kStreaming;
+  if (now_ms - this->attempt_first_event_ms >= kSoundRunMs) {
+    this->NoteRanSoundly();
+  }
   std::string bytes;
   for (const RawSseEvent& event : *new_events) {
     if (event.id >= 0 && event.id <= this->last_id) {
@@ -307,6 +313,7 @@
 /////////
 
 void StreamSession::Complete() {
+  this->NoteRanSoundly();
   this->guarded.NoteCompleted();
   this->RecordAttemptEnd(AttemptResult::kGood);
   this->SendHeadOnce();
@@ -395,10 +402,10 @@
                return_after_ms);
 }
 
-void StreamSession::EndIfQuarantined(const CrashRecordId& quarantined) {
+void StreamSession::EndIfQuarantined(const CrashRecord& quarantined) {
   const bool is_waiting =
       this->phase == StreamPhase::kQueued || this->phase == StreamPhase::kSent;
-  if (!is_waiting || !this->guarded.HasContent(quarantined)) {
+  if (!is_waiting || !this->guarded.IsQuarantinedBy(quarantined)) {
     return;
   }
   if (this->phase == StreamPhase::kQueued) {
@@ -411,6 +418,17 @@
                "servers ended each time they ran this request", -1);
 }
 
+// Called at most once for each attempt.
+void StreamSession::NoteRanSoundly() {
+  if (std::exchange(this->attempt_sound, true) ||
+      this->attempt_first_event_ms < 0) {
+    return;
+  }
+  this->guarded.NoteRanSoundly(
+      this->deps.clock.WallMs() -
+      (this->deps.clock.MonotonicMs() - this->attempt_first_event_ms));
+}
+
 // A run that was resumed from a copy says nothing about the time until a first
 // event.
 void StreamSession::NoteFirstEvent(std::int64_t now_ms) {
--- a/src/relay/stream_session.h
+++ b/src/relay/stream_session.h
@@ -62,7 +62,7 @@
 
   /// @brief Ends the stream if its content is the one that has been put into
   /// quarantine and no engine has begun to answer it.
-  void EndIfQuarantined(const CrashRecordId& quarantined);
+  void EndIfQuarantined(const CrashRecord& quarantined);
 
   /// @brief Tries to move the run to another engine because its engine leaves.
   /// @param[in] target key of the engine
@@ -153,6 +153,7 @@
   void OnCallerGone();
   void OnDeadline();
   void NoteFirstEvent(std::int64_t now_ms);
+  void NoteRanSoundly();
   std::int64_t MeanGapMs() const;
   void RecordAttemptEnd(AttemptResult result);
   void ReleaseFleetState(StreamEnd how);
@@ -208,6 +209,7 @@
   std::int64_t sent_ms = 0;  ///< of the latest attempt
   /// First event of the latest attempt, unless it resumes a run; -1: none.
   std::int64_t attempt_first_event_ms = -1;
+  bool attempt_sound = false;  ///< NoteRanSoundly was called for it
   /// The engines that the request may be sent to, by their version.
   VersionRule versions;
   /// The request may go to the versions for further attempts, as no engine that
--- a/src/relay/stream_session_move.cc
+++ b/src/relay/stream_session_move.cc
@@ -166,7 +166,9 @@
             if (this->phase != StreamPhase::kResuming) {
               return;
             }
-            if (permit.granted && backend != nullptr) {
+            if (this->guarded.QuarantinedForMs().has_value()) {
+              this->Interrupt("servers ended each time they ran this request");
+            } else if (permit.granted && backend != nullptr) {
               this->Resume(*backend, from);
             } else {
               this->ResumeLater(holder, from, until_ms);
--- a/src/relay/stream_session_placement.cc
+++ b/src/relay/stream_session_placement.cc
@@ -325,7 +325,12 @@
       }));
 }
 
+// Asks the quarantine once more, as crashes may have become known since the
+// request was placed.
 void StreamSession::SendWithPermit(const Decision& decision) {
+  if (this->RefuseIfQuarantined()) {
+    return;
+  }
   LogLine line("route");
   line.Add("request", this->request.id)
       .Add("workspace", this->terms.workspace)
@@ -380,6 +385,7 @@
   ++this->attempts;
   this->sent_ms = this->deps.clock.MonotonicMs();
   this->attempt_first_event_ms = -1;
+  this->attempt_sound = false;
   this->deps.arrivals.NoteSent(backend.key, this->deps.clock.MonotonicMs());
   this->call = this->deps.client.Start(http, this);
 }
--- a/src/relay/tests/guarded_run_test.cc
+++ b/src/relay/tests/guarded_run_test.cc
@@ -13,6 +13,8 @@
 #include <string>
 #include <vector>
 
+#include "quarantine/content_key.h"
+#include "quarantine/crash_messages.h"
 #include "relay/call_session.h"
 #include "relay/tests/relay_fixture.h"
 
@@ -67,6 +69,7 @@
     StreamAttempt& made = *this->streams.back();
     RelayRequest request = this->Request(body);
     request.generation = GenerationSize{"m", 100, 100, 0};
+    request.shared_parts = this->shared_parts;
     made.session = std::make_unique<StreamSession>(
         this->deps, this->stream_deps, this->control, this->callers, request,
         Terms(ExecutionRule::kStream, workspace), 4, made.caller.TakeWriter(),
@@ -105,7 +108,27 @@
     }
   }
 
+  /// @brief Three servers crash under streams that share a part and nothing
+  /// else.
+  void CrashThreeServersByPart() {
+    this->shared_parts = {"a1", "c0ffee"};
+    for (int n = 0; n < 3; ++n) {
+      this->Stream(absl::StrCat("prompt ", n));
+      this->CrashServer();
+      this->Advance(400);
+    }
+  }
+
+  /// @brief The n-th attempt's engine sends its first event.
+  void BeginAnswer(std::size_t n) {
+    this->client.Head(n, 200,
+                      {{std::string(testing::kSignedHeader), "yes"},
+                       {"Content-Type", "text/event-stream"}});
+    this->client.Data(n, "id: 0\ndata: t\n\n");
+  }
+
   int tries = 0;
+  std::vector<std::string> shared_parts;  ///< of the streams' prompts
   std::vector<std::unique_ptr<StreamAttempt>> streams;
   std::vector<std::unique_ptr<CallSession>> calls;
   absl::StatusOr<HttpResponse> result = absl::UnknownError("no result yet");
@@ -213,7 +236,7 @@
   QuarantineFixture fixture(6);
   StreamAttempt& waiting = fixture.Stream(kCrashingPrompt);
   StreamAttempt& answered = fixture.Stream(kHarmlessPrompt);
-  fixture.quarantine.AddListener([&](const CrashRecordId& quarantined) {
+  fixture.quarantine.AddListener([&](const CrashRecord& quarantined) {
     for (const auto& one : fixture.streams) {
       one->session->EndIfQuarantined(quarantined);
     }
@@ -226,5 +249,89 @@
   cr_assert(answered.session->Phase() == StreamPhase::kSent);
 }
 
+Test(streams_with_a_crashing_part, are_refused_though_no_two_are_alike) {
+  QuarantineFixture fixture(6);
+  fixture.CrashThreeServersByPart();
+  const std::size_t sent = fixture.Sent();
+  const StreamAttempt& next = fixture.Stream("another prompt");
+  cr_assert(fixture.Sent() == sent && next.Got("\"outcome\":\"not_run\""));
+  cr_assert(next.Got("\"code\":208"));
+  fixture.shared_parts = {"a1", "b2"};
+  fixture.Stream("a sound prompt");
+  cr_assert(fixture.Sent() == sent + 1, "it shares the first part only");
+  fixture.BeginAnswer(sent);
+  fixture.Advance(1'000);
+  fixture.client.Data(sent, "id: 1\ndata: t\n\n");
+  fixture.shared_parts = {"c0ffee"};
+  fixture.Stream("the part alone");
+  cr_assert(fixture.Sent() == sent + 1, "the first part is cleared");
+}
+
+// A run that has written for a second was not crashed by its own prompt.
+Test(streams_with_a_crashing_part, leave_longer_runs_beside_them_blameless) {
+  QuarantineFixture fixture(6);
+  fixture.shared_parts = {"b2"};
+  for (int n = 0; n < 6; ++n) {
+    const std::size_t run = fixture.Sent();
+    fixture.Stream(absl::StrCat("long ", n));
+    cr_assert(fixture.Sent() == run + 1, "%d", n);
+    fixture.BeginAnswer(run);
+    fixture.Advance(1'000);
+    fixture.client.Data(run, "id: 1\ndata: t\n\n");
+    fixture.CrashServer();
+  }
+}
+
+// A first event is no proof: servers crash some 0.1 s after it.
+Test(streams_with_a_crashing_part, are_blamed_also_after_a_first_event) {
+  QuarantineFixture fixture(6);
+  fixture.shared_parts = {"c0ffee"};
+  for (int n = 0; n < 3; ++n) {
+    const std::size_t run = fixture.Sent();
+    fixture.Stream(absl::StrCat("prompt ", n));
+    fixture.BeginAnswer(run);
+    fixture.Advance(400);
+    fixture.CrashServer();
+  }
+  const std::size_t sent = fixture.Sent();
+  fixture.Stream("another prompt");
+  cr_assert(fixture.Sent() == sent);
+}
+
+Test(streams_with_a_crashing_part, that_were_just_sent_are_taken_back) {
+  QuarantineFixture fixture(6);
+  fixture.quarantine.AddListener([&](const CrashRecord& quarantined) {
+    for (const auto& one : fixture.streams) {
+      one->session->EndIfQuarantined(quarantined);
+    }
+  });
+  fixture.shared_parts = {"b2"};
+  StreamAttempt& sound = fixture.Stream("sound");
+  fixture.shared_parts = {"c0ffee", "a1"};
+  StreamAttempt& waiting = fixture.Stream("waiting");
+  fixture.CrashThreeServersByPart();
+  cr_assert(waiting.session->Phase() == StreamPhase::kEnded);
+  cr_assert_not(fixture.client.IsOpen(1));
+  cr_assert(sound.session->Phase() == StreamPhase::kSent);
+}
+
+Test(crash_records_of_parts, are_read_as_written_and_need_a_valid_part) {
+  CrashRecord record;
+  record.id = {"makati", PartKeyOf("makati", "c0ffee")};
+  record.part = "c0ffee";
+  record.crashes = {{"s-1", true, 1'790'000'000'000, true}};
+  nlohmann::json value = CrashRecordJson(record);
+  cr_assert(*CrashRecordFrom(value) == record);
+  // Hosts of earlier versions pass a record on without its part.
+  value.erase("part");
+  CrashRecord stripped = *CrashRecordFrom(value);
+  cr_assert(Merge(record, &stripped) && stripped.part == "c0ffee");
+  for (const nlohmann::json& part :
+       {nlohmann::json(7), nlohmann::json(""), nlohmann::json("x y")}) {
+    value["part"] = part;
+    cr_assert(!CrashRecordFrom(value).ok(), "%s", part.dump().c_str());
+  }
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/serve/crash_record_store.cc
+++ b/src/serve/crash_record_store.cc
@@ -92,7 +92,7 @@
 }
 
 bool CrashRecordStore::ShouldBeStored(const CrashRecord& record) const {
-  const CrashVerdict verdict = Judge(record, this->clock.WallMs());
+  const CrashVerdict verdict = this->quarantine.VerdictOn(record);
   const bool stored = this->view.Find(this->kind, record.id.content) != nullptr;
   return stored || verdict.strikes > 0 || record.kept_ms > 0 ||
          (this->which == StoredRecords::kSuspects && !record.crashes.empty());
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -292,7 +292,7 @@
   this->server =
       std::make_unique<HttpServer>(this->gateway.get(), MakeServerLimits(with));
   this->exchange.EnableLoadNotes(&this->load_adapter);
-  this->quarantine.AddListener([this](const CrashRecordId& quarantined) {
+  this->quarantine.AddListener([this](const CrashRecord& quarantined) {
     this->gateway->EndQuarantined(quarantined);
   });
   this->hosts.AddListener([this] { this->ApplyHosts(); });
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -264,7 +264,7 @@
   this->gossip.Connect(this->crash_gossip);
   this->gossip.Connect(this->rollouts);
   this->gossip.Connect(this->permits);
-  this->quarantine.AddListener([this](const CrashRecordId& quarantined) {
+  this->quarantine.AddListener([this](const CrashRecord& quarantined) {
     this->relay.EndQuarantined(quarantined);
   });
   this->view_datagrams.Connect(this->hub);
