A stream that ends with its connection needs an event to be whole

An answer may come with neither a length nor chunks and end with its connection. A server that crashes between its head and its first event looked like the end of an empty stream, which was told as complete; so was a resumed run's, whose caller then lacked its last events. Found by reading for the class of fault; no run showed it. Both tests failed before.

Looked at besides, without a fault: plain calls and the client (a reset is no end, pooled_client_test), a stream that ends inside an event, one that a move may have stopped, answers handed on by another host (they say that the server closed).

--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -227,11 +227,12 @@
 void StreamSession::OnStreamEnd(const HttpCallResult& end) {
   const bool may_be_stopped =
       this->move != nullptr && this->move->MayHaveStopped();
-  // While a move may have stopped the run, a response that ends by closing the
-  // connection is not known to be complete.
-  const bool whole = end.status.ok() &&
-                     !(end.ended_by_close && may_be_stopped) &&
-                     this->splitter.Rest().empty();
+  // A response that ends by closing the connection is not known to be complete
+  // while a move may have stopped the run, or without an event.
+  const bool has_event = this->attempt_first_event_ms >= 0;
+  const bool ended_early = end.ended_by_close && (may_be_stopped || !has_event);
+  const bool whole =
+      end.status.ok() && !ended_early && this->splitter.Rest().empty();
   if (whole) {
     this->Complete();
     return;
--- a/src/relay/tests/stream_session_test.cc
+++ b/src/relay/tests/stream_session_test.cc
@@ -230,6 +230,29 @@
   cr_assert(!fixture.Got("data: ha") && fixture.Outcome() == "interrupted");
 }
 
+// Its end and the end of its connection look alike, and no answer is empty.
+Test(a_stream, that_ends_with_its_connection_needs_an_event_to_be_whole) {
+  StreamSessionFixture whole(1);
+  whole.BeginWithEvent();
+  whole.CloseStream(0);
+  cr_assert(whole.IsWhole() && whole.Outcome() == "complete");
+  StreamSessionFixture empty(1);
+  empty.Begin();
+  empty.Open(0);
+  empty.CloseStream(0);
+  cr_assert(!empty.IsWhole() && empty.Got(" 502 "));
+  cr_assert(empty.Outcome() == "unknown", "%s", empty.Outcome().c_str());
+}
+
+Test(a_moved_stream, whose_next_connection_ends_without_an_event_is_not_whole) {
+  StreamSessionFixture fixture(2);
+  fixture.BeginWithEvent();
+  fixture.Move(fixture.OtherEngine());
+  fixture.Open(1);
+  fixture.CloseStream(1);
+  cr_assert(!fixture.IsWhole() && fixture.Outcome() == "interrupted");
+}
+
 Test(a_stream, that_breaks_midway_is_interrupted_and_not_restarted) {
   StreamSessionFixture fixture(2);
   fixture.BeginWithEvent();
