Hosts log when a server asks for rest

A server that had asked a host for three seconds of rest got 13 requests from it in them. Nothing in the logs tells whether a host took note of the header. No decision has changed.

--- a/src/gateway/service_backend_protocol.cc
+++ b/src/gateway/service_backend_protocol.cc
@@ -27,6 +27,11 @@
   return {};
 }
 
+ServerNotice ServiceBackendProtocol::NoticeIn(
+    int /*http_status*/, std::span<const HttpHeader> /*headers*/) const {
+  return {};
+}
+
 NamedRate ServiceBackendProtocol::BrittleRateIn(
     std::span<const HttpHeader> /*headers*/) const {
   return {};
--- a/src/gateway/service_backend_protocol.h
+++ b/src/gateway/service_backend_protocol.h
@@ -21,6 +21,8 @@
   /// @brief Always none: this protocol has no header for it.
   NamedRate RateIn(std::span<const HttpHeader> headers) const override;
   NamedRate BrittleRateIn(std::span<const HttpHeader> headers) const override;
+  ServerNotice NoticeIn(int http_status,
+                        std::span<const HttpHeader> headers) const override;
 };
 
 }  // namespace meadowthread
--- a/src/relay/backend_protocol.h
+++ b/src/relay/backend_protocol.h
@@ -14,6 +14,7 @@
 #include "net/http_server.h"
 #include "net/problem.h"
 #include "policy/named_rate.h"
+#include "policy/server_notice.h"
 #include "relay/relay_request.h"
 
 namespace meadowthread {
@@ -77,6 +78,10 @@
   /// the server bears.
   virtual NamedRate BrittleRateIn(
       std::span<const HttpHeader> headers) const = 0;
+
+  /// @brief What an answer says about the requests to come.
+  virtual ServerNotice NoticeIn(int http_status,
+                                std::span<const HttpHeader> headers) const = 0;
 };
 
 /// @brief Protocol between callers and this host.
--- a/src/relay/detail/call_attempt.h
+++ b/src/relay/detail/call_attempt.h
@@ -45,8 +45,8 @@
     this->answer.headers.assign(headers.begin(), headers.end());
     const AnswerMeaning meaning =
         this->session.deps.wire.Read(http_status, headers);
-    NoteRateIn(this->session.deps,
-               {this->backend, this->sent_ms, meaning, headers});
+    NoteAnswerHead(this->session.deps, {this->backend, this->sent_ms,
+                                        http_status, meaning, headers});
   }
 
   void OnData(std::string_view data) override {
--- a/src/relay/relay_dependencies.cc
+++ b/src/relay/relay_dependencies.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/log_line.h"
+
 namespace meadowthread {
 
 std::optional<ServerInstance> ServerUnlessLeaving(const BackendList& backends,
@@ -14,7 +16,7 @@
 }
 
 // Another server at the same address says nothing about the one that was meant.
-void NoteRateIn(const RelayDependencies& deps, const AnswerHead& head) {
+void NoteAnswerHead(const RelayDependencies& deps, const AnswerHead& head) {
   if (head.meaning == AnswerMeaning::kOtherInstance) {
     return;
   }
@@ -25,6 +27,16 @@
   answer.sent_ms = head.sent_ms;
   answer.ran = head.meaning == AnswerMeaning::kRan;
   deps.permits.NoteAnswer(answer);
+  const ServerNotice notice =
+      deps.wire.NoticeIn(head.http_status, head.headers);
+  if (notice.rest != ServerNotice::Rest::kNone) {
+    LogLine("server-rest")
+        .Add("server", head.server)
+        .Add("rest_ms", notice.rest_ms)
+        .Add("malformed",
+             notice.rest == ServerNotice::Rest::kMalformed ? "yes" : "no")
+        .WriteImportant();
+  }
 }
 
 std::optional<std::int64_t> HeldBackByRatesMs(const RelayDependencies& deps,
--- a/src/relay/relay_dependencies.h
+++ b/src/relay/relay_dependencies.h
@@ -69,12 +69,14 @@
 struct AnswerHead {
   std::string_view server;   ///< key of the server that it was sent to
   std::int64_t sent_ms = 0;  ///< monotonic
+  int http_status = 0;
   AnswerMeaning meaning = AnswerMeaning::kRan;
   std::span<const HttpHeader> headers;
 };
 
-/// @brief Learns what an answer says of the server's rate.
-void NoteRateIn(const RelayDependencies& deps, const AnswerHead& head);
+/// @brief Learns what an answer says of the server: its rate, whether it wants
+/// rest, and whether it leaves.
+void NoteAnswerHead(const RelayDependencies& deps, const AnswerHead& head);
 
 /// @brief How long all servers of a service that may get the request are held
 /// back by the rates that they name.
--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -81,7 +81,8 @@
 void StreamSession::OnHead(int http_status,
                            std::span<const HttpHeader> headers) {
   this->meaning = this->deps.wire.Read(http_status, headers);
-  NoteRateIn(this->deps, {this->engine, this->sent_ms, this->meaning, headers});
+  NoteAnswerHead(this->deps, {this->engine, this->sent_ms, http_status,
+                              this->meaning, headers});
   const std::string_view type = FindHeader(headers, "Content-Type");
   this->is_event_stream = http_status == http_code::kOk &&
                           this->meaning == AnswerMeaning::kRan &&
--- a/src/relay/tests/relay_fixture.h
+++ b/src/relay/tests/relay_fixture.h
@@ -33,6 +33,8 @@
 inline constexpr std::string_view kNotRunHeader = "Test-Not-Run";
 inline constexpr std::string_view kSignedHeader = "Test-Signed";
 inline constexpr std::string_view kRateHeader = "Test-Rate";
+inline constexpr std::string_view kRestHeader = "Test-Rest-Ms";
+inline constexpr std::string_view kLeavingHeader = "Test-Leaving";
 
 /// @brief An HTTP client whose servers are simulated by the test.
 class FakeClient final : public HttpClient {
@@ -132,6 +134,17 @@
   NamedRate BrittleRateIn(std::span<const HttpHeader>) const override {
     return {};
   }
+  ServerNotice NoticeIn(int status,
+                        std::span<const HttpHeader> headers) const override {
+    ServerNotice notice;
+    const std::string rest(FindHeader(headers, kRestHeader));
+    if (status == 503 && !rest.empty()) {
+      notice.rest = ServerNotice::Rest::kAsked;
+      notice.rest_ms = std::stoll(rest);
+    }
+    notice.is_leaving = !FindHeader(headers, kLeavingHeader).empty();
+    return notice;
+  }
   AnswerMeaning Read(int status,
                      std::span<const HttpHeader> headers) const override {
     if (!FindHeader(headers, kNotRunHeader).empty()) {
