One answer to whether a server may get a new request from this host now

Calls, streams and targets of moves asked for it each with a list of conditions of its own: a call checked fewer after it had awaited a permit than before it. ObstacleTo answers for all of them, with a reason for the log (send-held).

--- a/src/relay/call_session.cc
+++ b/src/relay/call_session.cc
@@ -10,6 +10,7 @@
 #include "net/http_headers.h"
 #include "relay/attempt_outcome.h"
 #include "relay/detail/call_attempt.h"
+#include "relay/send_gate.h"
 
 namespace meadowthread {
 namespace {
@@ -112,6 +113,7 @@
 // all choose the same server.
 const Backend* CallSession::CheapestBackend() const {
   const std::int64_t now_ms = this->deps.clock.MonotonicMs();
+  const SendRules rules = {this->terms.allowed_regions, this->versions};
   const Backend* best = nullptr;
   double best_cost = 0.0;
   std::uint64_t equals = 0;
@@ -119,10 +121,8 @@
        this->deps.backends.Usable(this->terms.service)) {
     const bool was_tried = std::find(this->tried.begin(), this->tried.end(),
                                      backend->key) != this->tried.end();
-    if (was_tried || !MayRunIn(this->terms.allowed_regions, backend->region) ||
-        !this->versions.Permits(backend->entry.version) ||
-        !this->deps.arrivals.May(backend->key, now_ms) ||
-        this->IsHeldBackByRate(*backend)) {
+    if (was_tried || this->IsHeldBackByRate(*backend) ||
+        ObstacleTo(this->deps, backend, rules) != SendObstacle::kNone) {
       continue;
     }
     const double cost = this->CostOf(*backend, now_ms);
@@ -231,11 +231,18 @@
       }));
 }
 
-// The server may have gone while a permit was awaited.
+// What was true of the server may have changed while a permit was awaited.
 void CallSession::SendTo(const std::string& server) {
   const Backend* const backend = this->deps.backends.Find(server);
-  if (backend == nullptr || !backend->AcceptsNewRequests() ||
+  const SendObstacle obstacle = ObstacleTo(
+      this->deps, backend, {this->terms.allowed_regions, this->versions});
+  if (obstacle != SendObstacle::kNone ||
       this->guarded.QuarantinedForMs().has_value()) {
+    LogLine("send-held")
+        .Add("request", this->request.id)
+        .Add("engine", server)
+        .Add("why", SendObstacleName(obstacle))
+        .Write();
     this->Send();
     return;
   }
--- a/src/relay/stream_session_placement.cc
+++ b/src/relay/stream_session_placement.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_format.h"
 #include "base/error.h"
 #include "base/log_line.h"
+#include "relay/send_gate.h"
 #include "relay/stream_session.h"
 
 namespace meadowthread {
@@ -239,11 +240,17 @@
 // The host that chose the engine may have had older information than this host
 // has now.
 bool StreamSession::MaySendTo(std::string_view key) const {
-  const Backend* const backend = this->deps.backends.Find(key);
-  return backend != nullptr && backend->AcceptsNewRequests() &&
-         MayRunIn(this->terms.allowed_regions, backend->region) &&
-         this->versions.Permits(backend->entry.version) &&
-         this->deps.arrivals.May(key, this->deps.clock.MonotonicMs());
+  const SendObstacle obstacle =
+      ObstacleTo(this->deps, this->deps.backends.Find(key),
+                 {this->terms.allowed_regions, this->versions});
+  if (obstacle != SendObstacle::kNone) {
+    LogLine("send-held")
+        .Add("request", this->request.id)
+        .Add("engine", key)
+        .Add("why", SendObstacleName(obstacle))
+        .Write();
+  }
+  return obstacle == SendObstacle::kNone;
 }
 
 // Refuses the request at once in cases in which waiting does not help, e.g. if
