Servers that ask for rest get it, and those that say so leave

Cause: nobody kept what a server says of the requests to come. A rejection counted as neither failure nor success, so that a server that rejects at once has nothing in progress and looks the cheapest. Class: an answer's word for later requests that no later request asks for; the word that a server leaves was another one.

Change: rests are kept a host and start of a server, and asked for by the one gate before every new send, by allocators' lists, moves, resumes and what is sent for other hosts. Other hosts are told and prefer other servers. All at rest: refused at once, with the end. A server that says that it leaves is leaving until that start is gone, also through a lapsed entry; hosts tell each other.

--- a/src/allocation/allocator_client.h
+++ b/src/allocation/allocator_client.h
@@ -17,6 +17,7 @@
 #include "policy/fleet_state.h"
 #include "policy/server_permits.h"
 #include "policy/server_rate_limiter.h"
+#include "policy/server_rests.h"
 
 namespace meadowthread {
 
@@ -47,6 +48,10 @@
   /// @param[in] with outlives this
   void SetPermits(const ServerPermits& with) { this->permits = &with; }
 
+  /// @brief Sets the servers that have asked this host for rest.
+  /// @param[in] with must outlive this
+  void SetRests(const ServerRests& with) { this->rests = &with; }
+
   /// @brief Sets whether allocators are asked to choose engines; if not, this
   /// host chooses locally.
   void SetUsesAllocators(bool is_shared) { this->is_shared = is_shared; }
@@ -94,6 +99,7 @@
   std::vector<std::string> LocallyUnusableEngines() const;
   bool HasUsedUpArrivalShare(std::string_view engine) const;
   bool HasUsedUpPermits(std::string_view engine) const;
+  bool IsAtRest(std::string_view engine) const;
   bool IsSuspect(const std::string& host) const;
 
   HostLocation self;
@@ -102,6 +108,7 @@
   EngineAllocation& local;
   const ServerRateLimiter* arrivals = nullptr;  ///< null: no limits
   const ServerPermits* permits = nullptr;       ///< null: no limits
+  const ServerRests* rests = nullptr;           ///< null: none rests
   AllocationChannel& channel;
   Scheduler& scheduler;
   const Clock& clock;
--- a/src/forwarding/forward_service.cc
+++ b/src/forwarding/forward_service.cc
@@ -65,6 +65,9 @@
 
   void OnHead(int http_status, std::span<const HttpHeader> headers) override {
     this->has_head = true;
+    if (this->service.options.on_head) {
+      this->service.options.on_head(this->server, http_status, headers);
+    }
     ResponseHead head;
     head.http_status = http_status;
     head.headers = WithoutResult(EndToEndHeaders(headers));
@@ -141,7 +144,12 @@
   if (this->calls.size() >= this->options.max_running) {
     return "full";
   }
-  return this->options.is_server(order.server) ? "" : "unknown-server";
+  if (!this->options.is_server(order.server)) {
+    return "unknown-server";
+  }
+  const bool is_at_rest =
+      this->options.is_at_rest && this->options.is_at_rest(order.server);
+  return is_at_rest ? "server-at-rest" : "";
 }
 
 void ForwardService::Serve(const ServerRequest& request,
--- a/src/forwarding/forward_service.h
+++ b/src/forwarding/forward_service.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -28,6 +29,13 @@
   std::size_t max_running = 0;
   /// Whether an address is that of a known server.
   std::function<bool(std::string_view address)> is_server;
+  /// Whether the server at an address has asked this host for rest.
+  std::function<bool(std::string_view address)> is_at_rest = {};
+  /// Called with the head of a server's answer. What it says to the host that
+  /// sent the request holds for this host, too.
+  std::function<void(std::string_view address, int http_status,
+                     std::span<const HttpHeader> headers)>
+      on_head = {};
 };
 
 /// @brief Sends attempts to servers for other hosts, and passes the answers
--- a/src/relay/backend_list.cc
+++ b/src/relay/backend_list.cc
@@ -10,6 +10,10 @@
 namespace meadowthread {
 namespace {
 
+// Servers that have said that they leave are remembered for longer than their
+// entries may be missing: as many as leave in several minutes.
+constexpr std::size_t kMaxSaidLeaving = 1'024;
+
 // Removed servers stay known for longer than any generation that may still
 // finish there.
 constexpr std::int64_t kGoneRetentionMs = 60'000;
@@ -106,6 +110,8 @@
   const auto region = this->regions.find(entry.zone);
   backend.region = region == this->regions.end() ? "" : region->second;
   if (is_new) {
+    backend.reported_leaving = this->HasSaidLeaving(key);
+    backend.leaving = backend.reported_leaving;
     LogLine("backend")
         .Add("id", entry.id)
         .Add("service", entry.service)
@@ -297,14 +303,25 @@
   return has_emptied;
 }
 
-void BackendList::NoteLeaving(std::string_view key) {
+void BackendList::NoteLeaving(std::string_view key, std::string_view how) {
+  if (!this->HasSaidLeaving(key)) {
+    this->said_leaving.emplace_back(key);
+    if (this->said_leaving.size() > kMaxSaidLeaving) {
+      this->said_leaving.pop_front();
+    }
+  }
   const auto found = this->backends.find(key);
   if (found != this->backends.end()) {
     found->second.reported_leaving = true;
-    this->MarkLeaving(&found->second, "its_own_report");
+    this->MarkLeaving(&found->second, how);
   }
 }
 
+bool BackendList::HasSaidLeaving(std::string_view key) const {
+  return std::find(this->said_leaving.begin(), this->said_leaving.end(), key) !=
+         this->said_leaving.end();
+}
+
 void BackendList::MarkLeaving(Backend* backend, std::string_view why) {
   if (backend->leaving) {
     return;
--- a/src/relay/backend_list.h
+++ b/src/relay/backend_list.h
@@ -2,6 +2,7 @@
 #define MEADOWTHREAD_RELAY_BACKEND_LIST_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -136,9 +137,12 @@
   /// server, until it is set or removed again.
   void MarkEntryInvalid(std::string_view id);
 
-  /// @brief Handles a server's own report that it leaves, which precedes the
-  /// change of its entry.
-  void NoteLeaving(std::string_view key);
+  /// @brief Handles a server's own word that it leaves, which precedes the
+  /// change of its entry. It holds until that start of the server is gone, also
+  /// if its entry is removed and listed again.
+  /// @param[in] how it is known, for the log
+  void NoteLeaving(std::string_view key,
+                   std::string_view how = "its_own_report");
 
   /// @brief Called when an operator has emptied an availability zone or put it
   /// back into use.
@@ -201,6 +205,7 @@
   void NotifyListeners(BackendChange change, const Backend& backend);
   std::optional<std::int64_t> EmptiedSince(std::string_view zone) const;
   bool IsExcluded(const BackendEntry& entry) const;
+  bool HasSaidLeaving(std::string_view key) const;
 
   const Clock& clock;
   Scheduler& scheduler;
@@ -214,6 +219,8 @@
   std::map<std::string, std::int64_t, std::less<>> emptied;
   /// Versions whose servers get no requests, by service.
   std::map<std::string, std::vector<std::string>, std::less<>> excluded;
+  /// Keys of servers that have said that they leave, latest last; bounded.
+  std::deque<std::string> said_leaving;
   std::vector<Listener> listeners;
   Lifetime life;
 };
--- a/src/relay/call_session.cc
+++ b/src/relay/call_session.cc
@@ -35,6 +35,9 @@
 // High enough that servers being avoided after failures are used only if there
 // are no others.
 constexpr double kBackoffCost = 1'000.0;
+// A server that has asked another host for rest is likely to reject this host's
+// requests as well.
+constexpr double kFullCost = 500.0;
 // Costs that differ by less count as equal.
 constexpr double kEqualCostMargin = 0.25;
 
@@ -91,6 +94,9 @@
   if (backend.warm_at_ms > now_ms) {
     cost += kColdCost;
   }
+  if (this->deps.rests.IsFull(id, now_ms)) {
+    cost += kFullCost;
+  }
   return cost;
 }
 
@@ -202,10 +208,10 @@
         "no backend server is in a region where the request may run"));
     return;
   }
-  if (HeldBackByRatesMs(this->deps, this->terms, this->versions).has_value()) {
+  if (HeldBackMs(this->deps, this->terms, this->versions).has_value()) {
     this->EndOrWait(this->MakeProblem(
         ErrorId::kOverloaded, Outcome::kNotRun, "choose",
-        "no backend server has room within the rate that it names"));
+        "all backend servers have named a rate or asked for rest"));
     return;
   }
   this->EndOrWait(
--- a/src/relay/call_session_end.cc
+++ b/src/relay/call_session_end.cc
@@ -68,7 +68,7 @@
   if (id != ErrorId::kOverloaded) {
     return kNoServerRetryMs;
   }
-  return HeldBackByRatesMs(this->deps, this->terms, this->versions)
+  return HeldBackMs(this->deps, this->terms, this->versions)
       .value_or(kOverloadedRetryMs);
 }
 
--- a/src/relay/engine_drainer.cc
+++ b/src/relay/engine_drainer.cc
@@ -271,9 +271,11 @@
   options.zone_cost = kCrossZoneCost;
   options.busy_link_cost = kBusyLinkCost;
   PressureChooser chooser(options);
-  chooser.SetEngineFilter([this, with_limited](const EngineView& view) {
+  const std::int64_t now_ms = this->deps.clock.MonotonicMs();
+  chooser.SetEngineFilter([this, with_limited, now_ms](const EngineView& view) {
     return (with_limited || !this->deps.permits.IsLimited(view.engine)) &&
-           this->deps.arrivals.May(view.engine, this->deps.clock.MonotonicMs());
+           this->deps.arrivals.May(view.engine, now_ms) &&
+           this->deps.rests.RestingForMs(view.engine, now_ms) <= 0;
   });
   const Decision decision =
       chooser.Choose(MakeWorkItem(session), this->stream_deps.fleet,
--- a/src/relay/relay_dependencies.cc
+++ b/src/relay/relay_dependencies.cc
@@ -27,21 +27,47 @@
   answer.sent_ms = head.sent_ms;
   answer.ran = head.meaning == AnswerMeaning::kRan;
   deps.permits.NoteAnswer(answer);
-  const ServerNotice notice =
-      deps.wire.NoticeIn(head.http_status, head.headers);
+  ApplyNotice({deps.clock, deps.rests, deps.backends}, head.server,
+              deps.wire.NoticeIn(head.http_status, head.headers));
+}
+
+void ApplyNotice(const NoticeTargets& targets, std::string_view server,
+                 const ServerNotice& notice) {
   if (notice.rest != ServerNotice::Rest::kNone) {
     LogLine("server-rest")
-        .Add("server", head.server)
+        .Add("server", server)
         .Add("rest_ms", notice.rest_ms)
         .Add("malformed",
              notice.rest == ServerNotice::Rest::kMalformed ? "yes" : "no")
         .WriteImportant();
   }
+  if (notice.rest == ServerNotice::Rest::kAsked) {
+    targets.rests.Note(server, notice.rest_ms, targets.clock.MonotonicMs());
+  }
+  if (notice.is_leaving) {
+    targets.backends.NoteLeaving(server, "its_answer");
+  }
+}
+
+namespace {
+
+// The end of a server's rest, for a caller to come back then: later by up to a
+// quarter of the time to it, so that callers who are all told of the same end
+// don't come at one instant.
+std::int64_t SpreadMs(std::int64_t rest_ms, std::uint64_t random) {
+  constexpr std::int64_t kMinSpreadMs = 100;
+  constexpr std::int64_t kSpreadDivisor = 4;
+  const std::int64_t spread_ms =
+      std::max(kMinSpreadMs, rest_ms / kSpreadDivisor);
+  return rest_ms + static_cast<std::int64_t>(
+                       random % static_cast<std::uint64_t>(spread_ms));
 }
 
-std::optional<std::int64_t> HeldBackByRatesMs(const RelayDependencies& deps,
-                                              const RelayTerms& terms,
-                                              const VersionRule& versions) {
+}  // namespace
+
+std::optional<std::int64_t> HeldBackMs(const RelayDependencies& deps,
+                                       const RelayTerms& terms,
+                                       const VersionRule& versions) {
   const Urgency urgency = UrgencyOf(terms);
   std::optional<std::int64_t> least_ms;
   for (const Backend* const backend : deps.backends.Usable(terms.service)) {
@@ -49,8 +75,11 @@
         !versions.Permits(backend->entry.version)) {
       continue;
     }
+    const std::int64_t rest_ms =
+        deps.rests.RestingForMs(backend->key, deps.clock.MonotonicMs());
     const std::int64_t held_ms =
-        deps.permits.ExhaustedForMs(backend->key, urgency);
+        std::max(deps.permits.ExhaustedForMs(backend->key, urgency),
+                 rest_ms > 0 ? SpreadMs(rest_ms, deps.random()) : 0);
     if (held_ms <= 0) {
       return std::nullopt;
     }
--- a/src/relay/relay_dependencies.h
+++ b/src/relay/relay_dependencies.h
@@ -15,8 +15,10 @@
 #include "policy/first_attempt_time_estimator.h"
 #include "policy/fleet_state.h"
 #include "policy/link_quality.h"
+#include "policy/server_notice.h"
 #include "policy/server_permits.h"
 #include "policy/server_rate_limiter.h"
+#include "policy/server_rests.h"
 #include "policy/stream_admission.h"
 #include "quarantine/quarantine.h"
 #include "quarantine/request_quarantine.h"
@@ -58,6 +60,7 @@
   std::mt19937_64& random;
   VersionGate& versions;
   ServerPermits& permits;
+  ServerRests& rests;
 };
 
 /// @brief The server as the quarantine records it; nullopt if it is unknown or
@@ -78,12 +81,24 @@
 /// rest, and whether it leaves.
 void NoteAnswerHead(const RelayDependencies& deps, const AnswerHead& head);
 
+/// @brief Where a server's notices take effect.
+struct NoticeTargets {
+  const Clock& clock;
+  ServerRests& rests;
+  BackendList& backends;
+};
+
+/// @brief Applies what an answer of a server says about requests to come.
+/// @param[in] server its key
+void ApplyNotice(const NoticeTargets& targets, std::string_view server,
+                 const ServerNotice& notice);
+
 /// @brief How long all servers of a service that may get the request are held
-/// back by the rates that they name.
+/// back: by the rates that they name, or by the rest that they have asked for.
 /// @return nullopt if one of them is not
-std::optional<std::int64_t> HeldBackByRatesMs(const RelayDependencies& deps,
-                                              const RelayTerms& terms,
-                                              const VersionRule& versions);
+std::optional<std::int64_t> HeldBackMs(const RelayDependencies& deps,
+                                       const RelayTerms& terms,
+                                       const VersionRule& versions);
 
 /// @brief How an attempt at a backend server ended, or how its stream began.
 struct AttemptEnd {
--- a/src/relay/send_gate.cc
+++ b/src/relay/send_gate.cc
@@ -16,6 +16,8 @@
       return "other-version";
     case SendObstacle::kRateLimit:
       return "rate-limit";
+    case SendObstacle::kAtRest:
+      return "at-rest";
   }
   return "none";
 }
@@ -34,10 +36,22 @@
   if (!rules.versions.Permits(server->entry.version)) {
     return SendObstacle::kOtherVersion;
   }
-  if (!deps.arrivals.May(server->key, deps.clock.MonotonicMs())) {
+  const std::int64_t now_ms = deps.clock.MonotonicMs();
+  if (!deps.arrivals.May(server->key, now_ms)) {
     return SendObstacle::kRateLimit;
   }
+  if (deps.rests.RestingForMs(server->key, now_ms) > 0) {
+    return SendObstacle::kAtRest;
+  }
   return SendObstacle::kNone;
 }
 
+// A server that holds a copied KV cache has set room aside for the run, which
+// would be lost otherwise.
+bool MayResumeAt(const RelayDependencies& deps, std::string_view server) {
+  const std::int64_t now_ms = deps.clock.MonotonicMs();
+  return deps.arrivals.May(server, now_ms) &&
+         deps.rests.TakeResume(server, now_ms);
+}
+
 }  // namespace meadowthread
--- a/src/relay/send_gate.h
+++ b/src/relay/send_gate.h
@@ -18,6 +18,7 @@
   kOutsideRegions,  ///< the request may not run in its region
   kOtherVersion,    ///< the request may not run on its version
   kRateLimit,       ///< this host's share of its rate limit is used up
+  kAtRest,          ///< it has asked this host for rest
 };
 
 /// @brief The obstacle's name in log lines.
@@ -36,6 +37,10 @@
 SendObstacle ObstacleTo(const RelayDependencies& deps, const Backend* server,
                         const SendRules& rules);
 
+/// @brief Whether a run may be resumed at a server that holds its KV cache,
+/// while the server may have asked for rest.
+bool MayResumeAt(const RelayDependencies& deps, std::string_view server);
+
 }  // namespace meadowthread
 
 #endif  // MEADOWTHREAD_RELAY_SEND_GATE_H_
--- a/src/relay/stream_session_move.cc
+++ b/src/relay/stream_session_move.cc
@@ -7,6 +7,7 @@
 #include "base/error.h"
 #include "base/log_line.h"
 #include "relay/attempt_outcome.h"
+#include "relay/send_gate.h"
 #include "relay/stream_session.h"
 
 namespace meadowthread {
@@ -64,20 +65,25 @@
 }
 
 // Returns the engine that holds the run's KV cache: the target, or the source,
-// which keeps it for some more seconds.
+// which keeps it for some more seconds. One that has asked for rest comes last.
 const Backend* StreamSession::FindKvCacheHolder(const Continuation& from,
                                                 std::string_view target) const {
   const std::int64_t now_ms = this->deps.clock.MonotonicMs();
   const std::string_view own = this->engine;
   const std::array<std::string_view, 2> holders = {
       target.empty() ? own : target, from.source_key};
+  const Backend* at_rest = nullptr;
   for (const std::string_view key : holders) {
     const Backend* const holder = this->deps.backends.Find(key);
-    if (holder != nullptr && holder->MayContinueRuns(now_ms)) {
+    if (holder == nullptr || !holder->MayContinueRuns(now_ms)) {
+      continue;
+    }
+    if (this->deps.rests.RestingForMs(key, now_ms) <= 0) {
       return holder;
     }
+    at_rest = at_rest == nullptr ? holder : at_rest;
   }
-  return nullptr;
+  return at_rest;
 }
 
 void StreamSession::OnMoveReady(const Continuation& continuation,
@@ -104,7 +110,9 @@
       .Add("after_event", this->last_id)
       .Write();
   // An arrival at the target was reserved when the move began.
-  if (holder->key == target) {
+  const bool is_at_rest = this->deps.rests.RestingForMs(
+                              holder->key, this->deps.clock.MonotonicMs()) > 0;
+  if (holder->key == target && !is_at_rest) {
     this->ResumeWithPermit(holder->key, from, until_ms);
   } else {
     this->ResumeWhenPermitted(holder->key, from, until_ms);
@@ -135,7 +143,7 @@
     this->Interrupt("the run could not go on");
     return;
   }
-  if (this->deps.arrivals.May(holder, now_ms)) {
+  if (MayResumeAt(this->deps, holder)) {
     this->ResumeWithPermit(holder, from, until_ms);
   } else {
     this->ResumeLater(holder, from, until_ms);
--- a/src/relay/stream_session_placement.cc
+++ b/src/relay/stream_session_placement.cc
@@ -290,13 +290,14 @@
 }
 
 // Refuses the request at once if every engine that may get it is held back by
-// the rate that it names: nobody knows when an engine's need ends.
+// the rate that it names or the rest that it has asked for: waiting would keep
+// the caller from coming back when that ends.
 bool StreamSession::RefuseIfHeldBack() {
   const std::optional<std::int64_t> held_ms =
-      HeldBackByRatesMs(this->deps, this->terms, this->versions);
+      HeldBackMs(this->deps, this->terms, this->versions);
   if (held_ms.has_value()) {
     this->Refuse(ErrorId::kOverloaded, Outcome::kNotRun, "choose",
-                 "no engine has room within the rate that it names", *held_ms);
+                 "all engines have named a rate or asked for rest", *held_ms);
   }
   return held_ms.has_value();
 }
--- a/src/relay/tests/relay_fixture.h
+++ b/src/relay/tests/relay_fixture.h
@@ -336,11 +336,12 @@
   std::mt19937_64 random{7};
   FakeVersionGate versions;
   FakePermits permits;
+  ServerRests rests;
   RelayDependencies deps{this->clock,    this->scheduler, this->client,
                          this->wire,     this->backends,  this->health,
                          this->budgets,  this->observer,  this->quarantine,
                          this->arrivals, this->random,    this->versions,
-                         this->permits};
+                         this->permits,  this->rests};
   LearnedLengthModel lengths;
   FleetState fleet{this->lengths, FleetOptions{0, 7'000}};
   PressureChooser chooser{PressureOptions{}};
--- a/src/serve/detail/relay_host_impl.h
+++ b/src/serve/detail/relay_host_impl.h
@@ -24,6 +24,7 @@
 #include "net/pooled_client.h"
 #include "net/qt_scheduler.h"
 #include "permits/borrowing_allocation.h"
+#include "permits/notice_gossip.h"
 #include "permits/permit_participant.h"
 #include "permits/share_loans.h"
 #include "policy/length_model.h"
@@ -108,7 +109,9 @@
   std::vector<std::string> PermitHosts() const;
   std::vector<ForwardPeer> FitForwardPeers() const;
   std::vector<std::string> ServerAddresses() const;
-  ForwardServiceOptions ForwardOptions() const;
+  ForwardServiceOptions ForwardOptions();
+  void NoteForwardedHead(std::string_view address, int http_status,
+                         std::span<const HttpHeader> headers);
   void ConnectEngineKnowledge();
   void ReportAttempt(const HealthUpdate& update);
   void CheckPropagationDelays() const;
@@ -156,6 +159,8 @@
   ServerRateLimiter rate_limiter;
   GossipDatagrams gossip;
   PermitParticipant permits;
+  ServerRests rests;
+  NoticeGossip notices;
   CrashGossip crash_gossip;
   CrashRecordStore crash_records;
   UnreportedStreamEstimator unreported_streams;
--- a/src/serve/gossip_datagrams.h
+++ b/src/serve/gossip_datagrams.h
@@ -6,6 +6,7 @@
 
 #include "base/gossip_channel.h"
 #include "exchange/datagrams.h"
+#include "permits/notice_gossip.h"
 #include "permits/permit_participant.h"
 #include "permits/share_loans.h"
 #include "quarantine/crash_gossip.h"
@@ -88,6 +89,17 @@
         });
   }
 
+  /// @brief Delivers messages from other hosts about servers at rest and
+  /// leaving ones.
+  /// @param[in] notices outlives the hub
+  void Connect(NoticeGossip& notices) {
+    this->hub.Register(
+        NoticeGossip::kTopic,
+        [&notices](std::string_view host, const nlohmann::json& payload) {
+          notices.OnNotice(host, payload);
+        });
+  }
+
   /// @brief Delivers messages from other hosts about lent shares.
   /// @param[in] loans outlives the hub
   void Connect(ShareLoans& loans) {
--- a/src/serve/relay_host_peers.cc
+++ b/src/serve/relay_host_peers.cc
@@ -61,7 +61,7 @@
   return addresses;
 }
 
-ForwardServiceOptions RelayHost::Impl::ForwardOptions() const {
+ForwardServiceOptions RelayHost::Impl::ForwardOptions() {
   ForwardServiceOptions options;
   options.key = this->forward_key;
   options.authority = absl::StrCat(this->settings.host.address, ":",
@@ -71,9 +71,30 @@
   options.is_server = [this](std::string_view address) {
     return this->backends.FindByAddress(address) != nullptr;
   };
+  options.is_at_rest = [this](std::string_view address) {
+    const Backend* const server = this->backends.FindByAddress(address);
+    return server != nullptr &&
+           this->rests.RestingForMs(server->key, this->clock.MonotonicMs()) > 0;
+  };
+  options.on_head = [this](std::string_view address, int http_status,
+                           std::span<const HttpHeader> headers) {
+    this->NoteForwardedHead(address, http_status, headers);
+  };
   return options;
 }
 
+void RelayHost::Impl::NoteForwardedHead(std::string_view address,
+                                        int http_status,
+                                        std::span<const HttpHeader> headers) {
+  const Backend* const server = this->backends.FindByAddress(address);
+  const BackendProtocol& wire = this->platform.Backends();
+  if (server != nullptr &&
+      wire.Read(http_status, headers) != AnswerMeaning::kOtherInstance) {
+    ApplyNotice({this->clock, this->rests, this->backends}, server->key,
+                wire.NoticeIn(http_status, headers));
+  }
+}
+
 // What a host can't reach is not told to others at once: by then it may be
 // known that the host itself has lost its path, which says nothing about the
 // server.
@@ -102,6 +123,9 @@
   set("forwards_taken", this->forward_service.Taken());
   set("forwards_running", this->forward_service.Running());
   set("servers_naming_a_rate", this->permits.LimitedServers());
+  set("servers_at_rest", this->rests.Count(this->clock.MonotonicMs()));
+  set("shares_borrowed", this->share_loans.Borrowed());
+  set("shares_lent", this->share_loans.Lent());
   set("permits_granted", this->permits.Stats().granted);
   set("permits_refused", this->permits.Stats().refused);
   set("permits_without_granting_host", this->permits.Stats().fallback);
--- a/src/serve/relay_host_view.cc
+++ b/src/serve/relay_host_view.cc
@@ -212,6 +212,7 @@
     this->fleet.RemoveEngine(backend.key);
     this->rate_limiter.Remove(backend.key);
     this->permits.Remove(backend.key);
+    this->rests.Remove(backend.key);
     this->health.Forget(backend.key);
     // Requests that are still running at the server create its health record
     // again when they end, so the record is removed once more after the last of
@@ -235,6 +236,9 @@
     if (!backend.listed) {
       this->quarantine.NoteGone(backend.key);
     }
+    if (backend.reported_leaving) {
+      this->notices.TellLeaving(backend.key);
+    }
     this->relay.OnEngineLeaves(backend);
   }
 }
