--- a/src/relay/tests/backend_list_test.cc
+++ b/src/relay/tests/backend_list_test.cc
@@ -223,5 +223,30 @@
   cr_assert(fixture.changes.empty() && fixture.list.All().size() == 2);
 }
 
+// Its entry may lapse while the store is away, and then still says ready.
+Test(a_server_that_said_that_it_leaves, is_leaving_until_that_start_is_gone) {
+  BackendListFixture fixture;
+  fixture.list.NoteLeaving("a", "its_answer");
+  fixture.list.Set(Entry("a"));
+  cr_assert(!fixture.list.AcceptsNewRequests("a"), "its entry says ready");
+  fixture.ReturnStore();
+  fixture.list.Remove("a");
+  for (int n = 0; n < 20; ++n) {
+    fixture.Advance(30'000);
+  }
+  cr_assert(fixture.list.Find("a") == nullptr);
+  fixture.list.Set(Entry("a"));
+  cr_assert(!fixture.list.AcceptsNewRequests("a"), "its entry lapsed");
+  cr_assert(fixture.list.AcceptsNewRequests("b"));
+}
+
+// Another host's word may come before the entry.
+Test(a_server_that_said_that_it_leaves, may_be_listed_later) {
+  BackendListFixture fixture;
+  fixture.list.NoteLeaving("c", "another_host");
+  fixture.list.Set(Entry("c"));
+  cr_assert(!fixture.list.AcceptsNewRequests("c"));
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/relay/tests/call_session_test.cc
+++ b/src/relay/tests/call_session_test.cc
@@ -351,5 +351,96 @@
   cr_assert(unsent.Failure().outcome == Outcome::kNotRun);
 }
 
+/// @brief The n-th attempt's server rejects it and asks for rest.
+void RejectForRest(CallSessionFixture& fixture, std::size_t n,
+                   std::int64_t rest_ms) {
+  fixture.client.Head(
+      n, 503,
+      {{std::string(testing::kNotRunHeader), "full"},
+       {std::string(testing::kRestHeader), std::to_string(rest_ms)}});
+  fixture.client.End(n, testing::FakeClient::Whole(503));
+}
+
+Test(a_server_that_asks_for_rest,
+     gets_no_calls_retries_or_hedges_until_its_end) {
+  CallSessionFixture fixture(2);
+  fixture.Begin(ExecutionRule::kOnce);
+  const std::string resting = fixture.ServerOf(0);
+  RejectForRest(fixture, 0, 3'000);
+  cr_assert(fixture.client.sent.size() == 2 && fixture.ServerOf(1) != resting);
+  fixture.client.Answer(1, 200, "done");
+  for (int n = 0; n < 20; ++n) {
+    const std::size_t sent = fixture.client.sent.size();
+    fixture.request.begun_ms = fixture.clock.MonotonicMs();
+    fixture.Begin(ExecutionRule::kRepeatable);
+    fixture.Advance(n == 0 ? 300 : 90);
+    cr_assert(fixture.client.sent.size() == sent + 1, "no hedge");
+    cr_assert(fixture.ServerOf(sent) != resting);
+    fixture.client.Answer(sent, 500, "no retry there");
+    cr_assert(fixture.client.sent.size() == sent + 1);
+  }
+  fixture.Advance(3'000);
+  fixture.request.begun_ms = fixture.clock.MonotonicMs();
+  bool is_used = false;
+  for (int n = 0; n < 20 && !is_used; ++n) {
+    const std::size_t sent = fixture.client.sent.size();
+    fixture.Begin(ExecutionRule::kOnce);
+    is_used = fixture.ServerOf(sent) == resting;
+    fixture.client.Answer(sent, 200, "done");
+  }
+  cr_assert(is_used, "its rest is over");
+}
+
+Test(servers_that_all_ask_for_rest, have_calls_refused_with_the_first_end) {
+  CallSessionFixture fixture(2);
+  fixture.rests.Note("s-1", 3'000, fixture.clock.MonotonicMs());
+  fixture.rests.Note("s-2", 2'000, fixture.clock.MonotonicMs());
+  fixture.Begin(ExecutionRule::kOnce);
+  cr_assert(fixture.client.sent.empty() && fixture.results == 1);
+  cr_assert(fixture.Failure().outcome == Outcome::kNotRun);
+  cr_assert(fixture.Failure().retry_after_ms >= 2'000 &&
+                fixture.Failure().retry_after_ms <= 2'500,
+            "%d", static_cast<int>(fixture.Failure().retry_after_ms));
+}
+
+Test(a_server_that_asked_another_host_for_rest, is_used_only_as_the_last) {
+  CallSessionFixture fixture(2);
+  fixture.rests.NoteTold("s-1", 60'000, fixture.clock.MonotonicMs());
+  for (std::size_t n = 0; n < 10; ++n) {
+    fixture.Begin(ExecutionRule::kOnce);
+    cr_assert(fixture.ServerOf(n) == "s-2");
+    fixture.client.Answer(n, 200, "done");
+  }
+  fixture.backends.Remove("s-2");
+  fixture.Begin(ExecutionRule::kOnce);
+  cr_assert(fixture.ServerOf(10) == "s-1");
+}
+
+Test(another_start_of_a_server, is_not_at_rest) {
+  CallSessionFixture fixture(1);
+  fixture.rests.Note("s-1", 60'000, fixture.clock.MonotonicMs());
+  fixture.StartAgain("s-1");
+  fixture.Begin(ExecutionRule::kOnce);
+  cr_assert(fixture.client.sent.size() == 1);
+}
+
+Test(a_server_that_says_that_it_leaves, gets_no_more_calls) {
+  CallSessionFixture fixture(2);
+  fixture.Begin(ExecutionRule::kOnce);
+  const std::string leaving = fixture.ServerOf(0);
+  fixture.client.Head(0, 200,
+                      {{std::string(testing::kSignedHeader), "yes"},
+                       {std::string(testing::kLeavingHeader), "1"}});
+  fixture.client.End(0, testing::FakeClient::Whole(200));
+  cr_assert(fixture.result.ok());
+  cr_assert(!ServerUnlessLeaving(fixture.backends, leaving).has_value(),
+            "its end is blamed on no request");
+  for (std::size_t n = 1; n < 10; ++n) {
+    fixture.Begin(ExecutionRule::kOnce);
+    cr_assert(fixture.ServerOf(n) != leaving);
+    fixture.client.Answer(n, 200, "done");
+  }
+}
+
 }  // namespace
 }  // namespace meadowthread
