A host that has read no template refuses no key as unknown

Cause: the key was looked up before it was asked whether the host has its configuration. Now an unknown key at such a host ends as not run, to be tried elsewhere. The new test failed before (401 where 503 is due).

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -137,10 +137,25 @@
   }
 }
 
+// A host that has not read its configuration knows no key. That says nothing
+// about the caller's.
+absl::StatusOr<CallerIdentity> Gateway::Authenticate(
+    const ServerRequest& request) const {
+  absl::StatusOr<CallerIdentity> caller =
+      AuthenticateCaller(request, this->deps.catalog);
+  const bool has_key = !FindHeader(request.headers, "Authorization").empty();
+  if (caller.ok() || !has_key) {
+    return caller;
+  }
+  const absl::Status ready = this->deps.gate.MayTakeWork();
+  const bool is_early =
+      !ready.ok() && DetailOf(ready).id == ErrorId::kHostNotReady;
+  return is_early ? ready : caller;
+}
+
 void Gateway::ServeModels(const ServerRequest& request,
                           std::unique_ptr<ResponseWriter> writer) {
-  const absl::StatusOr<CallerIdentity> caller =
-      AuthenticateCaller(request, this->deps.catalog);
+  const absl::StatusOr<CallerIdentity> caller = this->Authenticate(request);
   if (!caller.ok()) {
     SendProblem(*writer, caller.status(), "");
     return;
@@ -166,8 +181,7 @@
 
 void Gateway::ServePlainService(const ServerRequest& request,
                                 std::unique_ptr<ResponseWriter> writer) {
-  const absl::StatusOr<CallerIdentity> caller =
-      AuthenticateCaller(request, this->deps.catalog);
+  const absl::StatusOr<CallerIdentity> caller = this->Authenticate(request);
   absl::Status status = caller.status();
   if (status.ok()) {
     status = this->deps.gate.MayTakeWork();
@@ -235,8 +249,7 @@
 absl::Status Gateway::CheckRequest(CompletionApi api,
                                    const ServerRequest& request,
                                    IncomingRequest* incoming) const {
-  const absl::StatusOr<CallerIdentity> caller =
-      AuthenticateCaller(request, this->deps.catalog);
+  const absl::StatusOr<CallerIdentity> caller = this->Authenticate(request);
   if (!caller.ok()) {
     return caller.status();
   }
@@ -344,8 +357,7 @@
 // that the token belongs to this caller.
 void Gateway::ServeResume(const ServerRequest& request,
                           std::unique_ptr<ResponseWriter> writer) {
-  const absl::StatusOr<CallerIdentity> caller =
-      AuthenticateCaller(request, this->deps.catalog);
+  const absl::StatusOr<CallerIdentity> caller = this->Authenticate(request);
   if (!caller.ok()) {
     SendProblem(*writer, caller.status(), "");
     return;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -91,6 +91,8 @@
                    std::unique_ptr<ResponseWriter> writer);
   void ServePlainService(const ServerRequest& request,
                          std::unique_ptr<ResponseWriter> writer);
+  absl::StatusOr<CallerIdentity> Authenticate(
+      const ServerRequest& request) const;
   absl::Status CheckRequest(CompletionApi api, const ServerRequest& request,
                             IncomingRequest* incoming) const;
   absl::Status ResolveParameters(const ServerRequest& request,
--- a/tests/process/configuration_test.cc
+++ b/tests/process/configuration_test.cc
@@ -147,6 +147,27 @@
   cr_assert(WaitFor([&] { return !fleet.IsReady(1); }));
 }
 
+// It answered valid keys with 401 until it had read the first template.
+Test(a_host_that_has_read_no_template,
+     refuses_no_key_but_says_that_it_is_early) {
+  const TestApplication application;
+  Fleet fleet(Plan(1));
+  fleet.StartPlatform();
+  fleet.SetFaults(fleet.StoreUrl(), {{"down", true}});
+  fleet.StartHost(0);
+  cr_assert(WaitFor([&] { return fleet.Status(0).contains("ready"); }));
+  const auto status_of = [&fleet](const std::string& key) {
+    return Call(fleet.Client(), Post(fleet.HostUrl(0) + "/v1/completions", key,
+                                     R"({"model":"reconcile","prompt":"a"})"))
+        .response.http_status;
+  };
+  cr_assert(status_of(kKey) == 503, "%d", status_of(kKey));
+  fleet.SetFaults(fleet.StoreUrl(), {{"down", false}});
+  cr_assert(WaitFor([&] { return fleet.IsReady(0); }));
+  cr_assert(status_of(kKey) == 200, "%d", status_of(kKey));
+  cr_assert(status_of("no-such-key") == 401);
+}
+
 Test(an_invalid_template, is_reported_and_stops_no_other) {
   const TestApplication application;
   Fleet fleet(Plan(1));
