A run in progress does not end an operator's decision to keep a content

A run that was sent before the decision and ended well after it set the time up to which crashes are cleared beyond that of the decision, which then had no effect. Found by reading, for parts of prompts and whole contents alike; both tests failed before. Also: the verdict on a part that this host's own runs have cleared is that it is none, so that no quarantined line tells of it.

--- a/src/permits/tests/share_loans_test.cc
+++ b/src/permits/tests/share_loans_test.cc
@@ -72,6 +72,7 @@
 struct Fleet {
   explicit Fleet(std::uint64_t seed) : random(seed) {
     std::vector<std::string> names;
+    names.reserve(kHosts);
     for (int n = 0; n < kHosts; ++n) {
       names.push_back(absl::StrCat("h-", n));
     }
--- a/src/policy/tests/server_rests_test.cc
+++ b/src/policy/tests/server_rests_test.cc
@@ -52,7 +52,7 @@
 
 Test(rests_of_thousands_of_servers, are_forgotten_once_they_are_over) {
   ServerRests rests;
-  for (int n = 0; n < 5'000; ++n) {
+  for (std::int64_t n = 0; n < 5'000; ++n) {
     rests.NoteTold("s-" + std::to_string(n), 10, n * 20);
   }
   rests.Note("last", 1'000, 200'000);
--- a/src/quarantine/crash_record.h
+++ b/src/quarantine/crash_record.h
@@ -1,6 +1,7 @@
 #ifndef MEADOWTHREAD_QUARANTINE_CRASH_RECORD_H_
 #define MEADOWTHREAD_QUARANTINE_CRASH_RECORD_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -66,6 +67,15 @@
   return !record.crashes.empty() || record.kept_ms > record.cleared_ms;
 }
 
+/// @brief Time until which runs that went well clear a record. They don't end
+/// an operator's decision to keep it in quarantine.
+inline std::int64_t ClearableUntilMs(const CrashRecord& record,
+                                     std::int64_t until_ms) {
+  return record.kept_ms > record.cleared_ms
+             ? std::min(until_ms, record.kept_ms - 1)
+             : until_ms;
+}
+
 /// @brief Whether a content is in quarantine at some time, and until when.
 struct CrashVerdict {
   bool in_quarantine = false;
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -47,7 +47,7 @@
 
 void Quarantine::Clear(const CrashRecord& record, std::int64_t until_unix_ms) {
   CrashRecord cleared = record;
-  cleared.cleared_ms = until_unix_ms;
+  cleared.cleared_ms = ClearableUntilMs(record, until_unix_ms);
   LogLine("suspect-cleared")
       .Add("workspace", record.id.workspace)
       .Add("content", record.id.content)
@@ -98,9 +98,12 @@
 }
 
 CrashVerdict Quarantine::VerdictOn(const CrashRecord& record) {
-  const SuspectPart* const part =
-      record.part.empty() ? nullptr : this->Suspects().Find(record.part);
-  return Judge(part == nullptr ? record : part->record, this->clock.WallMs());
+  if (record.part.empty()) {
+    return Judge(record, this->clock.WallMs());
+  }
+  const SuspectPart* const suspect = this->Suspects().Find(record.part);
+  return suspect == nullptr ? CrashVerdict{}
+                            : Judge(suspect->record, this->clock.WallMs());
 }
 
 // A crash is not blamed on a part with which another run has gone well since.
--- a/src/quarantine/suspect_parts.cc
+++ b/src/quarantine/suspect_parts.cc
@@ -39,9 +39,13 @@
   for (const CrashRecord* const record : records) {
     CrashRecord& all = this->suspects[record->part].record;
     all.part = record->part;
-    all.cleared_ms = std::max(all.cleared_ms, sound.LastBegunMs(record->part));
     Merge(*record, &all);
   }
+  for (auto& [part, suspect] : this->suspects) {
+    CrashRecord own;
+    own.cleared_ms = ClearableUntilMs(suspect.record, sound.LastBegunMs(part));
+    Merge(own, &suspect.record);
+  }
   std::erase_if(this->suspects, [](const auto& entry) {
     return !IsSuspect(entry.second.record);
   });
--- a/src/quarantine/tests/suspect_parts_test.cc
+++ b/src/quarantine/tests/suspect_parts_test.cc
@@ -70,7 +70,7 @@
 // Many runs with a popular part are lost when several servers end at once.
 Test(a_part, is_not_refused_for_servers_that_crash_at_the_same_time) {
   Events events;
-  for (int n = 0; n < 12; ++n) {
+  for (std::int64_t n = 0; n < 12; ++n) {
     ++events.servers;
     events.Add("a", "makati", kNow + n * 20);
   }
@@ -133,6 +133,8 @@
   events.Crash({"a"});
   events.records.back().kept_ms = events.now_ms;
   cr_assert(events.Refuses({"a"}, "makati") && events.Refuses({"a"}, "pasig"));
+  events.RunSoundly("a");
+  cr_assert(events.Refuses({"a"}), "a run in progress does not end it");
   events.records.back().cleared_ms = events.now_ms + 1;
   cr_assert(!events.Refuses({"a"}));
 }
--- a/src/relay/tests/guarded_run_test.cc
+++ b/src/relay/tests/guarded_run_test.cc
@@ -315,6 +315,25 @@
   cr_assert(sound.session->Phase() == StreamPhase::kSent);
 }
 
+// The run had been sent before the operator's decision.
+Test(a_content_that_an_operator_keeps, is_not_cleared_by_a_run_in_progress) {
+  QuarantineFixture fixture(6);
+  fixture.Stream(kCrashingPrompt);
+  StreamAttempt& running = fixture.Stream(kCrashingPrompt);
+  fixture.client.Break(0, true);
+  fixture.listen_check.Answer(ListenProbeResult::kRefused);
+  CrashRecord kept = *fixture.quarantine.RecordTable().All().at(0);
+  kept.kept_ms = fixture.clock.WallMs();
+  fixture.quarantine.RecordTable().Apply(kept, fixture.clock.WallMs());
+  fixture.Advance(100);
+  fixture.BeginAnswer(1);
+  fixture.client.End(1, FakeClient::Whole(200));
+  cr_assert(running.session->Phase() == StreamPhase::kEnded);
+  const std::size_t sent = fixture.Sent();
+  fixture.Stream(kCrashingPrompt);
+  cr_assert(fixture.Sent() == sent);
+}
+
 Test(crash_records_of_parts, are_read_as_written_and_need_a_valid_part) {
   CrashRecord record;
   record.id = {"makati", PartKeyOf("makati", "c0ffee")};
