--- a/src/serve/gossip_datagrams.h
+++ b/src/serve/gossip_datagrams.h
@@ -32,90 +32,61 @@
   /// @brief Delivers messages from other hosts to the crash gossip.
   /// @param[in] gossip outlives the hub
   void Connect(CrashGossip& gossip) {
-    this->hub.Register(
-        CrashGossip::kRecordsTopic,
-        [&gossip](std::string_view host, const nlohmann::json& payload) {
-          gossip.OnRecords(host, payload);
-        });
-    this->hub.Register(
-        CrashGossip::kDigestTopic,
-        [&gossip](std::string_view host, const nlohmann::json& payload) {
-          gossip.OnDigest(host, payload);
-        });
+    this->Deliver(CrashGossip::kRecordsTopic, gossip, &CrashGossip::OnRecords);
+    this->Deliver(CrashGossip::kDigestTopic, gossip, &CrashGossip::OnDigest);
   }
 
   /// @brief Delivers messages from other hosts to the rollouts.
   /// @param[in] rollouts outlives the hub
   void Connect(RolloutParticipant& rollouts) {
-    this->hub.Register(
-        RolloutParticipant::kReportTopic,
-        [&rollouts](std::string_view host, const nlohmann::json& payload) {
-          rollouts.OnReport(host, payload);
-        });
-    this->hub.Register(
-        RolloutParticipant::kProgressTopic,
-        [&rollouts](std::string_view host, const nlohmann::json& payload) {
-          rollouts.OnProgress(host, payload);
-        });
+    this->Deliver(RolloutParticipant::kReportTopic, rollouts,
+                  &RolloutParticipant::OnReport);
+    this->Deliver(RolloutParticipant::kProgressTopic, rollouts,
+                  &RolloutParticipant::OnProgress);
   }
 
   /// @brief Delivers messages from other hosts about permits.
   /// @param[in] permits outlives the hub
   void Connect(PermitParticipant& permits) {
-    this->hub.Register(
-        PermitParticipant::kRateTopic,
-        [&permits](std::string_view host, const nlohmann::json& payload) {
-          permits.OnRate(host, payload);
-        });
-    this->hub.Register(
-        PermitParticipant::kFullTopic,
-        [&permits](std::string_view host, const nlohmann::json& payload) {
-          permits.OnFull(host, payload);
-        });
-    this->hub.Register(
-        PermitParticipant::kRejectedTopic,
-        [&permits](std::string_view host, const nlohmann::json& payload) {
-          permits.OnRejected(host, payload);
-        });
-    this->hub.Register(
-        PermitParticipant::kRequestTopic,
-        [&permits](std::string_view host, const nlohmann::json& payload) {
-          permits.OnRequest(host, payload);
-        });
-    this->hub.Register(
-        PermitParticipant::kResponseTopic,
-        [&permits](std::string_view host, const nlohmann::json& payload) {
-          permits.OnResponse(host, payload);
-        });
+    this->Deliver(PermitParticipant::kRateTopic, permits,
+                  &PermitParticipant::OnRate);
+    this->Deliver(PermitParticipant::kFullTopic, permits,
+                  &PermitParticipant::OnFull);
+    this->Deliver(PermitParticipant::kRejectedTopic, permits,
+                  &PermitParticipant::OnRejected);
+    this->Deliver(PermitParticipant::kRequestTopic, permits,
+                  &PermitParticipant::OnRequest);
+    this->Deliver(PermitParticipant::kResponseTopic, permits,
+                  &PermitParticipant::OnResponse);
   }
 
   /// @brief Delivers messages from other hosts about servers at rest and
   /// leaving ones.
   /// @param[in] notices outlives the hub
   void Connect(NoticeGossip& notices) {
-    this->hub.Register(
-        NoticeGossip::kTopic,
-        [&notices](std::string_view host, const nlohmann::json& payload) {
-          notices.OnNotice(host, payload);
-        });
+    this->Deliver(NoticeGossip::kTopic, notices, &NoticeGossip::OnNotice);
   }
 
   /// @brief Delivers messages from other hosts about lent shares.
   /// @param[in] loans outlives the hub
   void Connect(ShareLoans& loans) {
-    this->hub.Register(
-        ShareLoans::kRequestTopic,
-        [&loans](std::string_view host, const nlohmann::json& payload) {
-          loans.OnRequest(host, payload);
-        });
-    this->hub.Register(
-        ShareLoans::kLoanTopic,
-        [&loans](std::string_view host, const nlohmann::json& payload) {
-          loans.OnLoan(host, payload);
-        });
+    this->Deliver(ShareLoans::kRequestTopic, loans, &ShareLoans::OnRequest);
+    this->Deliver(ShareLoans::kLoanTopic, loans, &ShareLoans::OnLoan);
   }
 
  private:
+  /// @param[in] handle is called with the sender's name and the payload
+  template <typename Receiver>
+  void Deliver(std::string_view topic, Receiver& receiver,
+               void (Receiver::*handle)(std::string_view,
+                                        const nlohmann::json&)) {
+    this->hub.Register(topic,
+                       [&receiver, handle](std::string_view host,
+                                           const nlohmann::json& payload) {
+                         (receiver.*handle)(host, payload);
+                       });
+  }
+
   DatagramHub& hub;
 };
 
