A restarted host takes over the key in its entry

Cause, read off the code: since hosts draw a key at each start and write it into their entry, an entry that stands from the process before never equals the new one, so that each restart writes it again, and each such write answers the watches of all hosts that watch. Now a host whose entry differs by the key alone uses the key that stands there; other hosts' orders are taken at once where they were refused until the new key was known. The test failed before.

--- a/src/forwarding/forward_service.h
+++ b/src/forwarding/forward_service.h
@@ -52,6 +52,9 @@
   void Serve(const ServerRequest& request,
              std::unique_ptr<ResponseWriter> writer) override;
 
+  /// @brief Sets the key that orders must carry from now on.
+  void SetKey(std::string_view key) { this->options.key = key; }
+
   /// @brief Takes no orders from now on; those in progress go on.
   void BeginStop() { this->stopping = true; }
 
--- a/src/serve/entry_host_registry.cc
+++ b/src/serve/entry_host_registry.cc
@@ -183,12 +183,28 @@
         const absl::StatusOr<EntryHost> stands =
             found.ok() ? DecodeEntryHost(found->name, found->value)
                        : absl::StatusOr<EntryHost>(found.status());
-        if (!stands.ok() || *stands != this->self) {
+        if (!stands.ok() || !this->TakeKeyOf(*stands)) {
           this->AnnounceLater();
         }
       }));
 }
 
+// If nothing but the key differs, this host uses the key that stands in its
+// entry: a write would wake every watch of the entries at each restart, and
+// other hosts would go on with the old key until they hear of it.
+bool EntryHostRegistry::TakeKeyOf(const EntryHost& stands) {
+  EntryHost same = this->self;
+  same.forward_key = stands.forward_key;
+  if (stands != same || stands.forward_key.empty()) {
+    return stands == this->self;
+  }
+  this->self.forward_key = stands.forward_key;
+  if (this->key_listener) {
+    this->key_listener(this->self.forward_key);
+  }
+  return true;
+}
+
 void EntryHostRegistry::AnnounceLater() {
   this->scheduler.After(
       kRetryMs, this->life.Guarded([this] { this->Write(this->version); }));
--- a/src/serve/entry_host_registry.h
+++ b/src/serve/entry_host_registry.h
@@ -62,6 +62,12 @@
     this->read_listener = callback;
   }
 
+  /// @brief Sets the function that is called when this host takes over the key
+  /// of its previous process.
+  void OnKeyTaken(const std::function<void(const std::string& key)>& callback) {
+    this->key_listener = callback;
+  }
+
   /// @brief Writes this host's entry, with retries until it is stored.
   void Announce();
 
@@ -72,6 +78,7 @@
  private:
   void Write(std::int64_t expected_version);
   void ReadBack();
+  bool TakeKeyOf(const EntryHost& stands);
   void AnnounceLater();
   void NotifyListener() const;
   void OnChange(const StoredObject& object);
@@ -84,6 +91,7 @@
   Scheduler& scheduler;
   Listener listener;
   EntryReadListener read_listener;
+  std::function<void(const std::string& key)> key_listener;
   std::int64_t version = 0;
   Lifetime life;
 };
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -280,6 +280,10 @@
   this->quarantine.AddListener([this](const CrashRecord& quarantined) {
     this->relay.EndQuarantined(quarantined);
   });
+  this->host_registry.OnKeyTaken([this](const std::string& key) {
+    this->forward_key = key;
+    this->forward_service.SetKey(key);
+  });
   this->view_datagrams.Connect(this->hub);
   this->exchange.ExcludeFromImmediatePush(on.Kinds().backends);
   this->exchange.ExcludeFromImmediatePush(on.Kinds().routing_config);
--- a/src/serve/tests/entry_host_registry_test.cc
+++ b/src/serve/tests/entry_host_registry_test.cc
@@ -140,5 +140,40 @@
             "two hosts of the same name do not overwrite each other");
 }
 
+// Each restart wrote the entry anew for its key alone, which woke every watch.
+Test(a_restarted_host, takes_over_the_key_in_its_entry_and_writes_nothing) {
+  Fixture fixture;
+  EntryHost before = kSelf;
+  before.name = "b";
+  before.forward_port = 7200;
+  before.forward_key = "old";
+  fixture.Write("b", EncodeEntryHost(before));
+  fixture.AdvanceTime(100);
+  EntryHost after = before;
+  after.forward_key = "new";
+  EntryHostRegistry restarted("hosts", after, fixture.store, fixture.view,
+                              fixture.scheduler);
+  std::string taken;
+  restarted.OnKeyTaken([&taken](const std::string& key) { taken = key; });
+  restarted.Announce();
+  const int writes = fixture.store.WriteCalls();
+  fixture.AdvanceTime(5'000);
+  cr_assert(taken == "old" && fixture.store.WriteCalls() == writes);
+}
+
+Test(a_restarted_host, writes_its_entry_if_more_than_the_key_differs) {
+  Fixture fixture;
+  EntryHost after = kSelf;
+  after.loads_port = 7'215;
+  after.forward_key = "new";
+  EntryHostRegistry restarted("hosts", after, fixture.store, fixture.view,
+                              fixture.scheduler);
+  restarted.Announce();
+  for (int n = 0; n < 3; ++n) {
+    fixture.AdvanceTime(1'000);
+  }
+  cr_assert(fixture.known.size() == 1 && fixture.known[0] == after);
+}
+
 }  // namespace
 }  // namespace meadowthread
