--- a/src/allocation/allocation_participant.h
+++ b/src/allocation/allocation_participant.h
@@ -89,9 +89,11 @@
   /// @brief Chooses engines for this host's own requests.
   EngineAllocation& Allocation() { return this->client; }
 
-  /// @brief Sets the servers that have asked this host for rest.
-  /// @param[in] rests must outlive this
-  void SetRests(const ServerRests& rests) { this->client.SetRests(rests); }
+  /// @brief Sets the servers that have asked this host to back off.
+  /// @param[in] backoffs must outlive this
+  void SetBackoffs(const RequestedBackoffs& backoffs) {
+    this->client.SetBackoffs(backoffs);
+  }
 
   /// @brief Number of groups that this host is an allocator of.
   std::size_t OwnGroupCount() const { return this->own_groups.size(); }
--- a/src/allocation/allocator_client.cc
+++ b/src/allocation/allocator_client.cc
@@ -88,14 +88,14 @@
          this->permits->ExhaustedForMs(engine, Urgency::kUrgent) > 0;
 }
 
-bool AllocatorClient::IsAtRest(std::string_view engine) const {
-  return this->rests != nullptr &&
-         this->rests->RestingForMs(engine, this->clock.MonotonicMs()) > 0;
+bool AllocatorClient::IsInBackoff(std::string_view engine) const {
+  return this->backoffs != nullptr &&
+         this->backoffs->RemainingMs(engine, this->clock.MonotonicMs()) > 0;
 }
 
 // Engines that this host cannot use now: it could not reach them, they refused
-// a KV-cache copy, they asked it for rest, or its share of their rate limit or
-// the permits for them are used up. The allocator may not know this.
+// a KV-cache copy, they asked it to back off, or its share of their rate limit
+// or the permits for them are used up. The allocator may not know this.
 std::vector<std::string> AllocatorClient::LocallyUnusableEngines() const {
   const std::int64_t now_ms = this->clock.WallMs();
   std::vector<std::string> engines;
@@ -105,7 +105,7 @@
         view.unreachable_until_ms > now_ms || view.no_room_until_ms > now_ms;
     const bool is_avoided =
         is_set_aside || this->HasUsedUpArrivalShare(view.engine) ||
-        this->HasUsedUpPermits(view.engine) || this->IsAtRest(view.engine);
+        this->HasUsedUpPermits(view.engine) || this->IsInBackoff(view.engine);
     if (view.live && is_avoided && engines.size() < kMaxAvoidedEngines) {
       engines.push_back(view.engine);
     }
--- a/src/allocation/allocator_client.h
+++ b/src/allocation/allocator_client.h
@@ -15,9 +15,9 @@
 #include "base/scheduler.h"
 #include "policy/engine_allocation.h"
 #include "policy/fleet_state.h"
+#include "policy/requested_backoffs.h"
 #include "policy/server_permits.h"
 #include "policy/server_rate_limiter.h"
-#include "policy/server_rests.h"
 
 namespace meadowthread {
 
@@ -48,9 +48,9 @@
   /// @param[in] with outlives this
   void SetPermits(const ServerPermits& with) { this->permits = &with; }
 
-  /// @brief Sets the servers that have asked this host for rest.
+  /// @brief Sets the servers that have asked this host to back off.
   /// @param[in] with must outlive this
-  void SetRests(const ServerRests& with) { this->rests = &with; }
+  void SetBackoffs(const RequestedBackoffs& with) { this->backoffs = &with; }
 
   /// @brief Sets whether allocators are asked to choose engines; if not, this
   /// host chooses locally.
@@ -99,7 +99,7 @@
   std::vector<std::string> LocallyUnusableEngines() const;
   bool HasUsedUpArrivalShare(std::string_view engine) const;
   bool HasUsedUpPermits(std::string_view engine) const;
-  bool IsAtRest(std::string_view engine) const;
+  bool IsInBackoff(std::string_view engine) const;
   bool IsSuspect(const std::string& host) const;
 
   HostLocation self;
@@ -108,7 +108,7 @@
   EngineAllocation& local;
   const ServerRateLimiter* arrivals = nullptr;  ///< null: no limits
   const ServerPermits* permits = nullptr;       ///< null: no limits
-  const ServerRests* rests = nullptr;           ///< null: none rests
+  const RequestedBackoffs* backoffs = nullptr;  ///< null: none asked
   AllocationChannel& channel;
   Scheduler& scheduler;
   const Clock& clock;
--- a/src/allocation/tests/allocator_client_test.cc
+++ b/src/allocation/tests/allocator_client_test.cc
@@ -203,16 +203,16 @@
   cr_assert(fixture.channel.requests.empty());
 }
 
-Test(engines_that_asked_this_host_for_rest, are_not_to_be_chosen_for_it) {
+Test(engines_that_asked_this_host_for_backoff, are_not_to_be_chosen_for_it) {
   Fixture fixture;
-  ServerRests rests;
-  rests.Note("e1", 3'000, fixture.clock.MonotonicMs());
-  rests.NoteTold("e2", 3'000, fixture.clock.MonotonicMs());
-  fixture.client.SetRests(rests);
+  RequestedBackoffs backoffs;
+  backoffs.Note("e1", 3'000, fixture.clock.MonotonicMs());
+  backoffs.NoteTold("e2", 3'000, fixture.clock.MonotonicMs());
+  fixture.client.SetBackoffs(backoffs);
   fixture.Choose();
   cr_assert(fixture.channel.requests.at(0).second.avoid ==
                 std::vector<std::string>{"e1"},
-            "another host's rest does not bind this one");
+            "another host's backoff does not bind this one");
 }
 
 }  // namespace
--- a/src/forwarding/forward_service.cc
+++ b/src/forwarding/forward_service.cc
@@ -147,9 +147,9 @@
   if (!this->options.is_server(order.server)) {
     return "unknown-server";
   }
-  const bool is_at_rest =
-      this->options.is_at_rest && this->options.is_at_rest(order.server);
-  return is_at_rest ? "server-at-rest" : "";
+  const bool is_in_backoff =
+      this->options.is_in_backoff && this->options.is_in_backoff(order.server);
+  return is_in_backoff ? "server-in-backoff" : "";
 }
 
 void ForwardService::Serve(const ServerRequest& request,
--- a/src/forwarding/forward_service.h
+++ b/src/forwarding/forward_service.h
@@ -29,8 +29,8 @@
   std::size_t max_running = 0;
   /// Whether an address is that of a known server.
   std::function<bool(std::string_view address)> is_server;
-  /// Whether the server at an address has asked this host for rest.
-  std::function<bool(std::string_view address)> is_at_rest = {};
+  /// Whether the server at an address has asked this host to back off.
+  std::function<bool(std::string_view address)> is_in_backoff = {};
   /// Called with the head of a server's answer. What it says to the host that
   /// sent the request holds for this host, too.
   std::function<void(std::string_view address, int http_status,
--- a/src/permits/notice_gossip.cc
+++ b/src/permits/notice_gossip.cc
@@ -14,23 +14,25 @@
 // Number of hosts that news is sent to, by each host to which it is news.
 constexpr std::size_t kFanout = 4;
 constexpr std::size_t kFields = 2;
-// Stands for a server that leaves, in place of the length of a rest.
+// Stands for a server that leaves, in place of the length of a backoff.
 constexpr std::int64_t kLeaves = -1;
-// Longest rest that is believed of another host's word.
-constexpr std::int64_t kMaxRestMs = 3'600'000;
+// Longest backoff that is believed of another host's word.
+constexpr std::int64_t kMaxBackoffMs = 3'600'000;
 
 }  // namespace
 
-NoticeGossip::NoticeGossip(ServerRests& rests, GossipChannel& channel,
+NoticeGossip::NoticeGossip(RequestedBackoffs& backoffs, GossipChannel& channel,
                            const Clock& clock, const LeavingListener& leaving)
-    : rests(rests), channel(channel), clock(clock), leaving(leaving) {
-  rests.SetListener([this](std::string_view server, std::int64_t rest_ms) {
-    this->Tell(server, rest_ms);
-  });
+    : backoffs(backoffs), channel(channel), clock(clock), leaving(leaving) {
+  backoffs.SetListener(
+      [this](std::string_view server, std::int64_t backoff_ms) {
+        this->Tell(server, backoff_ms);
+      });
 }
 
-void NoticeGossip::Tell(std::string_view server, std::int64_t rest_ms) {
-  this->channel.SendToRandom(kTopic, json::array({server, rest_ms}), kFanout);
+void NoticeGossip::Tell(std::string_view server, std::int64_t backoff_ms) {
+  this->channel.SendToRandom(kTopic, json::array({server, backoff_ms}),
+                             kFanout);
 }
 
 void NoticeGossip::TellLeaving(std::string_view server) {
@@ -45,15 +47,15 @@
     return;
   }
   const std::string server = payload[0].get<std::string>();
-  const auto rest_ms = payload[1].get<std::int64_t>();
-  if (rest_ms == kLeaves) {
+  const auto backoff_ms = payload[1].get<std::int64_t>();
+  if (backoff_ms == kLeaves) {
     this->leaving(server);
     return;
   }
   const std::int64_t believed_ms =
-      std::clamp<std::int64_t>(rest_ms, 0, kMaxRestMs);
+      std::clamp<std::int64_t>(backoff_ms, 0, kMaxBackoffMs);
   if (believed_ms > 0 &&
-      this->rests.NoteTold(server, believed_ms, this->clock.MonotonicMs())) {
+      this->backoffs.NoteTold(server, believed_ms, this->clock.MonotonicMs())) {
     this->Tell(server, believed_ms);
   }
 }
--- a/src/permits/notice_gossip.h
+++ b/src/permits/notice_gossip.h
@@ -8,21 +8,21 @@
 #include "base/clock.h"
 #include "base/gossip_channel.h"
 #include "nlohmann/json.hpp"
-#include "policy/server_rests.h"
+#include "policy/requested_backoffs.h"
 
 namespace meadowthread {
 
-/// @brief Hosts tell each other of servers that have asked one of them for
-/// rest, or have said that they leave. Each passes on what is news to it.
+/// @brief Hosts tell each other of servers that have asked one of them to
+/// back off, or have said that they leave. Each passes on what is news to it.
 class NoticeGossip {
  public:
   /// @brief Called with a server that another host was told leaves. Whether
   /// that is news, to be passed on by TellLeaving, is for the receiver to say.
   using LeavingListener = std::function<void(std::string_view server)>;
 
-  /// @param[in] rests,channel,clock outlive this
-  NoticeGossip(ServerRests& rests, GossipChannel& channel, const Clock& clock,
-               const LeavingListener& leaving);
+  /// @param[in] backoffs,channel,clock outlive this
+  NoticeGossip(RequestedBackoffs& backoffs, GossipChannel& channel,
+               const Clock& clock, const LeavingListener& leaving);
   NoticeGossip(const NoticeGossip&) = delete;
   NoticeGossip& operator=(const NoticeGossip&) = delete;
 
@@ -35,9 +35,9 @@
   static constexpr char kTopic[] = "server-notice";
 
  private:
-  void Tell(std::string_view server, std::int64_t rest_ms);
+  void Tell(std::string_view server, std::int64_t backoff_ms);
 
-  ServerRests& rests;
+  RequestedBackoffs& backoffs;
   GossipChannel& channel;
   const Clock& clock;
   LeavingListener leaving;
--- a/src/permits/tests/notice_gossip_test.cc
+++ b/src/permits/tests/notice_gossip_test.cc
@@ -1,4 +1,4 @@
-// What hosts tell each other of servers at rest and of leaving ones.
+// What hosts tell each other of servers in backoff and of leaving ones.
 #include "permits/notice_gossip.h"
 
 #include <criterion/criterion.h>
@@ -22,19 +22,19 @@
 
 struct Fixture {
   ManualClock clock{1'790'000'000'000};
-  ServerRests rests;
+  RequestedBackoffs backoffs;
   RecordingChannel channel;
   std::vector<std::string> leaving;
   NoticeGossip gossip{
-      this->rests, this->channel, this->clock,
+      this->backoffs, this->channel, this->clock,
       [this](std::string_view server) { this->leaving.emplace_back(server); }};
 };
 
 Test(a_rest, is_told_once_and_passed_on_where_it_is_news) {
   Fixture fixture;
   const std::int64_t now_ms = fixture.clock.MonotonicMs();
-  fixture.rests.Note("s-1", 3'000, now_ms);
-  fixture.rests.Note("s-1", 3'000, now_ms + 10);
+  fixture.backoffs.Note("s-1", 3'000, now_ms);
+  fixture.backoffs.Note("s-1", 3'000, now_ms + 10);
   cr_assert(fixture.channel.sent ==
             std::vector<nlohmann::json>{nlohmann::json::array({"s-1", 3'000})});
   fixture.gossip.OnNotice("h-2", nlohmann::json::array({"s-1", 2'990}));
@@ -42,8 +42,8 @@
   fixture.gossip.OnNotice("h-2", nlohmann::json::array({"s-2", 2'000}));
   fixture.gossip.OnNotice("h-3", nlohmann::json::array({"s-2", 2'000}));
   cr_assert(fixture.channel.sent.size() == 2);
-  cr_assert(fixture.rests.IsFull("s-2", now_ms));
-  cr_assert(fixture.rests.RestingForMs("s-2", now_ms) == 0,
+  cr_assert(fixture.backoffs.IsFull("s-2", now_ms));
+  cr_assert(fixture.backoffs.RemainingMs("s-2", now_ms) == 0,
             "this host was not asked");
 }
 
@@ -66,7 +66,7 @@
   fixture.gossip.OnNotice("h-2",
                           nlohmann::json::array({"s-2", 9'000'000'000'000}));
   cr_assert(fixture.leaving.empty() && fixture.channel.sent.size() == 1);
-  cr_assert(!fixture.rests.IsFull("s-1", fixture.clock.MonotonicMs()));
+  cr_assert(!fixture.backoffs.IsFull("s-1", fixture.clock.MonotonicMs()));
 }
 
 }  // namespace
--- a/src/policy/server_notice.h
+++ b/src/policy/server_notice.h
@@ -7,13 +7,13 @@
 
 /// @brief What one answer of a server says about the requests to come.
 struct ServerNotice {
-  enum class Rest {
-    kNone,       ///< it asks for no rest
-    kAsked,      ///< it wants no request from this host for `rest_ms`
+  enum class Backoff {
+    kNone,       ///< it asks for no backoff
+    kAsked,      ///< it wants no request from this host for `backoff_ms`
     kMalformed,  ///< it asks for something that is not a time
   };
-  Rest rest = Rest::kNone;
-  std::int64_t rest_ms = 0;
+  Backoff backoff = Backoff::kNone;
+  std::int64_t backoff_ms = 0;
   bool is_leaving = false;  ///< it will stop, and is to get no new requests
 
   friend bool operator==(const ServerNotice&, const ServerNotice&) = default;
--- a/src/quarantine/sound_parts.cc
+++ b/src/quarantine/known_good_parts.cc
@@ -1,10 +1,10 @@
-#include "quarantine/sound_parts.h"
+#include "quarantine/known_good_parts.h"
 
 #include <algorithm>
 
 namespace meadowthread {
 
-void SoundParts::Note(std::string_view part, std::int64_t begun_unix_ms) {
+void KnownGoodParts::Note(std::string_view part, std::int64_t begun_unix_ms) {
   const auto found = this->places.find(part);
   if (found != this->places.end()) {
     Entry& entry = *found->second;
@@ -20,7 +20,7 @@
   }
 }
 
-std::int64_t SoundParts::LastBegunMs(std::string_view part) const {
+std::int64_t KnownGoodParts::LastBegunMs(std::string_view part) const {
   const auto found = this->places.find(part);
   return found == this->places.end() ? 0 : found->second->begun_unix_ms;
 }
--- a/src/quarantine/sound_parts.h
+++ b/src/quarantine/known_good_parts.h
@@ -1,5 +1,5 @@
-#ifndef MEADOWTHREAD_QUARANTINE_SOUND_PARTS_H_
-#define MEADOWTHREAD_QUARANTINE_SOUND_PARTS_H_
+#ifndef MEADOWTHREAD_QUARANTINE_KNOWN_GOOD_PARTS_H_
+#define MEADOWTHREAD_QUARANTINE_KNOWN_GOOD_PARTS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -14,10 +14,10 @@
 /// @brief Remembers which parts of prompts this host's runs have gone well
 /// with, and when those runs began to write. The parts that were unused for
 /// longest are forgotten first.
-class SoundParts {
+class KnownGoodParts {
  public:
   /// @param[in] capacity most parts that are remembered
-  explicit SoundParts(std::size_t capacity) : capacity(capacity) {}
+  explicit KnownGoodParts(std::size_t capacity) : capacity(capacity) {}
 
   /// @brief Called when a run with the part has gone well.
   /// @param[in] begun_unix_ms when it began to write its answer
@@ -44,4 +44,4 @@
 
 }  // namespace meadowthread
 
-#endif  // MEADOWTHREAD_QUARANTINE_SOUND_PARTS_H_
+#endif  // MEADOWTHREAD_QUARANTINE_KNOWN_GOOD_PARTS_H_
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -59,10 +59,10 @@
 
 // Hosts are told only where the part is suspected, so that nothing is sent when
 // nothing is wrong. One host's news clears the part at all hosts.
-void Quarantine::NoteRanSoundly(std::span<const std::string> parts,
-                                std::int64_t begun_unix_ms) {
+void Quarantine::NoteGoodRun(std::span<const std::string> parts,
+                             std::int64_t begun_unix_ms) {
   for (const std::string& part : parts) {
-    this->sound.Note(part, begun_unix_ms);
+    this->known_good.Note(part, begun_unix_ms);
   }
   std::vector<CrashRecord> cleared;
   for (const CrashRecord* const record : this->table.PartRecords()) {
@@ -92,7 +92,7 @@
 const SuspectParts& Quarantine::Suspects() {
   if (this->suspects_version != this->table.Version()) {
     this->suspects_version = this->table.Version();
-    this->suspects.Set(this->table.PartRecords(), this->sound);
+    this->suspects.Set(this->table.PartRecords(), this->known_good);
   }
   return this->suspects;
 }
@@ -110,11 +110,11 @@
 void Quarantine::AddOwnCrash(CrashRecord record) {
   if (!record.part.empty()) {
     ServerCrash& crash = record.crashes.front();
-    const std::int64_t sound_ms = this->sound.LastBegunMs(record.part);
-    if (sound_ms >= crash.unix_ms) {
+    const std::int64_t good_ms = this->known_good.LastBegunMs(record.part);
+    if (good_ms >= crash.unix_ms) {
       return;
     }
-    crash.ran_before = sound_ms > crash.unix_ms - kRanBeforeMs;
+    crash.ran_before = good_ms > crash.unix_ms - kRanBeforeMs;
   }
   this->AddOwnRecord(record);
 }
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -16,8 +16,8 @@
 #include "base/scheduler.h"
 #include "net/listen_probe.h"
 #include "quarantine/crash_record_table.h"
+#include "quarantine/known_good_parts.h"
 #include "quarantine/server_crash_detector.h"
-#include "quarantine/sound_parts.h"
 #include "quarantine/suspect_parts.h"
 
 namespace meadowthread {
@@ -67,8 +67,8 @@
   /// @brief Called when a run has gone well: its parts are not to blame for
   /// earlier crashes.
   /// @param[in] begun_unix_ms when it began to write its answer
-  void NoteRanSoundly(std::span<const std::string> parts,
-                      std::int64_t begun_unix_ms);
+  void NoteGoodRun(std::span<const std::string> parts,
+                   std::int64_t begun_unix_ms);
 
   /// @brief The verdict on a record; on a part, from the records of all
   /// workspaces.
@@ -92,7 +92,7 @@
 
  private:
   // Some 100 bytes each; more parts are in use only where few share one.
-  static constexpr std::size_t kMaxSoundParts = 1'024;
+  static constexpr std::size_t kMaxKnownGoodParts = 1'024;
 
   void AddOwnCrash(CrashRecord record);
   void AddOwnRecord(const CrashRecord& record);
@@ -103,7 +103,7 @@
 
   const Clock& clock;
   CrashRecordTable table;
-  SoundParts sound{kMaxSoundParts};
+  KnownGoodParts known_good{kMaxKnownGoodParts};
   SuspectParts suspects;
   std::uint64_t suspects_version = 0;  ///< of the table they were taken from
   ServerCrashDetector detector;
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -45,7 +45,7 @@
   run.request = this->identity.request;
   run.server = server.key;
   run.address = server.address;
-  if (!this->ran_soundly) {
+  if (!this->had_good_run) {
     run.parts = this->identity.shared_parts;
   }
   return run;
@@ -70,10 +70,10 @@
   }
 }
 
-void RequestQuarantine::NoteRanSoundly(std::int64_t begun_unix_ms) {
+void RequestQuarantine::NoteGoodRun(std::int64_t begun_unix_ms) {
   if (!this->identity.shared_parts.empty()) {
-    this->ran_soundly = true;
-    this->quarantine.NoteRanSoundly(this->identity.shared_parts, begun_unix_ms);
+    this->had_good_run = true;
+    this->quarantine.NoteGoodRun(this->identity.shared_parts, begun_unix_ms);
   }
 }
 
--- a/src/quarantine/request_quarantine.h
+++ b/src/quarantine/request_quarantine.h
@@ -70,7 +70,7 @@
   /// @brief Called when a run has gone on well for some time, or has ended
   /// well. A later end of its server is not blamed on the parts of its prompt.
   /// @param[in] begun_unix_ms when it began to write its answer
-  void NoteRanSoundly(std::int64_t begun_unix_ms);
+  void NoteGoodRun(std::int64_t begun_unix_ms);
 
   /// @brief Called when a server has completed the request.
   void NoteCompleted();
@@ -86,7 +86,7 @@
   RunIdentity identity;
   KeyFunction make_key;
   std::string content;  ///< empty: not computed yet
-  bool ran_soundly = false;
+  bool had_good_run = false;
 };
 
 }  // namespace meadowthread
--- a/src/quarantine/suspect_parts.cc
+++ b/src/quarantine/suspect_parts.cc
@@ -34,7 +34,7 @@
 }  // namespace
 
 void SuspectParts::Set(std::span<const CrashRecord* const> records,
-                       const SoundParts& sound) {
+                       const KnownGoodParts& known_good) {
   this->suspects.clear();
   for (const CrashRecord* const record : records) {
     CrashRecord& all = this->suspects[record->part].record;
@@ -43,7 +43,8 @@
   }
   for (auto& [part, suspect] : this->suspects) {
     CrashRecord own;
-    own.cleared_ms = ClearableUntilMs(suspect.record, sound.LastBegunMs(part));
+    own.cleared_ms =
+        ClearableUntilMs(suspect.record, known_good.LastBegunMs(part));
     Merge(own, &suspect.record);
   }
   std::erase_if(this->suspects, [](const auto& entry) {
--- a/src/quarantine/suspect_parts.h
+++ b/src/quarantine/suspect_parts.h
@@ -11,14 +11,14 @@
 #include <vector>
 
 #include "quarantine/crash_record.h"
-#include "quarantine/sound_parts.h"
+#include "quarantine/known_good_parts.h"
 
 namespace meadowthread {
 
 /// @brief What is known of one part of prompts that crashes count against,
 /// from the records of all workspaces.
 struct SuspectPart {
-  /// All their crashes that no sound run has cleared.
+  /// All their crashes that no good run has cleared.
   CrashRecord record;
   /// Workspaces whose runs the servers crashed under.
   std::set<std::string, std::less<>> workspaces;
@@ -41,10 +41,10 @@
   /// @brief Replaces what is known.
   /// @param[in] records of parts; several workspaces may have one of the same
   /// part
-  /// @param[in] sound this host's own runs clear crashes as well
+  /// @param[in] known_good this host's own runs clear crashes as well
   /// @complexity O(n log n) in the records and their crashes
   void Set(std::span<const CrashRecord* const> records,
-           const SoundParts& sound);
+           const KnownGoodParts& known_good);
 
   bool IsEmpty() const { return this->suspects.empty(); }
 
--- a/src/quarantine/tests/part_blame_simulation_test.cc
+++ b/src/quarantine/tests/part_blame_simulation_test.cc
@@ -18,7 +18,7 @@
 
 constexpr std::int64_t kStart = 1'790'000'000'000;
 constexpr std::int64_t kEndMs = 60'000;
-constexpr std::int64_t kSoundRunMs = 1'000;
+constexpr std::int64_t kGoodRunMs = 1'000;
 // Time until all hosts know of a crash, and until a server is back.
 constexpr std::int64_t kGossipMs = 300;
 constexpr std::int64_t kReturnMs = 4'000;
@@ -116,7 +116,7 @@
     for (const auto& [part, record] : this->records) {
       known.push_back(&record);
     }
-    suspects.Set(known, this->sound);
+    suspects.Set(known, this->known_good);
     if (suspects.QuarantinedUntilMs({"makati", kind->parts},
                                     kStart + this->now_ms)) {
       ++kind->refused;
@@ -141,7 +141,7 @@
       });
       return;
     }
-    this->At(run.first_event_ms + std::min(kSoundRunMs, kind->lasts_ms),
+    this->At(run.first_event_ms + std::min(kGoodRunMs, kind->lasts_ms),
              [this, server, run] {
                if (this->IsRunning(server, run)) {
                  this->NoteSound(run);
@@ -161,7 +161,7 @@
   void NoteSound(const Run& run) {
     this->At(this->now_ms + kGossipMs, [this, run] {
       for (const std::string& part : run.kind->parts) {
-        this->sound.Note(part, kStart + run.first_event_ms);
+        this->known_good.Note(part, kStart + run.first_event_ms);
       }
     });
   }
@@ -170,7 +170,7 @@
     const std::string key =
         absl::StrCat("s-", server, "/", this->down_until_ms[server]);
     for (const Run& run : this->runs[server]) {
-      if (this->now_ms - run.first_event_ms >= kSoundRunMs) {
+      if (this->now_ms - run.first_event_ms >= kGoodRunMs) {
         continue;
       }
       this->At(this->now_ms + kGossipMs,
@@ -179,8 +179,8 @@
                    CrashRecord record;
                    record.id = {"makati", part};
                    record.part = part;
-                   record.crashes = {
-                       {key, true, at_ms, this->sound.LastBegunMs(part) > 0}};
+                   record.crashes = {{key, true, at_ms,
+                                      this->known_good.LastBegunMs(part) > 0}};
                    this->records[part].part = part;
                    this->records[part].id = record.id;
                    Merge(record, &this->records[part]);
@@ -197,7 +197,7 @@
   std::vector<std::int64_t> down_until_ms;
   std::multimap<std::int64_t, std::function<void()>> events;
   std::map<std::string, CrashRecord> records;
-  SoundParts sound{256};
+  KnownGoodParts known_good{256};
   std::int64_t now_ms = 0;
   std::uint64_t last_run = 0;
   std::vector<std::int64_t> part_crashes;
--- a/src/quarantine/tests/suspect_parts_test.cc
+++ b/src/quarantine/tests/suspect_parts_test.cc
@@ -14,7 +14,7 @@
 constexpr std::int64_t kNow = 1'790'000'000'000;
 constexpr std::int64_t kSecondMs = 1'000;
 
-/// @brief Crashes and sound runs, one event a second.
+/// @brief Crashes and good runs, one event a second.
 struct Events {
   /// @brief A server crashes under runs of a workspace with these parts.
   void Crash(const std::vector<std::string>& parts,
@@ -31,12 +31,12 @@
     record.id = {workspace, part};
     record.part = part;
     record.crashes = {{absl::StrCat("s-", this->servers), true, at_ms,
-                       this->sound.LastBegunMs(part) > 0}};
+                       this->known_good.LastBegunMs(part) > 0}};
     this->records.push_back(record);
   }
   void RunSoundly(const std::string& part) {
     this->now_ms += kSecondMs;
-    this->sound.Note(part, this->now_ms);
+    this->known_good.Note(part, this->now_ms);
   }
   bool Refuses(const std::vector<std::string>& parts,
                const std::string& workspace = "makati") {
@@ -45,13 +45,13 @@
       known.push_back(&record);
     }
     SuspectParts suspects;
-    suspects.Set(known, this->sound);
+    suspects.Set(known, this->known_good);
     return suspects.QuarantinedUntilMs({workspace, parts}, this->now_ms)
         .has_value();
   }
 
   std::vector<CrashRecord> records;
-  SoundParts sound{16};
+  KnownGoodParts known_good{16};
   std::int64_t now_ms = kNow;
   int servers = 0;
 };
@@ -139,14 +139,15 @@
   cr_assert(!events.Refuses({"a"}));
 }
 
-Test(sound_parts, forgets_the_ones_that_were_unused_for_longest) {
-  SoundParts sound(2);
-  sound.Note("a", 1);
-  sound.Note("b", 2);
-  sound.Note("a", 1);
-  sound.Note("c", 3);
-  cr_assert(sound.Size() == 2 && sound.LastBegunMs("b") == 0);
-  cr_assert(sound.LastBegunMs("a") == 1 && sound.LastBegunMs("c") == 3);
+Test(known_good_parts, forgets_the_ones_that_were_unused_for_longest) {
+  KnownGoodParts known_good(2);
+  known_good.Note("a", 1);
+  known_good.Note("b", 2);
+  known_good.Note("a", 1);
+  known_good.Note("c", 3);
+  cr_assert(known_good.Size() == 2 && known_good.LastBegunMs("b") == 0);
+  cr_assert(known_good.LastBegunMs("a") == 1 &&
+            known_good.LastBegunMs("c") == 3);
 }
 
 }  // namespace
--- a/src/relay/call_session.cc
+++ b/src/relay/call_session.cc
@@ -35,8 +35,8 @@
 // High enough that servers being avoided after failures are used only if there
 // are no others.
 constexpr double kBackoffCost = 1'000.0;
-// A server that has asked another host for rest is likely to reject this host's
-// requests as well.
+// A server that has asked another host to back off is likely to reject this
+// host's requests as well.
 constexpr double kFullCost = 500.0;
 // Costs that differ by less count as equal.
 constexpr double kEqualCostMargin = 0.25;
@@ -94,7 +94,7 @@
   if (backend.warm_at_ms > now_ms) {
     cost += kColdCost;
   }
-  if (this->deps.rests.IsFull(id, now_ms)) {
+  if (this->deps.backoffs.IsFull(id, now_ms)) {
     cost += kFullCost;
   }
   return cost;
@@ -211,7 +211,7 @@
   if (HeldBackMs(this->deps, this->terms, this->versions).has_value()) {
     this->EndOrWait(this->MakeProblem(
         ErrorId::kOverloaded, Outcome::kNotRun, "choose",
-        "all backend servers have named a rate or asked for rest"));
+        "all backend servers have named a rate or asked for a backoff"));
     return;
   }
   this->EndOrWait(
@@ -363,8 +363,8 @@
   const bool failed = meaning == AnswerMeaning::kUnsigned ||
                       answer.http_status >= http_code::kFirstServerError;
   if (!failed) {
-    this->guarded.NoteRanSoundly(this->deps.clock.WallMs() -
-                                 (now_ms - attempt.SentMs()));
+    this->guarded.NoteGoodRun(this->deps.clock.WallMs() -
+                              (now_ms - attempt.SentMs()));
   }
   this->RecordAttemptEnd(
       attempt, failed ? AttemptResult::kFailed : AttemptResult::kGood);
--- a/src/relay/engine_drainer.cc
+++ b/src/relay/engine_drainer.cc
@@ -275,7 +275,7 @@
   chooser.SetEngineFilter([this, with_limited, now_ms](const EngineView& view) {
     return (with_limited || !this->deps.permits.IsLimited(view.engine)) &&
            this->deps.arrivals.May(view.engine, now_ms) &&
-           this->deps.rests.RestingForMs(view.engine, now_ms) <= 0;
+           this->deps.backoffs.RemainingMs(view.engine, now_ms) <= 0;
   });
   const Decision decision =
       chooser.Choose(MakeWorkItem(session), this->stream_deps.fleet,
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -308,8 +308,8 @@
   for (const std::string& engine : engines) {
     const Backend* const backend = this->deps.backends.Find(engine);
     if (backend == nullptr || backend->leaving ||
-        this->deps.rests.RestingForMs(engine, this->deps.clock.MonotonicMs()) >
-            0 ||
+        this->deps.backoffs.RemainingMs(engine,
+                                        this->deps.clock.MonotonicMs()) > 0 ||
         (only_unnamed && backend->entry_valid) ||
         !this->pending_state_reads.insert(engine).second) {
       continue;
--- a/src/relay/relay_dependencies.cc
+++ b/src/relay/relay_dependencies.cc
@@ -27,22 +27,23 @@
   answer.sent_ms = head.sent_ms;
   answer.ran = head.meaning == AnswerMeaning::kRan;
   deps.permits.NoteAnswer(answer);
-  ApplyNotice({deps.clock, deps.rests, deps.backends}, head.server,
+  ApplyNotice({deps.clock, deps.backoffs, deps.backends}, head.server,
               deps.wire.NoticeIn(head.http_status, head.headers));
 }
 
 void ApplyNotice(const NoticeTargets& targets, std::string_view server,
                  const ServerNotice& notice) {
-  if (notice.rest != ServerNotice::Rest::kNone) {
-    LogLine("server-rest")
+  if (notice.backoff != ServerNotice::Backoff::kNone) {
+    LogLine("server-backoff")
         .Add("server", server)
-        .Add("rest_ms", notice.rest_ms)
+        .Add("backoff_ms", notice.backoff_ms)
         .Add("malformed",
-             notice.rest == ServerNotice::Rest::kMalformed ? "yes" : "no")
+             notice.backoff == ServerNotice::Backoff::kMalformed ? "yes" : "no")
         .WriteImportant();
   }
-  if (notice.rest == ServerNotice::Rest::kAsked) {
-    targets.rests.Note(server, notice.rest_ms, targets.clock.MonotonicMs());
+  if (notice.backoff == ServerNotice::Backoff::kAsked) {
+    targets.backoffs.Note(server, notice.backoff_ms,
+                          targets.clock.MonotonicMs());
   }
   if (notice.is_leaving) {
     targets.backends.NoteLeaving(server, "its_answer");
@@ -51,16 +52,16 @@
 
 namespace {
 
-// The end of a server's rest, for a caller to come back then: later by up to a
-// quarter of the time to it, so that callers who are all told of the same end
+// The end of a server's backoff, for a caller to come back then: later by up to
+// a quarter of the time to it, so that callers who are all told of the same end
 // don't come at one instant.
-std::int64_t SpreadMs(std::int64_t rest_ms, std::uint64_t random) {
+std::int64_t SpreadMs(std::int64_t backoff_ms, std::uint64_t random) {
   constexpr std::int64_t kMinSpreadMs = 100;
   constexpr std::int64_t kSpreadDivisor = 4;
   const std::int64_t spread_ms =
-      std::max(kMinSpreadMs, rest_ms / kSpreadDivisor);
-  return rest_ms + static_cast<std::int64_t>(
-                       random % static_cast<std::uint64_t>(spread_ms));
+      std::max(kMinSpreadMs, backoff_ms / kSpreadDivisor);
+  return backoff_ms + static_cast<std::int64_t>(
+                          random % static_cast<std::uint64_t>(spread_ms));
 }
 
 }  // namespace
@@ -75,11 +76,11 @@
         !versions.Permits(backend->entry.version)) {
       continue;
     }
-    const std::int64_t rest_ms =
-        deps.rests.RestingForMs(backend->key, deps.clock.MonotonicMs());
+    const std::int64_t backoff_ms =
+        deps.backoffs.RemainingMs(backend->key, deps.clock.MonotonicMs());
     const std::int64_t held_ms =
         std::max(deps.permits.ExhaustedForMs(backend->key, urgency),
-                 rest_ms > 0 ? SpreadMs(rest_ms, deps.random()) : 0);
+                 backoff_ms > 0 ? SpreadMs(backoff_ms, deps.random()) : 0);
     if (held_ms <= 0) {
       return std::nullopt;
     }
--- a/src/relay/relay_dependencies.h
+++ b/src/relay/relay_dependencies.h
@@ -15,10 +15,10 @@
 #include "policy/first_attempt_time_estimator.h"
 #include "policy/fleet_state.h"
 #include "policy/link_quality.h"
+#include "policy/requested_backoffs.h"
 #include "policy/server_notice.h"
 #include "policy/server_permits.h"
 #include "policy/server_rate_limiter.h"
-#include "policy/server_rests.h"
 #include "policy/stream_admission.h"
 #include "quarantine/quarantine.h"
 #include "quarantine/request_quarantine.h"
@@ -60,7 +60,7 @@
   std::mt19937_64& random;
   VersionGate& versions;
   ServerPermits& permits;
-  ServerRests& rests;
+  RequestedBackoffs& backoffs;
 };
 
 /// @brief The server as the quarantine records it; nullopt if it is unknown or
@@ -78,13 +78,13 @@
 };
 
 /// @brief Learns what an answer says of the server: its rate, whether it wants
-/// rest, and whether it leaves.
+/// no requests for a time, and whether it leaves.
 void NoteAnswerHead(const RelayDependencies& deps, const AnswerHead& head);
 
 /// @brief Where a server's notices take effect.
 struct NoticeTargets {
   const Clock& clock;
-  ServerRests& rests;
+  RequestedBackoffs& backoffs;
   BackendList& backends;
 };
 
@@ -94,7 +94,8 @@
                  const ServerNotice& notice);
 
 /// @brief How long all servers of a service that may get the request are held
-/// back: by the rates that they name, or by the rest that they have asked for.
+/// back: by the rates that they name, or by the backoff that they have asked
+/// for.
 /// @return nullopt if one of them is not
 std::optional<std::int64_t> HeldBackMs(const RelayDependencies& deps,
                                        const RelayTerms& terms,
--- a/src/relay/send_gate.cc
+++ b/src/relay/send_gate.cc
@@ -16,8 +16,8 @@
       return "other-version";
     case SendObstacle::kRateLimit:
       return "rate-limit";
-    case SendObstacle::kAtRest:
-      return "at-rest";
+    case SendObstacle::kBackoff:
+      return "backoff";
   }
   return "none";
 }
@@ -40,8 +40,8 @@
   if (!deps.arrivals.May(server->key, now_ms)) {
     return SendObstacle::kRateLimit;
   }
-  if (deps.rests.RestingForMs(server->key, now_ms) > 0) {
-    return SendObstacle::kAtRest;
+  if (deps.backoffs.RemainingMs(server->key, now_ms) > 0) {
+    return SendObstacle::kBackoff;
   }
   return SendObstacle::kNone;
 }
@@ -51,7 +51,7 @@
 bool MayResumeAt(const RelayDependencies& deps, std::string_view server) {
   const std::int64_t now_ms = deps.clock.MonotonicMs();
   return deps.arrivals.May(server, now_ms) &&
-         deps.rests.TakeResume(server, now_ms);
+         deps.backoffs.TakeResume(server, now_ms);
 }
 
 }  // namespace meadowthread
--- a/src/relay/send_gate.h
+++ b/src/relay/send_gate.h
@@ -18,7 +18,7 @@
   kOutsideRegions,  ///< the request may not run in its region
   kOtherVersion,    ///< the request may not run on its version
   kRateLimit,       ///< this host's share of its rate limit is used up
-  kAtRest,          ///< it has asked this host for rest
+  kBackoff,         ///< it has asked this host to back off
 };
 
 /// @brief The obstacle's name in log lines.
@@ -38,7 +38,7 @@
                         const SendRules& rules);
 
 /// @brief Whether a run may be resumed at a server that holds its KV cache,
-/// while the server may have asked for rest.
+/// while the server may have asked for a backoff.
 bool MayResumeAt(const RelayDependencies& deps, std::string_view server);
 
 }  // namespace meadowthread
--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -33,7 +33,7 @@
 constexpr std::int64_t kMinEventsForGap = 4;
 // A run that has written its answer for this long has not crashed its engine:
 // prompts that do so crash it within some 100 ms of its first token.
-constexpr std::int64_t kSoundRunMs = 1'000;
+constexpr std::int64_t kGoodRunMs = 1'000;
 constexpr std::string_view kEventStreamType = "text/event-stream";
 
 }  // namespace
@@ -139,8 +139,8 @@
   }
   this->last_event_ms = now_ms;
   this->phase = StreamPhase::kStreaming;
-  if (now_ms - this->attempt_first_event_ms >= kSoundRunMs) {
-    this->NoteRanSoundly();
+  if (now_ms - this->attempt_first_event_ms >= kGoodRunMs) {
+    this->NoteGoodRun();
   }
   std::string bytes;
   for (const RawSseEvent& event : *new_events) {
@@ -315,7 +315,7 @@
 /////////
 
 void StreamSession::Complete() {
-  this->NoteRanSoundly();
+  this->NoteGoodRun();
   this->guarded.NoteCompleted();
   this->RecordAttemptEnd(AttemptResult::kGood);
   this->SendHeadOnce();
@@ -421,12 +421,12 @@
 }
 
 // Called at most once for each attempt.
-void StreamSession::NoteRanSoundly() {
-  if (std::exchange(this->attempt_sound, true) ||
+void StreamSession::NoteGoodRun() {
+  if (std::exchange(this->attempt_good, true) ||
       this->attempt_first_event_ms < 0) {
     return;
   }
-  this->guarded.NoteRanSoundly(
+  this->guarded.NoteGoodRun(
       this->deps.clock.WallMs() -
       (this->deps.clock.MonotonicMs() - this->attempt_first_event_ms));
 }
--- a/src/relay/stream_session.h
+++ b/src/relay/stream_session.h
@@ -153,7 +153,7 @@
   void OnCallerGone();
   void OnDeadline();
   void NoteFirstEvent(std::int64_t now_ms);
-  void NoteRanSoundly();
+  void NoteGoodRun();
   std::int64_t MeanGapMs() const;
   void RecordAttemptEnd(AttemptResult result);
   void ReleaseFleetState(StreamEnd how);
@@ -209,7 +209,7 @@
   std::int64_t sent_ms = 0;  ///< of the latest attempt
   /// First event of the latest attempt, unless it resumes a run; -1: none.
   std::int64_t attempt_first_event_ms = -1;
-  bool attempt_sound = false;  ///< NoteRanSoundly was called for it
+  bool attempt_good = false;  ///< NoteGoodRun was called for it
   /// The engines that the request may be sent to, by their version.
   VersionRule versions;
   /// The request may go to the versions for further attempts, as no engine that
--- a/src/relay/stream_session_move.cc
+++ b/src/relay/stream_session_move.cc
@@ -65,25 +65,26 @@
 }
 
 // Returns the engine that holds the run's KV cache: the target, or the source,
-// which keeps it for some more seconds. One that has asked for rest comes last.
+// which keeps it for some more seconds. One that has asked for a backoff comes
+// last.
 const Backend* StreamSession::FindKvCacheHolder(const Continuation& from,
                                                 std::string_view target) const {
   const std::int64_t now_ms = this->deps.clock.MonotonicMs();
   const std::string_view own = this->engine;
   const std::array<std::string_view, 2> holders = {
       target.empty() ? own : target, from.source_key};
-  const Backend* at_rest = nullptr;
+  const Backend* in_backoff = nullptr;
   for (const std::string_view key : holders) {
     const Backend* const holder = this->deps.backends.Find(key);
     if (holder == nullptr || !holder->MayContinueRuns(now_ms)) {
       continue;
     }
-    if (this->deps.rests.RestingForMs(key, now_ms) <= 0) {
+    if (this->deps.backoffs.RemainingMs(key, now_ms) <= 0) {
       return holder;
     }
-    at_rest = at_rest == nullptr ? holder : at_rest;
+    in_backoff = in_backoff == nullptr ? holder : in_backoff;
   }
-  return at_rest;
+  return in_backoff;
 }
 
 void StreamSession::OnMoveReady(const Continuation& continuation,
@@ -110,9 +111,10 @@
       .Add("after_event", this->last_id)
       .Write();
   // An arrival at the target was reserved when the move began.
-  const bool is_at_rest = this->deps.rests.RestingForMs(
-                              holder->key, this->deps.clock.MonotonicMs()) > 0;
-  if (holder->key == target && !is_at_rest) {
+  const bool is_in_backoff =
+      this->deps.backoffs.RemainingMs(holder->key,
+                                      this->deps.clock.MonotonicMs()) > 0;
+  if (holder->key == target && !is_in_backoff) {
     this->ResumeWithPermit(holder->key, from, until_ms);
   } else {
     this->ResumeWhenPermitted(holder->key, from, until_ms);
--- a/src/relay/stream_session_placement.cc
+++ b/src/relay/stream_session_placement.cc
@@ -290,14 +290,15 @@
 }
 
 // Refuses the request at once if every engine that may get it is held back by
-// the rate that it names or the rest that it has asked for: waiting would keep
-// the caller from coming back when that ends.
+// the rate that it names or the backoff that it has asked for: waiting would
+// keep the caller from coming back when that ends.
 bool StreamSession::RefuseIfHeldBack() {
   const std::optional<std::int64_t> held_ms =
       HeldBackMs(this->deps, this->terms, this->versions);
   if (held_ms.has_value()) {
     this->Refuse(ErrorId::kOverloaded, Outcome::kNotRun, "choose",
-                 "all engines have named a rate or asked for rest", *held_ms);
+                 "all engines have named a rate or asked for a backoff",
+                 *held_ms);
   }
   return held_ms.has_value();
 }
@@ -393,7 +394,7 @@
   ++this->attempts;
   this->sent_ms = this->deps.clock.MonotonicMs();
   this->attempt_first_event_ms = -1;
-  this->attempt_sound = false;
+  this->attempt_good = false;
   this->deps.arrivals.NoteSent(backend.key, this->deps.clock.MonotonicMs());
   this->call = this->deps.client.Start(http, this);
 }
--- a/src/relay/tests/call_session_test.cc
+++ b/src/relay/tests/call_session_test.cc
@@ -351,22 +351,22 @@
   cr_assert(unsent.Failure().outcome == Outcome::kNotRun);
 }
 
-/// @brief The n-th attempt's server rejects it and asks for rest.
-void RejectForRest(CallSessionFixture& fixture, std::size_t n,
-                   std::int64_t rest_ms) {
+/// @brief The n-th attempt's server rejects it and asks for a backoff.
+void RejectWithBackoff(CallSessionFixture& fixture, std::size_t n,
+                       std::int64_t backoff_ms) {
   fixture.client.Head(
       n, 503,
       {{std::string(testing::kNotRunHeader), "full"},
-       {std::string(testing::kRestHeader), std::to_string(rest_ms)}});
+       {std::string(testing::kBackoffHeader), std::to_string(backoff_ms)}});
   fixture.client.End(n, testing::FakeClient::Whole(503));
 }
 
-Test(a_server_that_asks_for_rest,
+Test(a_server_that_asks_for_backoff,
      gets_no_calls_retries_or_hedges_until_its_end) {
   CallSessionFixture fixture(2);
   fixture.Begin(ExecutionRule::kOnce);
   const std::string resting = fixture.ServerOf(0);
-  RejectForRest(fixture, 0, 3'000);
+  RejectWithBackoff(fixture, 0, 3'000);
   cr_assert(fixture.client.sent.size() == 2 && fixture.ServerOf(1) != resting);
   fixture.client.Answer(1, 200, "done");
   for (int n = 0; n < 20; ++n) {
@@ -388,13 +388,13 @@
     is_used = fixture.ServerOf(sent) == resting;
     fixture.client.Answer(sent, 200, "done");
   }
-  cr_assert(is_used, "its rest is over");
+  cr_assert(is_used, "its backoff is over");
 }
 
-Test(servers_that_all_ask_for_rest, have_calls_refused_with_the_first_end) {
+Test(servers_that_all_ask_for_backoff, have_calls_refused_with_the_first_end) {
   CallSessionFixture fixture(2);
-  fixture.rests.Note("s-1", 3'000, fixture.clock.MonotonicMs());
-  fixture.rests.Note("s-2", 2'000, fixture.clock.MonotonicMs());
+  fixture.backoffs.Note("s-1", 3'000, fixture.clock.MonotonicMs());
+  fixture.backoffs.Note("s-2", 2'000, fixture.clock.MonotonicMs());
   fixture.Begin(ExecutionRule::kOnce);
   cr_assert(fixture.client.sent.empty() && fixture.results == 1);
   cr_assert(fixture.Failure().outcome == Outcome::kNotRun);
@@ -403,9 +403,9 @@
             "%d", static_cast<int>(fixture.Failure().retry_after_ms));
 }
 
-Test(a_server_that_asked_another_host_for_rest, is_used_only_as_the_last) {
+Test(a_server_that_asked_another_host_for_backoff, is_used_only_as_the_last) {
   CallSessionFixture fixture(2);
-  fixture.rests.NoteTold("s-1", 60'000, fixture.clock.MonotonicMs());
+  fixture.backoffs.NoteTold("s-1", 60'000, fixture.clock.MonotonicMs());
   for (std::size_t n = 0; n < 10; ++n) {
     fixture.Begin(ExecutionRule::kOnce);
     cr_assert(fixture.ServerOf(n) == "s-2");
@@ -416,9 +416,9 @@
   cr_assert(fixture.ServerOf(10) == "s-1");
 }
 
-Test(another_start_of_a_server, is_not_at_rest) {
+Test(another_start_of_a_server, is_not_in_backoff) {
   CallSessionFixture fixture(1);
-  fixture.rests.Note("s-1", 60'000, fixture.clock.MonotonicMs());
+  fixture.backoffs.Note("s-1", 60'000, fixture.clock.MonotonicMs());
   fixture.StartAgain("s-1");
   fixture.Begin(ExecutionRule::kOnce);
   cr_assert(fixture.client.sent.size() == 1);
--- a/src/relay/tests/relay_fixture.h
+++ b/src/relay/tests/relay_fixture.h
@@ -33,7 +33,7 @@
 inline constexpr std::string_view kNotRunHeader = "Test-Not-Run";
 inline constexpr std::string_view kSignedHeader = "Test-Signed";
 inline constexpr std::string_view kRateHeader = "Test-Rate";
-inline constexpr std::string_view kRestHeader = "Test-Rest-Ms";
+inline constexpr std::string_view kBackoffHeader = "Test-Backoff-Ms";
 inline constexpr std::string_view kLeavingHeader = "Test-Leaving";
 
 /// @brief An HTTP client whose servers are simulated by the test.
@@ -137,10 +137,10 @@
   ServerNotice NoticeIn(int status,
                         std::span<const HttpHeader> headers) const override {
     ServerNotice notice;
-    const std::string rest(FindHeader(headers, kRestHeader));
-    if (status == 503 && !rest.empty()) {
-      notice.rest = ServerNotice::Rest::kAsked;
-      notice.rest_ms = std::stoll(rest);
+    const std::string backoff(FindHeader(headers, kBackoffHeader));
+    if (status == 503 && !backoff.empty()) {
+      notice.backoff = ServerNotice::Backoff::kAsked;
+      notice.backoff_ms = std::stoll(backoff);
     }
     notice.is_leaving = !FindHeader(headers, kLeavingHeader).empty();
     return notice;
@@ -336,12 +336,12 @@
   std::mt19937_64 random{7};
   FakeVersionGate versions;
   FakePermits permits;
-  ServerRests rests;
+  RequestedBackoffs backoffs;
   RelayDependencies deps{this->clock,    this->scheduler, this->client,
                          this->wire,     this->backends,  this->health,
                          this->budgets,  this->observer,  this->quarantine,
                          this->arrivals, this->random,    this->versions,
-                         this->permits,  this->rests};
+                         this->permits,  this->backoffs};
   LearnedLengthModel lengths;
   FleetState fleet{this->lengths, FleetOptions{0, 7'000}};
   PressureChooser chooser{PressureOptions{}};
--- a/src/relay/tests/stream_session_test.cc
+++ b/src/relay/tests/stream_session_test.cc
@@ -781,49 +781,49 @@
   cr_assert(fixture.control.orders.empty());
 }
 
-Test(an_engine_that_asks_for_rest, gets_no_streams_and_no_moved_runs) {
+Test(an_engine_that_asks_for_backoff, gets_no_streams_and_no_moved_runs) {
   StreamSessionFixture fixture(3);
   fixture.BeginWithEvent();
   const std::string resting = fixture.OtherEngine();
-  fixture.rests.Note(resting, 60'000, fixture.clock.MonotonicMs());
+  fixture.backoffs.Note(resting, 60'000, fixture.clock.MonotonicMs());
   cr_assert(!fixture.session->MoveTo(resting));
   StreamSessionFixture held(1);
-  held.rests.Note("s-1", 3'000, held.clock.MonotonicMs());
+  held.backoffs.Note("s-1", 3'000, held.clock.MonotonicMs());
   held.Begin();
   cr_assert(held.client.sent.empty() && held.Got("Retry-After: 3"),
             "refused at once, with the end");
 }
 
-// The source keeps the run's memory too, and has not asked for rest.
-Test(a_moved_stream, whose_target_asks_for_rest_goes_back_to_its_source) {
+// The source keeps the run's memory too, and has not asked for a backoff.
+Test(a_moved_stream, whose_target_asks_for_backoff_goes_back_to_its_source) {
   StreamSessionFixture fixture(2);
   fixture.BeginWithEvent();
   const std::string source = fixture.session->Engine();
   const std::string target = fixture.OtherEngine();
   cr_assert(fixture.session->MoveTo(target));
   fixture.control.Answer(MoveResult::kCopied, "h1");
-  fixture.rests.Note(target, 60'000, fixture.clock.MonotonicMs());
+  fixture.backoffs.Note(target, 60'000, fixture.clock.MonotonicMs());
   fixture.control.Answer(MoveResult::kCopied, "h2");
   fixture.CloseStream(0);
   cr_assert(fixture.client.sent.size() == 2);
   cr_assert(fixture.ServerOf(1) == source);
 }
 
-Test(a_moved_stream, with_nowhere_else_to_go_is_resumed_once_in_a_rest) {
+Test(a_moved_stream, with_nowhere_else_to_go_is_resumed_once_in_a_backoff) {
   StreamSessionFixture fixture(2);
   fixture.BeginWithEvent();
   const std::string target = fixture.OtherEngine();
   for (const char* const engine : {"s-1", "s-2"}) {
-    fixture.rests.Note(engine, 60'000, fixture.clock.MonotonicMs());
+    fixture.backoffs.Note(engine, 60'000, fixture.clock.MonotonicMs());
   }
-  fixture.rests.Remove(target);
+  fixture.backoffs.Remove(target);
   cr_assert(fixture.session->MoveTo(target));
-  fixture.rests.Note(target, 60'000, fixture.clock.MonotonicMs());
+  fixture.backoffs.Note(target, 60'000, fixture.clock.MonotonicMs());
   fixture.control.Answer(MoveResult::kCopied, "h1");
   fixture.control.Answer(MoveResult::kCopied, "h2");
   fixture.CloseStream(0);
   cr_assert(fixture.client.sent.size() == 2 && fixture.ServerOf(1) == target);
-  cr_assert(!fixture.rests.TakeResume(target, fixture.clock.MonotonicMs()));
+  cr_assert(!fixture.backoffs.TakeResume(target, fixture.clock.MonotonicMs()));
 }
 
 }  // namespace
--- a/src/serve/detail/relay_host_impl.h
+++ b/src/serve/detail/relay_host_impl.h
@@ -159,7 +159,7 @@
   ServerRateLimiter rate_limiter;
   GossipDatagrams gossip;
   PermitParticipant permits;
-  ServerRests rests;
+  RequestedBackoffs backoffs;
   NoticeGossip notices;
   CrashGossip crash_gossip;
   CrashRecordStore crash_records;
--- a/src/serve/gossip_datagrams.h
+++ b/src/serve/gossip_datagrams.h
@@ -60,7 +60,7 @@
                   &PermitParticipant::OnResponse);
   }
 
-  /// @brief Delivers messages from other hosts about servers at rest and
+  /// @brief Delivers messages from other hosts about servers in backoff and
   /// leaving ones.
   /// @param[in] notices outlives the hub
   void Connect(NoticeGossip& notices) {
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -182,7 +182,7 @@
   ServerRateLimiter rate_limiter;
   NoVersionGate version_gate;
   NoServerPermits permits;
-  ServerRests rests;
+  RequestedBackoffs backoffs;
   CrashRecordStore crash_records;
   EngineRestartDetector engine_restarts;
   ServiceForwarder forwarder;
@@ -260,7 +260,7 @@
                   this->service_backend_protocol, this->backends, this->health,
                   this->service_retries, this->service_metrics,
                   this->quarantine, this->rate_limiter, this->random,
-                  this->version_gate, this->permits, this->rests},
+                  this->version_gate, this->permits, this->backoffs},
                  this->catalog,
                  this->claims}) {
   SessionDependencies session = {this->clock,
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -190,7 +190,7 @@
       gossip(this->hub),
       permits(with.host.name, this->gossip, this->clock, this->scheduler,
               [this] { return this->PermitHosts(); }),
-      notices(this->rests, this->gossip, this->clock,
+      notices(this->backoffs, this->gossip, this->clock,
               [this](std::string_view server) {
                 this->backends.NoteLeaving(server, "another_host");
               }),
@@ -224,7 +224,7 @@
             {this->clock, this->scheduler, this->routed_client, on.Backends(),
              this->backends, this->health, this->budgets, this->metrics,
              this->quarantine, this->rate_limiter, this->random, this->rollouts,
-             this->permits, this->rests},
+             this->permits, this->backoffs},
             {this->borrowing_allocation, this->dispatcher, this->fleet,
              this->first_attempts, this->admission, this->links},
             *this->control, on.Callers(), this->routing_config),
@@ -246,7 +246,7 @@
   this->chooser.SetEngineFilter([this](const EngineView& view) {
     const std::int64_t now_ms = this->clock.MonotonicMs();
     return this->rate_limiter.May(view.engine, now_ms) &&
-           this->rests.RestingForMs(view.engine, now_ms) <= 0 &&
+           this->backoffs.RemainingMs(view.engine, now_ms) <= 0 &&
            this->permits.ExhaustedForMs(view.engine, Urgency::kUrgent) <= 0;
   });
   this->backends.SetRegions(with.regions);
@@ -276,7 +276,7 @@
   this->gossip.Connect(this->permits);
   this->gossip.Connect(this->share_loans);
   this->gossip.Connect(this->notices);
-  this->allocation.SetRests(this->rests);
+  this->allocation.SetBackoffs(this->backoffs);
   this->quarantine.AddListener([this](const CrashRecord& quarantined) {
     this->relay.EndQuarantined(quarantined);
   });
--- a/src/serve/relay_host_peers.cc
+++ b/src/serve/relay_host_peers.cc
@@ -71,10 +71,10 @@
   options.is_server = [this](std::string_view address) {
     return this->backends.FindByAddress(address) != nullptr;
   };
-  options.is_at_rest = [this](std::string_view address) {
+  options.is_in_backoff = [this](std::string_view address) {
     const Backend* const server = this->backends.FindByAddress(address);
-    return server != nullptr &&
-           this->rests.RestingForMs(server->key, this->clock.MonotonicMs()) > 0;
+    return server != nullptr && this->backoffs.RemainingMs(
+                                    server->key, this->clock.MonotonicMs()) > 0;
   };
   options.on_head = [this](std::string_view address, int http_status,
                            std::span<const HttpHeader> headers) {
@@ -90,7 +90,7 @@
   const BackendProtocol& wire = this->platform.Backends();
   if (server != nullptr &&
       wire.Read(http_status, headers) != AnswerMeaning::kOtherInstance) {
-    ApplyNotice({this->clock, this->rests, this->backends}, server->key,
+    ApplyNotice({this->clock, this->backoffs, this->backends}, server->key,
                 wire.NoticeIn(http_status, headers));
   }
 }
@@ -123,7 +123,7 @@
   set("forwards_taken", this->forward_service.Taken());
   set("forwards_running", this->forward_service.Running());
   set("servers_naming_a_rate", this->permits.LimitedServers());
-  set("servers_at_rest", this->rests.Count(this->clock.MonotonicMs()));
+  set("servers_in_backoff", this->backoffs.Count(this->clock.MonotonicMs()));
   set("shares_borrowed", this->share_loans.Borrowed());
   set("shares_lent", this->share_loans.Lent());
   set("permits_granted", this->permits.Stats().granted);
--- a/src/serve/relay_host_view.cc
+++ b/src/serve/relay_host_view.cc
@@ -212,7 +212,7 @@
     this->fleet.RemoveEngine(backend.key);
     this->rate_limiter.Remove(backend.key);
     this->permits.Remove(backend.key);
-    this->rests.Remove(backend.key);
+    this->backoffs.Remove(backend.key);
     this->health.Forget(backend.key);
     // Requests that are still running at the server create its health record
     // again when they end, so the record is removed once more after the last of
