--- a/src/forwarding/tests/forwarding_client_test.cc
+++ b/src/forwarding/tests/forwarding_client_test.cc
@@ -64,18 +64,65 @@
   HttpCallResult end;
 };
 
-/// @brief A host without a path to the server, and two others.
+/// @brief A client whose connections to one address can't be made.
+class CutClient final : public HttpClient {
+ public:
+  explicit CutClient(QtScheduler& scheduler) : scheduler(scheduler) {}
+
+  HttpCallId Start(const HttpRequest& request, HttpHandler* handler) override {
+    if (this->cut.empty() || request.url.find(this->cut) == std::string::npos) {
+      return this->real.Start(request, handler);
+    }
+    ++this->refused;
+    this->scheduler.After(0, [handler] {
+      HttpCallResult end;
+      end.status = absl::UnavailableError("cut");
+      handler->OnEnd(end);
+    });
+    return kRefusedCall;
+  }
+  void Cancel(HttpCallId call) override {
+    if (call != kRefusedCall) {
+      this->real.Cancel(call);
+    }
+  }
+  void SetPaused(HttpCallId call, bool paused) override {
+    this->real.SetPaused(call, paused);
+  }
+
+  std::string cut;  ///< IP:PORT; empty: none
+  int refused = 0;  ///< attempts that failed because of the cut
+
+ private:
+  static constexpr HttpCallId kRefusedCall = 1'000'000'000;
+
+  QtScheduler& scheduler;
+  PooledClient real;
+};
+
+/// @brief A host without a path to the server, and others.
 struct ForwardingFixture {
-  ForwardingFixture(Loop& loop, const RawServer& server)
+  ForwardingFixture(Loop& loop, const RawServer& server, int others = 2)
       : loop(loop), server(server) {
     const std::string address = this->ServerAddress();
-    for (const char* const name : {"front-1", "front-2"}) {
-      this->hosts.push_back(
-          std::make_unique<PeerHost>(this->scheduler, name, address));
+    for (int n = 1; n <= others; ++n) {
+      this->hosts.push_back(std::make_unique<PeerHost>(
+          this->scheduler, absl::StrCat("front-", n), address));
       this->peers.push_back(this->hosts.back()->peer);
     }
     this->path.SetServers(3);
   }
+  void LosePathOf(PeerHost& other) {
+    for (const char* const address : {"a", "b", "c"}) {
+      other.path.NoteConnectFailed(address);
+    }
+  }
+  /// @brief Sends a request and waits for its end.
+  bool IsServed() {
+    this->caller = Caller();
+    this->Ask(this->Request());
+    return this->WaitForEnd() && this->caller.end.status.ok();
+  }
   std::string ServerAddress() const {
     return this->server.Url("").substr(std::string("http://").size());
   }
@@ -110,7 +157,7 @@
   SystemClock clock;
   std::mt19937_64 random{5};
   PathMonitor path{this->clock};
-  PooledClient direct;
+  CutClient direct{this->scheduler};
   std::vector<std::unique_ptr<PeerHost>> hosts;
   std::vector<ForwardPeer> peers;
   ForwardingClient client{{"self", "z", [this] { return this->peers; }},
@@ -286,6 +333,47 @@
   cr_assert(fixture.caller.ends == 0);
 }
 
+// Another server that answered was taken for a sign that all can be reached.
+Test(a_request_to_a_server_that_only_this_host_can_not_reach, is_answered) {
+  Loop loop;
+  const RawServer server =
+      Answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  ForwardingFixture fixture(loop, server);
+  fixture.direct.cut = fixture.ServerAddress();
+  for (int n = 0; n < 5; ++n) {
+    fixture.path.NoteConnected("another-server");
+    cr_assert(fixture.IsServed());
+  }
+  cr_assert(server.Connections() == 5, "each was sent once");
+}
+
+// Three hosts that had lost their own path were asked, and no further one.
+Test(a_request, finds_the_one_host_of_many_that_has_a_path) {
+  Loop loop;
+  const RawServer server =
+      Answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  ForwardingFixture fixture(loop, server, 12);
+  fixture.LosePath();
+  for (std::size_t n = 1; n < fixture.hosts.size(); ++n) {
+    fixture.LosePathOf(*fixture.hosts[n]);
+  }
+  for (int n = 0; n < 5; ++n) {
+    cr_assert(fixture.IsServed(), "request %d", n);
+  }
+}
+
+// Connections that came up and were reset counted as a sound path.
+Test(a_host_whose_connections_are_reset, has_no_sound_path) {
+  Loop loop;
+  const RawServer resets = Answering("", true);
+  ForwardingFixture fixture(loop, resets);
+  fixture.path.NoteConnectFailed("a");
+  fixture.path.NoteConnectFailed("b");
+  fixture.Ask(fixture.Request());
+  cr_assert(fixture.WaitForEnd() && !fixture.caller.end.status.ok());
+  cr_assert(fixture.path.IsLost());
+}
+
 Test(a_host_that_stops, takes_no_orders) {
   Loop loop;
   const RawServer server = Answering("");
--- a/tests/process/cut_links.cc
+++ b/tests/process/cut_links.cc
@@ -1,8 +1,9 @@
 // Stand-in for a network that drops or refuses the new connections of one
 // process: a library that is loaded into the process. The file that
-// MEADOWTHREAD_CUT_LINKS names holds "refuse PORT..." or "hang SINK PORT...":
-// what happens to connections to these ports. SINK is a port whose connections
-// never come up. Other connections are not touched.
+// MEADOWTHREAD_CUT_LINKS names says what happens to connections to some ports:
+// "refuse PORT...", "hang SINK PORT..." or, for links that lose packets,
+// "lossy SINK PERCENT PORT...": so many of the connections hang. SINK is a port
+// whose connections never come up. Other connections are not touched.
 #include <dlfcn.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -18,8 +19,12 @@
 
 using Connect = int (*)(int, const sockaddr*, socklen_t);
 
+constexpr int kAllPercent = 100;
+
 struct Cut {
   std::string mode;
+  int sink = 0;
+  int hang_percent = kAllPercent;
   std::vector<int> ports;
 };
 
@@ -29,6 +34,12 @@
   if (path != nullptr) {
     std::ifstream file(path);
     file >> cut.mode;
+    if (cut.mode != "refuse") {
+      file >> cut.sink;
+    }
+    if (cut.mode == "lossy") {
+      file >> cut.hang_percent;
+    }
     for (int port = 0; file >> port;) {
       cut.ports.push_back(port);
     }
@@ -37,10 +48,10 @@
 }
 
 bool Concerns(const Cut& cut, int port) {
-  const std::size_t first = cut.mode == "hang" ? 1 : 0;
-  return cut.ports.size() > first &&
-         std::find(cut.ports.begin() + static_cast<std::ptrdiff_t>(first),
-                   cut.ports.end(), port) != cut.ports.end();
+  return std::find(cut.ports.begin(), cut.ports.end(), port) !=
+             cut.ports.end() &&
+         (cut.hang_percent >= kAllPercent ||
+          std::rand() % kAllPercent < cut.hang_percent);
 }
 
 }  // namespace
@@ -61,6 +72,6 @@
     errno = ECONNREFUSED;
     return -1;
   }
-  target.sin_port = htons(static_cast<std::uint16_t>(cut.ports.front()));
+  target.sin_port = htons(static_cast<std::uint16_t>(cut.sink));
   return kReal(descriptor, reinterpret_cast<const sockaddr*>(&target), length);
 }
