Path lines name the server that decided, and the time since the last change

path-back after path-lost within a second, by a server that others do not need, tells one path for all servers (hypothesis 1) from a choice of hosts that have no path either (2: three forward-not-taken lines of one request, now numbered).

--- a/src/forwarding/forwarding_client.cc
+++ b/src/forwarding/forwarding_client.cc
@@ -282,6 +282,8 @@
       .Add("server", call.server)
       .Add("host", this->host.name)
       .Add("through", call.peer)
+      .Add("asked", call.asked.size())
+      .Add("left_out_ms", unfit_ms)
       .WriteImportant();
   if (!this->SendThroughPeer(call)) {
     ++this->stats.not_sent;
--- a/src/forwarding/path_monitor.cc
+++ b/src/forwarding/path_monitor.cc
@@ -21,9 +21,9 @@
   return std::clamp(this->servers, kLeastToLose, kMostToLose);
 }
 
-void PathMonitor::NoteConnected(std::string_view /*address*/) {
+void PathMonitor::NoteConnected(std::string_view address) {
   this->failed_ms.clear();
-  this->SetLost(false);
+  this->SetLost(false, address);
 }
 
 void PathMonitor::NoteConnectFailed(std::string_view address) {
@@ -33,18 +33,23 @@
   });
   this->failed_ms[std::string(address)] = now_ms;
   if (this->failed_ms.size() >= this->CountToLose()) {
-    this->SetLost(true);
+    this->SetLost(true, address);
   }
 }
 
-void PathMonitor::SetLost(bool is_lost) {
+void PathMonitor::SetLost(bool is_lost, std::string_view address) {
   if (this->lost == is_lost) {
     return;
   }
   this->lost = is_lost;
+  const std::int64_t now_ms = this->clock.MonotonicMs();
+  const std::int64_t before_ms = now_ms - this->changed_ms;
+  this->changed_ms = now_ms;
   LogLine(is_lost ? "path-lost" : "path-back")
       .Add("servers_failed", this->failed_ms.size())
       .Add("servers", this->servers)
+      .Add("by", address)
+      .Add("after_ms", before_ms)
       .WriteImportant();
   if (this->listener) {
     this->listener(is_lost);
--- a/src/forwarding/path_monitor.h
+++ b/src/forwarding/path_monitor.h
@@ -45,7 +45,7 @@
 
  private:
   std::size_t CountToLose() const;
-  void SetLost(bool is_lost);
+  void SetLost(bool is_lost, std::string_view address);
 
   const Clock& clock;
   Listener listener;
@@ -53,6 +53,7 @@
   /// When the last connection to each server failed, of those that have failed
   /// since a connection succeeded; by address.
   StringMap<std::int64_t> failed_ms;
+  std::int64_t changed_ms = 0;  ///< when the path was last lost or back
   bool lost = false;
 };
 
