A path for each server, and hosts chosen by what they said before

Cause: a host kept one verdict on its path for all servers. One connection that came up anywhere, or came up and was reset, sent every attempt the lost way; and three other hosts, drawn blindly, were asked and forgotten in half a second. Evidence: path-back by a plain server within a second of path-lost, the streams in between refused; three forward-not-taken of one request. ForwardPeerChooser remembers who has no path, to which server, and who reached it, and spreads attempts by room, the zone being a price. Refusals say why (a header that older hosts ignore).

--- a/src/forwarding/forward_protocol.cc
+++ b/src/forwarding/forward_protocol.cc
@@ -18,6 +18,7 @@
 constexpr std::string_view kConnectMs = "Meadowthread-Forward-Connect-Ms";
 constexpr std::string_view kEcho = "Meadowthread-Forward-Echo";
 constexpr std::string_view kResult = "Meadowthread-Forward-Result";
+constexpr std::string_view kRefusal = "Meadowthread-Forward-Refusal";
 constexpr std::array<std::string_view, 5> kOrderHeaders = {kFrom, kKey, kServer,
                                                            kConnectMs, kEcho};
 constexpr std::string_view kScheme = "http://";
@@ -35,6 +36,17 @@
     {ForwardResult::kLost, "lost"},
 }};
 
+struct NamedRefusal {
+  ForwardRefusal why;
+  std::string_view name;
+};
+constexpr std::array<NamedRefusal, 4> kRefusals = {{
+    {ForwardRefusal::kPathLost, "path-lost"},
+    {ForwardRefusal::kServerUnreachable, "server-unreachable"},
+    {ForwardRefusal::kFull, "full"},
+    {ForwardRefusal::kOther, "other"},
+}};
+
 bool IsOrderHeader(std::string_view name) {
   return std::any_of(
       kOrderHeaders.begin(), kOrderHeaders.end(),
@@ -126,10 +138,31 @@
   return std::nullopt;
 }
 
+std::string_view ForwardRefusalName(ForwardRefusal why) {
+  const auto found =
+      std::find_if(kRefusals.begin(), kRefusals.end(),
+                   [why](const NamedRefusal& one) { return one.why == why; });
+  return found->name;
+}
+
+HttpHeader HeaderOf(ForwardRefusal why) {
+  return {std::string(kRefusal), std::string(ForwardRefusalName(why))};
+}
+
+ForwardRefusal ForwardRefusalOf(std::span<const HttpHeader> headers) {
+  const std::string_view name = FindHeader(headers, kRefusal);
+  for (const NamedRefusal& one : kRefusals) {
+    if (one.name == name) {
+      return one.why;
+    }
+  }
+  return ForwardRefusal::kOther;
+}
+
 std::vector<HttpHeader> WithoutResult(std::span<const HttpHeader> headers) {
   std::vector<HttpHeader> rest(headers.begin(), headers.end());
   std::erase_if(rest, [](const HttpHeader& one) {
-    return SameHeader(one.name, kResult);
+    return SameHeader(one.name, kResult) || SameHeader(one.name, kRefusal);
   });
   return rest;
 }
--- a/src/forwarding/forward_protocol.h
+++ b/src/forwarding/forward_protocol.h
@@ -39,6 +39,17 @@
   kLost,           ///< the server may have run it, and its answer is lost
 };
 
+/// @brief Why a host does not take an attempt.
+enum class ForwardRefusal {
+  kPathLost,           ///< its path to all servers is lost
+  kServerUnreachable,  ///< its path to this server is lost
+  kFull,
+  kOther,
+};
+
+/// @brief The refusal's name in headers and log lines.
+std::string_view ForwardRefusalName(ForwardRefusal why);
+
 /// @brief The attempt in the form that is sent to the other host.
 HttpRequest EncodeForward(const HttpRequest& attempt, const ForwardPeer& peer,
                           const ForwardOrder& order);
@@ -60,7 +71,13 @@
 std::optional<ForwardResult> ForwardResultOf(
     std::span<const HttpHeader> headers);
 
-/// @brief The headers without the one of the result.
+/// @brief The header that carries a refusal.
+HttpHeader HeaderOf(ForwardRefusal why);
+
+/// @brief The refusal in an answer's headers; kOther if there is none.
+ForwardRefusal ForwardRefusalOf(std::span<const HttpHeader> headers);
+
+/// @brief The headers without those of the result and the refusal.
 std::vector<HttpHeader> WithoutResult(std::span<const HttpHeader> headers);
 
 /// @brief Compares two keys in a time that does not depend on where they
--- a/src/forwarding/forward_service.cc
+++ b/src/forwarding/forward_service.cc
@@ -16,11 +16,11 @@
 // the server is paused.
 constexpr std::int64_t kSlowReaderBytes = std::int64_t{256} * 1024;
 
-void SendResult(ResponseWriter& writer, ForwardResult result) {
+void SendResult(ResponseWriter& writer, std::vector<HttpHeader> headers) {
   ServerResponse response;
   response.http_status = http_code::kUnavailable;
   response.content_type.clear();
-  response.headers = {HeaderOf(result)};
+  response.headers = std::move(headers);
   writer.SendWhole(response);
 }
 
@@ -92,6 +92,7 @@
 
   void OnEnd(const HttpCallResult& end) override {
     this->running = 0;
+    NotePath(this->service.monitor, this->server, end, this->has_head);
     if (end.status.ok()) {
       this->writer->FinishStream();
     } else if (this->has_head) {
@@ -104,12 +105,9 @@
 
  private:
   void Fail(const HttpCallResult& end) {
-    if (!end.request_may_have_left) {
-      this->service.monitor.NoteConnectFailed(this->server);
-    }
-    SendResult(*this->writer, end.request_may_have_left
-                                  ? ForwardResult::kLost
-                                  : ForwardResult::kNotSent);
+    SendResult(*this->writer,
+               {HeaderOf(end.request_may_have_left ? ForwardResult::kLost
+                                                   : ForwardResult::kNotSent)});
   }
 
   ForwardService& service;
@@ -131,42 +129,47 @@
 
 ForwardService::~ForwardService() = default;
 
-std::string_view ForwardService::WhyNotTaken(const ForwardOrder& order) const {
+ForwardService::Refusal ForwardService::RefusalOf(
+    const ForwardOrder& order) const {
   if (!IsSameKey(order.key, this->options.key)) {
-    return "wrong-key";
+    return {"wrong-key"};
   }
   if (this->stopping) {
-    return "stopping";
+    return {"stopping"};
   }
   if (this->monitor.IsLost()) {
-    return "path-lost";
+    return {"path-lost", ForwardRefusal::kPathLost};
+  }
+  if (this->monitor.IsLost(order.server)) {
+    return {"server-unreachable", ForwardRefusal::kServerUnreachable};
   }
   if (this->calls.size() >= this->options.max_running) {
-    return "full";
+    return {"full", ForwardRefusal::kFull};
   }
   if (!this->options.is_server(order.server)) {
-    return "unknown-server";
+    return {"unknown-server"};
   }
   const bool is_in_backoff =
       this->options.is_in_backoff && this->options.is_in_backoff(order.server);
-  return is_in_backoff ? "server-in-backoff" : "";
+  return {is_in_backoff ? "server-in-backoff" : ""};
 }
 
 void ForwardService::Serve(const ServerRequest& request,
                            std::unique_ptr<ResponseWriter> writer) {
   const std::optional<ForwardOrder> order = ForwardOrderOf(request);
-  const std::string_view why_not =
-      order.has_value() ? this->WhyNotTaken(*order) : "no-order";
+  const Refusal refusal =
+      order.has_value() ? this->RefusalOf(*order) : Refusal{"no-order"};
   LogLine line("forwarded");
   line.Add("request",
            order.has_value() ? FindHeader(request.headers, order->echo) : "")
       .Add("from", order.has_value() ? order->from : "")
       .Add("peer", request.peer)
       .Add("server", order.has_value() ? order->server : "")
-      .Add("why_not", why_not);
-  if (!why_not.empty()) {
+      .Add("why_not", refusal.reason);
+  if (!refusal.reason.empty()) {
     line.WriteImportant();
-    SendResult(*writer, ForwardResult::kNotTaken);
+    SendResult(*writer,
+               {HeaderOf(ForwardResult::kNotTaken), HeaderOf(refusal.why)});
     return;
   }
   line.Write();
--- a/src/forwarding/forward_service.h
+++ b/src/forwarding/forward_service.h
@@ -66,7 +66,13 @@
  private:
   class Call;
 
-  std::string_view WhyNotTaken(const ForwardOrder& order) const;
+  /// Why an order is not taken, and what the host that gave it is told.
+  struct Refusal {
+    std::string_view reason;  ///< for the log; empty: it is taken
+    ForwardRefusal why = ForwardRefusal::kOther;
+  };
+
+  Refusal RefusalOf(const ForwardOrder& order) const;
   void End(std::int64_t number);
 
   ForwardServiceOptions options;
--- a/src/forwarding/forwarding_client.cc
+++ b/src/forwarding/forwarding_client.cc
@@ -10,13 +10,14 @@
 namespace meadowthread {
 namespace {
 
-// Hosts that one attempt asks: further ones would only add delay.
-constexpr int kMaxPeersAsked = 3;
-// A host that could not be reached is not asked again for this long.
-constexpr std::int64_t kUnreachableMs = 2'000;
-// Nor is one that does not take orders now: it is full, or its own path is
-// lost.
-constexpr std::int64_t kNotTakenMs = 500;
+// Hosts that one attempt asks: a refusal costs a round trip within the region.
+constexpr std::size_t kMaxPeersAsked = 10;
+// Hosts that one attempt waits for in vain, as they or the server can't be
+// reached; further ones would only add delay.
+constexpr int kMaxSlowFailures = 3;
+// Time for another host to connect to a server of which it is not known whether
+// only this host can't reach it.
+constexpr std::int64_t kSecondOpinionConnectMs = 100;
 
 std::string ServerOf(const HttpRequest& request) {
   constexpr std::string_view kScheme = "http://";
@@ -64,11 +65,14 @@
 
   void OnHead(int http_status, std::span<const HttpHeader> headers) override {
     if (this->peer.empty()) {
+      this->has_head = true;
       this->handler->OnHead(http_status, headers);
       return;
     }
     this->result = ForwardResultOf(headers);
+    this->refusal = ForwardRefusalOf(headers);
     if (this->HasAnswer()) {
+      this->client.OnPeerAnswer(*this);
       this->http_status = http_status;
       this->handler->OnHead(http_status, WithoutResult(headers));
     }
@@ -102,7 +106,10 @@
   HttpCallId running = 0;  ///< of the direct client
   std::string peer;        ///< the host that sends it; empty: this host
   std::vector<std::string> asked;
+  int slow_failures = 0;
   std::optional<ForwardResult> result;
+  ForwardRefusal refusal = ForwardRefusal::kOther;
+  bool has_head = false;  ///< of this host's own attempt
   int http_status = 0;
 };
 
@@ -113,9 +120,8 @@
     : host(std::move(host)),
       direct(direct),
       monitor(monitor),
-      clock(clock),
       scheduler(scheduler),
-      random(random) {}
+      chooser(this->host.zone, clock, random) {}
 
 ForwardingClient::~ForwardingClient() {
   for (const auto& [id, call] : this->calls) {
@@ -136,7 +142,7 @@
       *this->calls
            .emplace(id, std::make_unique<Call>(*this, id, request, handler))
            .first->second;
-  if (!this->monitor.IsLost() || !this->SendThroughPeer(call)) {
+  if (!this->monitor.IsLost(call.server) || !this->SendThroughPeer(call)) {
     this->SendDirect(call);
   }
   return id;
@@ -147,43 +153,21 @@
   call.running = this->direct.Start(call.request, &call);
 }
 
-bool ForwardingClient::IsUnfit(const ForwardPeer& peer) const {
-  const auto found = this->unfit_until_ms.find(peer.name);
-  return found != this->unfit_until_ms.end() &&
-         found->second > this->clock.MonotonicMs();
-}
-
-// Chooses among the hosts of this host's zone, or among the others if none of
-// them is fit: bytes between zones are dear, and a whole zone may be cut off.
-const ForwardPeer* ForwardingClient::ChoosePeer(
-    const std::vector<ForwardPeer>& peers, const Call& call) {
-  const ForwardPeer* chosen = nullptr;
-  bool chosen_is_near = false;
-  std::uint64_t equals = 0;
-  for (const ForwardPeer& peer : peers) {
-    const bool was_asked = std::find(call.asked.begin(), call.asked.end(),
-                                     peer.name) != call.asked.end();
-    const bool is_near = peer.zone == this->host.zone;
-    if (was_asked || this->IsUnfit(peer) || (chosen_is_near && !is_near)) {
-      continue;
-    }
-    if (is_near && !chosen_is_near) {
-      equals = 0;
-      chosen_is_near = true;
-    }
-    if (this->random() % ++equals == 0) {
-      chosen = &peer;
-    }
-  }
-  return chosen;
+// A server that this host alone has failed to reach may be down, so that a
+// single other host is asked.
+bool ForwardingClient::MayAskFurther(const Call& call) const {
+  const int most =
+      this->monitor.HasLostPath() || call.asked.empty() ? kMaxSlowFailures : 1;
+  return call.asked.size() < kMaxPeersAsked && call.slow_failures < most;
 }
 
 bool ForwardingClient::SendThroughPeer(Call& call) {
-  if (call.asked.size() >= kMaxPeersAsked) {
+  if (!this->MayAskFurther(call)) {
     return false;
   }
   const std::vector<ForwardPeer> peers = this->host.peers();
-  const ForwardPeer* const peer = this->ChoosePeer(peers, call);
+  const ForwardPeer* const peer =
+      this->chooser.Choose(peers, call.server, call.asked);
   if (peer == nullptr) {
     return false;
   }
@@ -192,10 +176,15 @@
   order.key = peer->key;
   order.server = call.server;
   order.connect_timeout_ms = call.request.connect_timeout_ms;
+  if (!this->monitor.IsLost(call.server)) {
+    order.connect_timeout_ms =
+        std::min(order.connect_timeout_ms, kSecondOpinionConnectMs);
+  }
   order.echo = call.request.response_echo.name;
   call.peer = peer->name;
   call.asked.push_back(peer->name);
   call.result.reset();
+  this->chooser.NoteStarted(peer->name);
   ++this->stats.forwarded;
   LogLine("forward")
       .Add("request", call.request.response_echo.value)
@@ -216,6 +205,9 @@
   }
   if (found->second->running != 0) {
     this->direct.Cancel(found->second->running);
+    if (!found->second->peer.empty()) {
+      this->chooser.NoteEnded(found->second->peer);
+    }
   }
   this->ended.push_back(std::move(found->second));
   this->calls.erase(found);
@@ -239,23 +231,25 @@
   handler->OnEnd(end);
 }
 
-// A connection that failed is evidence on the path; so is a new one that was
-// used. Nothing of the request was sent on a connection that failed.
+// Nothing of the request was sent on a connection that failed, so that another
+// host may send it.
 void ForwardingClient::OnDirectEnd(Call& call, const HttpCallResult& end) {
-  if (end.request_may_have_left) {
-    if (end.new_connection) {
-      this->monitor.NoteConnected(call.server);
-    }
-  } else if (!end.status.ok()) {
-    this->monitor.NoteConnectFailed(call.server);
-    if (this->monitor.IsLost() && this->SendThroughPeer(call)) {
-      return;
-    }
+  NotePath(this->monitor, call.server, end, call.has_head);
+  const bool is_unsent = !end.request_may_have_left && !end.status.ok();
+  if (is_unsent && this->monitor.MayAskElsewhere(call.server) &&
+      this->SendThroughPeer(call)) {
+    return;
   }
   this->End(call, end);
 }
 
+void ForwardingClient::OnPeerAnswer(const Call& call) {
+  this->chooser.NoteAnswered(call.peer, call.server);
+  this->monitor.NoteReachedElsewhere(call.server);
+}
+
 void ForwardingClient::OnPeerEnd(Call& call, const HttpCallResult& end) {
+  this->chooser.NoteEnded(call.peer);
   if (call.HasAnswer()) {
     ++this->stats.answered;
     HttpCallResult ended = end;
@@ -264,31 +258,45 @@
     ended.ended_by_close = call.result == ForwardResult::kAnswerByClose;
     this->End(call, ended);
   } else if (call.result == ForwardResult::kNotSent) {
-    ++this->stats.not_sent;
-    this->End(call, NotSent(call.server));
+    ++call.slow_failures;
+    this->chooser.NoteNotSent(call.peer, call.server);
+    this->TryNextPeer(call);
   } else if (call.result == ForwardResult::kNotTaken) {
-    this->TryNextPeer(call, kNotTakenMs);
+    this->chooser.NoteRefused(call.peer, call.server, call.refusal);
+    this->TryNextPeer(call);
   } else if (!end.request_may_have_left) {
-    this->TryNextPeer(call, kUnreachableMs);
+    ++call.slow_failures;
+    this->chooser.NoteUnreachable(call.peer);
+    this->TryNextPeer(call);
   } else {
+    if (call.result == ForwardResult::kLost) {
+      this->monitor.NoteDownElsewhere(call.server);
+    } else {
+      this->chooser.NoteUnreachable(call.peer);
+    }
     this->End(call, Lost(call.peer));
   }
 }
 
-void ForwardingClient::TryNextPeer(Call& call, std::int64_t unfit_ms) {
-  this->unfit_until_ms[call.peer] = this->clock.MonotonicMs() + unfit_ms;
-  LogLine("forward-not-taken")
+void ForwardingClient::TryNextPeer(Call& call) {
+  const bool was_tried = call.result == ForwardResult::kNotSent;
+  LogLine("forward-not-sent")
       .Add("request", call.request.response_echo.value)
       .Add("server", call.server)
       .Add("host", this->host.name)
       .Add("through", call.peer)
       .Add("asked", call.asked.size())
-      .Add("left_out_ms", unfit_ms)
+      .Add("why",
+           was_tried ? "not-connected" : ForwardRefusalName(call.refusal))
       .WriteImportant();
-  if (!this->SendThroughPeer(call)) {
-    ++this->stats.not_sent;
-    this->End(call, NotSent(call.server));
+  if (this->SendThroughPeer(call)) {
+    return;
+  }
+  ++this->stats.not_sent;
+  if (was_tried) {
+    this->monitor.NoteDownElsewhere(call.server);
   }
+  this->End(call, NotSent(call.server));
 }
 
 }  // namespace meadowthread
--- a/src/forwarding/forwarding_client.h
+++ b/src/forwarding/forwarding_client.h
@@ -14,10 +14,10 @@
 #include "base/clock.h"
 #include "base/lifetime.h"
 #include "base/scheduler.h"
+#include "forwarding/forward_peer_chooser.h"
 #include "forwarding/forward_protocol.h"
 #include "forwarding/path_monitor.h"
 #include "net/http_client.h"
-#include "policy/string_map.h"
 
 namespace meadowthread {
 
@@ -37,7 +37,7 @@
 };
 
 /// @brief Sends requests to servers, through another host while this host's
-/// path to the servers is lost.
+/// path to the server is lost.
 ///
 /// Who may run the request, which server gets it and what its failure means is
 /// decided by the caller of this client, on this host. An attempt is sent at
@@ -65,26 +65,23 @@
 
   void SendDirect(Call& call);
   bool SendThroughPeer(Call& call);
-  const ForwardPeer* ChoosePeer(const std::vector<ForwardPeer>& peers,
-                                const Call& call);
-  bool IsUnfit(const ForwardPeer& peer) const;
+  bool MayAskFurther(const Call& call) const;
   void OnDirectEnd(Call& call, const HttpCallResult& end);
+  void OnPeerAnswer(const Call& call);
   void OnPeerEnd(Call& call, const HttpCallResult& end);
-  void TryNextPeer(Call& call, std::int64_t unfit_ms);
+  void TryNextPeer(Call& call);
   void End(Call& call, const HttpCallResult& end);
 
   ForwardingHost host;
   HttpClient& direct;
   PathMonitor& monitor;
-  const Clock& clock;
   Scheduler& scheduler;
-  std::mt19937_64& random;
+  ForwardPeerChooser chooser;
   ForwardingStats stats;
   HttpCallId last_id = 0;
   std::unordered_map<HttpCallId, std::unique_ptr<Call>> calls;
   /// Ended calls, whose functions may still be on the call stack.
   std::vector<std::unique_ptr<Call>> ended;
-  StringMap<std::int64_t> unfit_until_ms;  ///< by name of the peer
   Lifetime life;
 };
 
--- a/src/forwarding/path_prober.cc
+++ b/src/forwarding/path_prober.cc
@@ -30,26 +30,40 @@
 void PathProber::Start() { this->ProbeAndReschedule(); }
 
 void PathProber::ProbeAndReschedule() {
-  if (this->monitor.IsLost()) {
-    const std::vector<std::string> all = this->addresses();
-    std::vector<std::string> probed;
-    std::sample(all.begin(), all.end(), std::back_inserter(probed),
-                kProbedServers, this->random);
-    for (const std::string& address : probed) {
-      this->probe.Ask(
-          address, kProbeLimitMs,
-          this->life.Guarded([this, address](ListenProbeResult result) {
-            if (result == ListenProbeResult::kListens) {
-              this->monitor.NoteConnected(address);
-            }
-          }));
-    }
+  for (const std::string& address : this->Chosen()) {
+    this->probe.Ask(
+        address, kProbeLimitMs,
+        this->life.Guarded([this, address](ListenProbeResult result) {
+          if (result == ListenProbeResult::kListens) {
+            this->monitor.NoteConnected(address);
+          } else {
+            this->monitor.NoteConnectFailed(address);
+          }
+        }));
   }
   this->scheduler.After(kProbePeriodMs, this->life.Guarded([this] {
     this->ProbeAndReschedule();
   }));
 }
 
+// Servers that only are presumed to be unreachable are tried as well, as the
+// others may be lost for longer.
+std::vector<std::string> PathProber::Chosen() {
+  std::vector<std::string> untried;
+  if (this->monitor.PresumesLost()) {
+    const std::vector<std::string> all = this->addresses();
+    std::copy_if(all.begin(), all.end(), std::back_inserter(untried),
+                 [this](const std::string& address) {
+                   return !this->monitor.IsPathLost(address);
+                 });
+  }
+  std::vector<std::string> chosen = this->monitor.TakeProbes(
+      untried.empty() ? kProbedServers : kProbedServers - 1);
+  std::sample(untried.begin(), untried.end(), std::back_inserter(chosen),
+              kProbedServers - chosen.size(), this->random);
+  return chosen;
+}
+
 void PathAwareProbe::Ask(std::string_view address, std::int64_t limit_ms,
                          const Done& done) {
   this->probe.Ask(
@@ -62,10 +76,11 @@
           return;
         }
         this->monitor.NoteConnectFailed(server);
-        this->scheduler.After(kConfirmMs, this->life.Guarded([this, result,
-                                                              done] {
-          done(this->monitor.IsLost() ? ListenProbeResult::kSilent : result);
-        }));
+        this->scheduler.After(
+            kConfirmMs, this->life.Guarded([this, server, result, done] {
+              done(this->monitor.IsLost(server) ? ListenProbeResult::kSilent
+                                                : result);
+            }));
       }));
 }
 
--- a/src/forwarding/path_prober.h
+++ b/src/forwarding/path_prober.h
@@ -14,8 +14,8 @@
 
 namespace meadowthread {
 
-/// @brief Opens connections to servers while the path to them is lost, to
-/// notice when it is back. Nothing is sent on them.
+/// @brief Opens connections to servers whose paths are lost, to notice when
+/// they are back. Nothing is sent on them.
 class PathProber {
  public:
   /// @brief The addresses of the servers that may be connected to.
@@ -32,6 +32,7 @@
 
  private:
   void ProbeAndReschedule();
+  std::vector<std::string> Chosen();
 
   PathMonitor& monitor;
   ListenProbe& probe;
@@ -42,7 +43,7 @@
 };
 
 /// @brief A ListenProbe for the search of crashed servers: a refused connection
-/// says nothing about a server while this host's path to all servers is lost.
+/// says nothing about a server while this host's path to it is lost.
 class PathAwareProbe final : public ListenProbe {
  public:
   /// @param[in] monitor,probe,scheduler outlive this
--- a/src/serve/relay_host_peers.cc
+++ b/src/serve/relay_host_peers.cc
@@ -106,7 +106,8 @@
     return;
   }
   this->scheduler.After(kPathConfirmMs, [this, attempt] {
-    if (!this->path.IsLost()) {
+    const Backend* const backend = this->backends.Find(attempt.engine);
+    if (backend == nullptr || !this->path.IsLost(backend->entry.address)) {
       this->allocation.ReportAttempt(attempt);
     }
   });
@@ -117,6 +118,7 @@
     this->metrics.SetState(what, static_cast<double>(value));
   };
   set("path_lost", this->path.IsLost() ? 1 : 0);
+  set("server_paths_lost", this->path.LostPaths());
   set("attempts_forwarded", this->routed_client.Stats().forwarded);
   set("attempts_forwarded_answered", this->routed_client.Stats().answered);
   set("attempts_forwarded_not_sent", this->routed_client.Stats().not_sent);
--- a/src/serve/relay_host_view.cc
+++ b/src/serve/relay_host_view.cc
@@ -204,6 +204,7 @@
                                       const Backend& backend) {
   this->path.SetServers(this->backends.Count());
   if (change == BackendChange::kGone) {
+    this->path.Forget(backend.entry.address);
     this->quarantine.NoteGone(backend.key);
     if (backend.started_again) {
       this->relay.OnEngineStartedAgain(backend);
