--- a/src/configuration/view_watcher.cc
+++ b/src/configuration/view_watcher.cc
@@ -136,6 +136,12 @@
                                      this->options.host};
   if (!this->view.ApplyList(this->kind, read.since, list, confirmation)) {
     ++this->state.stale_reads;
+    LogLine("stale-read")
+        .Add("kind", this->kind)
+        .Add("read", list.revision)
+        .Add("known", this->view.Digest(this->kind).revision)
+        .Add("in_a_row", this->state.failures + 1)
+        .Write();
     this->OnFailure(absl::UnavailableError("stale read"));
     return;
   }
