Positions in the store's history hold its era

What callers saw: after a drill a revoked key was taken and a route that had been added was not served for seconds, and requests reached a server that had said that it leaves. Cause: the store came back from an older copy and gave out its revisions again; hosts compared revisions as if there were one history, and dropped every answer until the numbers passed the old ones. Change: versions and revisions are ordinals of era and revision everywhere but at the client of the store, so that a new era follows all before it. Objects that the copy lacks stay for 2.5 s; a configuration with a lower version is held back; a server that said that it leaves does so; a removed entry that is back has to be written or to outlast the expiry of a dead server's; a decided roll-out stands; hosts write their entries and crash records again where they are missing, spread.

--- a/src/configuration/kind_view.cc
+++ b/src/configuration/kind_view.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "configuration/template_object.h"
+#include "store/store_revision.h"
 
 namespace meadowthread {
 namespace {
@@ -78,10 +79,16 @@
   // A stale read, or a delta from a host that is behind, doesn't show which
   // objects are missing.
   const bool is_stale = revision < this->watermark;
-  const bool has_gap = !full && since > this->watermark;
+  // Changes since a revision of an earlier era do not show what that era's end
+  // has undone.
+  const bool crosses_eras = since > 0 && EraOf(since) != EraOf(revision);
+  const bool has_gap = !full && (since > this->watermark || crosses_eras);
   if (is_stale || has_gap) {
     return false;
   }
+  if (this->watermark > 0 && EraOf(revision) > EraOf(this->watermark)) {
+    this->awaits_rewriting = true;
+  }
   this->RaiseLatestChange(revision);
   if (full) {
     this->RemoveAbsent(revision, items, changed);
@@ -121,6 +128,10 @@
   auto next = this->by_version.upper_bound(after);
   for (; next != this->by_version.end(); ++next) {
     const StoredObject& object = *next->second;
+    // It waits for being written again, and the state as such lacks it.
+    if (EraOf(object.version) < EraOf(this->watermark)) {
+      continue;
+    }
     bytes += WireBytes(object);
     if (!delta.full && bytes > limit_bytes && !delta.items.empty()) {
       break;
@@ -163,7 +174,9 @@
   for (const auto& [name, object] : this->objects) {
     // An object newer than the list was offered after the store had accepted
     // it, and stays.
-    const bool is_covered = object.version <= revision;
+    const bool may_be_rewritten =
+        this->awaits_rewriting && EraOf(object.version) < EraOf(revision);
+    const bool is_covered = object.version <= revision && !may_be_rewritten;
     if (is_covered && !object.deleted && !present.contains(name)) {
       absent.push_back(name);
     }
@@ -177,6 +190,22 @@
   }
 }
 
+void KindView::EndRewriting(std::vector<StoredObject>* changed) {
+  this->awaits_rewriting = false;
+  std::vector<std::string> missing;
+  for (const auto& [name, object] : this->objects) {
+    if (!object.deleted && EraOf(object.version) < EraOf(this->watermark)) {
+      missing.push_back(name);
+    }
+  }
+  for (const std::string& name : missing) {
+    changed->push_back(
+        StoredObject{this->kind, name, this->watermark, "", true});
+    this->Erase(name);
+    this->latest_change = this->watermark;
+  }
+}
+
 // Called before tombstones are discarded, so that a deletion counts.
 void KindView::RaiseLatestChange(std::int64_t revision) {
   const auto next = this->by_version.upper_bound(revision);
--- a/src/configuration/kind_view.h
+++ b/src/configuration/kind_view.h
@@ -22,6 +22,10 @@
 /// the watermark is known. Tombstones at or below the floor, which is at most
 /// the watermark, are discarded, so an offered object that is unknown here and
 /// whose version is at or below the floor has been deleted.
+///
+/// A complete read that is the first of a new era of the store comes from an
+/// older copy of it. Objects that it lacks may be written again, so they stay
+/// until EndRewriting.
 class KindView {
  public:
   explicit KindView(std::string_view kind) : kind(kind) {}
@@ -47,6 +51,10 @@
                   std::span<const StoredObject> items,
                   std::vector<StoredObject>* changed);
 
+  /// @brief Removes the objects of earlier eras that were not written again.
+  /// @param[out] changed removed objects are appended
+  void EndRewriting(std::vector<StoredObject>* changed);
+
   /// @brief Records a confirmation of a read at `revision` if that is the
   /// watermark and no later confirmation is known.
   void Confirm(std::int64_t revision, const Confirmation& confirmation);
@@ -84,6 +92,8 @@
   std::int64_t watermark = 0;
   std::int64_t latest_change = 0;
   std::int64_t floor = 0;
+  /// Objects of an earlier era may still be written again.
+  bool awaits_rewriting = false;
   Confirmation confirmed;
 };
 
--- a/src/configuration/replicated_view.cc
+++ b/src/configuration/replicated_view.cc
@@ -1,5 +1,8 @@
 #include "configuration/replicated_view.h"
 
+#include "base/log_line.h"
+#include "store/store_revision.h"
+
 namespace meadowthread {
 
 ReplicatedView::ReplicatedView(const Clock& clock,
@@ -38,15 +41,55 @@
     return false;
   }
   std::vector<StoredObject> changed;
+  const std::int64_t before = view->Digest().revision;
   const bool reached_revision = view->ApplyRange(
       delta.since, delta.revision, delta.full, delta.items, &changed);
   if (reached_revision) {
     this->Confirm(view, delta.revision, delta.confirmed);
+    if (before > 0 && EraOf(delta.revision) > EraOf(before)) {
+      this->BeginRewriting(delta, before);
+    }
   }
   this->NotifyListeners(delta.kind, changed);
   return reached_revision;
 }
 
+void ReplicatedView::BeginRewriting(const ViewDelta& delta,
+                                    std::int64_t before) {
+  LogLine("view-enters-era")
+      .Add("kind", delta.kind)
+      .Add("before", RevisionText(before))
+      .Add("revision", RevisionText(delta.revision))
+      .Add("read_by", delta.confirmed.by)
+      .Add("items", delta.items.size())
+      .WriteImportant();
+  this->rewriting_ends_ms[delta.kind] =
+      this->clock.MonotonicMs() + kRewritingMs;
+  for (const auto& listener : this->era_listeners) {
+    listener(delta.kind);
+  }
+}
+
+void ReplicatedView::EndRewriting() {
+  const std::int64_t now_ms = this->clock.MonotonicMs();
+  std::vector<std::string> over;
+  for (const auto& [kind, ends_ms] : this->rewriting_ends_ms) {
+    if (ends_ms <= now_ms) {
+      over.push_back(kind);
+    }
+  }
+  for (const std::string& kind : over) {
+    this->rewriting_ends_ms.erase(kind);
+    std::vector<StoredObject> removed;
+    this->KindOf(kind)->EndRewriting(&removed);
+    LogLine("view-rewriting-ends")
+        .Add("kind", kind)
+        .Add("removed", removed.size())
+        .WriteImportant();
+    this->NotifyListeners(kind, removed);
+  }
+}
+
 int ReplicatedView::ApplyItems(std::span<const StoredObject> items) {
   std::map<std::string_view, std::vector<StoredObject>> changed;
   int stored = 0;
--- a/src/configuration/replicated_view.h
+++ b/src/configuration/replicated_view.h
@@ -20,6 +20,11 @@
 /// milliseconds, are ignored.
 inline constexpr std::int64_t kMaxClockSkewMs = 5000;
 
+/// @brief After the store has come back from an older copy, the writers of
+/// objects that are lost have written them again within this time, in
+/// milliseconds. It is longer than the two seconds that writers have.
+inline constexpr std::int64_t kRewritingMs = 2'500;
+
 /// @brief A host's replica of templates, marks and other kinds of the object
 /// store. Updates come from the store, from peers and from operators, in any
 /// order.
@@ -59,6 +64,17 @@
   /// @return the number of objects that were newer and have been stored
   int ApplyItems(std::span<const StoredObject> items);
 
+  /// @brief Calls `listener` with a kind whose view has entered a new era of
+  /// the store, which has come back from an older copy.
+  void AddEraListener(const std::function<void(std::string_view)>& listener) {
+    this->era_listeners.push_back(listener);
+  }
+
+  /// @brief Removes what was not written again within kRewritingMs of the
+  /// view's entering a new era. To be called regularly.
+  /// @complexity O(1) unless an era has just begun
+  void EndRewriting();
+
   /// @brief Adopts a peer's confirmation if its watermark equals this one.
   void ApplyDigest(const ViewDigest& digest);
 
@@ -92,12 +108,16 @@
   const KindView* KindOf(std::string_view kind) const;
   void Confirm(KindView* view, std::int64_t revision,
                const Confirmation& confirmation);
+  void BeginRewriting(const ViewDelta& delta, std::int64_t before);
   void NotifyListeners(std::string_view kind,
                        std::span<const StoredObject> changed);
 
   const Clock& clock;
   std::map<std::string, KindView, std::less<>> kinds;
   std::vector<Listener> listeners;
+  std::vector<std::function<void(std::string_view)>> era_listeners;
+  /// When the objects that a new era lacks are removed, by kind; monotonic.
+  std::map<std::string, std::int64_t, std::less<>> rewriting_ends_ms;
 };
 
 }  // namespace meadowthread
--- a/src/configuration/tests/replicated_view_test.cc
+++ b/src/configuration/tests/replicated_view_test.cc
@@ -8,6 +8,7 @@
 #include <set>
 
 #include "configuration/template_object.h"
+#include "store/store_revision.h"
 
 namespace meadowthread {
 namespace {
@@ -394,5 +395,103 @@
   }
 }
 
+/////////////////////////////
+// A store's older copy
+/////////////////////////////
+
+std::int64_t In(std::int64_t era, std::int64_t revision) {
+  return StoreRevision{era, revision}.Ordinal();
+}
+
+/// @brief A host that knows two objects, of which the older copy has one.
+struct RestoredHost : Host {
+  RestoredHost() : Host("a") {
+    this->List(0, In(3, 40), {At("kept", In(3, 12)), At("lost", In(3, 38))});
+  }
+  void ReadCopy() { this->List(0, In(4, 20), {At("kept", In(4, 12))}); }
+};
+
+// Its revisions are lower, and every read counted as stale.
+Test(a_store_back_from_an_older_copy, is_read_on) {
+  RestoredHost host;
+  host.ReadCopy();
+  cr_assert(host.Revision() == In(4, 20));
+  cr_assert(host.List(In(4, 20), In(4, 21), {At("new", In(4, 21))}));
+  cr_assert(host.VersionOf("new") == In(4, 21));
+}
+
+Test(an_object_that_the_copy_lacks, stays_until_it_can_be_written_again) {
+  RestoredHost host;
+  host.ReadCopy();
+  host.clock.Advance(kRewritingMs - 1);
+  host.view.EndRewriting();
+  cr_assert(host.VersionOf("lost") == In(3, 38));
+  cr_assert(host.List(0, In(4, 25), {At("kept", In(4, 12))}),
+            "a further list of the era does not remove it either");
+  cr_assert(host.VersionOf("lost") == In(3, 38));
+  host.clock.Advance(1);
+  host.view.EndRewriting();
+  cr_assert(host.VersionOf("lost") == 0);
+  cr_assert(host.VersionOf("kept") == In(4, 12));
+}
+
+Test(an_object_that_is_written_again, stays) {
+  RestoredHost host;
+  host.ReadCopy();
+  cr_assert(host.Offer(At("lost", In(4, 22))) == 1);
+  host.clock.Advance(kRewritingMs);
+  host.view.EndRewriting();
+  cr_assert(host.VersionOf("lost") == In(4, 22));
+}
+
+Test(a_peer_of_the_era_before, brings_nothing_back) {
+  RestoredHost behind;
+  RestoredHost host;
+  host.ReadCopy();
+  host.clock.Advance(kRewritingMs);
+  host.view.EndRewriting();
+  cr_assert(!host.LearnFrom(behind));
+  cr_assert(host.Offer(At("lost", In(3, 38))) == 0);
+  cr_assert(host.VersionOf("lost") == 0);
+}
+
+Test(a_host_that_does_not_reach_the_store, enters_the_era_by_a_peer) {
+  RestoredHost behind;
+  RestoredHost host;
+  int entered = 0;
+  behind.view.AddEraListener([&entered](std::string_view) { ++entered; });
+  host.ReadCopy();
+  cr_assert(behind.LearnFrom(host) && entered == 1);
+  cr_assert(behind.Revision() == In(4, 20));
+  cr_assert(behind.VersionOf("lost") == In(3, 38));
+  behind.clock.Advance(kRewritingMs);
+  behind.view.EndRewriting();
+  cr_assert(behind.VersionOf("lost") == 0);
+}
+
+// What waits for being written again is no part of the store's state.
+Test(a_new_host, hears_nothing_of_what_the_copy_lacks) {
+  RestoredHost host;
+  Host started("b");
+  host.ReadCopy();
+  cr_assert(started.LearnFrom(host));
+  cr_assert(started.VersionOf("kept") == In(4, 12));
+  cr_assert(started.VersionOf("lost") == 0);
+}
+
+Test(a_store_that_comes_back_twice, is_read_on_each_time) {
+  RestoredHost host;
+  host.ReadCopy();
+  host.Offer(At("lost", In(4, 22)));
+  host.clock.Advance(1'000);
+  host.List(0, In(6, 15), {At("kept", In(6, 12))});
+  host.clock.Advance(kRewritingMs - 1);
+  host.view.EndRewriting();
+  cr_assert(host.VersionOf("lost") == In(4, 22));
+  host.clock.Advance(1);
+  host.view.EndRewriting();
+  cr_assert(host.VersionOf("lost") == 0 && host.Revision() == In(6, 15));
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/configuration/tests/view_watcher_test.cc
+++ b/src/configuration/tests/view_watcher_test.cc
@@ -44,12 +44,17 @@
     }
   }
 
+  bool HasHistorySince(std::int64_t /*revision*/) const override {
+    return this->has_history;
+  }
+
   MemoryStore memory;
   std::vector<ListDone> unanswered;
   bool drops_watches = false;
   bool drops_waiting_watches = false;  ///< only calls that wait get no answer
   bool revision_gone = false;
   bool malformed = false;
+  bool has_history = true;
   bool loses_events = false;
   int lists = 0;
   int watches = 0;
@@ -260,5 +265,20 @@
   cr_assert(f.store.lists == 1 && f.view.Digest("templates").revision == 0);
 }
 
+// A watch waited on a connection from before the store went away.
+Test(a_watch_that_waits, is_given_up_when_a_new_era_begins) {
+  Fixture fixture;
+  fixture.Write("a", 0);
+  fixture.watcher.Start();
+  fixture.Run(1'000);
+  fixture.store.drops_waiting_watches = true;
+  fixture.Run(1'000);
+  const int lists = fixture.store.lists;
+  fixture.store.has_history = false;
+  fixture.watcher.ReadAnew();
+  fixture.Run(100);
+  cr_assert(fixture.store.lists == lists + 1);
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/configuration/view_watcher.cc
+++ b/src/configuration/view_watcher.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/error.h"
 #include "base/log_line.h"
+#include "store/store_revision.h"
 
 namespace meadowthread {
 namespace {
@@ -68,8 +69,26 @@
 // A host that isn't watching checks this flag every `idle_ms`.
 void KindWatcher::RequestRead() { this->read_requested = true; }
 
+// A watch may wait on a connection from before the store went away. Hosts that
+// do not watch hear of the era by the others.
+void KindWatcher::ReadAnew() {
+  if (!this->state.watching ||
+      this->store.HasHistorySince(this->view.Digest(this->kind).revision)) {
+    return;
+  }
+  const std::uint64_t number = ++this->reads;  // gives up the pending call
+  this->pending = false;
+  this->RunAfter(0, [this, number] {
+    if (number == this->reads && !this->pending) {
+      this->ReadNext();
+    }
+  });
+}
+
 KindWatcher::ReadKind KindWatcher::ChooseReadKind() const {
-  if (this->must_list) {
+  const bool has_history =
+      this->store.HasHistorySince(this->view.Digest(this->kind).revision);
+  if (this->must_list || !has_history) {
     return ReadKind::kFullList;
   }
   const std::int64_t since_list_ms =
@@ -134,12 +153,16 @@
 void KindWatcher::ApplyResponse(const Read& read, const ObjectList& list) {
   const Confirmation confirmation = {this->ConfirmedAt(read, list),
                                      this->options.host};
-  if (!this->view.ApplyList(this->kind, read.since, list, confirmation)) {
+  // A list of a new era is complete: it does not follow the revision that was
+  // asked for.
+  const bool is_same_era = EraOf(read.since) == EraOf(list.revision);
+  const std::int64_t since = is_same_era ? read.since : 0;
+  if (!this->view.ApplyList(this->kind, since, list, confirmation)) {
     ++this->state.stale_reads;
     LogLine("stale-read")
         .Add("kind", this->kind)
-        .Add("read", list.revision)
-        .Add("known", this->view.Digest(this->kind).revision)
+        .Add("read", RevisionText(list.revision))
+        .Add("known", RevisionText(this->view.Digest(this->kind).revision))
         .Add("in_a_row", this->state.failures + 1)
         .Write();
     this->OnFailure(absl::UnavailableError("stale read"));
@@ -208,7 +231,8 @@
   this->state.stalled = stalled;
   LogLine line("watch");
   line.Add("kind", this->kind).Add("stalled", stalled ? "yes" : "no");
-  line.Add("why", why).Add("revision", this->view.Digest(this->kind).revision);
+  line.Add("why", why)
+      .Add("revision", RevisionText(this->view.Digest(this->kind).revision));
   line.WriteImportant();
 }
 
@@ -272,7 +296,8 @@
 ViewWatcher::ViewWatcher(std::span<const KindWithOptions> kinds,
                          ObjectStore& store, ReplicatedView& view,
                          Scheduler& scheduler, const Clock& clock,
-                         const std::function<bool()>& is_watcher) {
+                         const std::function<bool()>& is_watcher)
+    : store(store) {
   std::uint64_t number = 0;
   for (const KindWithOptions& config : kinds) {
     WatcherOptions own = config.options;
@@ -287,6 +312,11 @@
   for (const std::unique_ptr<KindWatcher>& watcher : this->watchers) {
     watcher->Start();
   }
+  this->store.OnNewEra([this] {
+    for (const std::unique_ptr<KindWatcher>& watcher : this->watchers) {
+      watcher->ReadAnew();
+    }
+  });
 }
 
 void ViewWatcher::RequestRead(std::string_view kind) {
--- a/src/configuration/view_watcher.h
+++ b/src/configuration/view_watcher.h
@@ -76,6 +76,10 @@
   /// a watcher, as a newer state is known to exist there.
   void RequestRead();
 
+  /// @brief Reads at once, as the store has begun a new era. A pending call is
+  /// given up.
+  void ReadAnew();
+
   /// @brief Calls `callback` at each successful response, before it is applied.
   void OnAnswered(const std::function<void()>& callback) {
     this->on_answered = callback;
@@ -167,6 +171,7 @@
   std::vector<WatcherState> States() const;
 
  private:
+  ObjectStore& store;
   std::vector<std::unique_ptr<KindWatcher>> watchers;
 };
 
--- a/src/relay/active_routing_config.cc
+++ b/src/relay/active_routing_config.cc
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/numbers.h"
 #include "base/error.h"
 #include "base/log_line.h"
+#include "store/store_revision.h"
 
 namespace meadowthread {
 namespace {
@@ -62,6 +64,15 @@
   if (this->index != nullptr && at_revision <= this->revision) {
     return false;
   }
+  if (this->IsOfOlderCopy(config, at_revision)) {
+    LogLine("plan-held")
+        .Add("in_force", this->index->config.version)
+        .Add("offered", config.version)
+        .Add("in_force_revision", RevisionText(this->revision))
+        .Add("offered_revision", RevisionText(at_revision))
+        .WriteImportant();
+    return false;
+  }
   auto next = std::make_unique<Index>();
   next->config = std::move(config);
   for (const RouteRule& route : next->config.routes) {
@@ -86,7 +97,7 @@
   this->revision = at_revision;
   LogLine line("plan");
   line.Add("version", this->index->config.version)
-      .Add("revision", at_revision)
+      .Add("revision", RevisionText(at_revision))
       .Add("routes", this->index->config.routes.size())
       .Add("keys", this->index->keys.size())
       .WriteImportant();
@@ -96,6 +107,19 @@
   return true;
 }
 
+// Only numbers can be told to be lower; others are ordered by the store alone.
+bool ActiveRoutingConfig::IsOfOlderCopy(const RoutingConfig& config,
+                                        std::int64_t at_revision) const {
+  if (this->index == nullptr || EraOf(at_revision) == EraOf(this->revision)) {
+    return false;
+  }
+  std::int64_t offered = 0;
+  std::int64_t in_force = 0;
+  return absl::SimpleAtoi(config.version, &offered) &&
+         absl::SimpleAtoi(this->index->config.version, &in_force) &&
+         offered < in_force;
+}
+
 const RoutingConfig* ActiveRoutingConfig::Config() const {
   return this->index == nullptr ? nullptr : &this->index->config;
 }
--- a/src/relay/active_routing_config.h
+++ b/src/relay/active_routing_config.h
@@ -17,7 +17,9 @@
 /// @brief The latest configuration known to this host, with lookups.
 ///
 /// A configuration is only ever replaced by one with a higher store revision;
-/// older ones that arrive late are ignored.
+/// older ones that arrive late are ignored. After the store has come back from
+/// an older copy, it is replaced only by one whose own version is not lower:
+/// the copy may hold an earlier one until the operator has written it again.
 class ActiveRoutingConfig {
  public:
   using Listener = std::function<void()>;
@@ -29,7 +31,8 @@
 
   /// @brief Makes a configuration the active one.
   /// @param[in] revision store revision of the configuration; the call has no
-  /// effect unless it is higher than that of the last one activated
+  /// effect unless it is higher than that of the last one activated, nor if it
+  /// is of a later era and the configuration has a lower version
   /// @return whether it is now active
   bool Activate(RoutingConfig config, std::int64_t revision);
 
@@ -54,6 +57,8 @@
  private:
   struct Index;
 
+  bool IsOfOlderCopy(const RoutingConfig& config,
+                     std::int64_t at_revision) const;
   const RouteRule* FindRoute(std::string_view host,
                              std::string_view path) const;
 
--- a/src/relay/backend_list.cc
+++ b/src/relay/backend_list.cc
@@ -17,6 +17,10 @@
 // Removed servers stay known for longer than any generation that may still
 // finish there.
 constexpr std::int64_t kGoneRetentionMs = 60'000;
+// An entry of a dead server that an older copy of the store has brought back
+// expires within this time: three heartbeats of 1.2 s, and the time until the
+// removal is known.
+constexpr std::int64_t kCopyExpiryMs = 5'000;
 // Logged as the start time of a server that does not report one.
 constexpr std::int64_t kUnknownStart = -1;
 
@@ -26,6 +30,15 @@
              : entry.id;
 }
 
+// Whether the entry of a removed server is back although the server has not
+// written it.
+bool IsBackFromCopy(const Backend& known, const BackendEntry& entry) {
+  const bool was_written = entry.sequence.has_value() &&
+                           known.entry.sequence.has_value() &&
+                           *entry.sequence > *known.entry.sequence;
+  return !known.listed && entry.era > known.entry.era && !was_written;
+}
+
 }  // namespace
 
 bool AreDifferentStarts(std::optional<std::int64_t> one,
@@ -80,6 +93,23 @@
   this->NotifyListeners(BackendChange::kGone, gone);
 }
 
+void BackendList::UpdateEntry(const std::string& key, const BackendEntry& entry,
+                              Backend* backend) {
+  const std::optional<std::int64_t> known_start_ms = backend->entry.started_ms;
+  backend->key = key;
+  backend->entry = entry;
+  if (!entry.started_ms.has_value()) {
+    backend->entry.started_ms = known_start_ms;
+  }
+  backend->listed = true;
+  backend->vanished_ms.reset();
+  backend->warm_at_ms = this->clock.MonotonicMs() + entry.slow_for_ms;
+  backend->emptied_ms = this->EmptiedSince(entry.zone);
+  backend->version_excluded = this->IsExcluded(entry);
+  const auto region = this->regions.find(entry.zone);
+  backend->region = region == this->regions.end() ? "" : region->second;
+}
+
 void BackendList::Set(const BackendEntry& entry) {
   Backend* known = this->FindMutable(entry.id);
   if (known != nullptr && this->IgnoresOlderStart(known, entry)) {
@@ -95,20 +125,9 @@
   this->keys[entry.id] = key;
   Backend& backend = this->backends[key];
   const bool was_leaving = backend.leaving;
-  const std::optional<std::int64_t> known_start_ms = backend.entry.started_ms;
-  backend.key = key;
-  backend.entry = entry;
-  if (!entry.started_ms.has_value()) {
-    backend.entry.started_ms = known_start_ms;
-  }
-  backend.listed = true;
-  backend.vanished_ms.reset();
+  backend.is_from_copy = !is_new && IsBackFromCopy(backend, entry);
   const bool was_named = std::exchange(backend.entry_valid, true);
-  backend.warm_at_ms = this->clock.MonotonicMs() + entry.slow_for_ms;
-  backend.emptied_ms = this->EmptiedSince(entry.zone);
-  backend.version_excluded = this->IsExcluded(entry);
-  const auto region = this->regions.find(entry.zone);
-  backend.region = region == this->regions.end() ? "" : region->second;
+  this->UpdateEntry(key, entry, &backend);
   if (is_new) {
     backend.reported_leaving = this->HasSaidLeaving(key);
     backend.leaving = backend.reported_leaving;
@@ -127,13 +146,20 @@
         .Add("change", "named_again")
         .WriteImportant();
   }
+  if (entry.leaving) {
+    this->RememberLeaving(key);
+  }
   if (entry.leaving && !was_leaving) {
     this->MarkLeaving(&backend, "draining");
     return;
   }
-  // An entry that is listed again shows that its server is live. A server's own
-  // report that it leaves still holds.
-  backend.leaving = entry.leaving || backend.reported_leaving;
+  if (backend.is_from_copy) {
+    this->ReviewCopyLater(key);
+    return;
+  }
+  // An entry that is listed again shows that its server is live. What the
+  // server has said before still holds.
+  backend.leaving = this->HasSaidLeaving(key);
   if (!is_new) {
     this->NotifyListeners(BackendChange::kChanged, backend);
   }
@@ -303,13 +329,40 @@
   return has_emptied;
 }
 
-void BackendList::NoteLeaving(std::string_view key, std::string_view how) {
-  if (!this->HasSaidLeaving(key)) {
-    this->said_leaving.emplace_back(key);
-    if (this->said_leaving.size() > kMaxSaidLeaving) {
-      this->said_leaving.pop_front();
-    }
+void BackendList::RememberLeaving(std::string_view key) {
+  if (this->HasSaidLeaving(key)) {
+    return;
+  }
+  this->said_leaving.emplace_back(key);
+  if (this->said_leaving.size() > kMaxSaidLeaving) {
+    this->said_leaving.pop_front();
   }
+}
+
+void BackendList::ReviewCopyLater(const std::string& key) {
+  LogLine("backend")
+      .Add("id", this->backends.at(key).entry.id)
+      .Add("change", "back_from_copy")
+      .WriteImportant();
+  this->scheduler.After(kCopyExpiryMs, this->life.Guarded([this, key] {
+    const auto found = this->backends.find(key);
+    if (found == this->backends.end() || !found->second.is_from_copy ||
+        !found->second.listed) {
+      return;
+    }
+    Backend& backend = found->second;
+    backend.is_from_copy = false;
+    backend.leaving = this->HasSaidLeaving(key);
+    LogLine("backend")
+        .Add("id", backend.entry.id)
+        .Add("change", "still_listed")
+        .WriteImportant();
+    this->NotifyListeners(BackendChange::kChanged, backend);
+  }));
+}
+
+void BackendList::NoteLeaving(std::string_view key, std::string_view how) {
+  this->RememberLeaving(key);
   const auto found = this->backends.find(key);
   if (found != this->backends.end()) {
     found->second.reported_leaving = true;
--- a/src/relay/backend_list.h
+++ b/src/relay/backend_list.h
@@ -34,6 +34,10 @@
   /// Start time by the server's own clock as Unix ms, if stated. Only compared
   /// with other starts of the same id.
   std::optional<std::int64_t> started_ms = std::nullopt;
+  /// Counts what the server has written or done; rises within one start.
+  std::optional<std::int64_t> sequence = std::nullopt;
+  /// Era of the store in which the entry was read.
+  std::int64_t era = 0;
 };
 
 /// @brief A backend server as this host sees it.
@@ -49,6 +53,9 @@
   bool leaving = false;           ///< gets no new requests
   bool reported_leaving = false;  ///< the server itself reported that it leaves
   bool started_again = false;     ///< removed because its id has a later start
+  /// Its entry was removed and is back from an older copy of the store. It
+  /// counts as leaving until the server shows that it lives.
+  bool is_from_copy = false;
   /// Start time of the last entry that was ignored because it described an
   /// earlier start. Used to log each such start only once.
   std::optional<std::int64_t> ignored_start_ms;
@@ -105,6 +112,12 @@
 /// has lost all state. Its new entry removes the previous start together with
 /// all state kept under that key, and only then adds the new one. An entry with
 /// an earlier start is ignored while one with a later start is listed.
+///
+/// A server that has said that it leaves does so, whatever later entries of the
+/// same start say: they may come from an older copy of the store. A removed
+/// entry that comes back from such a copy counts as that of a server that
+/// leaves until the server writes it, or until dead servers' entries have
+/// expired.
 class BackendList {
  public:
   using Listener = std::function<void(BackendChange, const Backend&)>;
@@ -198,9 +211,13 @@
  private:
   Backend* FindMutable(std::string_view id);
   bool IgnoresOlderStart(Backend* known, const BackendEntry& entry) const;
+  void UpdateEntry(const std::string& key, const BackendEntry& entry,
+                   Backend* backend);
   void ReplaceStart(const std::string& key, const BackendEntry& next);
   void ScheduleReview(std::int64_t delay_ms);
   void MarkLeaving(Backend* backend, std::string_view why);
+  void RememberLeaving(std::string_view key);
+  void ReviewCopyLater(const std::string& key);
   void ScheduleRemoval(const std::string& key);
   void NotifyListeners(BackendChange change, const Backend& backend);
   std::optional<std::int64_t> EmptiedSince(std::string_view zone) const;
--- a/src/relay/store_outage_tracker.cc
+++ b/src/relay/store_outage_tracker.cc
@@ -29,6 +29,12 @@
   this->own = this->own.has_value() ? Merged(*this->own, answer) : answer;
 }
 
+void StoreOutageTracker::RecordRestore(std::int64_t now_ms) {
+  this->restored_ms = now_ms;
+  this->own = StoreUptime{now_ms, now_ms};
+  this->from_peers.reset();
+}
+
 void StoreOutageTracker::RecordPeerUptime(const StoreUptime& uptime) {
   this->from_peers =
       this->from_peers.has_value() ? Merged(*this->from_peers, uptime) : uptime;
@@ -43,6 +49,9 @@
   }
   const bool is_up =
       known.has_value() && AreContiguous(*known, {now_ms, now_ms});
+  if (is_up && this->restored_ms > 0) {
+    known->from_ms = std::max(known->from_ms, this->restored_ms);
+  }
   return is_up ? std::min(known->from_ms, vanished_ms) + kReregistrationMs
                : vanished_ms + kUnconfirmedGraceMs;
 }
--- a/src/relay/store_outage_tracker.h
+++ b/src/relay/store_outage_tracker.h
@@ -43,6 +43,10 @@
   /// @brief Records that the store answered a call of this host.
   void RecordAnswer(std::int64_t now_ms);
 
+  /// @brief Records that the store has come back from an older copy: what it
+  /// answered before does not show that its entries are whole.
+  void RecordRestore(std::int64_t now_ms);
+
   /// @brief Records an interval in which the store answered another host.
   void RecordPeerUptime(const StoreUptime& uptime);
 
@@ -58,6 +62,7 @@
  private:
   std::optional<StoreUptime> own;
   std::optional<StoreUptime> from_peers;
+  std::int64_t restored_ms = 0;  ///< 0: not since the start
 };
 
 }  // namespace meadowthread
--- a/src/relay/tests/active_routing_config_test.cc
+++ b/src/relay/tests/active_routing_config_test.cc
@@ -4,6 +4,8 @@
 #include <criterion/criterion.h>
 
 #include "base/error.h"
+#include "store/store_revision.h"
+
 namespace meadowthread {
 namespace {
 
@@ -146,5 +148,23 @@
   cr_assert(to_new == 100);
 }
 
+// The older copy of the store held the configuration before, whose keys were
+// taken again.
+Test(a_configuration_of_an_older_copy, is_not_put_in_force) {
+  ActiveRoutingConfig active;
+  cr_assert(active.Activate(MakeConfig("26"), StoreRevision{3, 34}.Ordinal()));
+  cr_assert(!active.Activate(MakeConfig("19"), StoreRevision{4, 30}.Ordinal()));
+  cr_assert(active.Config()->version == "26");
+  cr_assert(active.Activate(MakeConfig("26"), StoreRevision{4, 31}.Ordinal()),
+            "it is written again");
+  cr_assert(active.Activate(MakeConfig("28"), StoreRevision{4, 32}.Ordinal()));
+}
+
+Test(a_configuration_of_the_same_era, is_ordered_by_the_store_alone) {
+  ActiveRoutingConfig active;
+  cr_assert(active.Activate(MakeConfig("26"), StoreRevision{3, 34}.Ordinal()));
+  cr_assert(active.Activate(MakeConfig("19"), StoreRevision{3, 35}.Ordinal()));
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/relay/tests/backend_list_test.cc
+++ b/src/relay/tests/backend_list_test.cc
@@ -248,5 +248,59 @@
   cr_assert(!fixture.list.AcceptsNewRequests("c"));
 }
 
+/////////////////////////////
+// A store's older copy
+/////////////////////////////
+
+BackendEntry InEra(const std::string& id, std::int64_t era,
+                   std::int64_t sequence) {
+  BackendEntry entry = Entry(id);
+  entry.era = era;
+  entry.sequence = sequence;
+  return entry;
+}
+
+Test(a_server_that_said_it_leaves, is_not_ready_again_by_an_older_entry) {
+  BackendListFixture fixture;
+  BackendEntry leaving = InEra("a", 3, 7);
+  leaving.leaving = true;
+  fixture.list.Set(leaving);
+  fixture.list.Set(InEra("a", 4, 6));
+  cr_assert(!fixture.list.AcceptsNewRequests("a"));
+  fixture.list.Remove("a");
+  fixture.list.Set(InEra("a", 5, 6));
+  cr_assert(!fixture.list.AcceptsNewRequests("a"));
+}
+
+Test(a_removed_server, is_not_in_use_again_by_an_older_copy) {
+  BackendListFixture fixture;
+  fixture.list.Set(InEra("a", 3, 7));
+  fixture.list.Remove("a");
+  fixture.list.Set(InEra("a", 4, 7));
+  cr_assert(!fixture.list.AcceptsNewRequests("a"));
+  fixture.Advance(4'000);
+  fixture.list.Remove("a");
+  fixture.Advance(2'000);
+  cr_assert(!fixture.list.AcceptsNewRequests("a"), "its entry has expired");
+}
+
+Test(a_removed_server, is_in_use_again_once_it_writes_its_entry) {
+  BackendListFixture fixture;
+  fixture.list.Set(InEra("a", 3, 7));
+  fixture.list.Remove("a");
+  fixture.list.Set(InEra("a", 4, 7));
+  fixture.list.Set(InEra("a", 4, 8));
+  cr_assert(fixture.list.AcceptsNewRequests("a"));
+}
+
+Test(a_removed_server, is_in_use_again_if_its_entry_does_not_expire) {
+  BackendListFixture fixture;
+  fixture.list.Set(InEra("a", 3, 7));
+  fixture.list.Remove("a");
+  fixture.list.Set(InEra("a", 4, 7));
+  fixture.Advance(5'000);
+  cr_assert(fixture.list.AcceptsNewRequests("a"));
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/relay/tests/store_outage_tracker_test.cc
+++ b/src/relay/tests/store_outage_tracker_test.cc
@@ -165,5 +165,22 @@
   cr_assert(fixture.Usable() == 1);
 }
 
+// The copy holds heartbeats that are some seconds old, so that entries of
+// living servers expire once the store is back.
+Test(an_entry_that_vanishes_after_a_restore, may_have_expired) {
+  OutageFixture fixture;
+  fixture.Advance(1'000);
+  fixture.Answer();
+  fixture.absence.RecordRestore(fixture.Now());
+  fixture.Advance(300);
+  fixture.Answer();
+  cr_assert(fixture.list.Remove("a"));
+  fixture.Advance(1'800);
+  fixture.Answer();
+  cr_assert(fixture.Usable() == 2);
+  fixture.Advance(200);
+  cr_assert(fixture.Usable() == 1);
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/rollout/rollout_participant.cc
+++ b/src/rollout/rollout_participant.cc
@@ -461,6 +461,9 @@
     const Entry& entry) const {
   const Rollout& rollout = entry.tracker.Stored();
   const std::int64_t now_ms = this->deps.clock.MonotonicMs();
+  if (entry.tracker.LacksDecision()) {
+    return rollout.status;
+  }
   if (!rollout.status.has_value() ||
       !BelongsTo(*rollout.status, rollout.order)) {
     return InitialStatus(rollout.order, entry.tracker.ExcludedVersions(),
--- a/src/rollout/rollout_tracker.cc
+++ b/src/rollout/rollout_tracker.cc
@@ -31,12 +31,22 @@
       first_seen_ms(now_ms) {}
 
 void RolloutTracker::SetStatus(const Rollout& next, std::int64_t at_version) {
-  if (at_version > this->version) {
+  if (at_version <= this->version) {
+    return;
+  }
+  this->version = at_version;
+  this->lacks_decision =
+      this->IsDecided(this->rollout) && !this->IsDecided(next);
+  if (!this->lacks_decision) {
     this->rollout = next;
-    this->version = at_version;
   }
 }
 
+bool RolloutTracker::IsDecided(const Rollout& one) const {
+  return one.status.has_value() && BelongsTo(*one.status, one.order) &&
+         one.status->state != RolloutState::kRunning;
+}
+
 // A host whose clock was set back begins with a lower incarnation. Its progress
 // counts again once the last one from before has expired.
 bool RolloutTracker::ApplyProgress(const RolloutProgress& progress,
--- a/src/rollout/rollout_tracker.h
+++ b/src/rollout/rollout_tracker.h
@@ -32,7 +32,9 @@
   RolloutTracker(const Rollout& rollout, std::int64_t version,
                  const RolloutLimits& limits, std::int64_t now_ms);
 
-  /// @brief Applies a newer version of the object with the same order.
+  /// @brief Applies a newer version of the object with the same order. A
+  /// decision that is known stands, also if the newer version lacks it: it
+  /// comes from an older copy of the store then.
   void SetStatus(const Rollout& rollout, std::int64_t version);
 
   /// @brief Excludes the target of an order that this one has replaced before
@@ -66,6 +68,9 @@
     return this->BestProgress(now_ms) != nullptr;
   }
 
+  /// @brief Whether the store lacks the decision that is known.
+  bool LacksDecision() const { return this->lacks_decision; }
+
   const Rollout& Stored() const { return this->rollout; }
   std::int64_t Version() const { return this->version; }
   std::int64_t FirstSeenMs() const { return this->first_seen_ms; }
@@ -78,6 +83,7 @@
 
   const RolloutProgress* BestProgress(std::int64_t now_ms) const;
   bool IsOver(RolloutState state) const;
+  bool IsDecided(const Rollout& one) const;
 
   Rollout rollout;
   std::int64_t version;
@@ -85,6 +91,7 @@
   std::int64_t first_seen_ms;
   /// By rank of the host, the best first; see EvaluatorScore.
   std::map<std::uint64_t, Told, std::greater<>> told;
+  bool lacks_decision = false;
   bool called_bad = false;             ///< by an evaluating host
   std::vector<std::string> abandoned;  ///< targets of replaced orders
 };
--- a/src/rollout/tests/rollout_tracker_test.cc
+++ b/src/rollout/tests/rollout_tracker_test.cc
@@ -100,5 +100,20 @@
   cr_assert(next.IsRunning() && next.ExcludedVersions().empty());
 }
 
+// The older copy of the store held the order without the decision.
+Test(a_decided_rollout, does_not_run_again_by_an_older_copy) {
+  RolloutTracker tracker = Tracker();
+  RolloutStatus status = InitialStatus(kOrder, {}, 0);
+  status.state = RolloutState::kRolledBack;
+  tracker.SetStatus({kOrder, status}, 2);
+  status.state = RolloutState::kRunning;
+  tracker.SetStatus({kOrder, status}, 3);
+  cr_assert(!tracker.IsRunning() && tracker.LacksDecision());
+  cr_assert(tracker.Version() == 3, "it is written for the present version");
+  status.state = RolloutState::kRolledBack;
+  tracker.SetStatus({kOrder, status}, 4);
+  cr_assert(!tracker.LacksDecision());
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/serve/crash_record_store.cc
+++ b/src/serve/crash_record_store.cc
@@ -55,6 +55,12 @@
            this->life.Guarded([this] { this->RemoveExpired(); }));
 }
 
+void CrashRecordStore::WriteMissing() {
+  for (const CrashRecord* const record : this->quarantine.RecordTable().All()) {
+    this->OnRecordChanged(*record, false);
+  }
+}
+
 void CrashRecordStore::ApplyObject(const StoredObject& object) {
   if (object.deleted) {
     return;
--- a/src/serve/crash_record_store.h
+++ b/src/serve/crash_record_store.h
@@ -42,6 +42,10 @@
   /// @brief Starts to write records and to remove expired ones.
   void Start();
 
+  /// @brief Writes the records that the store lacks, each after a random delay:
+  /// the store has come back from an older copy.
+  void WriteMissing();
+
  private:
   void ApplyObject(const StoredObject& object);
   void OnRecordChanged(const CrashRecord& record, bool is_own);
--- a/src/serve/detail/relay_host_impl.h
+++ b/src/serve/detail/relay_host_impl.h
@@ -77,6 +77,7 @@
 
  private:
   void ApplyViewChange(const ViewChange& change);
+  void OnViewEra(std::string_view kind);
   void ApplyRoutingConfig(const StoredObject& object);
   void ReportReadResult(const StoredObject& object, const absl::Status& read);
   void ApplyBackendEntry(const StoredObject& object);
--- a/src/serve/entry_host_registry.cc
+++ b/src/serve/entry_host_registry.cc
@@ -7,6 +7,7 @@
 #include "base/json_fields.h"
 #include "base/log_line.h"
 #include "nlohmann/json.hpp"
+#include "store/store_revision.h"
 
 namespace meadowthread {
 namespace {
@@ -205,6 +206,19 @@
   return true;
 }
 
+void EntryHostRegistry::CheckAfter(std::int64_t delay_ms) {
+  this->scheduler.After(delay_ms, this->life.Guarded([this] {
+    const StoredObject* const entry =
+        this->view.Find(this->kind, this->self.name);
+    const bool is_of_this_era =
+        entry != nullptr &&
+        EraOf(entry->version) == EraOf(this->view.Digest(this->kind).revision);
+    if (!is_of_this_era || entry->value != EncodeEntryHost(this->self)) {
+      this->ReadBack();
+    }
+  }));
+}
+
 void EntryHostRegistry::AnnounceLater() {
   this->scheduler.After(
       kRetryMs, this->life.Guarded([this] { this->Write(this->version); }));
--- a/src/serve/entry_host_registry.h
+++ b/src/serve/entry_host_registry.h
@@ -71,6 +71,12 @@
   /// @brief Writes this host's entry, with retries until it is stored.
   void Announce();
 
+  /// @brief Checks this host's entry in the store after a delay, and writes it
+  /// again if it is not there: the store has come back from an older copy.
+  /// @param[in] delay_ms differs between hosts, so that they do not write all
+  /// at once
+  void CheckAfter(std::int64_t delay_ms);
+
   /// @brief Removes the entry of a dead host. If that host is live after all,
   /// it writes its entry again.
   void Remove(std::string_view host);
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -253,6 +253,8 @@
   this->ApplyConfiguration();
   this->view.AddListener(
       [this](const ViewChange& change) { this->ApplyViewChange(change); });
+  this->view.AddEraListener(
+      [this](std::string_view kind) { this->OnViewEra(kind); });
   this->routing_config.AddListener([this] { this->ApplyConfiguration(); });
   this->CheckPropagationDelays();
   this->backends.AddListener(
@@ -387,6 +389,7 @@
   RunEvery(this->scheduler, kStallPollPeriodMs,
            [this] { this->PollEnginesDuringStall(); });
   RunEvery(this->scheduler, kDrainPeriodMs, [this] {
+    this->view.EndRewriting();
     this->ApplyPendingConfig();
     if (!this->rate_limits_divided) {
       this->DivideRateLimits();
--- a/src/serve/relay_host_view.cc
+++ b/src/serve/relay_host_view.cc
@@ -12,6 +12,7 @@
 #include "serve/detail/relay_host_impl.h"
 #include "serve/engine_listing.h"
 #include "serve/watcher_selection.h"
+#include "store/store_revision.h"
 
 namespace meadowthread {
 namespace {
@@ -19,6 +20,9 @@
 // All requests at a removed engine have ended after this time, as none may last
 // longer.
 constexpr std::int64_t kLastRequestsEndMs = 60'000;
+// Hosts write their entries again within this time after the store has come
+// back, spread over it.
+constexpr std::int64_t kRewriteSpreadMs = 2'000;
 // How many of the hosts that watch the store also watch the emptied zones.
 // Hosts whose reads fail do not count, and others take their place.
 constexpr int kZoneWatchers = 3;
@@ -41,6 +45,21 @@
   }
 }
 
+// The store has come back from an older copy. Entries that the servers wrote
+// meanwhile are missing or expire, though the servers live, and what this host
+// had written is gone.
+void RelayHost::Impl::OnViewEra(std::string_view kind) {
+  const RelayObjectKinds& names = this->platform.Kinds();
+  if (kind == names.backends) {
+    this->store_outages.RecordRestore(this->clock.MonotonicMs());
+  } else if (kind == names.hosts) {
+    this->host_registry.CheckAfter(static_cast<std::int64_t>(
+        this->random() % static_cast<std::uint64_t>(kRewriteSpreadMs)));
+  } else if (kind == names.quarantine) {
+    this->crash_records.WriteMissing();
+  }
+}
+
 // Whether all objects of the kind were read, by this host or a peer.
 bool RelayHost::Impl::IsLoaded(std::string_view kind) const {
   return !this->view.Digest(kind).confirmed.by.empty();
@@ -109,9 +128,12 @@
     }
     return;
   }
-  const absl::StatusOr<BackendEntry> entry =
+  absl::StatusOr<BackendEntry> entry =
       this->platform.ReadBackendEntry(object.name, object.value);
   this->ReportReadResult(object, entry.status());
+  if (entry.ok()) {
+    entry->era = EraOf(object.version);
+  }
   if (entry.ok() && !this->ChangesToUnknownService(*entry)) {
     this->backends.Set(*entry);
   } else {
--- a/src/serve/tests/crash_record_store_test.cc
+++ b/src/serve/tests/crash_record_store_test.cc
@@ -188,5 +188,25 @@
   cr_assert(CountObjects(shared) == 0);
 }
 
+// The older copy of the store had none of the record.
+Test(a_record_that_a_copy_lacks, is_written_again) {
+  SharedState shared;
+  Host host(shared, StoredRecords::kSuspects, 1);
+  host.RecordCrash("e1");
+  shared.AdvanceTime(1'000);
+  const int writes = shared.store.WriteCalls();
+  cr_assert(writes > 0);
+  shared.store.Delete(kQuarantineKind, kContent, shared.store.Revision(),
+                      [](const auto&) {});
+  shared.store.Settle();
+  host.ReadStore();
+  const StoredObject gone = {std::string(kQuarantineKind), kContent,
+                             shared.store.Revision(), "", true};
+  host.view.ApplyItems({&gone, 1});
+  host.entries.WriteMissing();
+  shared.AdvanceTime(61'000);
+  cr_assert(shared.store.WriteCalls() == writes + 2, "the deletion, and one");
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/serve/tests/entry_host_registry_test.cc
+++ b/src/serve/tests/entry_host_registry_test.cc
@@ -11,6 +11,7 @@
 #include "base/error.h"
 #include "base/manual_scheduler.h"
 #include "store/memory_store.h"
+#include "store/store_revision.h"
 
 namespace meadowthread {
 namespace {
@@ -175,5 +176,44 @@
   cr_assert(fixture.known.size() == 1 && fixture.known[0] == after);
 }
 
+// The view enters an era whose first list has `items`.
+void EnterEra(Fixture& fixture, const std::vector<StoredObject>& items) {
+  const std::int64_t revision = StoreRevision{1, 5}.Ordinal();
+  fixture.view.ApplyList("hosts", 0, {revision, items},
+                         {fixture.clock.WallMs(), "a"});
+}
+
+void RunTasks(Fixture& fixture) {
+  for (int n = 0; n < 6; ++n) {
+    fixture.store.Settle();
+    fixture.clock.Advance(500);
+    fixture.scheduler.RunDue();
+  }
+  fixture.store.Settle();
+}
+
+// The older copy of the store had no entry of the host.
+Test(an_entry_that_a_copy_lacks, is_written_again) {
+  Fixture fixture;
+  fixture.store.Delete("hosts", "a", fixture.store.Revision(),
+                       [](const auto&) {});
+  fixture.store.Settle();
+  const int writes = fixture.store.WriteCalls();
+  EnterEra(fixture, {});
+  fixture.entries.CheckAfter(500);
+  RunTasks(fixture);
+  cr_assert(fixture.store.WriteCalls() == writes + 1);
+}
+
+Test(an_entry_that_a_copy_has, costs_no_call) {
+  Fixture fixture;
+  const int calls = fixture.store.WriteCalls() + fixture.store.ReadCalls();
+  EnterEra(fixture, {{"hosts", "a", StoreRevision{1, 4}.Ordinal(),
+                      EncodeEntryHost(kSelf), false}});
+  fixture.entries.CheckAfter(500);
+  RunTasks(fixture);
+  cr_assert(fixture.store.WriteCalls() + fixture.store.ReadCalls() == calls);
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -15,8 +15,9 @@
 struct StoredObject {
   std::string kind;
   std::string name;
-  /// The store's revision at which this version was written. Revisions increase
-  /// over all objects. As an expected version, 0 means "absent".
+  /// The store's revision at which this version was written, as the ordinal of
+  /// a StoreRevision. Revisions increase over all objects. As an expected
+  /// version, 0 means "absent".
   std::int64_t version = 0;
   std::string value;
   bool deleted = false;  ///< a tombstone: `value` is empty
@@ -74,6 +75,14 @@
   /// kStoreRevisionGone if `since` is too old; the caller must then list again.
   virtual void Watch(std::string_view kind, std::int64_t since,
                      std::int64_t wait_ms, const ListDone& done) = 0;
+
+  /// @brief Whether the store may still have the history after a revision: not
+  /// if it has begun a later era since.
+  virtual bool HasHistorySince(std::int64_t /*revision*/) const { return true; }
+
+  /// @brief Registers a function that is called when the store has begun a new
+  /// era.
+  virtual void OnNewEra(const std::function<void()>& /*listener*/) {}
 };
 
 }  // namespace meadowthread
