Nothing is handed on to a server that leaves meanwhile

Found by reading, no caller saw it: an attempt that waited 250 ms for its own connection and up to 100 ms for another host's could reach a server that leaves later than the bound allows (1,920 of 2,000 ms are spent before). After a first failure an attempt is handed on only while the server accepts requests. A server that the other host does not know, or must not send to, no longer makes that host unfit for all others. The new test was not run on the code before, which has no such question to ask.

--- a/src/forwarding/forward_protocol.h
+++ b/src/forwarding/forward_protocol.h
@@ -41,8 +41,9 @@
 
 /// @brief Why a host does not take an attempt.
 enum class ForwardRefusal {
-  kPathLost,           ///< its path to all servers is lost
-  kServerUnreachable,  ///< its path to this server is lost
+  kPathLost,  ///< its path to all servers is lost
+  /// Its path to this server is lost, or it must not send to it.
+  kServerUnreachable,
   kFull,
   kOther,
 };
--- a/src/forwarding/forward_service.cc
+++ b/src/forwarding/forward_service.cc
@@ -147,11 +147,14 @@
     return {"full", ForwardRefusal::kFull};
   }
   if (!this->options.is_server(order.server)) {
-    return {"unknown-server"};
+    return {"unknown-server", ForwardRefusal::kServerUnreachable};
   }
   const bool is_in_backoff =
       this->options.is_in_backoff && this->options.is_in_backoff(order.server);
-  return {is_in_backoff ? "server-in-backoff" : ""};
+  if (is_in_backoff) {
+    return {"server-in-backoff", ForwardRefusal::kServerUnreachable};
+  }
+  return {};
 }
 
 void ForwardService::Serve(const ServerRequest& request,
--- a/src/forwarding/forwarding_client.cc
+++ b/src/forwarding/forwarding_client.cc
@@ -106,6 +106,7 @@
   HttpCallId running = 0;  ///< of the direct client
   std::string peer;        ///< the host that sends it; empty: this host
   std::vector<std::string> asked;
+  bool was_sent_directly = false;
   int slow_failures = 0;
   std::optional<ForwardResult> result;
   ForwardRefusal refusal = ForwardRefusal::kOther;
@@ -150,12 +151,19 @@
 
 void ForwardingClient::SendDirect(Call& call) {
   call.peer.clear();
+  call.was_sent_directly = true;
   call.running = this->direct.Start(call.request, &call);
 }
 
 // A server that this host alone has failed to reach may be down, so that a
-// single other host is asked.
+// single other host is asked. One that leaves gets nothing that is late because
+// it was tried before.
 bool ForwardingClient::MayAskFurther(const Call& call) const {
+  const bool was_tried = call.was_sent_directly || !call.asked.empty();
+  if (was_tried && this->host.accepts_requests &&
+      !this->host.accepts_requests(call.server)) {
+    return false;
+  }
   const int most =
       this->monitor.HasLostPath() || call.asked.empty() ? kMaxSlowFailures : 1;
   return call.asked.size() < kMaxPeersAsked && call.slow_failures < most;
--- a/src/forwarding/forwarding_client.h
+++ b/src/forwarding/forwarding_client.h
@@ -34,6 +34,8 @@
   std::string zone;
   /// The other hosts of this host's region.
   std::function<std::vector<ForwardPeer>()> peers;
+  /// Whether the server at an address may get new requests; unset: all may.
+  std::function<bool(std::string_view address)> accepts_requests = {};
 };
 
 /// @brief Sends requests to servers, through another host while this host's
--- a/src/forwarding/tests/forwarding_client_test.cc
+++ b/src/forwarding/tests/forwarding_client_test.cc
@@ -160,7 +160,9 @@
   CutClient direct{this->scheduler};
   std::vector<std::unique_ptr<PeerHost>> hosts;
   std::vector<ForwardPeer> peers;
-  ForwardingClient client{{"self", "z", [this] { return this->peers; }},
+  bool leaves = false;  ///< the server gets no new requests
+  ForwardingClient client{{"self", "z", [this] { return this->peers; },
+                           [this](std::string_view) { return !this->leaves; }},
                           this->direct,
                           this->path,
                           this->clock,
@@ -347,6 +349,19 @@
   cr_assert(server.Connections() == 5, "each was sent once");
 }
 
+// The attempt could reach the server late, after it has failed once.
+Test(a_request_to_a_server_that_leaves_meanwhile, is_not_handed_on) {
+  Loop loop;
+  const RawServer server =
+      Answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  ForwardingFixture fixture(loop, server);
+  fixture.direct.cut = fixture.ServerAddress();
+  fixture.leaves = true;
+  cr_assert(!fixture.IsServed());
+  cr_assert(!fixture.caller.end.request_may_have_left);
+  cr_assert(server.Connections() == 0);
+}
+
 // Three hosts that had lost their own path were asked, and no further one.
 Test(a_request, finds_the_one_host_of_many_that_has_a_path) {
   Loop loop;
--- a/src/serve/detail/relay_host_impl.h
+++ b/src/serve/detail/relay_host_impl.h
@@ -109,6 +109,7 @@
   std::vector<AllocatorHost> AllocatorHosts() const;
   std::vector<std::string> PermitHosts() const;
   std::vector<ForwardPeer> FitForwardPeers() const;
+  bool AcceptsRequests(std::string_view address) const;
   std::vector<std::string> ServerAddresses() const;
   ForwardServiceOptions ForwardOptions();
   void NoteForwardedHead(std::string_view address, int http_status,
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -138,7 +138,10 @@
     : settings(with),
       platform(on),
       routed_client({with.host.name, with.host.zone,
-                     [this] { return this->FitForwardPeers(); }},
+                     [this] { return this->FitForwardPeers(); },
+                     [this](std::string_view address) {
+                       return this->AcceptsRequests(address);
+                     }},
                     this->client, this->path, this->clock, this->scheduler,
                     this->random),
       forward_key(MakeForwardKey()),
--- a/src/serve/relay_host_peers.cc
+++ b/src/serve/relay_host_peers.cc
@@ -51,6 +51,11 @@
   return fit;
 }
 
+bool RelayHost::Impl::AcceptsRequests(std::string_view address) const {
+  const Backend* const backend = this->backends.FindByAddress(address);
+  return backend != nullptr && backend->AcceptsNewRequests();
+}
+
 std::vector<std::string> RelayHost::Impl::ServerAddresses() const {
   std::vector<std::string> addresses;
   for (const Backend* const backend : this->backends.All()) {
