--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -17,6 +17,7 @@
 #include "serve/feeder_options.h"
 #include "serve/propagation_delays.h"
 #include "serve/relay_limits.h"
+#include "store/store_revision.h"
 
 namespace meadowthread {
 namespace {
@@ -418,7 +419,9 @@
   const std::int64_t now_ms = this->clock.WallMs();
   for (const ViewDigest& digest : this->view.Digests()) {
     set("age_ms_" + digest.kind, now_ms - digest.confirmed.unix_ms);
-    set("revision_" + digest.kind, digest.revision);
+    const StoreRevision at = StoreRevision::Of(digest.revision);
+    set("era_" + digest.kind, at.era);
+    set("revision_" + digest.kind, at.revision);
   }
   set("ready",
       !this->stop_plan.has_value() && this->routing_config.Config() != nullptr
