--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -14,6 +14,7 @@
 #include "soak/fault_round.h"
 #include "soak/guilty_finale.h"
 #include "soak/leaving_finale.h"
+#include "soak/restore_finale.h"
 #include "soak/world.h"
 
 namespace meadowthread::soak {
@@ -71,6 +72,9 @@
   if (state.violations.empty()) {
     FaultRound(state).PlayQuiet();
   }
+  if (state.violations.empty()) {
+    PlayRestoreFinale(state);
+  }
   const std::string name =
       absl::StrCat("soak::", order.program, "_seed_", order.seed);
   if (state.violations.empty()) {
--- a/tests/soak/relay_world.cc
+++ b/tests/soak/relay_world.cc
@@ -87,6 +87,13 @@
   void SetStoreDown(bool is_down) override {
     this->fleet.Control("faults", {{"down", is_down}});
   }
+  bool CanRestoreStore() const override { return true; }
+  void KeepStoreCopy() override {
+    this->fleet.Control("keep-copy", json::object());
+  }
+  void RestoreStore() override {
+    this->fleet.Control("restore-copy", json::object());
+  }
 
  private:
   static std::string ZoneName(int server) {
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -85,6 +85,11 @@
   /// @brief The store answers nobody, or everybody again.
   virtual void SetStoreDown(bool /*is_down*/) {}
 
+  /// @brief Whether the store can go back to a copy.
+  virtual bool CanRestoreStore() const { return false; }
+  virtual void KeepStoreCopy() {}
+  virtual void RestoreStore() {}
+
   /// @brief Links to back ends: engines first, then others.
   int BackEndLinks() const {
     return static_cast<int>(this->engine_links.size());
