Of the hosts of a zone, those that are known to have a path are asked first

Played for 300 hosts (199 without a path, one of the first zone's sixty with one), the chooser forgot after ten seconds whom not to ask: 400 asks for 199 requests a second.

--- a/src/forwarding/forward_peer_chooser.cc
+++ b/src/forwarding/forward_peer_chooser.cc
@@ -14,9 +14,9 @@
 constexpr std::int64_t kUnreachableMs = 2'000;
 // Nor is one that is full.
 constexpr std::int64_t kFullMs = 500;
-// A host without a path keeps it lost for seconds, and hosts with few requests
-// would otherwise ask it with each of them.
-constexpr std::int64_t kPathlessMs = 10'000;
+// A path stays lost or sound for seconds, and hosts with few requests would
+// otherwise ask with each of them.
+constexpr std::int64_t kPathKnownMs = 10'000;
 // How many hosts without a path each fit host of the zone sends for, before
 // hosts of other zones share the load.
 constexpr double kBorneByEach = 2.0;
@@ -66,14 +66,15 @@
 
 void ForwardPeerChooser::NotePathLost(std::string_view peer) {
   this->pathless_until_ms[std::string(peer)] =
-      this->clock.MonotonicMs() + kPathlessMs;
+      this->clock.MonotonicMs() + kPathKnownMs;
+  this->answered_until_ms.erase(peer);
 }
 
 void ForwardPeerChooser::NoteNotSent(std::string_view peer,
                                      std::string_view server) {
   this->Expire();
   this->unreached_until_ms[KeyOf(peer, server)] =
-      this->clock.MonotonicMs() + kPathlessMs;
+      this->clock.MonotonicMs() + kPathKnownMs;
   const auto found = this->reached_by.find(server);
   if (found != this->reached_by.end() && found->second == peer) {
     this->reached_by.erase(found);
@@ -85,6 +86,8 @@
   this->Expire();
   this->reached_by[std::string(server)] = std::string(peer);
   this->pathless_until_ms.erase(peer);
+  this->answered_until_ms[std::string(peer)] =
+      this->clock.MonotonicMs() + kPathKnownMs;
   this->unreached_until_ms.erase(KeyOf(peer, server));
 }
 
@@ -123,53 +126,83 @@
   const auto reached = this->reached_by.find(server);
   const bool has_reached =
       reached != this->reached_by.end() && reached->second == peer.name;
-  return has_reached ? Fitness::kReachedServer : Fitness::kFit;
+  if (has_reached) {
+    return Fitness::kReachedServer;
+  }
+  return this->IsNoted(this->answered_until_ms, peer.name) ? Fitness::kHasPath
+                                                           : Fitness::kFit;
+}
+
+void ForwardPeerChooser::Candidates::Add(const ForwardPeer& peer,
+                                         Fitness fitness) {
+  if (fitness < this->best) {
+    this->best = fitness;
+    this->peers.clear();
+  }
+  if (fitness == this->best && fitness != Fitness::kUnfit) {
+    this->peers.push_back(&peer);
+  }
 }
 
 const ForwardPeer* ForwardPeerChooser::Choose(
     std::span<const ForwardPeer> peers, std::string_view server,
     std::span<const std::string> asked) {
-  Fitness best = Fitness::kUnfit;
-  std::vector<const ForwardPeer*> near;
-  std::vector<const ForwardPeer*> far;
+  Candidates near;
+  Candidates far;
   for (const ForwardPeer& peer : peers) {
-    const Fitness fitness = this->FitnessOf(peer, server);
-    const bool was_asked =
-        std::find(asked.begin(), asked.end(), peer.name) != asked.end();
-    if (was_asked || fitness == Fitness::kUnfit || fitness > best) {
-      continue;
-    }
-    if (fitness < best) {
-      best = fitness;
-      near.clear();
-      far.clear();
+    if (std::find(asked.begin(), asked.end(), peer.name) == asked.end()) {
+      (peer.zone == this->zone ? near : far)
+          .Add(peer, this->FitnessOf(peer, server));
     }
-    (peer.zone == this->zone ? near : far).push_back(&peer);
-  }
-  if (near.empty() || far.empty()) {
-    return this->Draw(near.empty() ? far : near);
   }
   const bool is_near =
       std::bernoulli_distribution(this->NearProbability(peers))(this->random);
-  return this->Draw(is_near ? near : far);
+  return this->Draw(is_near ? Better(near, far) : Better(far, near));
+}
+
+// A host that has not been asked yet may turn out to have no path; one that has
+// reached the server is worth the other zone.
+const ForwardPeerChooser::Candidates& ForwardPeerChooser::Better(
+    const Candidates& preferred, const Candidates& other) {
+  switch (preferred.best) {
+    case Fitness::kReachedServer:
+    case Fitness::kHasPath:
+      return preferred;
+    case Fitness::kFit:
+      return other.best == Fitness::kReachedServer ? other : preferred;
+    case Fitness::kWithoutPath:
+    case Fitness::kUnfit:
+      return other.best < preferred.best ? other : preferred;
+  }
+  return preferred;
 }
 
+// Hosts that have not been asked are taken to be like those that were.
 double ForwardPeerChooser::NearProbability(
     std::span<const ForwardPeer> peers) const {
   int pathless = 1;  // this host
-  int fit = 0;
+  int fit = 1;
+  int unknown = 0;
   for (const ForwardPeer& peer : peers) {
-    if (peer.zone == this->zone) {
-      const bool is_pathless =
-          this->IsNoted(this->pathless_until_ms, peer.name);
-      ++(is_pathless ? pathless : fit);
+    if (peer.zone != this->zone) {
+      continue;
+    }
+    if (this->IsNoted(this->pathless_until_ms, peer.name)) {
+      ++pathless;
+    } else if (this->IsNoted(this->answered_until_ms, peer.name)) {
+      ++fit;
+    } else {
+      ++unknown;
     }
   }
-  return std::min(1.0, kBorneByEach * fit / pathless);
+  const double fit_share = static_cast<double>(fit) / (fit + pathless);
+  const double all_fit = fit - 1 + fit_share * unknown;
+  const double all_pathless = pathless + (1.0 - fit_share) * unknown;
+  return std::min(1.0, kBorneByEach * all_fit / all_pathless);
 }
 
-const ForwardPeer* ForwardPeerChooser::Draw(
-    std::span<const ForwardPeer* const> among) {
+const ForwardPeer* ForwardPeerChooser::Draw(const Candidates& candidates) {
+  const std::vector<const ForwardPeer*>& among = candidates.peers;
   if (among.empty()) {
     return nullptr;
   }
--- a/src/forwarding/forward_peer_chooser.h
+++ b/src/forwarding/forward_peer_chooser.h
@@ -17,12 +17,12 @@
 
 /// @brief Chooses the host that is asked to send an attempt to a server.
 ///
-/// Remembers what hosts said to earlier attempts. A host that reached the
-/// server before is asked first. Otherwise one of this host's availability zone
-/// is chosen, but not more often than its few fit hosts can bear: where most
-/// hosts of the zone have lost their paths, the others of the zone would have
-/// to send for all of them. Of two hosts drawn at random, the one with fewer
-/// attempts of this host is chosen.
+/// The zone comes first: this host's own, but not more often than its fit hosts
+/// can bear. Where most hosts of the zone have lost their paths, the others of
+/// the zone would have to send for all of them. Of a zone's hosts, those that
+/// reached the server before are asked first, then those that reached any, then
+/// those that were not asked of late. Of two hosts drawn at random among these,
+/// the one with fewer attempts of this host is chosen.
 class ForwardPeerChooser {
  public:
   /// @param[in] zone this host's availability zone
@@ -64,13 +64,23 @@
 
  private:
   /// How suitable a host is; better ones first.
-  enum class Fitness { kReachedServer, kFit, kWithoutPath, kUnfit };
+  enum class Fitness { kReachedServer, kHasPath, kFit, kWithoutPath, kUnfit };
+
+  /// The most suitable hosts of some.
+  struct Candidates {
+    void Add(const ForwardPeer& peer, Fitness fitness);
+
+    Fitness best = Fitness::kUnfit;
+    std::vector<const ForwardPeer*> peers;
+  };
 
   Fitness FitnessOf(const ForwardPeer& peer, std::string_view server) const;
   bool IsNoted(const StringMap<std::int64_t>& until_ms,
                std::string_view key) const;
   double NearProbability(std::span<const ForwardPeer> peers) const;
-  const ForwardPeer* Draw(std::span<const ForwardPeer* const> among);
+  static const Candidates& Better(const Candidates& preferred,
+                                  const Candidates& other);
+  const ForwardPeer* Draw(const Candidates& candidates);
   void Expire();
 
   std::string zone;
@@ -79,6 +89,7 @@
   StringMap<int> running;                      ///< attempts, by host
   StringMap<std::int64_t> unfit_until_ms;      ///< by host
   StringMap<std::int64_t> pathless_until_ms;   ///< by host
+  StringMap<std::int64_t> answered_until_ms;   ///< by host
   StringMap<std::int64_t> unreached_until_ms;  ///< by host and server
   StringMap<std::string> reached_by;           ///< host, by server
 };
--- a/src/forwarding/tests/forward_peer_chooser_test.cc
+++ b/src/forwarding/tests/forward_peer_chooser_test.cc
@@ -4,7 +4,10 @@
 #include <criterion/criterion.h>
 
 #include <map>
+#include <memory>
 #include <set>
+#include <string>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 
@@ -145,5 +148,84 @@
   cr_assert(fixture.Choose() == nullptr);
 }
 
+/// @brief Hosts in five zones, of which some have no path and send a request
+/// each second.
+struct Fleet {
+  static constexpr int kZones = 5;
+
+  /// @param[in] fit_in_first,fit_elsewhere hosts with a path, by zone
+  Fleet(int hosts, int fit_in_first, int fit_elsewhere) {
+    std::map<std::string, int> seen;
+    for (int n = 0; n < hosts; ++n) {
+      ForwardPeer peer;
+      peer.name = std::to_string(n);
+      peer.zone = std::to_string(n % kZones);
+      const int fit = n % kZones == 0 ? fit_in_first : fit_elsewhere;
+      if (seen[peer.zone]++ >= fit) {
+        this->pathless[peer.name] = std::make_unique<ForwardPeerChooser>(
+            peer.zone, this->clock, this->random);
+      }
+      this->peers.push_back(peer);
+    }
+  }
+  /// @brief One request at each host without a path.
+  /// @return how many hosts were asked in all
+  int PlaySecond() {
+    int asks = 0;
+    for (const auto& [name, chooser] : this->pathless) {
+      std::vector<std::string> asked = {name};
+      while (const ForwardPeer* const peer =
+                 chooser->Choose(this->peers, kServer, asked)) {
+        ++asks;
+        asked.push_back(peer->name);
+        if (!this->pathless.contains(peer->name)) {
+          chooser->NoteAnswered(peer->name, this->ServerOf(name));
+          ++this->taken[peer->name];
+          break;
+        }
+        chooser->NoteRefused(peer->name, kServer, ForwardRefusal::kPathLost);
+      }
+    }
+    this->clock.Advance(1'000);
+    return asks;
+  }
+  // Each request goes to another server, so that no host is preferred.
+  std::string ServerOf(const std::string& name) {
+    return "server of " + name + " " + std::to_string(++this->servers);
+  }
+
+  ManualClock clock{1'000'000};
+  std::mt19937_64 random{5};
+  std::vector<ForwardPeer> peers;
+  std::map<std::string, std::unique_ptr<ForwardPeerChooser>> pathless;
+  std::map<std::string, int> taken;  ///< attempts, by host
+  int servers = 0;
+};
+
+// In the first zone one host of sixty has a path, in the others 25.
+Test(three_hundred_hosts, find_those_with_a_path_and_spread_over_them) {
+  Fleet fleet(300, 1, 25);
+  const int first_asks = fleet.PlaySecond();
+  int later_asks = 0;
+  constexpr int kSeconds = 8;
+  for (int n = 0; n < kSeconds; ++n) {
+    later_asks = fleet.PlaySecond();
+  }
+  const int pathless = static_cast<int>(fleet.pathless.size());
+  cr_assert(pathless == 199 && first_asks < 10 * pathless);
+  cr_assert(later_asks < 2 * pathless, "%d asks of %d hosts", later_asks,
+            pathless);
+  const int seconds = kSeconds + 1;
+  const double mean = static_cast<double>(pathless * seconds) / 101.0;
+  cr_assert(fleet.taken["0"] < 5.0 * mean, "the last of its zone took %d",
+            fleet.taken["0"]);
+}
+
+Test(nine_hosts, find_those_with_a_path) {
+  Fleet fleet(9, 1, 1);
+  fleet.PlaySecond();
+  cr_assert(fleet.PlaySecond() <= 2 * static_cast<int>(fleet.pathless.size()));
+}
+
 }  // namespace
 }  // namespace meadowthread
