--- a/src/forwarding/path_monitor.h
+++ b/src/forwarding/path_monitor.h
@@ -70,7 +70,7 @@
   bool IsLost() const { return this->lost; }
 
   /// @brief Whether the path to one server is lost.
-  /// @complexity O(servers whose path is lost or was of late)
+  /// @complexity constant while no path is lost, else O(known servers)
   bool IsLost(std::string_view address) const;
 
   /// @brief Whether the path to one server is lost, as opposed to presumed so.
