--- a/src/relay/backend_list.cc
+++ b/src/relay/backend_list.cc
@@ -126,6 +126,9 @@
   Backend& backend = this->backends[key];
   const bool was_leaving = backend.leaving;
   backend.is_from_copy = !is_new && IsBackFromCopy(backend, entry);
+  if (!is_new && backend.entry.leaving && entry.era > backend.entry.era) {
+    this->RememberLeaving(key);
+  }
   const bool was_named = std::exchange(backend.entry_valid, true);
   this->UpdateEntry(key, entry, &backend);
   if (is_new) {
@@ -146,9 +149,6 @@
         .Add("change", "named_again")
         .WriteImportant();
   }
-  if (entry.leaving) {
-    this->RememberLeaving(key);
-  }
   if (entry.leaving && !was_leaving) {
     this->MarkLeaving(&backend, "draining");
     return;
@@ -159,7 +159,7 @@
   }
   // An entry that is listed again shows that its server is live. What the
   // server has said before still holds.
-  backend.leaving = this->HasSaidLeaving(key);
+  backend.leaving = entry.leaving || this->HasSaidLeaving(key);
   if (!is_new) {
     this->NotifyListeners(BackendChange::kChanged, backend);
   }
--- a/src/relay/backend_list.h
+++ b/src/relay/backend_list.h
@@ -113,11 +113,11 @@
 /// all state kept under that key, and only then adds the new one. An entry with
 /// an earlier start is ignored while one with a later start is listed.
 ///
-/// A server that has said that it leaves does so, whatever later entries of the
-/// same start say: they may come from an older copy of the store. A removed
-/// entry that comes back from such a copy counts as that of a server that
-/// leaves until the server writes it, or until dead servers' entries have
-/// expired.
+/// A server that has said that it leaves does so, whatever the entries of a
+/// later era of the store say of the same start: they may come from an older
+/// copy. A removed entry that comes back from such a copy counts as that of a
+/// server that leaves until the server writes it, or until dead servers'
+/// entries have expired.
 class BackendList {
  public:
   using Listener = std::function<void(BackendChange, const Backend&)>;
