A path that other hosts took for a server that is down was not back

Its next loss counted as a relapse, so that its return took up to eight connections for ten seconds more. Found by reading; the test failed before.

--- a/src/forwarding/path_monitor.cc
+++ b/src/forwarding/path_monitor.cc
@@ -118,6 +118,7 @@
   path.down_until_ms = this->clock.MonotonicMs() + (kDownMs << doublings);
   ++path.times_down;
   this->SetPathLost(address, &path, false, "down_for_other_hosts");
+  path.changed_ms = 0;  // it was not back
 }
 
 void PathMonitor::Forget(std::string_view address) {
--- a/src/forwarding/tests/path_monitor_test.cc
+++ b/src/forwarding/tests/path_monitor_test.cc
@@ -188,6 +188,20 @@
   cr_assert(changes <= 12, "%d changes in 30 s", changes);
 }
 
+// What other hosts first said made the return of a path take longer.
+Test(a_path_that_was_taken_for_a_server_that_is_down, is_no_relapse) {
+  MonitorFixture fixture;
+  fixture.Fail({"a"});
+  fixture.monitor.NoteReachedElsewhere("a");
+  fixture.monitor.NoteDownElsewhere("a");
+  fixture.clock.Advance(2'000);
+  fixture.Fail({"a"});
+  fixture.monitor.NoteReachedElsewhere("a");
+  cr_assert(fixture.monitor.IsLost("a"));
+  fixture.monitor.NoteConnected("a");
+  cr_assert(!fixture.monitor.IsLost("a"));
+}
+
 Test(all_paths, are_back_once_several_servers_are_reached) {
   MonitorFixture fixture(60);
   for (int n = 0; n < 40; ++n) {
