Brittle servers: calls in flight are counted by the host that grants permits

Change: InFlightLimit beside the rate; a permit for a call counts until its host reports the end (permit-ended). Streams are not counted. Costs one datagram a call at a brittle server in rejection, none elsewhere.

--- a/src/permits/permit_messages.cc
+++ b/src/permits/permit_messages.cc
@@ -14,7 +14,7 @@
 
 constexpr std::size_t kNewsFields = 4;
 constexpr std::size_t kFullFields = 4;
-constexpr std::size_t kRequestFields = 3;
+constexpr std::size_t kRequestFields = 4;
 constexpr std::size_t kResponseFields = 4;
 
 absl::Status Malformed(std::string_view message) {
@@ -70,9 +70,11 @@
 
 json ToJson(const PermitRequest& request) {
   return json::array({request.ticket, static_cast<int>(request.urgency),
-                      ToJson(request.rate)});
+                      ToJson(request.rate), request.is_call});
 }
 
+json ToJson(const CallEnded& ended) { return json::array({ended.server}); }
+
 json ToJson(const PermitResponse& response) {
   return json::array({response.ticket, static_cast<int>(response.status),
                       response.retry_after_ms, ToJson(response.rate)});
@@ -95,6 +97,13 @@
                   CountUpTo(payload[3], kMaxNewsAgeMs)};
 }
 
+absl::StatusOr<CallEnded> CallEndedFrom(const json& payload) {
+  if (!payload.is_array() || payload.size() != 1 || !payload[0].is_string()) {
+    return Malformed("not the end of a call");
+  }
+  return CallEnded{payload[0].get<std::string>()};
+}
+
 absl::StatusOr<RateNews> RateNewsFrom(const json& payload) {
   const bool fits = payload.is_array() && payload.size() == kNewsFields &&
                     payload[0].is_string() && IsRate(payload[1]) &&
@@ -115,7 +124,7 @@
 
 absl::StatusOr<PermitRequest> PermitRequestFrom(const json& payload) {
   if (!payload.is_array() || payload.size() != kRequestFields ||
-      !IsCount(payload[0])) {
+      !IsCount(payload[0]) || !payload[3].is_boolean()) {
     return Malformed("not a request for a permit");
   }
   const std::optional<int> urgency = ChoiceOf(payload[1], kUrgencyCount);
@@ -124,7 +133,8 @@
     return Malformed("not a request for a permit");
   }
   return PermitRequest{payload[0].get<std::uint64_t>(),
-                       static_cast<Urgency>(*urgency), *std::move(rate)};
+                       static_cast<Urgency>(*urgency), *std::move(rate),
+                       payload[3].get<bool>()};
 }
 
 absl::StatusOr<PermitResponse> PermitResponseFrom(const json& payload) {
--- a/src/permits/permit_messages.h
+++ b/src/permits/permit_messages.h
@@ -35,11 +35,21 @@
   friend bool operator==(const FullNews&, const FullNews&) = default;
 };
 
+/// @brief The end of a call that was permitted, to the host that counts those
+/// in flight.
+struct CallEnded {
+  std::string server;
+
+  friend bool operator==(const CallEnded&, const CallEnded&) = default;
+};
+
 /// @brief A request for a permit, to the host that grants those of the server.
 struct PermitRequest {
   std::uint64_t ticket = 0;
   Urgency urgency = Urgency::kNormal;
   RateNews rate;  ///< as the asking host knows it
+  /// For a call, whose end the asking host reports.
+  bool is_call = false;
 
   friend bool operator==(const PermitRequest&, const PermitRequest&) = default;
 };
@@ -70,11 +80,13 @@
 nlohmann::json ToJson(const RateNews& news);
 nlohmann::json ToJson(const FullNews& news);
 nlohmann::json ToJson(const PermitRequest& request);
+nlohmann::json ToJson(const CallEnded& ended);
 nlohmann::json ToJson(const PermitResponse& response);
 
 /// @brief Decode messages; an error with kPeerMalformed if they are malformed.
 absl::StatusOr<FullNews> FullNewsFrom(const nlohmann::json& payload);
 absl::StatusOr<RateNews> RateNewsFrom(const nlohmann::json& payload);
+absl::StatusOr<CallEnded> CallEndedFrom(const nlohmann::json& payload);
 absl::StatusOr<PermitRequest> PermitRequestFrom(const nlohmann::json& payload);
 absl::StatusOr<PermitResponse> PermitResponseFrom(
     const nlohmann::json& payload);
--- a/src/permits/permit_participant.cc
+++ b/src/permits/permit_participant.cc
@@ -22,6 +22,8 @@
 // heard of.
 constexpr std::int64_t kSuspectMs = 2'000;
 constexpr std::int64_t kMaxRecheckMs = 500;
+// A call of a server with few slots ends within about this time.
+constexpr std::int64_t kInFlightRetryMs = 20;
 // A host that does not know the other hosts yet sends nothing to a server that
 // names a rate.
 constexpr std::int64_t kUnknownHostsRetryMs = 400;
@@ -106,6 +108,10 @@
 
 void PermitParticipant::CountRejection(std::string_view server,
                                        const Rejection& rejection) {
+  const auto counted = this->in_flight.find(server);
+  if (counted != this->in_flight.end()) {
+    counted->second.NoteRejected(rejection.at_ms);
+  }
   if (this->rejections.Count(server, rejection)) {
     this->TellFull(server);
   }
@@ -216,6 +222,8 @@
   this->rates.Remove(server);
   this->rejections.Remove(server);
   this->buckets.erase(std::string(server));
+  this->in_flight.erase(std::string(server));
+  this->own_calls.erase(std::string(server));
   this->fallbacks.erase(std::string(server));
   this->exhausted_until_ms.erase(std::string(server));
 }
@@ -279,13 +287,23 @@
 }
 
 PermitDecision PermitParticipant::Grant(std::string_view server, double per_s,
-                                        Urgency urgency) {
+                                        const Purpose& purpose) {
   const std::int64_t now_ms = this->clock.MonotonicMs();
+  const bool is_counted =
+      purpose.is_call && this->rejections.Find(server) != nullptr;
+  if (is_counted && !this->in_flight[std::string(server)].MayStart(
+                        now_ms, this->rejections.RaiseAfterMs(server))) {
+    return {false, kInFlightRetryMs};
+  }
   PermitBucket& bucket =
       this->buckets.try_emplace(std::string(server), per_s, now_ms)
           .first->second;
   bucket.SetRate(per_s, now_ms);
-  return bucket.Take(urgency, now_ms);
+  const PermitDecision decision = bucket.Take(purpose.urgency, now_ms);
+  if (is_counted && decision.granted) {
+    this->in_flight[std::string(server)].NoteStarted(now_ms);
+  }
+  return decision;
 }
 
 PermitResponse PermitParticipant::Respond(const PermitRequest& request) {
@@ -302,7 +320,7 @@
     response.status = PermitResponse::Status::kGranted;
   } else if (granted_per_s > 0.0) {
     const PermitDecision decision =
-        this->Grant(server, granted_per_s, request.urgency);
+        this->Grant(server, granted_per_s, {request.urgency, request.is_call});
     response.status = decision.granted ? PermitResponse::Status::kGranted
                                        : PermitResponse::Status::kExhausted;
     response.retry_after_ms = decision.retry_after_ms;
@@ -350,6 +368,67 @@
 
 void PermitParticipant::Ask(std::string_view server, Urgency urgency,
                             const Decided& decided) {
+  this->AskFor(server, {urgency, false}, decided);
+}
+
+// Counted from the decision on, as the call may end before this returns.
+void PermitParticipant::AskForCall(std::string_view server, Urgency urgency,
+                                   const Decided& decided) {
+  this->AskFor(server, {urgency, true},
+               [this, name = std::string(server),
+                decided](const PermitDecision& decision) {
+                 this->CountCall(name, decided, decision);
+               });
+}
+
+void PermitParticipant::CountCall(std::string_view server,
+                                  const Decided& decided,
+                                  const PermitDecision& decision) {
+  if (decision.granted && this->rejections.Find(server) != nullptr) {
+    ++this->own_calls[std::string(server)];
+  }
+  decided(decision);
+}
+
+// A host that does not grant the permits has nothing to tell of calls that were
+// sent without one.
+void PermitParticipant::NoteCallEnded(std::string_view server) {
+  const auto counted = this->own_calls.find(server);
+  if (counted == this->own_calls.end()) {
+    return;
+  }
+  if (--counted->second <= 0) {
+    this->own_calls.erase(counted);
+  }
+  const std::string host = this->HostToAsk(server);
+  if (host == this->self) {
+    this->EndCall(server);
+  } else if (!host.empty()) {
+    this->channel.SendToHost(kCallEndedTopic,
+                             ToJson(CallEnded{std::string(server)}), host);
+  }
+}
+
+void PermitParticipant::EndCall(std::string_view server) {
+  const auto counted = this->in_flight.find(server);
+  if (counted != this->in_flight.end()) {
+    counted->second.NoteEnded();
+  }
+}
+
+void PermitParticipant::OnCallEnded(std::string_view host,
+                                    const json& payload) {
+  const absl::StatusOr<CallEnded> ended = CallEndedFrom(payload);
+  if (!ended.ok()) {
+    LogMalformed(host, ended.status());
+    return;
+  }
+  this->EndCall(ended->server);
+}
+
+void PermitParticipant::AskFor(std::string_view server, const Purpose& purpose,
+                               const Decided& decided) {
+  const Urgency urgency = purpose.urgency;
   const std::optional<double> per_s = this->RateOf(server);
   if (!per_s.has_value()) {
     decided({true, 0});
@@ -366,18 +445,21 @@
   } else if (host == this->self) {
     decided(this->Record(
         server, urgency,
-        this->Grant(server, this->GrantedRate(server, *per_s), urgency)));
+        this->Grant(server, this->GrantedRate(server, *per_s), purpose)));
   } else {
-    this->SendRequest(host, server, urgency, decided);
+    this->SendRequest(host, server, purpose, decided);
   }
 }
 
 void PermitParticipant::SendRequest(std::string_view host,
-                                    std::string_view server, Urgency urgency,
+                                    std::string_view server,
+                                    const Purpose& purpose,
                                     const Decided& decided) {
   const std::uint64_t ticket = ++this->last_ticket;
-  this->pending.emplace(ticket, Pending{std::string(server), urgency, decided});
-  const PermitRequest request = {ticket, urgency, this->NewsToSend(server)};
+  this->pending.emplace(ticket,
+                        Pending{std::string(server), purpose.urgency, decided});
+  const PermitRequest request = {ticket, purpose.urgency,
+                                 this->NewsToSend(server), purpose.is_call};
   this->scheduler.After(
       kResponseTimeoutMs,
       this->life.Guarded([this, ticket, silent = std::string(host)] {
--- a/src/permits/permit_participant.h
+++ b/src/permits/permit_participant.h
@@ -16,6 +16,7 @@
 #include "base/scheduler.h"
 #include "nlohmann/json.hpp"
 #include "permits/fallback_share.h"
+#include "permits/in_flight_limit.h"
 #include "permits/named_rates.h"
 #include "permits/permit_bucket.h"
 #include "permits/permit_messages.h"
@@ -60,6 +61,9 @@
                               Urgency urgency) const override;
   void Ask(std::string_view server, Urgency urgency,
            const Decided& decided) override;
+  void AskForCall(std::string_view server, Urgency urgency,
+                  const Decided& decided) override;
+  void NoteCallEnded(std::string_view server) override;
 
   /// @brief Handle messages of other hosts; malformed ones are logged.
   void OnRate(std::string_view host, const nlohmann::json& payload);
@@ -67,6 +71,7 @@
   void OnRejected(std::string_view host, const nlohmann::json& payload);
   void OnRequest(std::string_view host, const nlohmann::json& payload);
   void OnResponse(std::string_view host, const nlohmann::json& payload);
+  void OnCallEnded(std::string_view host, const nlohmann::json& payload);
 
   /// @brief Records that a message of any kind came from another host.
   void NoteHeard(std::string_view host);
@@ -83,9 +88,15 @@
   static constexpr char kRejectedTopic[] = "server-rejected";
   static constexpr char kRequestTopic[] = "permit-ask";
   static constexpr char kResponseTopic[] = "permit";
+  static constexpr char kCallEndedTopic[] = "permit-ended";
 
  private:
   using Times = std::array<std::int64_t, kUrgencyCount>;
+  /// What a permit is asked for.
+  struct Purpose {
+    Urgency urgency = Urgency::kNormal;
+    bool is_call = false;
+  };
   /// The hosts that grant a server's permits; empty if there are none.
   struct Granting {
     std::string first;
@@ -110,11 +121,17 @@
   double GrantedRate(std::string_view server, double per_s) const;
   std::string HostToAsk(std::string_view server) const;
   bool IsAlone() const;
-  PermitDecision Grant(std::string_view server, double per_s, Urgency urgency);
+  PermitDecision Grant(std::string_view server, double per_s,
+                       const Purpose& purpose);
   PermitDecision FallBack(std::string_view server, Urgency urgency);
   PermitResponse Respond(const PermitRequest& request);
+  void AskFor(std::string_view server, const Purpose& purpose,
+              const Decided& decided);
+  void EndCall(std::string_view server);
+  void CountCall(std::string_view server, const Decided& decided,
+                 const PermitDecision& decision);
   void SendRequest(std::string_view host, std::string_view server,
-                   Urgency urgency, const Decided& decided);
+                   const Purpose& purpose, const Decided& decided);
   void OnTimeout(std::uint64_t ticket, const std::string& host);
   void Finish(std::uint64_t ticket, const PermitDecision& decision);
   PermitDecision Record(std::string_view server, Urgency urgency,
@@ -130,6 +147,8 @@
   RejectionLimits rejections;
   PermitStats stats;
   StringMap<PermitBucket> buckets;     ///< of servers whose permits it grants
+  StringMap<InFlightLimit> in_flight;  ///< of brittle ones among them
+  StringMap<int> own_calls;            ///< permitted, not ended
   StringMap<FallbackShare> fallbacks;  ///< of servers whose host was silent
   /// Until when no permit is granted to this host, by urgency.
   StringMap<Times> exhausted_until_ms;
--- a/src/permits/rejection_limits.cc
+++ b/src/permits/rejection_limits.cc
@@ -66,6 +66,14 @@
   }
 }
 
+// As long as the rate takes to double: each of the two searches upward meets
+// one rejection in that time, which together are fewer than lower the rate.
+std::int64_t RejectionLimits::RaiseAfterMs(std::string_view server) const {
+  const Rejection* const last = this->Find(server);
+  return static_cast<std::int64_t>(
+      last == nullptr ? kMaxDoublingMs : DoublingMs(last->bears_per_s));
+}
+
 void RejectionLimits::NoteRan(std::string_view server, std::int64_t now_ms) {
   const auto found = this->brittle.find(server);
   if (found != this->brittle.end()) {
--- a/src/permits/rejection_limits.h
+++ b/src/permits/rejection_limits.h
@@ -38,6 +38,10 @@
     return this->brittle.contains(server);
   }
 
+  /// @brief How long a brittle server must have been without a rejection before
+  /// it is tried with one more call at once.
+  std::int64_t RaiseAfterMs(std::string_view server) const;
+
   /// @brief Records that a server ran a request of this host.
   void NoteRan(std::string_view server, std::int64_t now_ms);
 
--- a/src/policy/server_permits.h
+++ b/src/policy/server_permits.h
@@ -41,6 +41,15 @@
   /// returns
   virtual void Ask(std::string_view server, Urgency urgency,
                    const Decided& decided) = 0;
+
+  /// @brief As Ask, for a call that is counted as in flight until
+  /// NoteCallEnded.
+  virtual void AskForCall(std::string_view server, Urgency urgency,
+                          const Decided& decided) = 0;
+
+  /// @brief Records that an attempt of a call at a server is over, whether or
+  /// not it had a permit.
+  virtual void NoteCallEnded(std::string_view server) = 0;
 };
 
 /// @brief Permits where no server names a rate.
@@ -54,6 +63,11 @@
   void Ask(std::string_view, Urgency, const Decided& decided) override {
     decided({true, 0});
   }
+  void AskForCall(std::string_view server, Urgency urgency,
+                  const Decided& decided) override {
+    this->Ask(server, urgency, decided);
+  }
+  void NoteCallEnded(std::string_view) override {}
 };
 
 }  // namespace meadowthread
--- a/src/relay/call_session.cc
+++ b/src/relay/call_session.cc
@@ -221,7 +221,7 @@
 
 void CallSession::AskPermit(const std::string& server) {
   this->awaits_permit = true;
-  this->deps.permits.Ask(
+  this->deps.permits.AskForCall(
       server, UrgencyOf(this->terms),
       this->life.Guarded([this, server](const PermitDecision& decision) {
         this->awaits_permit = false;
@@ -307,6 +307,7 @@
       this->attempts.begin(), this->attempts.end(),
       [&attempt](const auto& one) { return one.get() == &attempt; });
   this->deps.health.NoteAttemptEnded(attempt.BackendId());
+  this->deps.permits.NoteCallEnded(attempt.BackendId());
   this->retired.push_back(std::move(*place));
   this->attempts.erase(place);
 }
--- a/src/relay/tests/relay_fixture.h
+++ b/src/relay/tests/relay_fixture.h
@@ -244,6 +244,13 @@
     this->asked.emplace_back(server);
     this->waiting.push_back(decided);
   }
+  void AskForCall(std::string_view server, Urgency urgency,
+                  const Decided& decided) override {
+    this->Ask(server, urgency, decided);
+  }
+  void NoteCallEnded(std::string_view server) override {
+    ++this->calls_ended[std::string(server)];
+  }
 
   void Grant() { this->Decide({true, 0}); }
   void RefuseFor(std::int64_t retry_after_ms) {
@@ -254,6 +261,7 @@
   std::set<std::string> limited;
   std::map<std::string, std::int64_t> exhausted_ms;
   std::vector<std::string> asked;
+  std::map<std::string, int> calls_ended;
 
  private:
   void Decide(const PermitDecision& decision) {
--- a/src/serve/gossip_datagrams.h
+++ b/src/serve/gossip_datagrams.h
@@ -58,6 +58,8 @@
                   &PermitParticipant::OnRequest);
     this->Deliver(PermitParticipant::kResponseTopic, permits,
                   &PermitParticipant::OnResponse);
+    this->Deliver(PermitParticipant::kCallEndedTopic, permits,
+                  &PermitParticipant::OnCallEnded);
   }
 
   /// @brief Delivers messages from other hosts about servers in backoff and
