Engines of different speed: measured, and long streams go where pauses stay short

Cause: all engines counted as equally fast. Where every fourth one is more than twice as fast as the others, two in five long streams on the slower ones were late by one pause just above what their route allows (a prompt beside them in a slow moment: 187 ms of 180), none on the fast ones. Change: EngineSpeeds, learned from the gaps between events of all hosts' streams (message speed); expected first events, the choice of an engine for a long stream or a prompt, and migration targets go by it. Only where a quarter of the engines is slower than the fastest by 1.6; elsewhere relative times are 1 and costs zero. Comments of two limits no longer rest on measurements.

--- a/src/allocation/allocation_channel.h
+++ b/src/allocation/allocation_channel.h
@@ -21,6 +21,7 @@
   virtual void Send(std::string_view host, const GroupPressure& pressure) = 0;
   virtual void Send(std::string_view host, const EngineAttempt& attempt) = 0;
   virtual void Send(std::string_view host, const PrefillObservation& seen) = 0;
+  virtual void Send(std::string_view host, const SpeedObservation& seen) = 0;
 
   /// @brief Asks all other hosts to report their loads.
   virtual void RequestLoadReports() = 0;
@@ -45,6 +46,8 @@
                          const EngineAttempt& attempt) = 0;
   virtual void OnMessage(std::string_view host,
                          const PrefillObservation& seen) = 0;
+  virtual void OnMessage(std::string_view host,
+                         const SpeedObservation& seen) = 0;
 
   /// @brief Another host asks this one to report all of its loads.
   virtual void OnLoadReportsRequested() = 0;
--- a/src/allocation/allocation_datagrams.cc
+++ b/src/allocation/allocation_datagrams.cc
@@ -13,6 +13,7 @@
 constexpr char kPressureTopic[] = "pressure";
 constexpr char kAttemptTopic[] = "attempt";
 constexpr char kReadingTopic[] = "reading";
+constexpr char kSpeedTopic[] = "speed";
 constexpr char kReportLoadsTopic[] = "tell-loads";
 constexpr char kHeartbeatTopic[] = "hear";
 
@@ -28,6 +29,7 @@
   this->Register(kPressureTopic, &GroupPressureFrom);
   this->Register(kAttemptTopic, &EngineAttemptFrom);
   this->Register(kReadingTopic, &ReadingSeenFrom);
+  this->Register(kSpeedTopic, &SpeedObservationFrom);
   hub.Register(kReportLoadsTopic, [this](std::string_view, const json&) {
     this->receiver.OnLoadReportsRequested();
   });
@@ -92,6 +94,11 @@
   this->SendOrDeliver(host, kReadingTopic, seen);
 }
 
+void AllocationDatagrams::Send(std::string_view host,
+                               const SpeedObservation& seen) {
+  this->SendOrDeliver(host, kSpeedTopic, seen);
+}
+
 void AllocationDatagrams::RequestLoadReports() {
   this->hub.SendToRandom(kReportLoadsTopic, json::array(), this->hub.Peers());
 }
--- a/src/allocation/allocation_datagrams.h
+++ b/src/allocation/allocation_datagrams.h
@@ -26,6 +26,7 @@
   void Send(std::string_view host, const GroupPressure& pressure) override;
   void Send(std::string_view host, const EngineAttempt& attempt) override;
   void Send(std::string_view host, const PrefillObservation& seen) override;
+  void Send(std::string_view host, const SpeedObservation& seen) override;
   void RequestLoadReports() override;
   void SendHeartbeats() override;
 
--- a/src/allocation/allocation_messages.cc
+++ b/src/allocation/allocation_messages.cc
@@ -87,7 +87,9 @@
                       work.allowed_regions.has_value(),
                       work.allowed_regions.value_or(std::vector<std::string>{}),
                       static_cast<int>(work.software.kind),
-                      work.software.version});
+                      work.software.version,
+                      work.max_token_gap_us,
+                      work.hinted_output_tokens});
 }
 
 absl::StatusOr<PlacementRequest> PlacementRequestFrom(const json& payload) {
@@ -112,7 +114,9 @@
                          Field::kFlag,
                          Field::kTextArray,
                          kCount,
-                         kText})) {
+                         kText,
+                         kCount,
+                         kCount})) {
     return Malformed("malformed placement request");
   }
   PlacementRequest request;
@@ -141,7 +145,9 @@
   ++at;
   request.work.software.kind = static_cast<VersionRule::Kind>(
       std::min<std::int64_t>(ClampedCount(*at++), 2));
-  request.work.software.version = at->get<std::string>();
+  request.work.software.version = (at++)->get<std::string>();
+  request.work.max_token_gap_us = ClampedCount(*at++);
+  request.work.hinted_output_tokens = ClampedCount(*at);
   request.work.is_copy = !request.source.empty();
   request.work.forced = request.work.is_copy;
   return request;
@@ -215,6 +221,18 @@
   return json::array({seen.engine, seen.tokens, seen.took_ms});
 }
 
+json ToJson(const SpeedObservation& seen) {
+  return json::array({seen.engine, seen.typical_us, seen.longest_us});
+}
+
+absl::StatusOr<SpeedObservation> SpeedObservationFrom(const json& payload) {
+  if (!Matches(payload, {Field::kText, Field::kCount, Field::kCount})) {
+    return Malformed("malformed engine speed");
+  }
+  return SpeedObservation{payload[0].get<std::string>(),
+                          ClampedCount(payload[1]), ClampedCount(payload[2])};
+}
+
 absl::StatusOr<PrefillObservation> ReadingSeenFrom(const json& payload) {
   if (!Matches(payload, {Field::kText, Field::kCount, Field::kCount})) {
     return Malformed("malformed prefill time");
--- a/src/allocation/allocation_messages.h
+++ b/src/allocation/allocation_messages.h
@@ -81,6 +81,7 @@
 nlohmann::json ToJson(const GroupPressure& pressure);
 nlohmann::json ToJson(const EngineAttempt& attempt);
 nlohmann::json ToJson(const PrefillObservation& seen);
+nlohmann::json ToJson(const SpeedObservation& seen);
 
 /// @brief Decodes a message; returns an error for a malformed payload.
 absl::StatusOr<PlacementRequest> PlacementRequestFrom(
@@ -92,6 +93,8 @@
 absl::StatusOr<EngineAttempt> EngineAttemptFrom(const nlohmann::json& payload);
 absl::StatusOr<PrefillObservation> ReadingSeenFrom(
     const nlohmann::json& payload);
+absl::StatusOr<SpeedObservation> SpeedObservationFrom(
+    const nlohmann::json& payload);
 
 }  // namespace meadowthread
 
--- a/src/allocation/allocation_participant.cc
+++ b/src/allocation/allocation_participant.cc
@@ -168,6 +168,10 @@
   this->SendToAllocators(seen);
 }
 
+void AllocationParticipant::ReportSpeed(const SpeedObservation& seen) {
+  this->SendToAllocators(seen);
+}
+
 std::vector<std::string> AllocationParticipant::HostsFor(
     std::string_view engine) const {
   const EngineView* const view = this->dependencies.fleet.Find(engine);
@@ -203,6 +207,8 @@
       .Add("engine", result.response.engine)
       .Add("cost", result.response.cost)
       .Add("first_event_ms", result.response.first_event_ms)
+      .Add("relative_time",
+           this->dependencies.fleet.RelativeTimeOf(result.response.engine))
       .Write();
   if (forward_allocators == nullptr || forward_allocators->empty()) {
     this->channel.Send(request.origin, result.response);
@@ -242,6 +248,11 @@
   this->dependencies.fleet.ObservePrefill(seen);
 }
 
+void AllocationParticipant::OnMessage(std::string_view /*host*/,
+                                      const SpeedObservation& seen) {
+  this->dependencies.fleet.ObserveSpeed(seen);
+}
+
 void AllocationParticipant::OnLoadReportsRequested() {
   if (this->report_all_loads) {
     this->report_all_loads();
--- a/src/allocation/allocation_participant.h
+++ b/src/allocation/allocation_participant.h
@@ -86,6 +86,10 @@
   /// this host's streams, to the engine's allocators.
   void ReportPrefill(const PrefillObservation& seen);
 
+  /// @brief Sends a measurement of an engine's speed, taken over this host's
+  /// streams, to the engine's allocators.
+  void ReportSpeed(const SpeedObservation& seen);
+
   /// @brief Chooses engines for this host's own requests.
   EngineAllocation& Allocation() { return this->client; }
 
@@ -108,6 +112,7 @@
   void OnMessage(std::string_view host, const EngineAttempt& attempt) override;
   void OnMessage(std::string_view host,
                  const PrefillObservation& seen) override;
+  void OnMessage(std::string_view host, const SpeedObservation& seen) override;
   void OnLoadReportsRequested() override;
 
   // LoadSink
--- a/src/allocation/tests/allocation_messages_test.cc
+++ b/src/allocation/tests/allocation_messages_test.cc
@@ -27,6 +27,8 @@
   request.work.is_late = true;
   request.work.allowed_regions = AllowedRegions({"cebu"});
   request.work.software = {VersionRule::Kind::kExcept, "v2"};
+  request.work.max_token_gap_us = 45'000;
+  request.work.hinted_output_tokens = 700;
   return request;
 }
 
@@ -39,6 +41,13 @@
   cr_assert(read->work.software == SampleRequest().work.software);
 }
 
+Test(an_engine_speed, survives_a_round_trip) {
+  const SpeedObservation seen = {"e1", 9'000, 46'750};
+  const absl::StatusOr<SpeedObservation> read =
+      SpeedObservationFrom(ToJson(seen));
+  cr_assert(read.ok() && ToJson(*read) == ToJson(seen));
+}
+
 Test(a_placement_response, survives_a_round_trip) {
   const PlacementResponse response{
       7, PlacementStatus::kNoRoom, "e1", 0.5, 0.25, 3, 900, 6'000};
@@ -66,6 +75,7 @@
               !PlacementResponseFrom(other).ok());
     cr_assert(!LinkReleaseFrom(other).ok() && !GroupPressureFrom(other).ok());
     cr_assert(!EngineAttemptFrom(other).ok());
+    cr_assert(!SpeedObservationFrom(other).ok());
   }
   json response = ToJson(PlacementResponse{});
   response[1] = 99;
--- a/src/allocation/tests/allocation_participant_test.cc
+++ b/src/allocation/tests/allocation_participant_test.cc
@@ -112,6 +112,20 @@
             fixture.participant->OwnGroupCount() == 0);
 }
 
+// An allocator chooses engines for hosts whose streams it does not see.
+Test(an_engine_speed_that_another_host_measured, counts_at_the_allocator) {
+  Fixture fixture;
+  fixture.participant->OnMessage("other",
+                                 SpeedObservation{"e0", 9'000, 18'000});
+  cr_assert(fixture.fleet.state.Speeds().IsKnown(0));
+  cr_assert(!fixture.fleet.state.Speeds().IsKnown(1));
+  fixture.participant->OnMessage("other",
+                                 SpeedObservation{"unknown", 9'000, 18'000});
+  fixture.participant->OnMessage("other", SpeedObservation{"e1", 0, 0});
+  cr_assert(!fixture.fleet.state.Speeds().IsKnown(1));
+  cr_assert(fixture.fleet.state.Speeds().Ignored() == 1);
+}
+
 Test(load_notes_of_an_engine, go_to_its_allocators) {
   Fixture fixture;
   fixture.Elapse(300);
--- a/src/allocation/tests/allocator_client_test.cc
+++ b/src/allocation/tests/allocator_client_test.cc
@@ -25,6 +25,7 @@
   void Send(std::string_view, const GroupPressure&) override {}
   void Send(std::string_view, const EngineAttempt&) override {}
   void Send(std::string_view, const PrefillObservation&) override {}
+  void Send(std::string_view, const SpeedObservation&) override {}
   void RequestLoadReports() override {}
   void SendHeartbeats() override {}
 
--- a/src/policy/fleet_state.cc
+++ b/src/policy/fleet_state.cc
@@ -94,6 +94,7 @@
   if (restarted) {
     view.slow_start_began_ms = now_ms;
     this->prefixes.ForgetEngine(this->by_name[report.engine]);
+    this->speeds.Forget(this->by_name[report.engine]);
   }
   view.incarnation = report.incarnation;
   view.reported_unix_ms = std::min(report.as_of_unix_ms, now_ms);
@@ -177,6 +178,7 @@
   stream->key = LengthKeyOf(work);
   stream->curve = this->lengths.CurveOf(stream->key);
   stream->progress = {work.prompt_tokens, 0, work.max_output_tokens};
+  stream->tokens_per_event = work.tokens_per_event;
   Engine& target = *this->engines[found->second];
   if (!work.is_copy) {
     const std::int64_t ahead =
@@ -211,14 +213,56 @@
       this->prefill_observed(seen);
     }
   }
+  this->SampleGap(found->second.engine, stream, generated, now_ms);
   engine.view.own_kv += generated - stream.progress.generated;
   stream.progress.generated = generated;
   stream.progress_ms = now_ms;
+  stream.had_event_here = true;
   if (is_first_event) {
     this->ReportFreed(engine);
   }
 }
 
+// The time before the first event at an engine includes prefill or a copy.
+void FleetState::SampleGap(EngineIndex index, const Stream& stream,
+                           std::int64_t generated, std::int64_t now_ms) {
+  if (!stream.had_event_here) {
+    return;
+  }
+  Engine& engine = *this->engines[index];
+  engine.gaps.Add(now_ms - stream.progress_ms,
+                  generated - stream.progress.generated,
+                  stream.tokens_per_event, now_ms);
+  const std::optional<TokenGaps> gaps = engine.gaps.Take(now_ms);
+  if (!gaps.has_value()) {
+    return;
+  }
+  const SpeedObservation seen = {engine.view.engine, gaps->typical_us,
+                                 gaps->longest_us};
+  this->ObserveSpeed(seen);
+  if (this->speed_observed) {
+    this->speed_observed(seen);
+  }
+}
+
+void FleetState::ObserveSpeed(const SpeedObservation& seen) {
+  const auto found = this->by_name.find(seen.engine);
+  if (found != this->by_name.end()) {
+    this->speeds.Observe(found->second, seen);
+  }
+}
+
+// The rate is that of an engine of median speed.
+void FleetState::ObservePrefill(const PrefillObservation& seen) {
+  const auto found = this->by_name.find(seen.engine);
+  const double relative_time = found == this->by_name.end()
+                                   ? 1.0
+                                   : this->speeds.RelativeTime(found->second);
+  this->prefill_rate.Observe(
+      seen.tokens, static_cast<std::int64_t>(static_cast<double>(seen.took_ms) /
+                                             relative_time));
+}
+
 void FleetState::NoteMoved(std::string_view request, std::string_view engine,
                            std::int64_t now_ms) {
   const auto found = this->streams.find(request);
@@ -251,6 +295,7 @@
   Engine& engine = *this->engines[to];
   stream->sent_ms = now_ms;
   stream->progress_ms = now_ms;
+  stream->had_event_here = false;
   this->streams[stream->request] =
       StreamLocation{to, static_cast<std::uint32_t>(engine.streams.size())};
   engine.view.own_kv += KvHeldBy(*stream);
@@ -340,6 +385,7 @@
       const auto index = static_cast<EngineIndex>(i);
       this->IndexModels(index, {});
       this->prefixes.ForgetEngine(index);
+      this->speeds.Forget(index);
       this->by_name.erase(old.view.engine);
       std::erase(this->preferred, index);
       return index;
--- a/src/policy/fleet_state.h
+++ b/src/policy/fleet_state.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "policy/engine_speeds.h"
 #include "policy/engine_view.h"
 #include "policy/length_model.h"
 #include "policy/memory_forecast.h"
@@ -17,6 +18,7 @@
 #include "policy/prefill_rate.h"
 #include "policy/prefix_hints.h"
 #include "policy/string_map.h"
+#include "policy/token_gap_sampler.h"
 #include "policy/work_item.h"
 
 namespace meadowthread {
@@ -115,11 +117,19 @@
     this->capacity_freed = callback;
   }
 
-  /// @brief Applies a prefill measurement from another host.
-  void ObservePrefill(const PrefillObservation& seen) {
-    this->prefill_rate.Observe(seen.tokens, seen.took_ms);
+  /// @brief Sets the callback for speed measurements from this host's streams.
+  void OnSpeedObserved(
+      const std::function<void(const SpeedObservation& seen)>& callback) {
+    this->speed_observed = callback;
   }
 
+  /// @brief Applies a prefill measurement from another host.
+  void ObservePrefill(const PrefillObservation& seen);
+
+  /// @brief Applies a speed measurement from another host; ignored if the
+  /// engine is not known or the measurement is not plausible.
+  void ObserveSpeed(const SpeedObservation& seen);
+
   /// @brief Records a stream's progress.
   /// @param[in] generated total number of tokens generated so far
   void NoteTokens(std::string_view request, std::int64_t generated,
@@ -231,6 +241,19 @@
   /// @brief The prefill speed learned from first events.
   const PrefillRate& Prefill() const { return this->prefill_rate; }
 
+  /// @brief Expected time in which the engine prefills so many tokens.
+  double PrefillMs(EngineIndex index, std::int64_t tokens) const {
+    return this->prefill_rate.ExpectedMs(tokens) *
+           this->speeds.RelativeTime(index);
+  }
+
+  /// @brief The engine's time per token divided by the median engine's; 1 if
+  /// nothing is known of it.
+  double RelativeTimeOf(std::string_view engine) const;
+
+  /// @brief How fast the engines generate.
+  const EngineSpeeds& Speeds() const { return this->speeds; }
+
  private:
   struct Stream {
     std::string request;
@@ -243,6 +266,9 @@
     /// event, including its own prompt; 0: the first event has arrived, or the
     /// KV cache comes from a copy.
     std::int64_t tokens_before_first_event = 0;
+    std::int64_t tokens_per_event = 1;
+    /// `progress_ms` is the time of an event of its present engine.
+    bool had_event_here = false;
   };
 
   struct RecentlyEndedStream {
@@ -267,6 +293,7 @@
     /// KV-cache copies of this host in progress on the engine's link.
     int copies = 0;
     bool preferred = true;
+    TokenGapSampler gaps;  ///< of this host's streams
     mutable MemoryForecast forecast_cache;
     mutable std::int64_t forecast_cached_ms = -1;
   };
@@ -284,6 +311,8 @@
   static PeerLoad LoadOf(const Engine& engine, std::string_view self,
                          std::int64_t now_ms);
   void ReportFreed(const Engine& engine) const;
+  void SampleGap(EngineIndex index, const Stream& stream,
+                 std::int64_t generated, std::int64_t now_ms);
   void SubtractOwnWork(Engine& engine, std::int64_t now_ms) const;
   void IndexModels(EngineIndex index, const std::vector<ServedModel>& models);
   void Attach(std::unique_ptr<Stream> stream, EngineIndex to,
@@ -298,7 +327,9 @@
   LengthModel& lengths;
   FleetOptions options;
   PrefillRate prefill_rate;
+  EngineSpeeds speeds;
   std::function<void(const PrefillObservation& seen)> prefill_observed;
+  std::function<void(const SpeedObservation& seen)> speed_observed;
   std::function<void(std::string_view engine)> capacity_freed;
   std::vector<std::unique_ptr<Engine>> engines;
   StringMap<EngineIndex> by_name;
--- a/src/policy/fleet_state_queries.cc
+++ b/src/policy/fleet_state_queries.cc
@@ -58,6 +58,13 @@
   return &this->engines[found->second]->view;
 }
 
+double FleetState::RelativeTimeOf(std::string_view engine) const {
+  const auto found = this->by_name.find(engine);
+  return found == this->by_name.end()
+             ? 1.0
+             : this->speeds.RelativeTime(found->second);
+}
+
 MemoryForecast FleetState::Forecast(EngineIndex index,
                                     std::int64_t now_ms) const {
   const Engine& engine = *this->engines[index];
--- a/src/policy/pressure_chooser.cc
+++ b/src/policy/pressure_chooser.cc
@@ -11,6 +11,31 @@
 // a few short requests.
 constexpr std::int64_t kNoRoomRetryMs = 400;
 
+// A stream that generates more tokens than this runs long enough to meet a
+// prompt that is prefilled beside it.
+constexpr double kExposedTokens = 128.0;
+// An expected pause of this part of the longest permitted one is safe, and one
+// of that part is taken to be late: the expected pause is an estimate.
+constexpr double kSafePause = 0.6;
+constexpr double kLatePause = 0.9;
+// An engine that nobody has measured is tried before one that is known to be
+// slow: it may be fast, and one stream tells.
+constexpr double kUnknownRisk = 0.5;
+
+// Probability that the work runs long enough to meet a prefill beside it. An
+// allocator sees the lengths of few outputs itself, so a caller's estimate goes
+// before what it has learned.
+double ExposureOf(const WorkItem& work, const FleetState& fleet) {
+  if (work.is_copy) {
+    return 1.0;
+  }
+  if (work.hinted_output_tokens > 0) {
+    return std::min(
+        1.0, static_cast<double>(work.hinted_output_tokens) / kExposedTokens);
+  }
+  return fleet.Lengths().CurveOf(LengthKeyOf(work))->Survival(kExposedTokens);
+}
+
 // A peer's run that is still in prefill may be the only one that is, so that it
 // counts with a prompt like that of the new work at least.
 std::int64_t PrefillOfOneRun(const PeerLoad& peer, const WorkItem& work) {
@@ -75,10 +100,13 @@
   scored.memory_share = forecast.MaxExpectedTokens() / capacity;
   scored.in_flight = fleet.InFlight(engine, now_ms);
   const std::int64_t prefill_tokens = fleet.PrefillBacklog(engine, now_ms);
+  scored.prefill_tokens = prefill_tokens;
   scored.cost = scored.memory_share +
                 this->options.prefill_weight *
+                    fleet.Speeds().RelativeTime(engine) *
                     static_cast<double>(prefill_tokens) /
                     this->options.prefill_unit_tokens +
+                this->PauseCost(work, fleet, scored) +
                 this->options.request_weight * scored.in_flight +
                 this->options.failure_weight * view.failure_share;
   scored.cost +=
@@ -101,10 +129,9 @@
   if (this->options.busy_link_cost > 0.0 && fleet.IsLinkBusy(engine, now_ms)) {
     scored.cost += this->options.busy_link_cost;
   }
-  scored.prefill_tokens = prefill_tokens;
   scored.first_event_ms =
-      fleet.Prefill().ExpectedMs(prefill_tokens + work.prompt_tokens);
-  const EngineRoom room{capacity, forecast, prefill_tokens};
+      fleet.PrefillMs(engine, prefill_tokens + work.prompt_tokens);
+  const EngineRoom room{engine, capacity, forecast, prefill_tokens};
   scored.fits = this->HasRoom(work, fleet, added, room);
   scored.fits_without_peer_run =
       scored.fits ||
@@ -112,11 +139,32 @@
   return scored;
 }
 
+double PressureChooser::PauseCost(const WorkItem& work, const FleetState& fleet,
+                                  const ScoredEngine& scored) const {
+  if (work.max_token_gap_us <= 0) {
+    return 0.0;
+  }
+  const double expected = fleet.Speeds().ExpectedPauseUs(scored.engine) /
+                          static_cast<double>(work.max_token_gap_us);
+  const double most =
+      fleet.Speeds().IsKnown(scored.engine) ? 1.0 : kUnknownRisk;
+  const double risk = std::clamp(
+      (expected - kSafePause) / (kLatePause - kSafePause), 0.0, most);
+  const double prompt = static_cast<double>(work.prompt_tokens) /
+                        this->options.prefill_unit_tokens;
+  const auto reading = static_cast<double>(scored.prefill_tokens) /
+                       std::max(1.0, static_cast<double>(work.prompt_tokens));
+  const double disturbed =
+      work.is_copy ? 0.0 : prompt * std::max(0.0, scored.in_flight - reading);
+  return risk * (this->options.pause_weight * ExposureOf(work, fleet) +
+                 this->options.disturbance_weight * disturbed);
+}
+
 bool PressureChooser::HasRoom(const WorkItem& work, const FleetState& fleet,
                               const MemoryForecast& added,
                               const EngineRoom& room) const {
   const double first_event_ms =
-      fleet.Prefill().ExpectedMs(room.prefill_tokens + work.prompt_tokens);
+      fleet.PrefillMs(room.engine, room.prefill_tokens + work.prompt_tokens);
   // If the engine has nothing to prefill, no other could start the work sooner.
   // Besides, the assumed prefill rate may be too low, and it is corrected only
   // if work is sent.
--- a/src/policy/pressure_chooser.h
+++ b/src/policy/pressure_chooser.h
@@ -18,18 +18,14 @@
 struct PressureOptions {
   /// Fraction of the memory that may be in use, as forecast with the new work
   /// added. The rest is reserved for outputs longer than expected and for runs
-  /// migrated off engines that are leaving: on a day of overload, 42 runs were
-  /// preempted with 0.95 and 17 with 0.8, while as many answers were in time
-  /// (mean of four seeds).
+  /// migrated off engines that are leaving.
   double memory_limit = 0.8;
   /// Limit on the memory in use now, instead of `memory_limit`, for work that
   /// ends within a few hundred tokens: such work need not wait because of
   /// memory that other streams use only later.
   double short_work_limit = 0.9;
   /// Fraction of both limits available to work that will be late in any case.
-  /// With the full limits, such work displaced first attempts: on a benchmark
-  /// day with a burst of three times the load, the overall score was 0.68 with
-  /// the full limits and 0.75 with this fraction (mean of four seeds).
+  /// With the full limits, such work would displace first attempts.
   double late_work_part = 0.7;
   /// Each unit of forecast memory use above this fraction costs an extra
   /// `crowding_weight`. The fraction is just below half because an engine that
@@ -41,6 +37,13 @@
   /// to prefill, because new work waits behind them.
   double prefill_weight = 0.25;
   double prefill_unit_tokens = 3'000.0;
+  /// Cost of an engine on which long work has to expect a longer pause than it
+  /// bears.
+  double pause_weight = 2.0;
+  /// Cost of each running request on such an engine for work whose prompt is
+  /// prefilled beside it, by `prefill_unit_tokens`, because the prefill makes
+  /// the running request late.
+  double disturbance_weight = 0.4;
   /// Cost of each running request, because each one slows down the token
   /// generation of the others.
   double request_weight = 0.01;
@@ -112,11 +115,16 @@
   /// Cost of the network path from each zone, by zone.
   StringMap<double> LinkCosts(const WorkItem& work, const FleetState& fleet,
                               std::int64_t now_ms) const;
+  /// Cost of pauses beyond the work's limit, for the work itself and for the
+  /// requests that its prefill delays.
+  double PauseCost(const WorkItem& work, const FleetState& fleet,
+                   const ScoredEngine& scored) const;
   ScoredEngine Score(const WorkItem& work, const FleetState& fleet,
                      EngineIndex engine, const MemoryForecast& added,
                      std::int64_t now_ms) const;
   /// What counts for whether an engine has room.
   struct EngineRoom {
+    EngineIndex engine = 0;
     double capacity = 0.0;
     MemoryForecast forecast;  ///< with the work added
     std::int64_t prefill_tokens = 0;
--- a/src/policy/tests/pressure_chooser_test.cc
+++ b/src/policy/tests/pressure_chooser_test.cc
@@ -329,5 +329,90 @@
   cr_assert(decision.considered[0].peer_load_age_ms == -1);
 }
 
+////////////////////////////
+// Engines of different speed
+////////////////////////////
+
+constexpr std::int64_t kFastUs = 4'000;
+constexpr std::int64_t kSlowUs = 9'000;
+// A prompt beside it and a slow moment: about five times the typical time.
+constexpr std::int64_t kPauseFactor = 5;
+
+/// @brief Eight engines, of which every fourth one is fast, and outputs of two
+/// lengths.
+struct UnevenFleet {
+  UnevenFleet() {
+    for (int second = 0; second < 100; ++second) {
+      for (int engine = 0; engine < 8; ++engine) {
+        const std::int64_t us = engine % 4 == 0 ? kFastUs : kSlowUs;
+        const std::int64_t longest = second % 5 == 0 ? kPauseFactor : 2;
+        this->fleet.state.ObserveSpeed(
+            {testing::EngineName(engine), us, longest * us});
+      }
+    }
+    this->fleet.Teach(this->Short("taught"), 12);
+    this->fleet.Teach(this->Long("taught"), 800);
+  }
+  WorkItem Short(const std::string& request) const {
+    WorkItem work = testing::Work(request);
+    work.template_name = "short";
+    work.prompt_tokens = 2'000;
+    work.max_token_gap_us = 45'000;
+    return work;
+  }
+  WorkItem Long(const std::string& request) const {
+    WorkItem work = this->Short(request);
+    work.template_name = "long";
+    return work;
+  }
+  /// @brief Places the work and counts it on its engine.
+  int Place(const WorkItem& work) {
+    const Decision decision =
+        this->chooser.Choose(work, this->fleet.state, 1, 0);
+    cr_assert(decision.engine.has_value());
+    this->fleet.state.NoteSent(work, *decision.engine, 1);
+    this->fleet.state.NoteTokens(work.request, 1, 1);
+    return std::stoi(decision.engine->substr(1));
+  }
+
+  testing::Fleet fleet{8};
+  PressureChooser chooser{[] {
+    PressureOptions options;
+    options.zone = "z";
+    return options;
+  }()};
+};
+
+// Guards against late streams: on a slow engine, a prompt that was prefilled
+// beside a stream in a slow moment made it pause for longer than permitted.
+Test(long_streams, go_to_engines_on_which_their_pauses_stay_short) {
+  UnevenFleet uneven;
+  for (int n = 0; n < 6; ++n) {
+    cr_assert(uneven.Place(uneven.Long("r" + std::to_string(n))) % 4 == 0);
+  }
+}
+
+Test(short_streams, are_not_prefilled_beside_long_ones_that_would_pause) {
+  UnevenFleet uneven;
+  WorkItem long_work = uneven.Long("long");
+  uneven.fleet.state.NoteSent(long_work, "e1", 1);
+  uneven.fleet.state.NoteTokens("long", 1, 1);
+  for (int n = 0; n < 7; ++n) {
+    const WorkItem work = uneven.Short("s" + std::to_string(n));
+    cr_assert(uneven.Place(work) != 1);
+  }
+}
+
+// Guards against first events that are expected too late on a fast engine and
+// too early on a slow one.
+Test(the_expected_first_event, follows_the_speed_of_the_engine) {
+  UnevenFleet uneven;
+  const FleetState& state = uneven.fleet.state;
+  cr_assert(state.PrefillMs(0, 3'000) < 0.5 * state.PrefillMs(1, 3'000));
+  uneven.fleet.state.ObservePrefill({"e0", 3'000, 200});
+  cr_assert(state.Prefill().MsPerToken() > 0.14,
+            "200 ms on a fast engine are 450 ms on the median one");
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/policy/work_item.h
+++ b/src/policy/work_item.h
@@ -27,7 +27,8 @@
   std::string adapter;
   std::string version;  ///< empty: any version
   std::int64_t prompt_tokens = 0;
-  std::int64_t max_output_tokens = 0;  ///< 0: no limit known
+  std::int64_t max_output_tokens = 0;     ///< 0: no limit known
+  std::int64_t hinted_output_tokens = 0;  ///< the caller's estimate; 0: none
   std::int64_t arrived_ms = 0;
   std::int64_t deadline_ms = 0;  ///< for sending the first byte; 0: none
   Urgency urgency = Urgency::kNormal;
@@ -46,6 +47,10 @@
   /// Its KV cache is copied from another engine, so there is no prompt to
   /// prefill.
   bool is_copy = false;
+  /// Longest pause between two events with which its answer is still in time,
+  /// divided by the tokens of an event; 0: no limit.
+  std::int64_t max_token_gap_us = 0;
+  std::int64_t tokens_per_event = 1;
   AllowedRegions allowed_regions;  ///< regions in which it may run
   /// Engines that it may run on, by the version of their software.
   VersionRule software;
--- a/src/relay/active_routing_config.cc
+++ b/src/relay/active_routing_config.cc
@@ -170,6 +170,7 @@
   terms.rule = route->rule;
   terms.timeout_ms = route->timeout_ms;
   terms.target_latency_ms = route->target_latency_ms;
+  terms.max_event_gap_ms = route->max_event_gap_ms;
   terms.urgency = route->urgency;
   terms.max_attempts = std::max(1, route->max_attempts);
   terms.resumable = route->resumable;
--- a/src/relay/engine_drainer.cc
+++ b/src/relay/engine_drainer.cc
@@ -292,6 +292,7 @@
   work.prompt_tokens = session.KvCacheTokens();
   work.is_copy = true;
   work.forced = true;
+  work.max_token_gap_us = session.MaxTokenGapUs();
   work.allowed_regions = session.Terms().allowed_regions;
   work.software = this->deps.versions.RuleForMove(session.Terms().service);
   return work;
--- a/src/relay/relay_request.h
+++ b/src/relay/relay_request.h
@@ -61,6 +61,7 @@
   ExecutionRule rule = ExecutionRule::kOnce;
   std::int64_t timeout_ms = 0;         ///< longest time the request may take
   std::int64_t target_latency_ms = 0;  ///< until the answer or the first event
+  std::int64_t max_event_gap_ms = 0;   ///< of a stream in time; 0: any
   int urgency = 0;                     ///< 0 is the most urgent
   int max_attempts = 1;            ///< backend servers that it may be sent to
   bool resumable = false;          ///< callers may resume a broken stream
--- a/src/relay/routing_config.h
+++ b/src/relay/routing_config.h
@@ -25,6 +25,9 @@
   ExecutionRule rule = ExecutionRule::kOnce;
   std::int64_t timeout_ms = 0;
   std::int64_t target_latency_ms = 0;
+  /// Longest pause between the events of a stream with which its answer is
+  /// still in time; 0: not stated.
+  std::int64_t max_event_gap_ms = 0;
   int urgency = 0;
   int max_attempts = 1;
   bool is_public = false;  ///< no API key is needed
--- a/src/relay/stream_session.h
+++ b/src/relay/stream_session.h
@@ -94,6 +94,9 @@
   const std::string& MoveTarget() const { return this->move->Plan().target; }
   std::int64_t Events() const { return this->events; }
   std::int64_t KvCacheTokens() const;
+  /// @brief Longest pause with which the stream is in time, divided by the
+  /// tokens of an event; 0: no limit.
+  std::int64_t MaxTokenGapUs() const;
 
   // HttpHandler
   void OnHead(int http_status, std::span<const HttpHeader> headers) override;
--- a/src/relay/stream_session_placement.cc
+++ b/src/relay/stream_session_placement.cc
@@ -71,6 +71,7 @@
     work.model = size.model;
     work.prompt_tokens = size.prompt_tokens;
     work.max_output_tokens = size.max_output_tokens;
+    work.hinted_output_tokens = size.hinted_output_tokens;
   }
   work.arrived_ms = this->deps.clock.WallMs();
   work.deadline_ms =
@@ -78,9 +79,17 @@
   work.urgency = UrgencyOf(this->terms);
   work.allowed_regions = this->terms.allowed_regions;
   work.software = this->versions;
+  work.tokens_per_event = this->tokens_per_event;
+  work.max_token_gap_us = this->MaxTokenGapUs();
   return work;
 }
 
+std::int64_t StreamSession::MaxTokenGapUs() const {
+  constexpr std::int64_t kUsPerMs = 1'000;
+  return this->terms.max_event_gap_ms * kUsPerMs /
+         std::max<std::int64_t>(1, this->tokens_per_event);
+}
+
 void StreamSession::Begin() {
   this->since_first_try_ms = this->stream_deps.first_tries.Elapsed(
       this->terms.route, this->request.allowed_ms);
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -320,6 +320,9 @@
   this->fleet.OnPrefillObserved([this](const PrefillObservation& seen) {
     this->allocation.ReportPrefill(seen);
   });
+  this->fleet.OnSpeedObserved([this](const SpeedObservation& seen) {
+    this->allocation.ReportSpeed(seen);
+  });
   this->fleet.OnCapacityFreed([this](std::string_view engine) {
     this->load_datagrams.SendFreed(this->load_adapter.NoteAt(engine));
   });
@@ -448,6 +451,8 @@
   set("quarantined", this->quarantine.Count());
   set("crash_records", this->quarantine.RecordTable().Size());
   set("allocation_groups", this->allocation.OwnGroupCount());
+  set("engine_speeds_uneven", this->fleet.Speeds().AreUneven() ? 1 : 0);
+  set("engine_speeds_ignored", this->fleet.Speeds().Ignored());
   this->SetPathStates();
   for (const Urgency urgency :
        {Urgency::kUrgent, Urgency::kNormal, Urgency::kBatch}) {
