--- a/src/policy/tests/pressure_chooser_test.cc
+++ b/src/policy/tests/pressure_chooser_test.cc
@@ -182,8 +182,7 @@
 }
 
 // Guards against admitting work beyond the memory limit because it is urgent or
-// has waited: such work preempted runs that had started. 42 runs were preempted
-// on a day of overload, and 17 without such work.
+// has waited: such work preempts runs that have started.
 Test(work_without_room, waits_even_if_urgent) {
   PressureChooserFixture fixture;
   fixture.ReportPeerLoad("e0", kCapacity);
