Engine speeds can be switched off; a log line when they begin to count

Cause: no setting switched the part off, so that its worth could not be shown beside the same code, and nothing in a log told when it takes effect. serve normalized its prefill times by speeds that nothing else there uses.

--- a/src/allocation/allocation_participant.cc
+++ b/src/allocation/allocation_participant.cc
@@ -54,6 +54,7 @@
   const bool was_stalled = this->WasStalled();
   this->last_tick_ms = now_ms;
   this->UpdateHosts();
+  this->LogSpeedChange();
   if (this->client.IsShared()) {
     this->UpdateOwnGroups(was_stalled);
     this->allocator.DropExpired(this->dependencies.clock.WallMs());
@@ -88,6 +89,16 @@
   }
 }
 
+void AllocationParticipant::LogSpeedChange() {
+  const bool are_uneven = this->dependencies.fleet.Speeds().AreUneven();
+  if (are_uneven != this->were_speeds_uneven) {
+    LogLine("engine-speeds")
+        .Add("uneven", are_uneven ? "yes" : "no")
+        .WriteImportant();
+    this->were_speeds_uneven = are_uneven;
+  }
+}
+
 // When a new group is assigned to this host, it knows no loads of that group,
 // and after a stall the loads that it knows are outdated. In both cases it asks
 // all hosts for reports.
--- a/src/allocation/allocation_participant.h
+++ b/src/allocation/allocation_participant.h
@@ -127,6 +127,7 @@
   void Tick();
   bool WasStalled() const;
   void UpdateHosts();
+  void LogSpeedChange();
   void UpdateOwnGroups(bool was_stalled);
   template <typename Message>
   void SendToAllocators(const Message& message);
@@ -145,6 +146,7 @@
   std::set<std::string> own_groups;
   std::int64_t last_tick_ms = 0;
   std::int64_t last_heartbeat_ms = 0;
+  bool were_speeds_uneven = false;
   Lifetime life;
 };
 
--- a/src/permits/tests/permit_participant_test.cc
+++ b/src/permits/tests/permit_participant_test.cc
@@ -15,6 +15,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "base/manual_scheduler.h"
+#include "base/rendezvous.h"
 
 namespace meadowthread {
 namespace {
@@ -421,5 +422,39 @@
   cr_assert(server.served >= 20, "%d of 80", server.served);
 }
 
+// Guards against a server that nobody uses once the host that counts is gone.
+Test(a_brittle_server, is_used_while_its_granting_host_is_silent) {
+  BrittleServer server;
+  server.Load(3'000);
+  std::string granting = server.fleet.names[0];
+  for (const std::string& name : server.fleet.names) {
+    if (RendezvousScore(name, "s") > RendezvousScore(granting, "s")) {
+      granting = name;
+    }
+  }
+  server.fleet.silent.insert(granting);
+  server.Load(1'000);
+  server.served = 0;
+  server.rejected = 0;
+  server.Load(4'000);
+  cr_assert(server.served >= 10, "%d of 80", server.served);
+  cr_assert(server.rejected <= 20, "%d where it bears 20", server.rejected);
+  server.fleet.silent.clear();
+  server.Load(3'000);
+  server.served = 0;
+  server.Load(4'000);
+  cr_assert(server.served >= 40, "%d of 80 once it is back", server.served);
+}
+
+// Guards against one call that ends twice freeing the slot of another.
+Test(the_end_of_a_call, counts_once) {
+  InFlightLimit limit;
+  limit.NoteStarted(1, 1);
+  limit.NoteStarted(2, 1);
+  limit.NoteEnded(1);
+  limit.NoteEnded(1);
+  cr_assert(limit.InFlight() == 1);
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/policy/fleet_state.cc
+++ b/src/policy/fleet_state.cc
@@ -228,7 +228,7 @@
 // The time before the first event at an engine includes prefill or a copy.
 void FleetState::SampleGap(EngineIndex index, const Stream& stream,
                            std::int64_t generated, std::int64_t now_ms) {
-  if (!stream.had_event_here) {
+  if (!stream.had_event_here || !this->options.measures_speeds) {
     return;
   }
   Engine& engine = *this->engines[index];
@@ -249,7 +249,7 @@
 
 void FleetState::ObserveSpeed(const SpeedObservation& seen) {
   const auto found = this->by_name.find(seen.engine);
-  if (found == this->by_name.end()) {
+  if (found == this->by_name.end() || !this->options.measures_speeds) {
     return;
   }
   const std::vector<ServedModel>& models =
--- a/src/policy/fleet_state.h
+++ b/src/policy/fleet_state.h
@@ -47,6 +47,8 @@
   std::int64_t slow_start_ms = 10'000;
   /// Loads reported by peers are ignored if they are older than this.
   std::int64_t max_peer_age_ms = 3'000;
+  /// Measure how fast engines generate. If not, all count as equally fast.
+  bool measures_speeds = true;
 };
 
 /// @brief This host's knowledge of the engines and of its own requests on them.
--- a/src/policy/tests/engine_speeds_test.cc
+++ b/src/policy/tests/engine_speeds_test.cc
@@ -85,6 +85,41 @@
   cr_assert(!speeds.AreUneven() && speeds.RelativeTime(0) == 1.0);
 }
 
+// Measurements are sent once: each may be lost, late or doubled.
+Test(lost_and_doubled_measurements, do_not_change_what_is_known_of_an_engine) {
+  EngineSpeeds all;
+  EngineSpeeds some;
+  int message = 0;
+  ObserveUnevenEngines(
+      [&](int engine, std::int64_t typical_us, std::int64_t longest_us) {
+        const auto index = static_cast<std::size_t>(engine);
+        const SpeedObservation seen = {"", typical_us, longest_us};
+        all.Observe(index, "m", seen);
+        const int copies = ++message % 3;  // none, one or two arrive
+        for (int copy = 0; copy < copies; ++copy) {
+          some.Observe(index, "m", seen);
+        }
+      },
+      kFastUs);
+  for (const std::size_t engine : {0, 1, 14, 15}) {
+    cr_assert(some.RelativeTime(engine) == all.RelativeTime(engine));
+  }
+}
+
+// Guards against an engine that is slow for a moment being taken for slow.
+Test(one_slow_moment, does_not_change_what_is_known_of_an_engine) {
+  EngineSpeeds speeds;
+  ObserveUnevenEngines(
+      [&](int engine, std::int64_t typical_us, std::int64_t longest_us) {
+        speeds.Observe(static_cast<std::size_t>(engine), "m",
+                       {"", typical_us, longest_us});
+      },
+      kFastUs);
+  const double before = speeds.RelativeTime(0);
+  speeds.Observe(0, "m", {"", 5 * kFastUs / 2, 5 * kFastUs});
+  cr_assert(speeds.RelativeTime(0) == before);
+}
+
 // Guards against measurements of a stalled host or of another unit.
 Test(a_measurement_that_is_not_plausible, is_ignored) {
   EngineSpeeds speeds;
--- a/src/policy/tests/fleet_state_test.cc
+++ b/src/policy/tests/fleet_state_test.cc
@@ -308,5 +308,80 @@
             "the measured rate is 0.1 ms per token");
 }
 
+/// @brief A stream whose events are 36 ms apart, four tokens each.
+struct MeasuredStream {
+  explicit MeasuredStream(FleetOptions options = {})
+      : state(this->lengths, options) {
+    for (const int engine : {0, 1}) {
+      this->state.SetEngine({testing::EngineName(engine), "z", true, false}, 0);
+      this->state.ApplyReport(testing::ReportOf(engine, 0), 0);
+    }
+    this->state.OnSpeedObserved([this](const SpeedObservation& seen) {
+      this->reported.push_back(seen);
+    });
+    WorkItem work = testing::Work("r");
+    work.tokens_per_event = 4;
+    this->state.NoteSent(work, "e0", 0);
+  }
+  void Generate(int events) {
+    for (int n = 0; n < events; ++n) {
+      this->now_ms += 36;
+      this->tokens += 4;
+      this->state.NoteTokens("r", this->tokens, this->now_ms);
+    }
+  }
+
+  LearnedLengthModel lengths;
+  FleetState state;
+  std::vector<SpeedObservation> reported;
+  std::int64_t now_ms = 1'000;
+  std::int64_t tokens = 0;
+};
+
+Test(the_events_of_a_stream, measure_the_speed_of_its_engine) {
+  MeasuredStream stream;
+  stream.Generate(20);
+  cr_assert(!stream.reported.empty());
+  cr_assert(stream.reported[0].engine == "e0");
+  cr_assert(stream.reported[0].typical_us == 9'000 &&
+            stream.reported[0].longest_us == 9'000);
+  cr_assert(stream.state.Speeds().IsKnown(0));
+}
+
+// Guards against counting the copy of a run as a pause of its new engine.
+Test(a_stream_that_was_migrated, does_not_measure_the_time_of_its_migration) {
+  MeasuredStream stream;
+  stream.Generate(3);
+  stream.now_ms += 700;
+  stream.state.NoteMoved("r", "e1", stream.now_ms);
+  stream.now_ms += 700;
+  stream.Generate(20);
+  cr_assert(!stream.reported.empty());
+  cr_assert(stream.reported[0].engine == "e1");
+  cr_assert(stream.reported[0].longest_us == 9'000);
+}
+
+Test(an_engine_that_left_or_started_again, has_to_be_measured_anew) {
+  MeasuredStream stream;
+  stream.Generate(20);
+  LoadReport started_again = testing::ReportOf(0, stream.now_ms);
+  started_again.incarnation = "2";
+  stream.state.ApplyReport(started_again, stream.now_ms);
+  cr_assert(!stream.state.Speeds().IsKnown(0));
+  stream.state.ObserveSpeed({"e1", 9'000, 9'000});
+  cr_assert(stream.state.Speeds().IsKnown(1));
+  stream.state.RemoveEngine("e1");
+  cr_assert(!stream.state.Speeds().IsKnown(1));
+}
+
+Test(speeds_that_are_not_measured, are_neither_reported_nor_used) {
+  MeasuredStream stream(FleetOptions{.measures_speeds = false});
+  stream.Generate(40);
+  stream.state.ObserveSpeed({"e1", 9'000, 9'000});
+  cr_assert(stream.reported.empty());
+  cr_assert(!stream.state.Speeds().IsKnown(0) &&
+            !stream.state.Speeds().IsKnown(1));
+}
+
 }  // namespace
 }  // namespace meadowthread
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -212,7 +212,7 @@
                 this->store, this->view),
       exchange(with, this->incarnation, this->clock, this->scheduler,
                this->view, this->hosts),
-      fleet(this->lengths),
+      fleet(this->lengths, FleetOptions{.measures_speeds = false}),
       load_adapter(with.host.name, this->clock, this->fleet),
       chooser(MakeChooser(with.policy)),
       dispatcher(this->fleet, *this->chooser,
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -170,7 +170,8 @@
                       }),
       // No slow start that is the same for all engines: an engine announces in
       // its entry for how long it is cold, and engines live for minutes only.
-      fleet(this->lengths, FleetOptions{0, kPeerLoadExpiryMs}),
+      fleet(this->lengths, FleetOptions{0, kPeerLoadExpiryMs,
+                                        with.policy.measures_engine_speeds}),
       dead_hosts(with.host.name, this->clock),
       load_adapter(with.host.name, this->clock, this->fleet),
       hub(with.host.name, kDatagramBytesPerSecond, this->random(), this->clock),
--- a/src/settings/relay_settings.cc
+++ b/src/settings/relay_settings.cc
@@ -81,6 +81,7 @@
   section.Number("short_work_limit", kMinMemoryShare, kMaxMemoryShare,
                  &policy->short_work_limit);
   section.Flag("guards_warm", &policy->guards_warm);
+  section.Flag("measures_engine_speeds", &policy->measures_engine_speeds);
   section.Integer("direct_hosts", 1, kMaxHosts, &policy->direct_hosts);
   section.Finish();
 }
--- a/src/settings/relay_settings.h
+++ b/src/settings/relay_settings.h
@@ -83,6 +83,9 @@
   /// Limits the load on engines also while they are warm, as they may become
   /// cold before hosts learn of it. Off: only while they are known to be cold.
   bool guards_warm = true;
+  /// Choose engines by how fast each one generates; if not, all count as
+  /// equally fast.
+  bool measures_engine_speeds = true;
 
   friend bool operator==(const RelayPolicySettings&,
                          const RelayPolicySettings&) = default;
