A stopping host sends only what certainly ends before it

Such a stream can't be repeated.

Cause: Relay::CheckStop reckoned a constant 12 ms a token and asked only once, at the request's arrival. Engines under load need more, and queues, permits and retries take time after the arrival. Calls were reckoned by four times their target alone, whatever they took.

Change: StopAdmission with an upper bound of a request's duration: streams by the pace measured at their engine (longest recent pause, or twice the typical time), by what their route allows where nothing was measured; calls by the slowest recent ones of their route. Asked at each placement, in the queue, and last with the chosen engine; calls at each attempt.

Why it works: no stream is sent during a stop without a bound of its own engine that ends before the stop; what is not sent is refused as not run.

--- a/src/policy/engine_speeds.cc
+++ b/src/policy/engine_speeds.cc
@@ -60,6 +60,8 @@
   Engine& known = this->engines[engine];
   known.typical_us.at(known.count % kKept) =
       static_cast<float>(seen.typical_us);
+  known.longest_us.at(known.count % kKept) =
+      static_cast<float>(seen.longest_us);
   ++known.count;
   known.model_hash = std::hash<std::string_view>{}(model);
   known.median_us =
@@ -121,6 +123,19 @@
              : 1.0;
 }
 
+// Entries of the rings that are not yet used are zero.
+std::optional<TokenPace> EngineSpeeds::PaceOf(std::size_t engine) const {
+  if (!this->IsKnown(engine)) {
+    return std::nullopt;
+  }
+  const Engine& known = this->engines[engine];
+  const auto largest = [](const std::array<float, kKept>& ring) {
+    return static_cast<std::int64_t>(
+        *std::max_element(ring.begin(), ring.end()));
+  };
+  return TokenPace{largest(known.typical_us), largest(known.longest_us)};
+}
+
 double EngineSpeeds::ExpectedPauseUs(std::size_t engine) const {
   const Summary& all = this->Summarize();
   return all.are_uneven ? all.median_us * this->RelativeTime(engine) *
--- a/src/policy/engine_speeds.h
+++ b/src/policy/engine_speeds.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,6 +21,15 @@
   std::int64_t longest_us = 0;
 };
 
+/// @brief Time per token at which an engine has recently generated.
+struct TokenPace {
+  /// Largest of the recent measurements' typical times.
+  std::int64_t typical_us = 0;
+  /// Longest recent pause between two events, divided by the tokens of an
+  /// event.
+  std::int64_t longest_us = 0;
+};
+
 /// @brief How fast each engine generates compared with the others, and which
 /// pauses its streams have to expect.
 ///
@@ -51,6 +61,10 @@
     return engine < this->engines.size() && this->engines[engine].count > 0;
   }
 
+  /// @brief The engine's recent time per token; nullopt if it has not been
+  /// measured since its start.
+  std::optional<TokenPace> PaceOf(std::size_t engine) const;
+
   /// @brief The pause that a stream at the engine has to expect when a prompt
   /// is prefilled beside it while the engine is slow for a moment, divided by
   /// the tokens of an event; 0 if the engines are about equally fast.
@@ -63,6 +77,7 @@
   static constexpr std::size_t kKept = 8;
   struct Engine {
     std::array<float, kKept> typical_us = {};  ///< ring of the latest ones
+    std::array<float, kKept> longest_us = {};  ///< likewise
     std::size_t count = 0;                     ///< since the engine's start
     double median_us = 0.0;                    ///< of those in the ring
     std::size_t model_hash = 0;
--- a/src/policy/fleet_state.h
+++ b/src/policy/fleet_state.h
@@ -195,6 +195,9 @@
   /// @brief The engine's view.
   const EngineView& View(EngineIndex index) const;
 
+  /// @brief The engine's index; nullopt if the engine is not known.
+  std::optional<EngineIndex> IndexOf(std::string_view engine) const;
+
   /// @brief The engine's view; null if the engine is not known.
   const EngineView* Find(std::string_view engine) const;
 
--- a/src/policy/fleet_state_queries.cc
+++ b/src/policy/fleet_state_queries.cc
@@ -50,19 +50,20 @@
   return this->engines[index]->view;
 }
 
-const EngineView* FleetState::Find(std::string_view engine) const {
+std::optional<EngineIndex> FleetState::IndexOf(std::string_view engine) const {
   const auto found = this->by_name.find(engine);
-  if (found == this->by_name.end()) {
-    return nullptr;
-  }
-  return &this->engines[found->second]->view;
+  return found == this->by_name.end() ? std::nullopt
+                                      : std::optional(found->second);
+}
+
+const EngineView* FleetState::Find(std::string_view engine) const {
+  const std::optional<EngineIndex> index = this->IndexOf(engine);
+  return index.has_value() ? &this->engines[*index]->view : nullptr;
 }
 
 double FleetState::RelativeTimeOf(std::string_view engine) const {
-  const auto found = this->by_name.find(engine);
-  return found == this->by_name.end()
-             ? 1.0
-             : this->speeds.RelativeTime(found->second);
+  const std::optional<EngineIndex> index = this->IndexOf(engine);
+  return index.has_value() ? this->speeds.RelativeTime(*index) : 1.0;
 }
 
 MemoryForecast FleetState::Forecast(EngineIndex index,
--- a/src/relay/call_session.cc
+++ b/src/relay/call_session.cc
@@ -173,6 +173,17 @@
          this->deps.clock.WallMs() >= this->terms.send_until_unix_ms;
 }
 
+// Asked before every attempt, as time passes while a permit is awaited.
+bool CallSession::EndsBeforeStop() const {
+  const std::int64_t now_ms = this->deps.clock.MonotonicMs();
+  CallForecast forecast;
+  forecast.remaining_ms = this->RemainingMs();
+  forecast.target_latency_ms = this->terms.target_latency_ms;
+  forecast.slowest_ms =
+      this->deps.stops.Calls().Slowest(this->terms.route, now_ms);
+  return this->deps.stops.Allows(now_ms, MaxCallMs(forecast));
+}
+
 // The quarantine is checked before every attempt, as earlier attempts of this
 // call may have crashed their servers.
 void CallSession::Send() {
@@ -180,6 +191,10 @@
     this->EndOrWait(QuarantinedError(*lasts_ms, this->may_have_run));
     return;
   }
+  if (!this->EndsBeforeStop()) {
+    this->EndForLackOfTime();
+    return;
+  }
   const Backend* const backend = this->ChooseBackend();
   LogLine line("route");
   line.Add("request", this->request.id)
@@ -272,6 +287,11 @@
         "too little time is left before the deadline to send the request"));
     return;
   }
+  if (!this->EndsBeforeStop()) {
+    this->ReleasePermit(server);
+    this->EndForLackOfTime();
+    return;
+  }
   SendTerms send;
   send.address = backend->entry.address;
   send.instance = backend->entry.id;
@@ -443,7 +463,8 @@
 // An attempt of which nothing was sent adds no load on any server, so its retry
 // is not charged to the retry budget.
 bool CallSession::SendAgain(bool connected) {
-  if (this->ended || this->RemainingMs() < kMinRemainingMs) {
+  if (this->ended || this->RemainingMs() < kMinRemainingMs ||
+      !this->EndsBeforeStop()) {
     return false;
   }
   if (connected) {
--- a/src/relay/call_session.h
+++ b/src/relay/call_session.h
@@ -69,6 +69,8 @@
   bool IsHeldBackByRate(const Backend& backend) const;
   bool HasServerInHomeRegions() const;
   bool HasClaimExpired() const;
+  bool EndsBeforeStop() const;
+  void EndForLackOfTime();
   const Backend* ChooseBackend();
   const Backend* CheapestBackend() const;
   void RecordAttemptEnd(const Attempt& attempt, AttemptResult result);
--- a/src/relay/call_session_end.cc
+++ b/src/relay/call_session_end.cc
@@ -58,7 +58,16 @@
   }
 }
 
+void CallSession::EndForLackOfTime() {
+  this->EndOrWait(
+      this->MakeProblem(ErrorId::kHostLeaving, this->OutcomeSoFar(), "stop",
+                        "this host stops before the request would have ended"));
+}
+
 std::int64_t CallSession::RetryAfterMs(ErrorId id) const {
+  if (id == ErrorId::kHostLeaving) {
+    return this->deps.stops.ReturnAfterMs();
+  }
   if (id == ErrorId::kOutsideAllowedRegions) {
     return -1;  // waiting brings no server into the allowed regions
   }
@@ -104,6 +113,8 @@
       .Add("attempts", this->tried.size())
       .Add("total_ms", total_ms);
   failure.has_value() ? line.WriteImportant() : line.Write();
+  this->deps.stops.Calls().Note(this->terms.route, total_ms,
+                                this->deps.clock.MonotonicMs());
   RelayRequestSummary summary;
   summary.route = this->terms.route;
   summary.service = this->terms.service;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -10,13 +10,6 @@
 namespace meadowthread {
 namespace {
 
-// A call is expected to end within this many times its target latency.
-constexpr std::int64_t kCallDurationTargets = 4;
-// Expected duration of a stream for each token that it may generate.
-constexpr std::int64_t kMsPerToken = 12;
-// Allowance for a stream's prefill and for forwarding its end.
-constexpr std::int64_t kStreamStartMs = 1'000;
-
 // A stream whose engine has started again ends once no data has arrived for
 // this long. The prefill of other prompts makes streams pause for a quarter of
 // this time, and callers wait for two seconds.
@@ -61,11 +54,6 @@
     this->Refuse(*writer, terms.status(), read->id);
     return;
   }
-  const absl::Status may = this->CheckStop(*terms, *read);
-  if (!may.ok()) {
-    this->Refuse(*writer, may, read->id);
-    return;
-  }
   if (terms->rule == ExecutionRule::kStream) {
     this->ServeStream(*std::move(read), *terms, std::move(writer));
   } else {
@@ -95,35 +83,6 @@
   writer.SendWhole(this->callers.Answer(problem));
 }
 
-// While stopping, refuses requests that would be cut off, as they can still run
-// on another host.
-absl::Status Relay::CheckStop(const RelayTerms& terms,
-                              const RelayRequest& request) const {
-  if (this->stop_view == nullptr) {
-    return absl::OkStatus();
-  }
-  std::int64_t needs_ms = terms.timeout_ms;
-  if (terms.rule != ExecutionRule::kStream && terms.target_latency_ms > 0) {
-    needs_ms =
-        std::min(needs_ms, kCallDurationTargets * terms.target_latency_ms);
-  }
-  if (request.generation.has_value()) {
-    const std::int64_t stream_ms =
-        kStreamStartMs + kMsPerToken * request.generation->max_output_tokens;
-    needs_ms = std::min(needs_ms, stream_ms);
-  }
-  if (this->deps.clock.MonotonicMs() + needs_ms < this->stop_ends_ms) {
-    return absl::OkStatus();
-  }
-  ErrorDetail detail;
-  detail.id = ErrorId::kHostLeaving;
-  detail.outcome = Outcome::kNotRun;
-  detail.step = "stop";
-  detail.retry_after_ms = this->stop_view->ReturnAfterMs();
-  return MakeError(absl::StatusCode::kUnavailable, detail,
-                   "this host stops before the request would have ended");
-}
-
 ////////
 // Calls
 ////////
@@ -211,6 +170,7 @@
 }
 
 void Relay::DrainQueue() {
+  this->RefuseWaitingForStop();
   const std::int64_t now_ms = this->deps.clock.WallMs();
   for (const SendOrder& order :
        this->stream_deps.dispatcher.Drain(now_ms, this->deps.random())) {
@@ -226,6 +186,16 @@
   }
 }
 
+// The rest of the shutdown may have become too short while a stream waited.
+void Relay::RefuseWaitingForStop() {
+  if (!this->deps.stops.HasBegun()) {
+    return;
+  }
+  for (StreamSession* const stream : this->AllStreams()) {
+    stream->RefuseIfStopEndsFirst();
+  }
+}
+
 StreamSession* Relay::FindStream(std::string_view request) {
   for (const auto& [number, session] : this->streams) {
     if (session->Request().id == request) {
@@ -344,11 +314,6 @@
   }
 }
 
-void Relay::BeginStop(std::int64_t ends_ms, const StopView& view) {
-  this->stop_ends_ms = ends_ms;
-  this->stop_view = &view;
-}
-
 // Returns a copy, as sessions remove themselves from the maps when they end.
 // Ended sessions live until the next turn of the event loop.
 std::vector<CallSession*> Relay::AllCalls() const {
@@ -368,8 +333,7 @@
 }
 
 void Relay::EndForShutdown() {
-  const std::int64_t return_after_ms =
-      this->stop_view == nullptr ? -1 : this->stop_view->ReturnAfterMs();
+  const std::int64_t return_after_ms = this->deps.stops.ReturnAfterMs();
   for (CallSession* const call : this->AllCalls()) {
     call->EndForShutdown(return_after_ms);
   }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -27,15 +27,6 @@
   std::int64_t refused = 0;  ///< before a backend server was chosen
 };
 
-/// @brief What a host that is shutting down knows about the other hosts.
-class StopView {
- public:
-  virtual ~StopView() = default;
-
-  /// @brief Retry delay for callers whose requests the stopping host refuses.
-  virtual std::int64_t ReturnAfterMs() const = 0;
-};
-
 /// @brief Serves callers' requests according to the routes, as calls or
 /// streams, and ends each exactly once.
 class Relay final : public HttpService {
@@ -81,10 +72,12 @@
   /// @param[in] only_unnamed only engines that have no valid entry in the store
   void PollEngineStates(bool only_unnamed = false);
 
-  /// @brief Begins a planned shutdown: from now on only requests that are
-  /// expected to end by `ends_ms` (monotonic) are accepted.
+  /// @brief Begins a planned shutdown: from now on requests are sent to servers
+  /// only if they certainly end by `ends_ms` (monotonic).
   /// @param[in] view outlives the relay
-  void BeginStop(std::int64_t ends_ms, const StopView& view);
+  void BeginStop(std::int64_t ends_ms, const StopView& view) {
+    this->deps.stops.Begin(ends_ms, view);
+  }
 
   /// @brief Ends every request in progress with a final answer because the host
   /// shuts down now.
@@ -106,13 +99,12 @@
                    std::unique_ptr<ResponseWriter> writer);
   void Refuse(ResponseWriter& writer, const absl::Status& why,
               std::string_view request);
-  absl::Status CheckStop(const RelayTerms& terms,
-                         const RelayRequest& request) const;
   void AnswerCall(std::uint64_t number,
                   const absl::StatusOr<HttpResponse>& result);
   void DropCall(std::uint64_t number);
   void DropStream(std::uint64_t number);
   void ScheduleSweep();
+  void RefuseWaitingForStop();
   void OnEngineState(const std::string& engine,
                      const absl::StatusOr<EngineState>& state);
   void EndSilentStreams(const std::string& engine);
@@ -137,8 +129,6 @@
   bool sweep_planned = false;
   /// Engines with a pending state request.
   std::set<std::string> pending_state_reads;
-  std::int64_t stop_ends_ms = -1;
-  const StopView* stop_view = nullptr;  ///< null: not shutting down
   Lifetime life;
 };
 
--- a/src/relay/relay_dependencies.h
+++ b/src/relay/relay_dependencies.h
@@ -19,6 +19,7 @@
 #include "policy/server_notice.h"
 #include "policy/server_permits.h"
 #include "policy/server_rate_limiter.h"
+#include "policy/stop_admission.h"
 #include "policy/stream_admission.h"
 #include "quarantine/quarantine.h"
 #include "quarantine/request_quarantine.h"
@@ -61,6 +62,7 @@
   VersionGate& versions;
   ServerPermits& permits;
   RequestedBackoffs& backoffs;
+  StopAdmission& stops;
 };
 
 /// @brief The server as the quarantine records it; nullopt if it is unknown or
--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -394,16 +394,6 @@
                "the engine did not begin in time", -1);
 }
 
-void StreamSession::EndForShutdown(std::int64_t return_after_ms) {
-  if (this->phase != StreamPhase::kQueued) {
-    this->Interrupt("the host ends");
-    return;
-  }
-  this->stream_deps.dispatcher.Cancel(this->request.id);
-  this->Refuse(ErrorId::kHostLeaving, Outcome::kNotRun, "stop", "the host ends",
-               return_after_ms);
-}
-
 void StreamSession::EndIfQuarantined(const CrashRecord& quarantined) {
   const bool is_waiting =
       this->phase == StreamPhase::kQueued || this->phase == StreamPhase::kSent;
--- a/src/relay/stream_session.h
+++ b/src/relay/stream_session.h
@@ -11,6 +11,8 @@
 
 #include "base/lifetime.h"
 #include "net/response_writer.h"
+#include "policy/engine_view.h"
+#include "policy/stop_admission.h"
 #include "policy/work_item.h"
 #include "quarantine/request_quarantine.h"
 #include "relay/relay_dependencies.h"
@@ -55,6 +57,11 @@
   /// from its queue.
   void RefuseFromQueue(RefusalReason reason, std::int64_t retry_after_ms);
 
+  /// @brief Refuses the stream if it waits for an engine and the host shuts
+  /// down so soon that no engine is certain to end it before.
+  /// @return whether it was refused
+  bool RefuseIfStopEndsFirst();
+
   /// @brief Ends the stream because the host shuts down: reported as not run if
   /// it has not been sent to an engine, otherwise interrupted.
   /// @param[in] return_after_ms retry delay for a request that did not run
@@ -121,6 +128,10 @@
   void RefuseQueued(DecisionReason why);
   bool MaySendTo(std::string_view key) const;
   bool FallBackToOtherVersions();
+  StreamForecast ForecastAt(std::optional<EngineIndex> index) const;
+  std::int64_t LeastMaxDurationMs() const;
+  bool RefuseIfStopEndsFirstAt(std::string_view key);
+  void RefuseForStop(std::int64_t max_ms);
   bool RefuseUnservable();
   bool RefuseIfHeldBack();
   void AskPermit(const Decision& decision);
@@ -222,6 +233,9 @@
   std::vector<std::string> without_permit;
   /// Reading from the engine is paused, as the caller is slow.
   bool paused = false;
+  /// Upper bound for the duration of an attempt that was sent while the host
+  /// shuts down; -1: sent before.
+  std::int64_t max_duration_ms = -1;
   std::int64_t reading_since_ms = 0;
   std::int64_t longest_gap_ms = 0;
   Lifetime life;
--- a/src/relay/stream_session_placement.cc
+++ b/src/relay/stream_session_placement.cc
@@ -115,7 +115,7 @@
 
 void StreamSession::RequestPlacement() {
   this->phase = StreamPhase::kQueued;
-  if (this->RefuseIfQuarantined()) {
+  if (this->RefuseIfQuarantined() || this->RefuseIfStopEndsFirst()) {
     return;
   }
   const StreamAdmissionPlan arrival = this->stream_deps.admission.Plan(
@@ -346,7 +346,8 @@
 // Asks the quarantine once more, as crashes may have become known since the
 // request was placed.
 void StreamSession::SendWithPermit(const Decision& decision) {
-  if (this->RefuseIfQuarantined()) {
+  if (this->RefuseIfQuarantined() ||
+      this->RefuseIfStopEndsFirstAt(*decision.engine)) {
     return;
   }
   LogLine line("route");
--- a/src/relay/tests/relay_fixture.h
+++ b/src/relay/tests/relay_fixture.h
@@ -345,11 +345,12 @@
   FakeVersionGate versions;
   FakePermits permits;
   RequestedBackoffs backoffs;
+  StopAdmission stops;
   RelayDependencies deps{this->clock,    this->scheduler, this->client,
                          this->wire,     this->backends,  this->health,
                          this->budgets,  this->observer,  this->quarantine,
                          this->arrivals, this->random,    this->versions,
-                         this->permits,  this->backoffs};
+                         this->permits,  this->backoffs,  this->stops};
   LearnedLengthModel lengths;
   FleetState fleet{this->lengths, FleetOptions{0, 7'000}};
   PressureChooser chooser{PressureOptions{}};
--- a/src/serve/detail/relay_host_impl.h
+++ b/src/serve/detail/relay_host_impl.h
@@ -162,6 +162,7 @@
   GossipDatagrams gossip;
   PermitParticipant permits;
   RequestedBackoffs backoffs;
+  StopAdmission stops;
   NoticeGossip notices;
   CrashGossip crash_gossip;
   CrashRecordStore crash_records;
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -183,6 +183,7 @@
   NoVersionGate version_gate;
   NoServerPermits permits;
   RequestedBackoffs backoffs;
+  StopAdmission stops;  ///< never begun: this program waits for its requests
   CrashRecordStore crash_records;
   EngineRestartDetector engine_restarts;
   ServiceForwarder forwarder;
@@ -256,13 +257,14 @@
       crash_records(kQuarantineKind, StoredRecords::kSuspects, this->quarantine,
                     this->store, this->view, this->clock, this->scheduler,
                     this->random()),
-      forwarder({{this->clock, this->scheduler, this->client,
-                  this->service_backend_protocol, this->backends, this->health,
-                  this->service_retries, this->service_metrics,
-                  this->quarantine, this->rate_limiter, this->random,
-                  this->version_gate, this->permits, this->backoffs},
-                 this->catalog,
-                 this->claims}) {
+      forwarder(
+          {{this->clock, this->scheduler, this->client,
+            this->service_backend_protocol, this->backends, this->health,
+            this->service_retries, this->service_metrics, this->quarantine,
+            this->rate_limiter, this->random, this->version_gate, this->permits,
+            this->backoffs, this->stops},
+           this->catalog,
+           this->claims}) {
   SessionDependencies session = {this->clock,
                                  this->scheduler,
                                  this->engine_client,
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -229,7 +229,7 @@
             {this->clock, this->scheduler, this->routed_client, on.Backends(),
              this->backends, this->health, this->budgets, this->metrics,
              this->quarantine, this->rate_limiter, this->random, this->rollouts,
-             this->permits, this->backoffs},
+             this->permits, this->backoffs, this->stops},
             {this->borrowing_allocation, this->dispatcher, this->fleet,
              this->first_attempts, this->admission, this->links},
             *this->control, on.Callers(), this->routing_config),
