Interim answers and answers to other requests have a bound

Cause: ClientConnection skips each of them, as each is valid by itself; nothing counted them.

Change: UnwantedResponses, the sums of one exchange: 32 interim answers, 8 answers to other requests and 8 MiB of their bodies. Beyond them, and for a head that is too long, the call ends as kPeerMalformed with `exceeded_limit`, and the connection is closed. As they are sums, slow senders meet them too.

Evidence: two tests of pooled_client_test (an_answer_without_end, an_answer_to_another_request) failed on the code before, after their timeouts of 2 and 10 s; they pass now within milliseconds.

--- a/src/net/client_connection.cc
+++ b/src/net/client_connection.cc
@@ -111,6 +111,7 @@
   this->head_told = false;
   this->discarding = false;
   this->answered = false;
+  this->unwanted = {};
   this->http_status = 0;
   this->sent_before = this->socket->SentBytes();
   this->reader.ExpectNoBody(request.method == "HEAD");
@@ -135,13 +136,19 @@
 void ClientConnection::ProcessMessages(ReadState state) {
   const HttpCallId mine = this->call;
   while (this->call == mine && mine != 0) {
-    if (state == ReadState::kMalformed || state == ReadState::kHeadTooLarge) {
+    if (state == ReadState::kMalformed) {
       this->Fail(ErrorId::kPeerMalformed, this->reader.Problem());
       return;
     }
+    if (state == ReadState::kHeadTooLarge) {
+      this->FailAtLimit(this->reader.Problem());
+      return;
+    }
     if (this->reader.Head() != nullptr && !this->head_told) {
-      // A 1xx response has no body; the final response follows.
       if (this->reader.Head()->http_status < http_code::kFirstFinal) {
+        if (!this->SkipInterim()) {
+          return;
+        }
         state = this->reader.Next();
         continue;
       }
@@ -149,12 +156,8 @@
         return;
       }
     }
-    const std::string data = this->reader.TakeBody();
-    if (!data.empty() && !this->discarding) {
-      this->owner.OnExchangeData(*this, data);
-      if (this->call != mine) {
-        return;
-      }
+    if (!this->ReportBody()) {
+      return;
     }
     if (state != ReadState::kWhole) {
       return;
@@ -169,7 +172,35 @@
   }
 }
 
-/// @return false if the callback cancelled the call
+// A 1xx response has no body; the final response follows.
+/// @return false if the call has ended
+bool ClientConnection::SkipInterim() {
+  if (!this->unwanted.AddInterim()) {
+    this->FailAtLimit("the peer sent too many interim responses");
+    return false;
+  }
+  return true;
+}
+
+/// @return false if the call has ended
+bool ClientConnection::ReportBody() {
+  const HttpCallId mine = this->call;
+  const std::string data = this->reader.TakeBody();
+  if (data.empty()) {
+    return true;
+  }
+  if (!this->discarding) {
+    this->owner.OnExchangeData(*this, data);
+    return this->call == mine;
+  }
+  if (!this->unwanted.AddDiscarded(data.size())) {
+    this->FailAtLimit("the responses to other requests are too long");
+    return false;
+  }
+  return true;
+}
+
+/// @return false if the call has ended
 bool ClientConnection::ReportHead() {
   const HttpCallId mine = this->call;
   const MessageHead& head = *this->reader.Head();
@@ -177,6 +208,10 @@
   this->discarding = this->IsForeignResponse(head);
   if (this->discarding) {
     this->owner.OnForeignResponse(*this);
+    if (!this->unwanted.AddForeign()) {
+      this->FailAtLimit("the peer answered too many other requests");
+      return false;
+    }
     return true;
   }
   this->http_status = head.http_status;
@@ -229,7 +264,8 @@
                                            : "the connection ended early");
 }
 
-void ClientConnection::Fail(ErrorId id, std::string_view what) {
+void ClientConnection::FailWith(ErrorId id, std::string_view what,
+                                bool exceeded_limit) {
   ErrorDetail detail;
   detail.id = id;
   detail.peer = this->peer.authority;
@@ -238,6 +274,7 @@
   HttpCallResult end;
   end.http_status = this->http_status;
   end.request_may_have_left = left;
+  end.exceeded_limit = exceeded_limit;
   end.status = MakeError(absl::StatusCode::kUnavailable, detail, what);
   this->ReportEnd(end, false);
 }
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -31,6 +31,34 @@
 
 class ClientConnection;
 
+/// @brief Bounds what a peer may send before the answer to a request.
+///
+/// Guards against peers that send interim responses, or responses to other
+/// requests, without end.
+class UnwantedResponses {
+ public:
+  /// @return false if the peer has sent too many
+  bool AddInterim() { return ++this->interim <= kMaxInterim; }
+  /// @return false if the peer has sent too many
+  bool AddForeign() { return ++this->foreign <= kMaxForeign; }
+  /// @brief Counts body bytes that are discarded.
+  /// @return false if the peer has sent too many
+  bool AddDiscarded(std::size_t bytes) {
+    this->discarded_bytes += bytes;
+    return this->discarded_bytes <= kMaxDiscardedBytes;
+  }
+
+ private:
+  static constexpr int kMaxInterim = 32;
+  // Each may be one late answer to an earlier request on the connection.
+  static constexpr int kMaxForeign = 8;
+  static constexpr std::size_t kMaxDiscardedBytes = std::size_t{8} << 20;
+
+  int interim = 0;
+  int foreign = 0;
+  std::size_t discarded_bytes = 0;
+};
+
 /// @brief How one request/response exchange on a connection ended.
 struct ExchangeEnd {
   HttpCallResult end;
@@ -78,7 +106,9 @@
   void AbortSilently();
 
   /// @brief Reports the end of the exchange with an error.
-  void Fail(ErrorId id, std::string_view what);
+  void Fail(ErrorId id, std::string_view what) {
+    this->FailWith(id, what, false);
+  }
 
   void SetPaused(bool paused) { this->socket->SetPaused(paused); }
 
@@ -100,6 +130,12 @@
  private:
   void ProcessMessages(ReadState state);
   bool ReportHead();
+  bool ReportBody();
+  bool SkipInterim();
+  void FailAtLimit(std::string_view what) {
+    this->FailWith(ErrorId::kPeerMalformed, what, true);
+  }
+  void FailWith(ErrorId id, std::string_view what, bool exceeded_limit);
   bool IsForeignResponse(const MessageHead& head) const;
   void FinishResponse(bool by_close);
   void ReportEnd(const HttpCallResult& end, bool reusable);
@@ -115,6 +151,7 @@
   bool head_told = false;
   bool discarding = false;
   bool answered = false;
+  UnwantedResponses unwanted;  ///< of the current exchange
   int exchanges = 0;
   int http_status = 0;
   std::int64_t sent_before = 0;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -54,6 +54,8 @@
                                 ///< peer closed the connection
   /// The connection was opened for this call, not taken from a pool.
   bool new_connection = false;
+  /// The peer sent more than an answer may have, so the rest was not read.
+  bool exceeded_limit = false;
 };
 
 /// @brief Receives the response to one call, on the event loop's thread.
--- a/src/net/tests/pooled_client_test.cc
+++ b/src/net/tests/pooled_client_test.cc
@@ -233,6 +233,57 @@
   cr_assert(got.end.http_status == 200 && got.response.body == "ok");
 }
 
+/// @brief A server that answers with the same bytes without end.
+RawServer AnsweringWithoutEnd(const std::string& piece) {
+  return RawServer([piece](QTcpSocket& socket, const std::string& sent) {
+    if (!IsWholeRequest(sent)) {
+      return;
+    }
+    const auto send = [&socket, piece] {
+      socket.write(piece.data(), static_cast<qint64>(piece.size()));
+    };
+    QObject::connect(&socket, &QTcpSocket::bytesWritten, &socket, send);
+    send();
+  });
+}
+
+// Guards against a host that is kept busy until the request's deadline: each
+// interim response, and each response to another request, is valid by itself.
+Test(an_answer_without_end, ends_the_call_at_its_limit) {
+  Loop loop;
+  for (const char* const piece : {"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n",
+                                  "HTTP/1.1 200 OK\r\nRequest-Id: "
+                                  "other\r\nContent-Length: 2\r\n\r\nok"}) {
+    const RawServer server = AnsweringWithoutEnd(piece);
+    PooledClient client;
+    HttpRequest request = To(server);
+    request.total_timeout_ms = 2'000;
+    request.response_echo = {"Request-Id", "own"};
+    const FetchResult got = Ask(loop, client, request);
+    cr_assert(DetailOf(got.end.status).id == ErrorId::kPeerMalformed, "%s",
+              piece);
+    cr_assert(got.end.request_may_have_left);
+    cr_assert(loop.Until([&] { return server.Left() == 1; }));
+  }
+}
+
+Test(an_answer_to_another_request, that_never_ends_ends_the_call) {
+  Loop loop;
+  RawServer server([](QTcpSocket& socket, const std::string&) {
+    socket.write("HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n");
+    QObject::connect(&socket, &QTcpSocket::bytesWritten, &socket, [&socket] {
+      const std::string bytes(std::size_t{256} * 1024, 'x');
+      socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
+    });
+  });
+  PooledClient client;
+  HttpRequest request = To(server);
+  request.total_timeout_ms = 10'000;
+  request.response_echo = {"Request-Id", "own"};
+  cr_assert(DetailOf(Ask(loop, client, request).end.status).id ==
+            ErrorId::kPeerMalformed);
+}
+
 Test(an_answer, to_a_head_request_has_no_body) {
   Loop loop;
   const RawServer server =
