Streams have a bound by the tokens asked for; their engine is avoided

An answer on a stream route that is no event stream was cut at 1 MiB and passed on as whole.

Cause: only a single event was bounded. StreamSession::OnData dropped what exceeded 1 MiB and went on. What ended at a bound was not recorded as evidence on the engine.

An attempt that ends at a bound ends as AttemptResult::kExceededLimit: the server is avoided at once for 0.4 s, doubled up to 6.4 s, and peers are told. The quarantine hears nothing of it, as the engine has not crashed. The caller is told that the request may have run.

Evidence: an_answer_without_end (stream_session_test), both failed on the code before.

--- a/src/relay/backend_health.cc
+++ b/src/relay/backend_health.cc
@@ -15,17 +15,27 @@
 // failures.
 constexpr double kPriorCount = 3.0;
 constexpr double kPriorFailures = 0.1;
-// An unreachable server is avoided for this long, doubled for each further
-// consecutive failure.
+// A server that is unreachable, or sends answers without end, is avoided for
+// this long, doubled for each further consecutive failure.
 constexpr std::int64_t kFirstBackoffMs = 400;
 constexpr std::int64_t kMaxBackoffMs = 6'400;
 constexpr int kMaxDoublings = 4;
 
 }  // namespace
 
+namespace {
+
+// Whether the server is to be avoided for a time after a single such result.
+bool CausesBackoff(AttemptResult result) {
+  return result == AttemptResult::kUnreachable ||
+         result == AttemptResult::kExceededLimit;
+}
+
+}  // namespace
+
 std::optional<AttemptResult> AttemptResultOf(int number) {
   const bool is_one = number >= static_cast<int>(AttemptResult::kGood) &&
-                      number <= static_cast<int>(AttemptResult::kUnreachable);
+                      number <= static_cast<int>(AttemptResult::kExceededLimit);
   return is_one ? std::optional(static_cast<AttemptResult>(number))
                 : std::nullopt;
 }
@@ -45,7 +55,7 @@
 // backoff.
 void BackendHealth::RecordPeerAttempt(std::string_view id, AttemptResult result,
                                       std::int64_t now_ms) {
-  if (result == AttemptResult::kUnreachable && !this->IsUsable(id, now_ms)) {
+  if (CausesBackoff(result) && !this->IsUsable(id, now_ms)) {
     return;
   }
   this->Apply({id, 0.0, 0, result, true}, now_ms);
@@ -59,20 +69,20 @@
   record.good *= decay;
   record.failed *= decay;
   record.counted_ms = now_ms;
-  if (result == AttemptResult::kUnreachable) {
-    const int doublings = std::min(record.unreachable, kMaxDoublings);
+  if (CausesBackoff(result)) {
+    const int doublings = std::min(record.backoffs, kMaxDoublings);
     const std::int64_t backoff_ms =
         std::min(kMaxBackoffMs, kFirstBackoffMs << doublings);
-    ++record.unreachable;
+    ++record.backoffs;
     record.backoff_until_ms = now_ms + backoff_ms;
     record.failed += 1.0;
     LogLine("backend-aside")
         .Add("id", id)
-        .Add("in_a_row", record.unreachable)
+        .Add("in_a_row", record.backoffs)
         .Add("for_ms", backoff_ms)
         .WriteImportant();
   } else {
-    record.unreachable = 0;
+    record.backoffs = 0;
     (result == AttemptResult::kGood ? record.good : record.failed) += 1.0;
   }
   if (this->listener) {
--- a/src/relay/backend_health.h
+++ b/src/relay/backend_health.h
@@ -15,8 +15,9 @@
 /// health.
 enum class AttemptResult {
   kGood,
-  kFailed,       ///< it answered with an error or the connection broke
-  kUnreachable,  ///< the connection could not be established
+  kFailed,         ///< it answered with an error or the connection broke
+  kUnreachable,    ///< the connection could not be established
+  kExceededLimit,  ///< it sent more than any answer may have
 };
 
 /// @brief Converts a number received from another host; nullopt if it is out of
@@ -52,7 +53,7 @@
                          std::int64_t now_ms);
 
   /// @brief Whether requests may be sent to the server; false during the
-  /// backoff after failed connections.
+  /// backoff after failed connections and answers without end.
   bool IsUsable(std::string_view id, std::int64_t now_ms) const;
 
   /// @brief Failure rate of recent requests, from 0 to 1. It stays low while
@@ -72,7 +73,7 @@
     double good = 0.0;  ///< successes; both counts decay exponentially
     double failed = 0.0;
     std::int64_t counted_ms = 0;
-    int unreachable = 0;  ///< consecutive failed connections
+    int backoffs = 0;  ///< consecutive results that caused a backoff
     int in_progress = 0;
     std::int64_t backoff_until_ms = 0;
   };
--- a/src/relay/call_session.cc
+++ b/src/relay/call_session.cc
@@ -423,8 +423,7 @@
   const std::int64_t now_ms = this->deps.clock.MonotonicMs();
   const bool may_have_left = end.request_may_have_left;
   const AttemptVerdict verdict = JudgeAttempt({may_have_left});
-  this->RecordAttemptEnd(attempt, may_have_left ? AttemptResult::kFailed
-                                                : AttemptResult::kUnreachable);
+  this->RecordAttemptEnd(attempt, ResultOfFailure(end));
   LogLine("attempt-failed")
       .Add("request", this->request.id)
       .Add("engine", attempt.BackendId())
@@ -433,7 +432,7 @@
       .Add("took_ms", now_ms - attempt.SentMs())
       .Add("why", std::string{end.status.message()})
       .WriteImportant();
-  if (may_have_left) {
+  if (may_have_left && !end.exceeded_limit) {
     this->guarded.NoteInterrupted(
         ServerUnlessLeaving(this->deps.backends, attempt.BackendId()), true);
   }
--- a/src/relay/detail/call_attempt.h
+++ b/src/relay/detail/call_attempt.h
@@ -63,6 +63,7 @@
     this->end.status = MakeError(absl::StatusCode::kUnavailable, detail,
                                  "the answer's body exceeds the size limit");
     this->end.request_may_have_left = true;
+    this->end.exceeded_limit = true;
     this->session.OnAttemptEnd(*this);
   }
 
--- a/src/relay/relay_dependencies.cc
+++ b/src/relay/relay_dependencies.cc
@@ -112,6 +112,14 @@
 
 }  // namespace
 
+AttemptResult ResultOfFailure(const HttpCallResult& end) {
+  if (!end.request_may_have_left) {
+    return AttemptResult::kUnreachable;
+  }
+  return end.exceeded_limit ? AttemptResult::kExceededLimit
+                            : AttemptResult::kFailed;
+}
+
 void RecordAttempt(const RelayDependencies& deps, const AttemptEnd& end) {
   deps.health.RecordAttempt(end.server, end.result, deps.clock.MonotonicMs());
   RecordForVersion(deps, end);
--- a/src/relay/relay_dependencies.h
+++ b/src/relay/relay_dependencies.h
@@ -116,6 +116,9 @@
   std::int64_t gap_ms = -1;  ///< mean time between events; -1: not known
 };
 
+/// @brief The result of an attempt that ended without a whole answer.
+AttemptResult ResultOfFailure(const HttpCallResult& end);
+
 /// @brief Records the end of an attempt, as evidence on the server's health and
 /// on its version.
 void RecordAttempt(const RelayDependencies& deps, const AttemptEnd& end);
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -18,6 +18,11 @@
   return "once";
 }
 
+std::int64_t MaxOutputTokens(const RelayRequest& request) {
+  return request.generation.has_value() ? request.generation->max_output_tokens
+                                        : 0;
+}
+
 Urgency UrgencyOf(const RelayTerms& terms) {
   if (terms.urgency <= 0) {
     return Urgency::kUrgent;
--- a/src/relay/relay_request.h
+++ b/src/relay/relay_request.h
@@ -73,6 +73,9 @@
   std::int64_t send_until_unix_ms = 0;
 };
 
+/// @brief The most tokens that a request may generate; 0: not known.
+std::int64_t MaxOutputTokens(const RelayRequest& request);
+
 /// @brief The urgency of a request among the work of its service.
 Urgency UrgencyOf(const RelayTerms& terms);
 
--- a/src/relay/sse_event_splitter.cc
+++ b/src/relay/sse_event_splitter.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kDataField = "data:";
 
 // Returns the offset just after the blank line that ends the first event; lines
 // end in LF or CRLF.
@@ -24,24 +25,27 @@
   return std::string_view::npos;
 }
 
-std::int64_t IdOf(std::string_view event) {
-  std::int64_t id = -1;
+RawSseEvent EventOf(std::string_view event) {
+  RawSseEvent read;
+  read.bytes = std::string(event);
   std::size_t begin = 0;
   while (begin < event.size()) {
     const std::size_t end = event.find('\n', begin);
     const std::string_view line = event.substr(begin, end - begin);
     if (line.starts_with(kIdField)) {
       const std::string_view value = line.substr(kIdField.size());
-      if (!absl::SimpleAtoi(absl::StripAsciiWhitespace(AbslView(value)), &id)) {
-        id = -1;
+      if (!absl::SimpleAtoi(absl::StripAsciiWhitespace(AbslView(value)),
+                            &read.id)) {
+        read.id = -1;
       }
     }
+    read.has_data = read.has_data || line.starts_with(kDataField);
     if (end == std::string_view::npos) {
       break;
     }
     begin = end + 1;
   }
-  return id;
+  return read;
 }
 
 }  // namespace
@@ -53,8 +57,7 @@
   const std::string_view all = this->rest;
   for (std::size_t size = EndOfEvent(all); size != std::string_view::npos;
        size = EndOfEvent(all.substr(begin))) {
-    const std::string_view event = all.substr(begin, size);
-    events->push_back({std::string(event), IdOf(event)});
+    events->push_back(EventOf(all.substr(begin, size)));
     begin += size;
   }
   this->rest.erase(0, begin);
--- a/src/relay/sse_event_splitter.h
+++ b/src/relay/sse_event_splitter.h
@@ -13,6 +13,7 @@
 struct RawSseEvent {
   std::string bytes;     ///< including the blank line that ends it
   std::int64_t id = -1;  ///< -1: no id field, or not a number
+  bool has_data = false;
 };
 
 /// @brief Splits a byte stream into complete server-sent events without
--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -57,6 +57,7 @@
       writer(std::move(writer)),
       ended(std::move(ended)),
       splitter(kMaxEventBytes),
+      limit(MaxOutputTokens(this->request)),
       begun_ms(deps.clock.MonotonicMs()) {
   this->deadline_ms = DeadlineMs(this->request, this->terms, kDefaultTimeoutMs);
 }
@@ -98,15 +99,20 @@
 
 void StreamSession::OnData(std::string_view data) {
   if (!this->is_event_stream) {
-    if (this->whole_body.size() + data.size() <= kMaxWholeAnswerBytes) {
-      this->whole_body.append(data);
+    if (this->whole_body.size() + data.size() > kMaxWholeAnswerBytes) {
+      this->EndAtLimit("the answer is longer than its limit");
+      return;
     }
+    this->whole_body.append(data);
     return;
   }
   std::vector<RawSseEvent> new_events;
   if (!this->splitter.Feed(data, &new_events)) {
-    this->CancelCall();
-    this->Interrupt("an event is longer than its bound");
+    this->EndAtLimit("an event is longer than its limit");
+    return;
+  }
+  if (!this->IsWithinLimit(new_events)) {
+    this->EndAtLimit("the engine sent more events than were asked for");
     return;
   }
   if (!new_events.empty()) {
@@ -114,6 +120,25 @@
   }
 }
 
+bool StreamSession::IsWithinLimit(std::span<const RawSseEvent> new_events) {
+  return std::all_of(
+      new_events.begin(), new_events.end(),
+      [this](const RawSseEvent& event) { return this->limit.Add(event); });
+}
+
+// The request itself is not suspected, as the engine goes on.
+void StreamSession::EndAtLimit(std::string_view why) {
+  LogLine("answer-without-end")
+      .Add("request", this->request.id)
+      .Add("engine", this->engine)
+      .Add("events", this->events)
+      .Add("why", why)
+      .WriteImportant();
+  this->CancelCall();
+  this->RecordAttemptEnd(AttemptResult::kExceededLimit);
+  this->Interrupt(why);
+}
+
 // Events are numbered. Duplicates are dropped; a missing event can't be
 // recovered, so the stream is interrupted.
 void StreamSession::ForwardEvents(std::vector<RawSseEvent>* new_events) {
@@ -284,13 +309,12 @@
       .Add("events", this->events)
       .Add("why", std::string{end.status.message()})
       .WriteImportant();
-  if (may_have_left) {
+  if (may_have_left && !end.exceeded_limit) {
     this->guarded.NoteInterrupted(
         ServerUnlessLeaving(this->deps.backends, this->engine),
         this->events == this->events_before);
   }
-  this->RecordAttemptEnd(may_have_left ? AttemptResult::kFailed
-                                       : AttemptResult::kUnreachable);
+  this->RecordAttemptEnd(ResultOfFailure(end));
   if (verdict.may_try_elsewhere && this->resumes < kMaxUnreachableAttempts) {
     ++this->resumes;
     this->versions = this->deps.versions.RuleForRetry(this->terms.service);
--- a/src/relay/stream_session.h
+++ b/src/relay/stream_session.h
@@ -19,6 +19,7 @@
 #include "relay/relay_request.h"
 #include "relay/run_move.h"
 #include "relay/sse_event_splitter.h"
+#include "relay/stream_limit.h"
 
 namespace meadowthread {
 
@@ -142,6 +143,8 @@
   void NoteGap(std::int64_t gap_ms, bool was_moved);
   void RecordLinkStall();
   void SendHeadOnce();
+  bool IsWithinLimit(std::span<const RawSseEvent> new_events);
+  void EndAtLimit(std::string_view why);
   void OnStreamEnd(const HttpCallResult& end);
   void OnRejected();
   void OnConnectionLost(const HttpCallResult& end);
@@ -198,6 +201,7 @@
   bool head_sent = false;
   std::string whole_body;  ///< of an answer that is not an event stream
   SseEventSplitter splitter;
+  StreamLimit limit;        ///< of the latest attempt
   std::int64_t events = 0;  ///< forwarded
   /// Forwarded before the latest attempt began.
   std::int64_t events_before = 0;
--- a/src/relay/stream_session_stop.cc
+++ b/src/relay/stream_session_stop.cc
@@ -18,9 +18,7 @@
       this->request.generation.has_value()
           ? this->request.generation->prompt_tokens
           : 0;
-  if (this->request.generation.has_value()) {
-    forecast.max_output_tokens = this->request.generation->max_output_tokens;
-  }
+  forecast.max_output_tokens = MaxOutputTokens(this->request);
   if (index.has_value()) {
     const FleetState& fleet = this->stream_deps.fleet;
     const std::int64_t ahead =
@@ -114,9 +112,7 @@
       .Add("request", this->request.id)
       .Add("engine", this->engine)
       .Add("events", this->events)
-      .Add("most_output", this->request.generation.has_value()
-                              ? this->request.generation->max_output_tokens
-                              : 0)
+      .Add("most_output", MaxOutputTokens(this->request))
       .Add("since_sent_ms", now_ms - this->sent_ms)
       .Add("since_event_ms", now_ms - this->last_event_ms)
       .Add("mean_gap_ms", this->MeanGapMs())
--- a/src/relay/tests/stream_session_test.cc
+++ b/src/relay/tests/stream_session_test.cc
@@ -708,6 +708,32 @@
   cr_assert(fixture.control.dropped == std::vector<std::string>{"h1"});
 }
 
+// Guards against an answer that is cut at the host's limit and passed on as
+// whole.
+Test(an_answer_without_end, that_is_no_event_stream_has_an_unknown_outcome) {
+  StreamSessionFixture fixture(1);
+  fixture.Begin();
+  fixture.client.Head(0, 200, {{std::string(testing::kSignedHeader), "yes"}});
+  const std::string megabyte(std::size_t{1024} * 1024, 'x');
+  fixture.client.Data(0, megabyte);
+  fixture.client.Data(0, "x");
+  cr_assert(!fixture.client.IsOpen(0), "the rest is not read");
+  cr_assert(fixture.Got("HTTP/1.1 502") && fixture.Outcome() == "unknown");
+}
+
+// Guards against events that are read and passed on until the deadline, and
+// against an engine that gets the next stream all the same.
+Test(an_answer_without_end, of_events_is_broken_off_and_its_engine_avoided) {
+  StreamSessionFixture fixture(1);
+  fixture.BeginWithEvent();
+  for (int n = 1; n < 1'000; ++n) {
+    fixture.client.Data(0, Event(n));
+  }
+  cr_assert(!fixture.client.IsOpen(0) && !fixture.IsWhole());
+  cr_assert(fixture.Outcome() == "interrupted");
+  cr_assert(!fixture.health.IsUsable("s-1", fixture.clock.MonotonicMs() + 300));
+}
+
 Test(a_stream_at_shutdown, is_reported_as_not_run_if_never_sent) {
   StreamSessionFixture fixture(0);
   fixture.terms.target_latency_ms = 10'000;
