Answers that a host holds have a bound on their memory together

Cause: a call's answer is held until it is whole, up to 8 MiB; nothing bounded all of them together, and a call that waits for its deadline holds on.

Change: AnswerMemory, a fifth of the host's memory (as much as for callers' requests). If an answer needs more, the longest one is dropped, so that short answers of sound servers go on; its caller gets 502, may have run.

--- a/src/relay/detail/call_attempt.h
+++ b/src/relay/detail/call_attempt.h
@@ -24,7 +24,9 @@
   Attempt(CallSession& session, const Backend& backend)
       : session(session),
         backend(backend.key),
-        sent_ms(session.deps.clock.MonotonicMs()) {}
+        sent_ms(session.deps.clock.MonotonicMs()),
+        body(session.deps.answer_memory,
+             [this] { this->EndUnread(kNoMemoryText, false); }) {}
 
   ~Attempt() override { this->Cancel(); }
   Attempt(const Attempt&) = delete;
@@ -50,26 +52,22 @@
   }
 
   void OnData(std::string_view data) override {
-    if (this->answer.body.size() + data.size() <= detail::kMaxAnswerBytes) {
-      this->answer.body.append(data);
-      return;
+    switch (this->body.Append(data, detail::kMaxAnswerBytes)) {
+      case AppendResult::kAppended:
+        return;
+      case AppendResult::kTooLong:
+        this->EndUnread("the answer's body exceeds the size limit", true);
+        return;
+      case AppendResult::kNoMemory:
+        this->EndUnread(kNoMemoryText, false);
+        return;
     }
-    // The answer can't be forwarded in part, so the rest would only use memory.
-    this->Cancel();
-    ErrorDetail detail;
-    detail.id = ErrorId::kPeerMalformed;
-    detail.step = "read-answer";
-    detail.peer = this->backend;
-    this->end.status = MakeError(absl::StatusCode::kUnavailable, detail,
-                                 "the answer's body exceeds the size limit");
-    this->end.request_may_have_left = true;
-    this->end.exceeded_limit = true;
-    this->session.OnAttemptEnd(*this);
   }
 
   void OnEnd(const HttpCallResult& ended) override {
     this->call = 0;
     this->end = ended;
+    this->answer.body = this->body.Take();
     this->session.OnAttemptEnd(*this);
   }
 
@@ -79,12 +77,30 @@
   HttpResponse& Answer() { return this->answer; }
 
  private:
+  static constexpr std::string_view kNoMemoryText =
+      "the host has no memory for the answer";
+
+  // The answer can't be forwarded in part, so the rest would only use memory.
+  void EndUnread(std::string_view why, bool exceeded_limit) {
+    this->Cancel();
+    this->body.Clear();
+    ErrorDetail detail;
+    detail.id = ErrorId::kPeerMalformed;
+    detail.step = "read-answer";
+    detail.peer = this->backend;
+    this->end.status = MakeError(absl::StatusCode::kUnavailable, detail, why);
+    this->end.request_may_have_left = true;
+    this->end.exceeded_limit = exceeded_limit;
+    this->session.OnAttemptEnd(*this);
+  }
+
   CallSession& session;
   std::string backend;
   std::int64_t sent_ms;
   HttpCallId call = 0;
   HttpCallResult end;
   HttpResponse answer;
+  HeldAnswer body;
 };
 
 }  // namespace meadowthread
--- a/src/relay/relay_dependencies.h
+++ b/src/relay/relay_dependencies.h
@@ -23,6 +23,7 @@
 #include "policy/stream_admission.h"
 #include "quarantine/quarantine.h"
 #include "quarantine/request_quarantine.h"
+#include "relay/answer_memory.h"
 #include "relay/backend_health.h"
 #include "relay/backend_list.h"
 #include "relay/backend_protocol.h"
@@ -63,6 +64,7 @@
   ServerPermits& permits;
   RequestedBackoffs& backoffs;
   StopAdmission& stops;
+  AnswerMemory& answer_memory;
 };
 
 /// @brief The server as the quarantine records it; nullopt if it is unknown or
--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -56,6 +56,7 @@
       tokens_per_event(tokens_per_event),
       writer(std::move(writer)),
       ended(std::move(ended)),
+      whole_body(deps.answer_memory, [this] { this->EndForLackOfMemory(); }),
       splitter(kMaxEventBytes),
       limit(MaxOutputTokens(this->request)),
       begun_ms(deps.clock.MonotonicMs()) {
@@ -99,11 +100,7 @@
 
 void StreamSession::OnData(std::string_view data) {
   if (!this->is_event_stream) {
-    if (this->whole_body.size() + data.size() > kMaxWholeAnswerBytes) {
-      this->EndAtLimit("the answer is longer than its limit");
-      return;
-    }
-    this->whole_body.append(data);
+    this->HoldWholeAnswer(data);
     return;
   }
   std::vector<RawSseEvent> new_events;
@@ -120,6 +117,25 @@
   }
 }
 
+void StreamSession::HoldWholeAnswer(std::string_view data) {
+  switch (this->whole_body.Append(data, kMaxWholeAnswerBytes)) {
+    case AppendResult::kAppended:
+      return;
+    case AppendResult::kTooLong:
+      this->EndAtLimit("the answer is longer than its limit");
+      return;
+    case AppendResult::kNoMemory:
+      this->EndForLackOfMemory();
+      return;
+  }
+}
+
+void StreamSession::EndForLackOfMemory() {
+  this->CancelCall();
+  this->RecordAttemptEnd(AttemptResult::kFailed);
+  this->Interrupt("the host has no memory for the answer");
+}
+
 bool StreamSession::IsWithinLimit(std::span<const RawSseEvent> new_events) {
   return std::all_of(
       new_events.begin(), new_events.end(),
@@ -360,9 +376,10 @@
     return;
   }
   this->guarded.NoteCompleted();
-  this->head.content_length = this->whole_body.size();
+  const std::string body = this->whole_body.Take();
+  this->head.content_length = body.size();
   this->SendHeadOnce();
-  this->writer->Write(this->whole_body);
+  this->writer->Write(body);
   this->writer->FinishStream();
   this->End("answered", absl::StrCat(this->head.http_status));
 }
--- a/src/relay/stream_session.h
+++ b/src/relay/stream_session.h
@@ -144,7 +144,9 @@
   void RecordLinkStall();
   void SendHeadOnce();
   bool IsWithinLimit(std::span<const RawSseEvent> new_events);
+  void HoldWholeAnswer(std::string_view data);
   void EndAtLimit(std::string_view why);
+  void EndForLackOfMemory();
   void OnStreamEnd(const HttpCallResult& end);
   void OnRejected();
   void OnConnectionLost(const HttpCallResult& end);
@@ -199,7 +201,7 @@
   AnswerMeaning meaning = AnswerMeaning::kRan;
   ResponseHead head;  ///< as received from the first engine
   bool head_sent = false;
-  std::string whole_body;  ///< of an answer that is not an event stream
+  HeldAnswer whole_body;  ///< of an answer that is not an event stream
   SseEventSplitter splitter;
   StreamLimit limit;        ///< of the latest attempt
   std::int64_t events = 0;  ///< forwarded
--- a/src/relay/stream_session_placement.cc
+++ b/src/relay/stream_session_placement.cc
@@ -386,7 +386,7 @@
   this->deferred_end.reset();
   this->paused = false;
   this->is_event_stream = false;
-  this->whole_body.clear();
+  this->whole_body.Clear();
   this->splitter.DropRest();
   this->limit = StreamLimit(MaxOutputTokens(this->request));
   SendTerms send;
--- a/src/relay/tests/relay_fixture.h
+++ b/src/relay/tests/relay_fixture.h
@@ -346,11 +346,12 @@
   FakePermits permits;
   RequestedBackoffs backoffs;
   StopAdmission stops;
-  RelayDependencies deps{this->clock,    this->scheduler, this->client,
-                         this->wire,     this->backends,  this->health,
-                         this->budgets,  this->observer,  this->quarantine,
-                         this->arrivals, this->random,    this->versions,
-                         this->permits,  this->backoffs,  this->stops};
+  AnswerMemory answer_memory;
+  RelayDependencies deps{
+      this->clock,      this->scheduler, this->client,  this->wire,
+      this->backends,   this->health,    this->budgets, this->observer,
+      this->quarantine, this->arrivals,  this->random,  this->versions,
+      this->permits,    this->backoffs,  this->stops,   this->answer_memory};
   LearnedLengthModel lengths;
   FleetState fleet{this->lengths, FleetOptions{0, 7'000}};
   PressureChooser chooser{PressureOptions{}};
--- a/src/serve/detail/relay_host_impl.h
+++ b/src/serve/detail/relay_host_impl.h
@@ -163,6 +163,7 @@
   PermitParticipant permits;
   RequestedBackoffs backoffs;
   StopAdmission stops;
+  AnswerMemory answer_memory;
   NoticeGossip notices;
   CrashGossip crash_gossip;
   CrashRecordStore crash_records;
--- a/src/serve/host_process.cc
+++ b/src/serve/host_process.cc
@@ -184,6 +184,7 @@
   NoServerPermits permits;
   RequestedBackoffs backoffs;
   StopAdmission stops;  ///< never begun: this program waits for its requests
+  AnswerMemory answer_memory;
   CrashRecordStore crash_records;
   EngineRestartDetector engine_restarts;
   ServiceForwarder forwarder;
@@ -262,7 +263,7 @@
             this->service_backend_protocol, this->backends, this->health,
             this->service_retries, this->service_metrics, this->quarantine,
             this->rate_limiter, this->random, this->version_gate, this->permits,
-            this->backoffs, this->stops},
+            this->backoffs, this->stops, this->answer_memory},
            this->catalog,
            this->claims}) {
   SessionDependencies session = {this->clock,
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -229,7 +229,7 @@
             {this->clock, this->scheduler, this->routed_client, on.Backends(),
              this->backends, this->health, this->budgets, this->metrics,
              this->quarantine, this->rate_limiter, this->random, this->rollouts,
-             this->permits, this->backoffs, this->stops},
+             this->permits, this->backoffs, this->stops, this->answer_memory},
             {this->borrowing_allocation, this->dispatcher, this->fleet,
              this->first_attempts, this->admission, this->links},
             *this->control, on.Callers(), this->routing_config),
@@ -514,6 +514,7 @@
   const ServerLimits limits = RelayLimitsOf(this->settings.bounds, in_force);
   this->server.SetLimits(limits);
   this->forward_server.SetLimits(limits);
+  this->answer_memory.SetLimit(AnswerMemoryBytes(this->settings.bounds));
   if (in_force == nullptr) {
     return;
   }
--- a/src/serve/relay_limits.cc
+++ b/src/serve/relay_limits.cc
@@ -11,8 +11,10 @@
 constexpr int kReservedDescriptors = 400;
 // Lower bound of connections if file descriptors are scarce.
 constexpr int kMinConnections = 16;
-// A fifth of the memory is for requests that are not fully received yet.
+// A fifth of the memory is for requests that are not fully received yet, and
+// as much for answers.
 constexpr std::int64_t kRequestMemoryDivisor = 5;
+constexpr std::int64_t kAnswerMemoryDivisor = 5;
 constexpr std::int64_t kMebibyte = std::int64_t{1} << 20;
 
 void OverrideIfSet(std::int64_t from, std::int64_t* to) {
@@ -38,4 +40,9 @@
   return limits;
 }
 
+std::size_t AnswerMemoryBytes(const RelayBoundSettings& bounds) {
+  return static_cast<std::size_t>(bounds.memory_mb * kMebibyte /
+                                  kAnswerMemoryDivisor);
+}
+
 }  // namespace meadowthread
--- a/src/serve/relay_limits.h
+++ b/src/serve/relay_limits.h
@@ -14,6 +14,9 @@
 ServerLimits RelayLimitsOf(const RelayBoundSettings& bounds,
                            const RoutingConfig* config);
 
+/// @brief Most bytes of answers that the host holds until they are complete.
+std::size_t AnswerMemoryBytes(const RelayBoundSettings& bounds);
+
 }  // namespace meadowthread
 
 #endif  // MEADOWTHREAD_SERVE_RELAY_LIMITS_H_
--- a/tests/process/process.cc
+++ b/tests/process/process.cc
@@ -11,7 +11,9 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <memory>
+#include <string_view>
 #include <utility>
 
 #include "absl/strings/numbers.h"
@@ -141,6 +143,20 @@
   return this->process->state() == QProcess::Running;
 }
 
+std::int64_t Process::PeakMemoryMb() const {
+  constexpr std::int64_t kKibPerMib = 1'024;
+  constexpr std::string_view kField = "VmHWM:";
+  std::ifstream status("/proc/" + std::to_string(this->process->processId()) +
+                       "/status");
+  for (std::string word; status >> word;) {
+    std::int64_t kib = 0;
+    if (word == kField && status >> kib) {
+      return kib / kKibPerMib;
+    }
+  }
+  return 0;
+}
+
 int Process::Port(int n) {
   const std::string mark = "port=";
   int port = 0;
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -3,6 +3,8 @@
 
 #include <QProcess>
 #include <QStringList>
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -41,6 +43,8 @@
   /// @brief SIGHUP.
   void Reload();
   bool IsRunning() const;
+  /// @brief The largest memory that it has had so far, in MiB.
+  std::int64_t PeakMemoryMb() const;
   int ExitCode() const { return this->process->exitCode(); }
 
   /// @brief The n-th `ready` line's port, waited for.
