Pipelined requests are served in a loop

Cause: ServerConnection::ReadNextRequest served the next request from within the end of the one before; each request that is answered at once took stack on top of that, and 128 KiB of requests may wait.

Change: ProcessRequests handles them in a loop; an end within it only notes that there is a next request.

--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -93,13 +93,27 @@
   }
   const ReadState state = this->reader.Feed(bytes);
   if (this->phase == Phase::kReading) {
-    this->ProcessInput(state);
+    this->ProcessRequests(state);
   } else if (this->reader.RestBytes() > kReadAheadBytes) {
     this->paused = true;
     this->socket->SetPaused(true);
   }
 }
 
+// Handles pipelined requests in a loop. A request that is answered at once ends
+// while it is served, so each would otherwise be served within the one before,
+// and the stack would grow with their number.
+void ServerConnection::ProcessRequests(ReadState state) {
+  const auto self = this->shared_from_this();
+  this->is_processing = true;
+  this->ProcessInput(state);
+  while (this->next_request.has_value() && this->phase == Phase::kReading) {
+    this->ProcessInput(*std::exchange(this->next_request, std::nullopt));
+  }
+  this->next_request.reset();
+  this->is_processing = false;
+}
+
 void ServerConnection::ProcessInput(ReadState state) {
   if (state == ReadState::kHeadTooLarge) {
     this->Reject({ErrorId::kHeaderTooLarge, this->reader.Problem()});
@@ -280,8 +294,10 @@
     this->socket->SetPaused(false);
   }
   const ReadState state = this->reader.Next();
-  if (more) {
-    this->ProcessInput(state);
+  if (more && this->is_processing) {
+    this->next_request = state;
+  } else if (more) {
+    this->ProcessRequests(state);
   }
 }
 
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -115,6 +116,7 @@
   };
   struct Rejection;
 
+  void ProcessRequests(ReadState state);
   void ProcessInput(ReadState state);
   void CheckHead();
   void CheckBodySize();
@@ -136,6 +138,10 @@
   std::int64_t reserved_bytes = 0;
   std::string peer;
   std::string request_id;
+  bool is_processing = false;  ///< within ProcessRequests
+  /// State of the next request, whose bytes have arrived while the one before
+  /// was handled; nullopt: none.
+  std::optional<ReadState> next_request;
   bool head_taken = false;
   bool is_head_request = false;
   bool is_http_1_0 = false;
