Kept connections follow the limit on heads

Cause: ServerConnection gave its MessageReader the limit once, at its opening; all other limits are read at each check.

Change: the limit in force is set before each read and each new request.

--- a/src/net/message_reader.h
+++ b/src/net/message_reader.h
@@ -49,6 +49,10 @@
   MessageReader(const MessageReader&) = delete;
   MessageReader& operator=(const MessageReader&) = delete;
 
+  /// @brief Replaces the largest size of the start line and headers, also for
+  /// a head that has begun to arrive.
+  void SetHeadLimit(std::size_t bytes) { this->head_limit = bytes; }
+
   /// @brief Parses the next bytes.
   ReadState Feed(std::string_view bytes);
 
--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -91,6 +91,7 @@
   if (this->begun_ms < 0) {
     this->begun_ms = this->context.NowMs();
   }
+  this->ApplyHeadLimit();
   const ReadState state = this->reader.Feed(bytes);
   if (this->phase == Phase::kReading) {
     this->ProcessRequests(state);
@@ -100,6 +101,12 @@
   }
 }
 
+// The limits may have changed since the connection was opened.
+void ServerConnection::ApplyHeadLimit() {
+  this->reader.SetHeadLimit(
+      static_cast<std::size_t>(this->context.Limits().max_header_bytes));
+}
+
 // Handles pipelined requests in a loop. A request that is answered at once ends
 // while it is served, so each would otherwise be served within the one before,
 // and the stack would grow with their number.
@@ -293,6 +300,7 @@
     this->paused = false;
     this->socket->SetPaused(false);
   }
+  this->ApplyHeadLimit();
   const ReadState state = this->reader.Next();
   if (more && this->is_processing) {
     this->next_request = state;
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -116,6 +116,7 @@
   };
   struct Rejection;
 
+  void ApplyHeadLimit();
   void ProcessRequests(ReadState state);
   void ProcessInput(ReadState state);
   void CheckHead();
