Watchers of the store send heartbeats to the other hosts

Cause: another host reads the store only once the exchange has failed twice with a watcher, or 3.5 s after the last confirmation of its view.

Change: WatchHeartbeats. A watcher sends a heartbeat each 0.2 s to its share of the hosts that do not watch; a host that hears of none for 0.65 s keeps one watch a kind open until it does. Cost: 0.9 KB/s a watcher at 9 hosts; 13 KB/s at 350 (worked out).

--- a/src/net/tests/pipelining_test.cc
+++ b/src/net/tests/pipelining_test.cc
@@ -1,11 +1,10 @@
 // Requests that a client sends without waiting for the answers.
-#include "net/server_connection.h"
-
 #include <criterion/criterion.h>
 
 #include <memory>
 #include <string>
 
+#include "net/server_connection.h"
 #include "net/tests/server_connection_harness.h"
 
 namespace meadowthread {
--- a/src/policy/tests/stop_admission_test.cc
+++ b/src/policy/tests/stop_admission_test.cc
@@ -57,7 +57,7 @@
 
 Test(a_call, takes_up_to_twice_the_slowest_recent_one) {
   const CallForecast usual{8'000, 150, 100};
-  cr_assert(MaxCallMs(usual) == 4 * 150);
+  cr_assert(MaxCallMs(usual) == 600);
   const CallForecast slow{8'000, 150, 2'000};
   cr_assert(MaxCallMs(slow) == 4'000);
   const CallForecast unknown{8'000, 150, std::nullopt};
--- a/src/relay/tests/relay_stop_test.cc
+++ b/src/relay/tests/relay_stop_test.cc
@@ -1,5 +1,9 @@
 // Streams and calls at a relay whose host shuts down.
+
+// Criterion's macros break Abseil's headers if those are included after it.
+// clang-format off
 #include "relay/relay.h"
+// clang-format on
 
 #include <criterion/criterion.h>
 
--- a/src/serve/detail/relay_host_impl.h
+++ b/src/serve/detail/relay_host_impl.h
@@ -49,6 +49,7 @@
 #include "serve/store_uptime_exchange.h"
 #include "serve/text_service.h"
 #include "serve/unreported_stream_estimator.h"
+#include "serve/watch_heartbeats.h"
 #include "serve/watcher_selection.h"
 
 namespace meadowthread {
@@ -100,6 +101,8 @@
   bool IsWatcher() const;
   bool IsZoneWatcher() const;
   std::int64_t StaggerMs() const;
+  WatchDuties MakeWatchDuties();
+  static std::vector<std::string> UrgentKinds(const RelayObjectKinds& kinds);
   absl::Status Listen();
   std::string MetricsText();
   void SetPathStates();
@@ -154,6 +157,7 @@
   StoreStallDetector store_stalls;
   StoreUptimeExchange store_uptimes;
   ViewDatagrams view_datagrams;
+  WatchHeartbeats watch_heartbeats;
   QtListenProbe listen_check;
   PathAwareProbe crash_check;
   PathProber path_prober;
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -181,12 +181,11 @@
                     this->store_outages, this->random,
                     [this] { return this->OtherStoreReaders(); }),
       view_datagrams(
-          std::vector<std::string>{
-              on.Kinds().backends, on.Kinds().routing_config,
-              on.Kinds().emptied_zones, on.Kinds().rollouts},
-          this->view, this->hub, this->scheduler,
+          UrgentKinds(on.Kinds()), this->view, this->hub, this->scheduler,
           [this](std::string_view kind) { this->feeder.RequestRead(kind); },
           [this](std::string_view kind) { this->exchange.PushSoon(kind); }),
+      watch_heartbeats(this->MakeWatchDuties(), this->hub, this->clock,
+                       this->scheduler),
       crash_check(this->path, this->listen_check, this->scheduler),
       path_prober(this->path, this->listen_check, this->scheduler, this->random,
                   [this] { return this->ServerAddresses(); }),
@@ -292,6 +291,10 @@
     this->forward_service.SetKey(key);
   });
   this->view_datagrams.Connect(this->hub);
+  this->hub.Register(kWatchHeartbeatTopic,
+                     [this](std::string_view, const nlohmann::json&) {
+                       this->watch_heartbeats.NoteHeard();
+                     });
   this->exchange.ExcludeFromImmediatePush(on.Kinds().backends);
   this->exchange.ExcludeFromImmediatePush(on.Kinds().routing_config);
   this->feeder.OnAnswered(
@@ -384,6 +387,7 @@
   }
   this->path_prober.Start();
   this->feeder.Start();
+  this->watch_heartbeats.Start();
   this->host_registry.Announce();
   RunEvery(this->scheduler, kRotatePeriodMs,
            [this] { this->metrics.Rotate(); });
--- a/src/serve/relay_host_view.cc
+++ b/src/serve/relay_host_view.cc
@@ -362,6 +362,28 @@
          this->WatchIndex().value_or(kZoneWatchers) < kZoneWatchers;
 }
 
+// The kinds whose changes must be in force everywhere within seconds.
+std::vector<std::string> RelayHost::Impl::UrgentKinds(
+    const RelayObjectKinds& kinds) {
+  return {kinds.backends, kinds.routing_config, kinds.emptied_zones,
+          kinds.rollouts};
+}
+
+WatchDuties RelayHost::Impl::MakeWatchDuties() {
+  WatchDuties duties;
+  duties.is_watcher = [this] { return this->IsWatcher(); };
+  duties.recipients = [this] {
+    return HeartbeatRecipients(this->settings.host.name, this->AnsweringPeers(),
+                               this->hosts.OfRole(HostRole::kEntry).size());
+  };
+  duties.read_store = [this] {
+    for (const std::string& kind : UrgentKinds(this->platform.Kinds())) {
+      this->feeder.RequestRead(kind);
+    }
+  };
+  return duties;
+}
+
 std::int64_t RelayHost::Impl::StaggerMs() const {
   return this->settings.policy.staggers_watches
              ? WatchStaggerMs(this->WatchIndex().value_or(0))
--- a/src/serve/watcher_selection.cc
+++ b/src/serve/watcher_selection.cc
@@ -25,12 +25,37 @@
   return XXH64(host.data(), host.size(), 0);
 }
 
+// Up to this number of hosts, heartbeats cost little.
+constexpr std::size_t kSmallFleet = 32;
+
 std::ptrdiff_t WatchersAmong(std::size_t hosts) {
   return std::clamp(
       static_cast<std::ptrdiff_t>(kWatcherShare * static_cast<double>(hosts)),
       kMinWatchers, kMaxWatchers);
 }
 
+void SortByRank(std::vector<WatchPeer>& hosts) {
+  std::sort(hosts.begin(), hosts.end(),
+            [](const WatchPeer& one, const WatchPeer& other) {
+              return RankOf(one.name) < RankOf(other.name);
+            });
+}
+
+// Number of hosts that read the store: the first ones.
+std::size_t CountReaders(std::span<const WatchPeer> sorted, std::size_t known) {
+  const std::ptrdiff_t watchers = WatchersAmong(known);
+  std::ptrdiff_t readers = 0;
+  std::ptrdiff_t seeing = 0;
+  for (const WatchPeer& host : sorted) {
+    if (seeing >= watchers || readers >= 2 * watchers) {
+      break;
+    }
+    seeing += host.sees_store ? 1 : 0;
+    ++readers;
+  }
+  return static_cast<std::size_t>(readers);
+}
+
 }  // namespace
 
 // The watchers are the hosts with the lowest name hashes among those that
@@ -54,23 +79,40 @@
 }
 
 std::vector<std::string> StoreReaders(std::vector<WatchPeer> peers) {
-  std::sort(peers.begin(), peers.end(),
-            [](const WatchPeer& one, const WatchPeer& other) {
-              return RankOf(one.name) < RankOf(other.name);
-            });
-  const std::ptrdiff_t watchers = WatchersAmong(peers.size());
-  std::vector<std::string> readers;
-  std::ptrdiff_t seeing = 0;
-  for (const WatchPeer& peer : peers) {
-    const bool is_over =
-        seeing >= watchers || std::ssize(readers) >= 2 * watchers;
-    if (is_over) {
-      break;
+  SortByRank(peers);
+  const std::size_t readers = CountReaders(peers, peers.size());
+  std::vector<std::string> names;
+  for (const WatchPeer& peer : std::span(peers).first(readers)) {
+    names.emplace_back(peer.name);
+  }
+  return names;
+}
+
+std::vector<std::string> HeartbeatRecipients(
+    std::string_view self, std::span<const WatchPeer> answering,
+    std::size_t known) {
+  std::vector<WatchPeer> hosts(answering.begin(), answering.end());
+  hosts.push_back({self});
+  SortByRank(hosts);
+  const std::size_t readers = CountReaders(hosts, known);
+  const std::span<const WatchPeer> watchers = std::span(hosts).first(readers);
+  const auto own = std::find_if(
+      watchers.begin(), watchers.end(),
+      [self](const WatchPeer& watcher) { return watcher.name == self; });
+  std::vector<std::string> recipients;
+  if (own == watchers.end()) {
+    return recipients;
+  }
+  const auto index = static_cast<std::size_t>(own - watchers.begin());
+  const std::size_t senders = hosts.size() <= kSmallFleet ? 2 : 1;
+  for (std::size_t at = readers; at < hosts.size(); ++at) {
+    // Its senders are the watchers from this one on.
+    const std::size_t first = at % readers;
+    if ((index + readers - first) % readers < senders) {
+      recipients.emplace_back(hosts[at].name);
     }
-    seeing += peer.sees_store ? 1 : 0;
-    readers.emplace_back(peer.name);
   }
-  return readers;
+  return recipients;
 }
 
 // The watchers after the first four are spares in case those lose contact with
--- a/src/serve/watcher_selection.h
+++ b/src/serve/watcher_selection.h
@@ -40,6 +40,16 @@
 /// @complexity O(peers log peers)
 std::vector<std::string> StoreReaders(std::vector<WatchPeer> peers);
 
+/// @brief The hosts to which a watcher sends its heartbeats: a share of those
+/// that do not watch the store. In small fleets each of them hears from two
+/// watchers, in large ones from one.
+/// @param[in] self,answering,known as for WatcherIndex
+/// @return no host if `self` does not watch
+/// @complexity O(answering log answering)
+std::vector<std::string> HeartbeatRecipients(
+    std::string_view self, std::span<const WatchPeer> answering,
+    std::size_t known);
+
 /// @brief How long a watcher waits after an answer before its next watch.
 ///
 /// A change in the store ends all open watches at once. With a delay that
