An ended request holds no answer; refused calls are no fast ones

Ended sessions and cancelled attempts release it at once. - A stopping host took a call that it had refused for a recent one of no duration, and accepted the next call of the route by four times its target. Only calls that may have run count.

Tests: three, of calls and streams; relay 219 of 219. The second fault's test needs the first one's API, so none was run on the code before but the third: it is the state in which a route has no measured call.

--- a/src/relay/backend_health.cc
+++ b/src/relay/backend_health.cc
@@ -21,10 +21,6 @@
 constexpr std::int64_t kMaxBackoffMs = 6'400;
 constexpr int kMaxDoublings = 4;
 
-}  // namespace
-
-namespace {
-
 // Whether the server is to be avoided for a time after a single such result.
 bool CausesBackoff(AttemptResult result) {
   return result == AttemptResult::kUnreachable ||
--- a/src/relay/call_session_end.cc
+++ b/src/relay/call_session_end.cc
@@ -113,8 +113,10 @@
       .Add("attempts", this->tried.size())
       .Add("total_ms", total_ms);
   failure.has_value() ? line.WriteImportant() : line.Write();
-  this->deps.stops.Calls().Note(this->terms.route, total_ms,
-                                this->deps.clock.MonotonicMs());
+  if (this->may_have_run || !this->attempts.empty()) {
+    this->deps.stops.Calls().Note(this->terms.route, total_ms,
+                                  this->deps.clock.MonotonicMs());
+  }
   RelayRequestSummary summary;
   summary.route = this->terms.route;
   summary.service = this->terms.service;
--- a/src/relay/detail/call_attempt.h
+++ b/src/relay/detail/call_attempt.h
@@ -36,7 +36,9 @@
     this->call = this->session.deps.client.Start(http, this);
   }
 
+  /// @brief Ends the attempt without a result.
   void Cancel() {
+    this->body.Clear();
     if (this->call != 0) {
       this->session.deps.client.Cancel(std::exchange(this->call, 0));
     }
@@ -83,7 +85,6 @@
   // The answer can't be forwarded in part, so the rest would only use memory.
   void EndUnread(std::string_view why, bool exceeded_limit) {
     this->Cancel();
-    this->body.Clear();
     ErrorDetail detail;
     detail.id = ErrorId::kPeerMalformed;
     detail.step = "read-answer";
--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -518,6 +518,7 @@
   }
   this->phase = StreamPhase::kEnded;
   this->CancelCall();
+  this->whole_body.Clear();
   if (this->move != nullptr) {
     this->ReleaseMoveReservations();
     this->move.reset();
--- a/src/relay/tests/call_session_test.cc
+++ b/src/relay/tests/call_session_test.cc
@@ -340,6 +340,18 @@
             fixture.Failure().outcome == Outcome::kUnknown);
 }
 
+// Guards against ending an attempt of a call that has ended.
+Test(an_answer_beyond_the_size_limit, is_released_at_the_calls_end) {
+  CallSessionFixture fixture(1);
+  fixture.answer_memory.SetLimit(1'000);
+  fixture.Begin(ExecutionRule::kOnce);
+  fixture.client.Head(0, 200, {{std::string(testing::kSignedHeader), "yes"}});
+  fixture.client.Data(0, std::string(600, 'x'));
+  fixture.Advance(1'000);
+  cr_assert(fixture.results == 1, "the deadline has passed");
+  cr_assert(fixture.answer_memory.HeldBytes() == 0);
+}
+
 Test(a_call_at_shutdown, is_reported_as_not_run_only_if_never_sent) {
   CallSessionFixture sent(1);
   sent.Begin(ExecutionRule::kOnce).EndForShutdown(700);
--- a/src/relay/tests/relay_stop_test.cc
+++ b/src/relay/tests/relay_stop_test.cc
@@ -166,6 +166,16 @@
   cr_assert(fixture.client.sent.size() == 1);
 }
 
+// Guards against taking refused calls for fast ones.
+Test(a_stopping_host, refuses_all_calls_if_none_was_measured) {
+  StoppingRelayFixture fixture(1);
+  fixture.Stop(3'900);
+  for (int n = 0; n < 3; ++n) {
+    cr_assert(StoppingRelayFixture::IsNotRun(fixture.Ask("/call/", 0)));
+  }
+  cr_assert(fixture.client.sent.empty());
+}
+
 Test(a_stopping_host, serves_calls_that_are_fast_enough) {
   StoppingRelayFixture fixture(1);
   fixture.Ask("/call/", 0);
--- a/src/relay/tests/stream_session_test.cc
+++ b/src/relay/tests/stream_session_test.cc
@@ -721,6 +721,21 @@
   cr_assert(fixture.Got("HTTP/1.1 502") && fixture.Outcome() == "unknown");
 }
 
+// Guards against ending a stream twice, as memory is released at its end.
+Test(an_answer_without_end, that_was_ended_is_not_dropped_for_another_answer) {
+  StreamSessionFixture fixture(1);
+  fixture.answer_memory.SetLimit(1'000);
+  fixture.Begin();
+  fixture.client.Head(0, 200, {{std::string(testing::kSignedHeader), "yes"}});
+  fixture.client.Data(0, std::string(600, 'x'));
+  fixture.session->EndForShutdown(700);
+  cr_assert(fixture.answer_memory.HeldBytes() == 0);
+  HeldAnswer other(fixture.answer_memory, [] {});
+  cr_assert(other.Append(std::string(900, 'y'), 1'000) ==
+            AppendResult::kAppended);
+  cr_assert(fixture.observer.ends.size() == 1);
+}
+
 // Guards against events that are read and passed on until the deadline, and
 // against an engine that gets the next stream all the same.
 Test(an_answer_without_end, of_events_is_broken_off_and_its_engine_avoided) {
