Heartbeats of watchers tell for how long the store has answered

Cause: its entry was removed, not marked. A host that has not read the store before can't tell a removal from an entry that expired during an outage (StoreOutageTracker); it asks the watchers, and these were gone.

Change: a heartbeat carries the watcher's store uptime (StoreUptimeExchange), recorded as if it had been asked for.

--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -292,8 +292,9 @@
   });
   this->view_datagrams.Connect(this->hub);
   this->hub.Register(kWatchHeartbeatTopic,
-                     [this](std::string_view, const nlohmann::json&) {
+                     [this](std::string_view host, const nlohmann::json& has) {
                        this->watch_heartbeats.NoteHeard();
+                       this->store_uptimes.RecordUptime(host, has);
                      });
   this->exchange.ExcludeFromImmediatePush(on.Kinds().backends);
   this->exchange.ExcludeFromImmediatePush(on.Kinds().routing_config);
--- a/src/serve/relay_host_view.cc
+++ b/src/serve/relay_host_view.cc
@@ -376,6 +376,7 @@
     return HeartbeatRecipients(this->settings.host.name, this->AnsweringPeers(),
                                this->hosts.OfRole(HostRole::kEntry).size());
   };
+  duties.payload = [this] { return this->store_uptimes.OwnUptime(); };
   duties.read_store = [this] {
     for (const std::string& kind : UrgentKinds(this->platform.Kinds())) {
       this->feeder.RequestRead(kind);
--- a/src/serve/store_uptime_exchange.cc
+++ b/src/serve/store_uptime_exchange.cc
@@ -67,39 +67,56 @@
   }
 }
 
-// Sends ages instead of times, as the clocks of hosts differ.
-void StoreUptimeExchange::SendReply(std::string_view host) {
+// Contains ages instead of times, as the clocks of hosts differ.
+json StoreUptimeExchange::OwnUptime() const {
   const std::optional<StoreUptime>& own = this->outages.Own();
-  if (own.has_value()) {
-    const std::int64_t now_ms = this->clock.MonotonicMs();
-    this->hub.SendToHost(
-        kReplyTopic, json::array({now_ms - own->from_ms, now_ms - own->to_ms}),
-        host);
+  if (!own.has_value()) {
+    return json::array();
+  }
+  const std::int64_t now_ms = this->clock.MonotonicMs();
+  return json::array({now_ms - own->from_ms, now_ms - own->to_ms});
+}
+
+void StoreUptimeExchange::SendReply(std::string_view host) {
+  const json uptime = this->OwnUptime();
+  if (!uptime.empty()) {
+    this->hub.SendToHost(kReplyTopic, uptime, host);
   }
 }
 
 void StoreUptimeExchange::OnReply(std::string_view host, const json& payload) {
+  if (!this->RecordUptime(host, payload)) {
+    return;
+  }
+  LogLine("store-answers")
+      .Add("host", host)
+      .Add("from_ago_ms", payload[0].get<std::int64_t>())
+      .Add("to_ago_ms", payload[1].get<std::int64_t>())
+      .Write();
+  if (this->uptime_callback) {
+    this->uptime_callback();
+  }
+}
+
+bool StoreUptimeExchange::RecordUptime(std::string_view host,
+                                       const json& payload) {
+  if (payload.is_array() && payload.empty()) {
+    return false;
+  }
   const bool fits = payload.is_array() && payload.size() == 2 &&
                     payload[0].is_number_integer() &&
                     payload[1].is_number_integer();
   if (!fits) {
     LogLine("store-answers-malformed").Add("host", host).WriteImportant();
-    return;
+    return false;
   }
   const auto from_ago_ms =
       std::clamp<std::int64_t>(payload[0].get<std::int64_t>(), 0, kMaxAgeMs);
   const auto to_ago_ms =
       std::clamp<std::int64_t>(payload[1].get<std::int64_t>(), 0, from_ago_ms);
-  LogLine("store-answers")
-      .Add("host", host)
-      .Add("from_ago_ms", from_ago_ms)
-      .Add("to_ago_ms", to_ago_ms)
-      .Write();
   const std::int64_t now_ms = this->clock.MonotonicMs();
   this->outages.RecordPeerUptime({now_ms - from_ago_ms, now_ms - to_ago_ms});
-  if (this->uptime_callback) {
-    this->uptime_callback();
-  }
+  return true;
 }
 
 }  // namespace meadowthread
--- a/src/serve/store_uptime_exchange.h
+++ b/src/serve/store_uptime_exchange.h
@@ -43,6 +43,14 @@
   /// still true shortly after, asks all of them.
   void AskPeers(const IsUndecided& is_undecided);
 
+  /// @brief The store uptime of this host, as it is told to peers; an empty
+  /// array if it has none.
+  nlohmann::json OwnUptime() const;
+
+  /// @brief Records a peer's store uptime. An empty array says nothing.
+  /// @return whether it was recorded
+  bool RecordUptime(std::string_view host, const nlohmann::json& payload);
+
   /// @brief Sets a callback for after each reply was recorded.
   void OnPeerUptime(const std::function<void()>& callback) {
     this->uptime_callback = callback;
--- a/src/serve/tests/watch_heartbeats_test.cc
+++ b/src/serve/tests/watch_heartbeats_test.cc
@@ -78,6 +78,7 @@
           name(std::move(name)),
           heartbeats({[this] { return this->IsWatcher(); },
                       [this] { return this->Recipients(); },
+                      [] { return nlohmann::json::array(); },
                       [this] { ++this->reads; }},
                      *this, fleet.clock, fleet.scheduler) {}
 
--- a/src/serve/watch_heartbeats.cc
+++ b/src/serve/watch_heartbeats.cc
@@ -34,9 +34,9 @@
 void WatchHeartbeats::Beat() {
   if (this->duties.is_watcher()) {
     this->NoteHeard();
+    const nlohmann::json payload = this->duties.payload();
     for (const std::string& host : this->duties.recipients()) {
-      this->channel.SendToHost(kWatchHeartbeatTopic, nlohmann::json::array(),
-                               host);
+      this->channel.SendToHost(kWatchHeartbeatTopic, payload, host);
     }
     return;
   }
--- a/src/serve/watch_heartbeats.h
+++ b/src/serve/watch_heartbeats.h
@@ -10,10 +10,11 @@
 #include "base/gossip_channel.h"
 #include "base/lifetime.h"
 #include "base/scheduler.h"
+#include "nlohmann/json.hpp"
 
 namespace meadowthread {
 
-/// @brief Topic of the heartbeats; the payload is empty.
+/// @brief Topic of the heartbeats.
 inline constexpr char kWatchHeartbeatTopic[] = "watching";
 
 /// @brief What the heartbeats have to know of their host.
@@ -22,6 +23,10 @@
   std::function<bool()> is_watcher;
   /// The hosts that get this host's heartbeats while it watches the store.
   std::function<std::vector<std::string>()> recipients;
+  /// What the heartbeats contain: for how long the store has answered this
+  /// host. A host that reads the store after all watchers have gone needs it to
+  /// tell servers that left from those whose entries expired.
+  std::function<nlohmann::json()> payload;
   /// Reads the store once. If nothing has changed, the read waits for a change.
   std::function<void()> read_store;
 };
