--- a/src/relay/stream_session.cc
+++ b/src/relay/stream_session.cc
@@ -17,7 +17,6 @@
 // take most of a minute.
 constexpr std::int64_t kDefaultTimeoutMs = 60'000;
 constexpr std::size_t kMaxEventBytes = std::size_t{1024} * 1024;
-constexpr std::size_t kMaxWholeAnswerBytes = std::size_t{1024} * 1024;
 // Limit on unsent data for a caller that reads more slowly than tokens are
 // generated. Beyond it, reading from the engine is paused and the rest waits
 // there.
@@ -117,44 +116,6 @@
   }
 }
 
-void StreamSession::HoldWholeAnswer(std::string_view data) {
-  switch (this->whole_body.Append(data, kMaxWholeAnswerBytes)) {
-    case AppendResult::kAppended:
-      return;
-    case AppendResult::kTooLong:
-      this->EndAtLimit("the answer is longer than its limit");
-      return;
-    case AppendResult::kNoMemory:
-      this->EndForLackOfMemory();
-      return;
-  }
-}
-
-void StreamSession::EndForLackOfMemory() {
-  this->CancelCall();
-  this->RecordAttemptEnd(AttemptResult::kFailed);
-  this->Interrupt("the host has no memory for the answer");
-}
-
-bool StreamSession::IsWithinLimit(std::span<const RawSseEvent> new_events) {
-  return std::all_of(
-      new_events.begin(), new_events.end(),
-      [this](const RawSseEvent& event) { return this->limit.Add(event); });
-}
-
-// The request itself is not suspected, as the engine goes on.
-void StreamSession::EndAtLimit(std::string_view why) {
-  LogLine("answer-without-end")
-      .Add("request", this->request.id)
-      .Add("engine", this->engine)
-      .Add("events", this->events)
-      .Add("why", why)
-      .WriteImportant();
-  this->CancelCall();
-  this->RecordAttemptEnd(AttemptResult::kExceededLimit);
-  this->Interrupt(why);
-}
-
 // Events are numbered. Duplicates are dropped; a missing event can't be
 // recovered, so the stream is interrupted.
 void StreamSession::ForwardEvents(std::vector<RawSseEvent>* new_events) {
--- a/src/serve/relay_host.cc
+++ b/src/serve/relay_host.cc
@@ -291,11 +291,12 @@
     this->forward_service.SetKey(key);
   });
   this->view_datagrams.Connect(this->hub);
-  this->hub.Register(kWatchHeartbeatTopic,
-                     [this](std::string_view host, const nlohmann::json& has) {
-                       this->watch_heartbeats.NoteHeard();
-                       this->store_uptimes.RecordUptime(host, has);
-                     });
+  this->hub.Register(
+      kWatchHeartbeatTopic,
+      [this](std::string_view host, const nlohmann::json& uptime) {
+        this->watch_heartbeats.NoteHeard();
+        this->store_uptimes.RecordUptime(host, uptime);
+      });
   this->exchange.ExcludeFromImmediatePush(on.Kinds().backends);
   this->exchange.ExcludeFromImmediatePush(on.Kinds().routing_config);
   this->feeder.OnAnswered(
