--- a/src/serve/tests/watch_heartbeats_test.cc
+++ b/src/serve/tests/watch_heartbeats_test.cc
@@ -149,7 +149,7 @@
 }
 
 Test(heartbeats_of_watchers, cost_one_host_little_in_a_large_fleet) {
-  constexpr int kSeconds = 10;
+  constexpr std::int64_t kSeconds = 10;
   HeartbeatFleet fleet(300);
   fleet.Run(kSeconds * 1'000);
   // With headers, some 60 bytes each, of 29 kB a second for all control.
