--- a/src/policy/engine_speeds.cc
+++ b/src/policy/engine_speeds.cc
@@ -4,7 +4,6 @@
 #include <cmath>
 #include <functional>
 #include <set>
-#include <span>
 
 namespace meadowthread {
 namespace {
@@ -15,12 +14,23 @@
 constexpr std::int64_t kMaxTypicalUs = 2'000'000;
 // Fewer known engines do not tell what is usual.
 constexpr std::size_t kMinEngines = 4;
-// Engines count as uneven if a quarter of them is slower than the fastest one
-// by more than this factor. Engines of one speed differ by up to 1.4 when they
-// run different numbers of requests, and some services have engines that are
-// slower by a third; neither needs other choices.
+// The lower quartile of an engine's measurements is its speed: a host that
+// measures it while it prefills one prompt after the other sees twice its time.
+constexpr double kLowerQuartile = 0.25;
+// Engines with fewer measurements don't tell whether the engines are uneven.
+constexpr std::size_t kMinCount = 3;
+// Engines are apart if a quarter of them is slower than the fastest tenth by
+// more than this factor. Engines of one speed differ by up to 1.4 when they run
+// different numbers of requests, and some services have engines that are slower
+// by a third; neither needs other choices.
 constexpr double kUnevenFactor = 2.0;
 constexpr double kSlowQuantile = 0.75;
+constexpr double kFastQuantile = 0.1;
+// Engines that are apart for a moment, as some are overloaded, are not uneven.
+// An allocator gets some ten measurements a second.
+constexpr int kMaxEvidence = 120;
+constexpr int kUnevenFrom = 80;
+constexpr int kUnevenUntil = 40;
 // Part of the measurements, each over a second, whose longest pause exceeds the
 // pause factor. A stream of ten seconds meets such a pause once in five.
 constexpr double kPauseTail = 0.02;
@@ -37,12 +47,6 @@
   return values[static_cast<std::size_t>(at)];
 }
 
-double MedianOf(std::span<const float> values) {
-  std::vector<double> copy(values.begin(), values.end());
-  constexpr double kMiddle = 0.5;
-  return QuantileOf(copy, kMiddle);
-}
-
 }  // namespace
 
 bool EngineSpeeds::Observe(std::size_t engine, std::string_view model,
@@ -64,9 +68,13 @@
       static_cast<float>(seen.longest_us);
   ++known.count;
   known.model_hash = std::hash<std::string_view>{}(model);
-  known.median_us =
-      MedianOf(std::span(known.typical_us).first(std::min(known.count, kKept)));
+  std::vector<double> kept(
+      known.typical_us.begin(),
+      known.typical_us.begin() +
+          static_cast<std::ptrdiff_t>(std::min(known.count, kKept)));
+  known.us = QuantileOf(kept, kLowerQuartile);
   this->is_stale = true;
+  this->UpdateEvidence();
   this->NotePause(known, static_cast<double>(seen.longest_us));
   return true;
 }
@@ -74,11 +82,11 @@
 // A pause that the host or the network causes weighs more on a fast engine, so
 // only engines that are not faster than the median count.
 void EngineSpeeds::NotePause(const Engine& engine, double pause_us) {
-  if (engine.median_us < this->Summarize().median_us) {
+  if (engine.us < this->Summarize().median_us) {
     return;
   }
   const double log_factor =
-      std::log(std::min(pause_us / engine.median_us, kMaxPauseFactor));
+      std::log(std::min(pause_us / engine.us, kMaxPauseFactor));
   this->log_pause_factor += log_factor > this->log_pause_factor
                                 ? kPauseStep * (1.0 - kPauseTail)
                                 : -kPauseStep * kPauseTail;
@@ -97,29 +105,44 @@
   }
   this->is_stale = false;
   std::vector<double> times;
+  std::vector<double> compared;
   std::set<std::size_t> models;
   for (const Engine& engine : this->engines) {
     if (engine.count > 0) {
-      times.push_back(engine.median_us);
+      times.push_back(engine.us);
       models.insert(engine.model_hash);
     }
+    if (engine.count >= kMinCount) {
+      compared.push_back(engine.us);
+    }
   }
   this->summary = Summary{};
-  if (times.size() >= kMinEngines && models.size() == 1) {
+  if (!times.empty()) {
     constexpr double kMiddle = 0.5;
-    this->summary.are_uneven = QuantileOf(times, kSlowQuantile) >
-                               kUnevenFactor * QuantileOf(times, 0.0);
     this->summary.median_us = QuantileOf(times, kMiddle);
   }
+  if (compared.size() >= kMinEngines && models.size() == 1) {
+    this->summary.are_apart =
+        QuantileOf(compared, kSlowQuantile) >
+        kUnevenFactor * QuantileOf(compared, kFastQuantile);
+  }
   return this->summary;
 }
 
-bool EngineSpeeds::AreUneven() const { return this->Summarize().are_uneven; }
+void EngineSpeeds::UpdateEvidence() {
+  this->evidence = std::clamp(
+      this->evidence + (this->Summarize().are_apart ? 1 : -1), 0, kMaxEvidence);
+  if (this->evidence >= kUnevenFrom) {
+    this->are_uneven = true;
+  } else if (this->evidence < kUnevenUntil) {
+    this->are_uneven = false;
+  }
+}
 
 double EngineSpeeds::RelativeTime(std::size_t engine) const {
   const Summary& all = this->Summarize();
-  return all.are_uneven && this->IsKnown(engine)
-             ? this->engines[engine].median_us / all.median_us
+  return this->are_uneven && this->IsKnown(engine)
+             ? this->engines[engine].us / all.median_us
              : 1.0;
 }
 
@@ -138,9 +161,9 @@
 
 double EngineSpeeds::ExpectedPauseUs(std::size_t engine) const {
   const Summary& all = this->Summarize();
-  return all.are_uneven ? all.median_us * this->RelativeTime(engine) *
-                              std::exp(this->log_pause_factor)
-                        : 0.0;
+  return this->are_uneven ? all.median_us * this->RelativeTime(engine) *
+                                std::exp(this->log_pause_factor)
+                          : 0.0;
 }
 
 }  // namespace meadowthread
