--- a/src/policy/engine_speeds.cc
+++ b/src/policy/engine_speeds.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <functional>
 #include <set>
+#include <span>
 
 namespace meadowthread {
 namespace {
@@ -14,23 +15,12 @@
 constexpr std::int64_t kMaxTypicalUs = 2'000'000;
 // Fewer known engines do not tell what is usual.
 constexpr std::size_t kMinEngines = 4;
-// The lower quartile of an engine's measurements is its speed: a host that
-// measures it while it prefills one prompt after the other sees twice its time.
-constexpr double kLowerQuartile = 0.25;
-// Engines with fewer measurements don't tell whether the engines are uneven.
-constexpr std::size_t kMinCount = 3;
-// Engines are apart if a quarter of them is slower than the fastest tenth by
-// more than this factor. Engines of one speed differ by up to 1.4 when they run
-// different numbers of requests, and some services have engines that are slower
-// by a third; neither needs other choices.
+// Engines count as uneven if a quarter of them is slower than the fastest one
+// by more than this factor. Engines of one speed differ by up to 1.4 when they
+// run different numbers of requests, and some services have engines that are
+// slower by a third; neither needs other choices.
 constexpr double kUnevenFactor = 2.0;
 constexpr double kSlowQuantile = 0.75;
-constexpr double kFastQuantile = 0.1;
-// Engines that are apart for a moment, as some are overloaded, are not uneven.
-// An allocator gets some ten measurements a second.
-constexpr int kMaxEvidence = 120;
-constexpr int kUnevenFrom = 80;
-constexpr int kUnevenUntil = 40;
 // Part of the measurements, each over a second, whose longest pause exceeds the
 // pause factor. A stream of ten seconds meets such a pause once in five.
 constexpr double kPauseTail = 0.02;
@@ -47,6 +37,12 @@
   return values[static_cast<std::size_t>(at)];
 }
 
+double MedianOf(std::span<const float> values) {
+  std::vector<double> copy(values.begin(), values.end());
+  constexpr double kMiddle = 0.5;
+  return QuantileOf(copy, kMiddle);
+}
+
 }  // namespace
 
 bool EngineSpeeds::Observe(std::size_t engine, std::string_view model,
@@ -68,13 +64,9 @@
       static_cast<float>(seen.longest_us);
   ++known.count;
   known.model_hash = std::hash<std::string_view>{}(model);
-  std::vector<double> kept(
-      known.typical_us.begin(),
-      known.typical_us.begin() +
-          static_cast<std::ptrdiff_t>(std::min(known.count, kKept)));
-  known.us = QuantileOf(kept, kLowerQuartile);
+  known.median_us =
+      MedianOf(std::span(known.typical_us).first(std::min(known.count, kKept)));
   this->is_stale = true;
-  this->UpdateEvidence();
   this->NotePause(known, static_cast<double>(seen.longest_us));
   return true;
 }
@@ -82,11 +74,11 @@
 // A pause that the host or the network causes weighs more on a fast engine, so
 // only engines that are not faster than the median count.
 void EngineSpeeds::NotePause(const Engine& engine, double pause_us) {
-  if (engine.us < this->Summarize().median_us) {
+  if (engine.median_us < this->Summarize().median_us) {
     return;
   }
   const double log_factor =
-      std::log(std::min(pause_us / engine.us, kMaxPauseFactor));
+      std::log(std::min(pause_us / engine.median_us, kMaxPauseFactor));
   this->log_pause_factor += log_factor > this->log_pause_factor
                                 ? kPauseStep * (1.0 - kPauseTail)
                                 : -kPauseStep * kPauseTail;
@@ -105,44 +97,29 @@
   }
   this->is_stale = false;
   std::vector<double> times;
-  std::vector<double> compared;
   std::set<std::size_t> models;
   for (const Engine& engine : this->engines) {
     if (engine.count > 0) {
-      times.push_back(engine.us);
+      times.push_back(engine.median_us);
       models.insert(engine.model_hash);
     }
-    if (engine.count >= kMinCount) {
-      compared.push_back(engine.us);
-    }
   }
   this->summary = Summary{};
-  if (!times.empty()) {
+  if (times.size() >= kMinEngines && models.size() == 1) {
     constexpr double kMiddle = 0.5;
+    this->summary.are_uneven = QuantileOf(times, kSlowQuantile) >
+                               kUnevenFactor * QuantileOf(times, 0.0);
     this->summary.median_us = QuantileOf(times, kMiddle);
   }
-  if (compared.size() >= kMinEngines && models.size() == 1) {
-    this->summary.are_apart =
-        QuantileOf(compared, kSlowQuantile) >
-        kUnevenFactor * QuantileOf(compared, kFastQuantile);
-  }
   return this->summary;
 }
 
-void EngineSpeeds::UpdateEvidence() {
-  this->evidence = std::clamp(
-      this->evidence + (this->Summarize().are_apart ? 1 : -1), 0, kMaxEvidence);
-  if (this->evidence >= kUnevenFrom) {
-    this->are_uneven = true;
-  } else if (this->evidence < kUnevenUntil) {
-    this->are_uneven = false;
-  }
-}
+bool EngineSpeeds::AreUneven() const { return this->Summarize().are_uneven; }
 
 double EngineSpeeds::RelativeTime(std::size_t engine) const {
   const Summary& all = this->Summarize();
-  return this->are_uneven && this->IsKnown(engine)
-             ? this->engines[engine].us / all.median_us
+  return all.are_uneven && this->IsKnown(engine)
+             ? this->engines[engine].median_us / all.median_us
              : 1.0;
 }
 
@@ -161,9 +138,9 @@
 
 double EngineSpeeds::ExpectedPauseUs(std::size_t engine) const {
   const Summary& all = this->Summarize();
-  return this->are_uneven ? all.median_us * this->RelativeTime(engine) *
-                                std::exp(this->log_pause_factor)
-                          : 0.0;
+  return all.are_uneven ? all.median_us * this->RelativeTime(engine) *
+                              std::exp(this->log_pause_factor)
+                        : 0.0;
 }
 
 }  // namespace meadowthread
--- a/src/policy/engine_speeds.h
+++ b/src/policy/engine_speeds.h
@@ -50,7 +50,7 @@
   void Forget(std::size_t engine);
 
   /// @brief Whether the engines differ so much that choices depend on it.
-  bool AreUneven() const { return this->are_uneven; }
+  bool AreUneven() const;
 
   /// @brief The engine's time per token divided by the median engine's; 1 if it
   /// is not known or the engines are about equally fast.
@@ -79,17 +79,15 @@
     std::array<float, kKept> typical_us = {};  ///< ring of the latest ones
     std::array<float, kKept> longest_us = {};  ///< likewise
     std::size_t count = 0;                     ///< since the engine's start
-    double us = 0.0;  ///< lower quartile of those in the ring
+    double median_us = 0.0;                    ///< of those in the ring
     std::size_t model_hash = 0;
   };
   struct Summary {
     double median_us = 0.0;  ///< of the known engines
-    /// The engines differ by now; they may do so for a moment only.
-    bool are_apart = false;
+    bool are_uneven = false;
   };
 
   const Summary& Summarize() const;
-  void UpdateEvidence();
   void NotePause(const Engine& engine, double pause_us);
 
   std::vector<Engine> engines;
@@ -97,10 +95,6 @@
   /// time per token.
   double log_pause_factor = 0.0;
   std::int64_t ignored = 0;
-  /// Measurements with which the engines were apart less those with which they
-  /// were not, within limits.
-  int evidence = 0;
-  bool are_uneven = false;
   mutable Summary summary;
   mutable bool is_stale = false;
 };
