--- a/review/lib-2/bed.py
+++ b/review/lib-2/bed.py
@@ -23,9 +23,16 @@
 
 
 def free_port():
-    with socket.socket() as one:
-        one.bind(("127.0.0.1", 0))
-        return one.getsockname()[1]
+    """A port below those that outgoing connections get, free for TCP and UDP."""
+    while True:
+        port = random.randint(10000, 29999)
+        try:
+            with socket.socket() as one, socket.socket(type=socket.SOCK_DGRAM) as other:
+                one.bind(("127.0.0.1", port))
+                other.bind(("127.0.0.1", port))
+                return port
+        except OSError:
+            pass
 
 
 class CannotRun(Exception):
