--- a/review/lib-2/bed.py
+++ b/review/lib-2/bed.py
@@ -344,13 +344,20 @@
         self.zone = zone
         self.memory_mb = memory_mb
         self.store_port = store_port
-        self.callers, self.ready_port, self.control = free_port(), free_port(), free_port()
-        self.loads, self.metrics = free_port(), free_port()
+        self.choose_ports()
         self.process = None
         self.starts = 0
         self.ends_by_itself = 0
         self.is_wanted = False
 
+    def choose_ports(self):
+        self.callers, self.ready_port, self.control = free_port(), free_port(), free_port()
+        self.loads, self.metrics = free_port(), free_port()
+
+    def last_lines(self):
+        with open(os.path.join(self.bed.folder, self.name + ".log"), encoding="latin-1") as log:
+            return "".join(log.readlines()[-4:])
+
     def settings(self):
         zones = "".join("  - {name: \"%s\", region: \"cantabria\"}\n" % one
                         for one in self.bed.zones)
@@ -393,11 +400,12 @@
             return False
 
     def memory(self):
-        """Resident memory in MB; 0 if the process has ended."""
+        """Memory of the process's own in MB: without the program and the libraries,
+        which are mapped from files. 0 if it has ended."""
         try:
             with open("/proc/%d/status" % self.process.pid, encoding="ascii") as status:
                 for line in status:
-                    if line.startswith("VmRSS"):
+                    if line.startswith("RssAnon"):
                         return int(line.split()[1]) / 1024
         except (OSError, AttributeError):
             pass
@@ -439,8 +447,14 @@
             await host.start()
         until = time.monotonic() + 15
         while not all([await host.is_ready() for host in self.hosts]):
+            for host in self.hosts:
+                if host.process.returncode is not None:   # a port was taken meanwhile
+                    self.record.add("not-started", host=host.name, log=host.last_lines())
+                    host.choose_ports()
+                    await host.start()
             if time.monotonic() > until:
-                raise CannotRun("a host did not become ready")
+                raise CannotRun("a host did not become ready: " + " ".join(
+                    host.last_lines() for host in self.hosts))
             await asyncio.sleep(0.1)
 
     def configure(self, config):
