--- a/review/lib-2/bed.py
+++ b/review/lib-2/bed.py
@@ -546,6 +546,7 @@
 
 def run(main, case_file):
     """Plays `main(folder, trouble)` and exits with its verdict."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # ends the hosts as well
     folder = os.path.dirname(os.path.abspath(case_file))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
